--- /dev/null
+++ b/acaciafork/peers/CallTable.cpp
@@ -0,0 +1,82 @@
+#include "acaciafork/peers/CallTable.h"
+
+#include <boost/json.hpp>
+
+namespace acaciafork::peers {
+
+CallTable::CallTable(const CallTableSettings &settings, std::uint64_t firstCall)
+    : m_settings(settings)
+    , m_next(firstCall)
+{
+    ACACIAFORK_ASSERT(firstCall != 0);
+}
+
+std::uint64_t CallTable::begin(Timestamp now, ApiCall call, Handler handler)
+{
+    if (m_calls.size() >= m_settings.mostCalls)
+        return 0;
+    const std::uint64_t number = m_next++;
+    m_calls.emplace(number,
+                    Pending { .call = std::move(call),
+                              .handler = std::move(handler),
+                              .began = now,
+                              .sendAt = now });
+    return number;
+}
+
+void CallTable::end(std::uint64_t call, const ApiAnswer &answer)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end())
+        return;
+
+    // The handler may begin another call: the table is left in order before it runs.
+    const Handler handler = std::move(it->second.handler);
+    m_calls.erase(it);
+    handler(answer);
+}
+
+std::vector<std::pair<std::uint64_t, const ApiCall *>> CallTable::due(Timestamp now)
+{
+    std::vector<std::pair<std::uint64_t, const ApiCall *>> calls;
+    for (auto &[number, pending] : m_calls) {
+        if (pending.sendAt > now)
+            continue;
+        pending.sendAt = now + m_settings.resendAfter;
+        calls.emplace_back(number, &pending.call);
+    }
+    return calls;
+}
+
+void CallTable::hasten(std::uint64_t call)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end())
+        it->second.sendAt = it->second.began;
+}
+
+void CallTable::expire(Timestamp now)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto &[number, pending] : m_calls) {
+        if (now - pending.began >= m_settings.timeout)
+            late.push_back(number);
+    }
+    for (const std::uint64_t it : late)
+        end(it, failureAnswer(FailureKind::Timeout, "no answer from the control leader"));
+}
+
+std::string failureBody(FailureKind kind, std::string_view detail)
+{
+    const boost::json::object body {
+        { "error", { { "kind", failureKindName(kind) }, { "detail", detail } } }
+    };
+    return boost::json::serialize(body);
+}
+
+ApiAnswer failureAnswer(FailureKind kind, std::string_view detail)
+{
+    return { .status = httpStatus(kind), .body = failureBody(kind, detail) };
+}
+
+} // namespace acaciafork::peers
