--- a/acaciafork/core/Time.h
+++ b/acaciafork/core/Time.h
@@ -22,6 +22,13 @@
 /// Moment on the loop's clock.
 using Timestamp = LoopClock::time_point;
 
+/// Moment as a process sees it: the loop's clock for decisions, the wall clock for time lines.
+struct Moment
+{
+    Timestamp now;
+    std::int64_t wallMicroseconds = 0;
+};
+
 /// Moment `us` microseconds after the clock's origin.
 constexpr Timestamp timestampFromMicroseconds(std::int64_t us)
 {
--- /dev/null
+++ b/acaciafork/peers/PeerLink.cpp
@@ -0,0 +1,61 @@
+#include "acaciafork/peers/PeerLink.h"
+
+namespace acaciafork::peers {
+
+PeerLink::PeerLink(PeerIdentity identity, Timeline *timeline, CounterRegistry *counters,
+                   Transmit transmit, Handler handler)
+    : m_identity(std::move(identity))
+    , m_timeline(timeline)
+    , m_transmit(std::move(transmit))
+    , m_handler(std::move(handler))
+    , m_sent(&counters->counter("peer_messages_sent_total"))
+    , m_sentBytes(&counters->counter("peer_bytes_sent_total"))
+    , m_received(&counters->counter("peer_messages_received_total"))
+    , m_malformed(&counters->counter("peer_messages_dropped_total{reason=\"malformed\"}"))
+    , m_foreign(&counters->counter("peer_messages_dropped_total{reason=\"foreign\"}"))
+{
+}
+
+void PeerLink::send(ProcessId to, wire::Envelope *envelope, std::int64_t wallMicroseconds)
+{
+    const HybridTime time = m_timeline->clock().next(wallMicroseconds);
+    envelope->set_schema(messageSchema);
+    envelope->set_cluster(m_identity.cluster);
+    envelope->set_cell(m_identity.cell.value);
+    envelope->set_sender(m_identity.process.value);
+    envelope->set_incarnation(m_identity.incarnation.value);
+    envelope->mutable_time()->set_wall_us(time.wallMicroseconds);
+    envelope->mutable_time()->set_logical(time.logical);
+
+    m_buf.clear();
+    envelope->AppendToString(&m_buf);
+    m_sent->add();
+    m_sentBytes->add(static_cast<std::int64_t>(m_buf.size()));
+    m_transmit(to, std::as_bytes(std::span(m_buf.data(), m_buf.size())));
+}
+
+void PeerLink::receive(std::span<const std::byte> bytes, std::int64_t wallMicroseconds)
+{
+    wire::Envelope envelope;
+    if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
+        || envelope.body_case() == wire::Envelope::BODY_NOT_SET) {
+        m_malformed->add();
+        return;
+    }
+
+    // A process of another cluster, cell or schema must change nothing here.
+    const bool ours = envelope.schema() == messageSchema && envelope.cluster() == m_identity.cluster
+            && envelope.cell() == m_identity.cell.value && envelope.sender() != 0;
+    if (!ours) {
+        m_foreign->add();
+        return;
+    }
+
+    m_received->add();
+    const HybridTime time { .wallMicroseconds = envelope.time().wall_us(),
+                            .logical = envelope.time().logical() };
+    m_timeline->clock().observe(time, wallMicroseconds);
+    m_handler(envelope);
+}
+
+} // namespace acaciafork::peers
