--- /dev/null
+++ b/acaciafork/state/StateMachine.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "acaciafork/core/Failure.h"
+#include "acaciafork/core/Ids.h"
+#include "acaciafork/state/ApplyResult.h"
+#include "acaciafork/state/StateLimits.h"
+
+namespace acaciafork::state {
+
+class Configuration;
+class Ledger;
+class Moves;
+class Placements;
+class Racks;
+class RequestLog;
+class Tasks;
+class Teams;
+
+/// The replicated state of one cell. Deterministic: members that apply the same commands in the
+/// same order hold the same state, give the same results and write the same snapshot, byte for
+/// byte.
+class StateMachine
+{
+public:
+    explicit StateMachine(CellId cell, const StateLimits &limits = {});
+    ~StateMachine();
+    StateMachine(const StateMachine &) = delete;
+    StateMachine &operator=(const StateMachine &) = delete;
+
+    /// Applies the committed command at `index`. Never fails: a command that can't be decoded or is
+    /// refused gives a result that says so, and changes nothing.
+    /// @param[in] index position in the log; grows from call to call
+    ApplyResult apply(std::uint64_t index, std::span<const std::byte> command);
+
+    /// The whole state as bytes.
+    [[nodiscard]] std::string snapshot() const;
+
+    /// Replaces the whole state by that of a snapshot; on failure nothing changes.
+    /// Fails with Failure of kind Corrupt, or InvalidArgument for another cell or format.
+    Result<void> restore(std::span<const std::byte> bytes);
+
+    /// Index of the last command applied; 0 before the first.
+    [[nodiscard]] std::uint64_t appliedIndex() const;
+    /// Latest command time seen, in wall-clock microseconds; retention goes by it.
+    [[nodiscard]] std::int64_t nowMicroseconds() const;
+    /// Cell that the state belongs to.
+    [[nodiscard]] CellId cell() const { return m_cell; }
+
+    /// @name Views
+    /// Valid until the next restore().
+    /// @{
+    [[nodiscard]] const Configuration &configuration() const;
+    [[nodiscard]] const Racks &racks() const;
+    [[nodiscard]] const Placements &placements() const;
+    [[nodiscard]] const Teams &teams() const;
+    [[nodiscard]] const Tasks &tasks() const;
+    [[nodiscard]] const Moves &moves() const;
+    [[nodiscard]] const Ledger &ledger() const;
+    [[nodiscard]] const RequestLog &requests() const;
+    /// @}
+
+private:
+    struct Tables;
+
+    ApplyResult applyOnce(const wire::Command &command);
+    ApplyResult dispatch(const wire::Command &command);
+    ApplyResult applyBatch(const wire::CommandBatch &batch);
+    static bool loadRecord(const wire::SnapshotRecord &record, Tables *tables);
+
+    CellId m_cell;
+    StateLimits m_limits;
+    std::unique_ptr<Tables> m_tables;
+};
+
+} // namespace acaciafork::state
--- /dev/null
+++ b/acaciafork/state/TaskRecords.cpp
@@ -0,0 +1,94 @@
+#include "acaciafork/state/TaskRecords.h"
+
+#include "acaciafork/state/ApplyResult.h"
+#include "acaciafork/state/StateLimits.h"
+
+namespace acaciafork::state {
+
+std::string problemOf(const wire::SubmitTask &command, std::size_t payloadBytes)
+{
+    if (!isTaskId(command.task()))
+        return "a task needs an id";
+    if (command.team().empty() == command.service().empty())
+        return "a task belongs to a team or to a service";
+    if (command.family().size() > longestName || command.service().size() > longestName)
+        return "a name is too long";
+    if (!isBounded(command.size()))
+        return "the size is out of bounds";
+    if (command.size().millicores() == 0 || command.size().memory_mb() == 0)
+        return "a task needs cores and memory";
+    if (command.payload().size() > payloadBytes)
+        return "the payload has more than " + std::to_string(payloadBytes) + " bytes";
+    return {};
+}
+
+Task taskOf(const wire::SubmitTask &command)
+{
+    return Task {
+        .team = { command.team() },
+        .service = { command.service() },
+        .family = command.family(),
+        .payload = command.payload(),
+        .declaredRunMs = command.declared_run_ms(),
+        .size = { .millicores = static_cast<std::uint32_t>(command.size().millicores()),
+                  .memoryMb = static_cast<std::uint32_t>(command.size().memory_mb()),
+                  .accelerators = static_cast<std::uint32_t>(command.size().accelerators()) },
+        .urgent = command.urgent(),
+    };
+}
+
+void submissionOf(std::string_view id, const Task &task, wire::SubmitTask *command)
+{
+    command->set_task(std::string(id));
+    command->set_team(task.team.value);
+    command->set_service(task.service.value);
+    command->set_family(task.family);
+    command->set_payload(task.payload);
+    command->set_declared_run_ms(task.declaredRunMs);
+    command->set_urgent(task.urgent);
+    wire::Resources *size = command->mutable_size();
+    size->set_millicores(task.size.millicores);
+    size->set_memory_mb(task.size.memoryMb);
+    size->set_accelerators(task.size.accelerators);
+}
+
+void recordOf(std::string_view id, const Task &task, wire::TaskRecord *record)
+{
+    submissionOf(id, task, record->mutable_submitted());
+    record->set_state(task.state);
+    record->set_epoch(task.epoch.value);
+    record->set_worker(task.worker.value);
+    record->set_checkpoint(task.checkpoint);
+    record->set_failures(task.failures);
+    record->set_evictions(task.evictions);
+    record->set_cancel_requested(task.cancelRequested);
+    record->set_submitted_us(task.submittedMicroseconds);
+    record->set_changed_us(task.changedMicroseconds);
+    record->set_reason(task.reason);
+}
+
+Task taskOf(const wire::TaskRecord &record)
+{
+    Task task = taskOf(record.submitted());
+    task.state = record.state();
+    task.epoch = { record.epoch() };
+    task.worker = { record.worker() };
+    task.checkpoint = record.checkpoint();
+    task.failures = record.failures();
+    task.evictions = record.evictions();
+    task.cancelRequested = record.cancel_requested();
+    task.submittedMicroseconds = record.submitted_us();
+    task.changedMicroseconds = record.changed_us();
+    task.reason = record.reason();
+    return task;
+}
+
+bool isSameSubmission(const wire::SubmitTask &command, const Task &task)
+{
+    const Task other = taskOf(command);
+    return other.team == task.team && other.service == task.service && other.family == task.family
+            && other.payload == task.payload && other.declaredRunMs == task.declaredRunMs
+            && other.size == task.size && other.urgent == task.urgent;
+}
+
+} // namespace acaciafork::state
--- /dev/null
+++ b/acaciafork/state/TaskRecords.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "acaciafork/state/Task.h"
+
+namespace acaciafork::state {
+
+/// What is wrong with a submission, apart from its team; empty when nothing is.
+std::string problemOf(const wire::SubmitTask &command, std::size_t payloadBytes);
+
+/// Task as it stands right after its submission.
+Task taskOf(const wire::SubmitTask &command);
+
+/// Submission that made a task.
+void submissionOf(std::string_view id, const Task &task, wire::SubmitTask *command);
+
+/// Record of a task in a snapshot.
+void recordOf(std::string_view id, const Task &task, wire::TaskRecord *record);
+
+/// Task of a record.
+Task taskOf(const wire::TaskRecord &record);
+
+/// True when a submission has the content that a task was made from.
+bool isSameSubmission(const wire::SubmitTask &command, const Task &task);
+
+} // namespace acaciafork::state
--- /dev/null
+++ b/acaciafork/state/Teams.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "acaciafork/state/ApplyResult.h"
+#include "acaciafork/state/StateLimits.h"
+
+namespace acaciafork::state {
+
+class SnapshotWriter;
+
+/// Teams, with the digests of their tokens, their quotas and weights.
+class Teams
+{
+public:
+    /// Teams by name.
+    using Map = std::map<std::string, wire::Team, std::less<>>;
+
+    explicit Teams(const StateLimits &limits)
+        : m_limits(limits)
+    { }
+
+    /// Sets a team by compare-and-set; expected version 0 makes a new one.
+    ApplyResult put(const wire::PutTeam &command);
+
+    /// Team of that name, or nullptr.
+    [[nodiscard]] const wire::Team *find(std::string_view name) const;
+    /// Every team.
+    [[nodiscard]] const Map &all() const { return m_teams; }
+
+    /// Appends every team to a snapshot.
+    void save(SnapshotWriter *writer) const;
+    /// Takes in one record of a snapshot; false when it is no valid team.
+    bool load(const wire::Team &record);
+
+private:
+    const StateLimits &m_limits;
+    Map m_teams;
+};
+
+} // namespace acaciafork::state
--- /dev/null
+++ b/tests/state/TasksTest.cpp
@@ -0,0 +1,87 @@
+#include <doctest/doctest.h>
+
+#include "tests/state/Driver.h"
+
+using namespace acaciafork;
+using namespace acaciafork::state;
+
+namespace {
+
+const Task &taskOf(const Driver &driver, const std::string &id)
+{
+    const Task *task = driver.machine.tasks().find(id);
+    REQUIRE(task != nullptr);
+    return *task;
+}
+
+} // namespace
+
+TEST_CASE("evicted work resumes once, from the last checkpoint, under the next epoch")
+{
+    Driver driver;
+    driver.apply(team("warm", 100'000));
+    CHECK(driver.apply(job("warm/j1", "warm")).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(job("warm/j1", "warm")).outcome() == wire::OUTCOME_ALREADY_APPLIED);
+    CHECK(driver.apply(lease("warm/j1", "w1", 1)).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(lease("warm/j1", "w1", 1)).outcome() == wire::OUTCOME_ALREADY_APPLIED);
+    CHECK(driver.apply(lease("warm/j1", "w2", 2)).outcome() == wire::OUTCOME_WRONG_STATE);
+    CHECK(driver.apply(stopped("warm/j1", 1, wire::STOP_REASON_EVICTED, "c7")).outcome()
+          == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(lease("warm/j1", "w2", 2)).outcome() == wire::OUTCOME_CONTENT_CONFLICT);
+    CHECK(driver.apply(lease("warm/j1", "w2", 1, "c7")).outcome() == wire::OUTCOME_STALE_EPOCH);
+    CHECK(driver.apply(lease("warm/j1", "w2", 2, "c7")).outcome() == wire::OUTCOME_APPLIED);
+
+    // Late reports of the first lease change nothing.
+    CHECK(driver.apply(stopped("warm/j1", 1)).outcome() == wire::OUTCOME_STALE_EPOCH);
+    CHECK(driver.apply(finished("warm/j1", 1)).outcome() == wire::OUTCOME_STALE_EPOCH);
+    CHECK(taskOf(driver, "warm/j1").hasLiveLease());
+    CHECK(taskOf(driver, "warm/j1").evictions == 1);
+    CHECK(driver.apply(finished("warm/j1", 2)).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(lease("warm/j1", "w3", 3, "c7")).outcome() == wire::OUTCOME_WRONG_STATE);
+}
+
+TEST_CASE("a cancellation waits for the live lease, also when the work is evicted meanwhile")
+{
+    Driver driver;
+    driver.apply(team("warm", 100'000));
+    driver.apply(job("warm/j1", "warm"));
+    driver.apply(lease("warm/j1", "w1", 1));
+    CHECK(driver.apply(cancel("warm/j1")).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(taskOf(driver, "warm/j1").hasLiveLease());
+    CHECK(driver.apply(cancel("warm/j1")).outcome() == wire::OUTCOME_ALREADY_APPLIED);
+    driver.apply(stopped("warm/j1", 1));
+    CHECK(taskOf(driver, "warm/j1").state == wire::TASK_STATE_CANCELLED);
+    CHECK(driver.apply(lease("warm/j1", "w1", 2)).outcome() == wire::OUTCOME_WRONG_STATE);
+}
+
+TEST_CASE("leases stay within the team's quota, and a job over it is refused at once")
+{
+    Driver driver;
+    driver.apply(team("warm", 2'500));
+    for (const char *id : { "warm/j1", "warm/j2", "warm/j3" })
+        driver.apply(job(id, "warm"));
+    CHECK(driver.apply(lease("warm/j1", "w1", 1)).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(lease("warm/j2", "w1", 1)).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(lease("warm/j3", "w1", 1)).outcome() == wire::OUTCOME_OVER_QUOTA);
+    driver.apply(finished("warm/j1", 1));
+    CHECK(driver.apply(lease("warm/j3", "w1", 1)).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.machine.tasks().usageOf("warm").millicores == 2000);
+
+    wire::Command large = job("warm/j4", "warm");
+    large.mutable_submit_task()->mutable_size()->set_millicores(3000);
+    CHECK(driver.apply(large).outcome() == wire::OUTCOME_OVER_QUOTA);
+    CHECK(driver.apply(job("other/j1", "other")).outcome() == wire::OUTCOME_NOT_FOUND);
+}
+
+TEST_CASE("ended tasks are forgotten after their window")
+{
+    Driver driver({ .endedTaskWindow = std::chrono::seconds(10) });
+    driver.apply(team("warm", 100'000));
+    driver.apply(job("warm/j1", "warm"));
+    driver.apply(job("warm/j2", "warm"));
+    driver.apply(cancel("warm/j1"));
+    driver.now += 11'000'000;
+    driver.apply(cancel("warm/j2"));
+    CHECK(driver.machine.tasks().find("warm/j1") == nullptr);
+    CHECK(driver.machine.tasks().count(wire::TASK_STATE_CANCELLED) == 1);
+}
