--- a/acaciafork/entry/EntryNode.cpp
+++ b/acaciafork/entry/EntryNode.cpp
@@ -2,8 +2,6 @@
 
 #include <array>
 
-#include "acaciafork/entry/ConfigCodec.h"
-
 namespace acaciafork::entry {
 namespace {
 
@@ -18,22 +16,46 @@
     EntryNode &node;
     Moment at;
 
-    void operator()(const routing::StartAttempt &command) const { node.m_ports->startAttempt(command); }
-    void operator()(const routing::ForwardAnswer &command) const { node.m_ports->forwardAnswer(command); }
-    void operator()(const routing::AnswerNotRun &command) const { node.m_ports->answerNotRun(command); }
-    void operator()(const routing::AnswerUnknown &command) const { node.m_ports->answerUnknown(command); }
-    void operator()(const routing::AbandonAttempt &command) const { node.m_ports->abandonAttempt(command); }
-    void operator()(const routing::ReleaseAttempt &command) const { node.m_ports->releaseAttempt(command); }
-    void operator()(const routing::CloseConnections &command) const { node.m_ports->closeConnections(command); }
-    void operator()(const routing::ProbeEndpoint &command) const { node.m_ports->probeEndpoint(command); }
+    void operator()(const routing::StartAttempt &command) const
+    {
+        node.m_ports->startAttempt(command);
+    }
+    void operator()(const routing::ForwardAnswer &command) const
+    {
+        node.m_ports->forwardAnswer(command);
+    }
+    void operator()(const routing::AnswerNotRun &command) const
+    {
+        node.m_ports->answerNotRun(command);
+    }
+    void operator()(const routing::AnswerUnknown &command) const
+    {
+        node.m_ports->answerUnknown(command);
+    }
+    void operator()(const routing::AbandonAttempt &command) const
+    {
+        node.m_ports->abandonAttempt(command);
+    }
+    void operator()(const routing::ReleaseAttempt &command) const
+    {
+        node.m_ports->releaseAttempt(command);
+    }
+    void operator()(const routing::CloseConnections &command) const
+    {
+        node.m_ports->closeConnections(command);
+    }
+    void operator()(const routing::ProbeEndpoint &command) const
+    {
+        node.m_ports->probeEndpoint(command);
+    }
     void operator()(const routing::AskLedger &command) const { node.m_ledger.ask(at.now, command); }
     void operator()(const routing::RecordLedgerEnd &command) const { node.m_ledger.end(command); }
 
     void operator()(const routing::ForwardToPeer &command) const
     {
         const auto it = node.m_entries.find(command.peer);
-        node.m_ports->forwardToPeer(command, it == node.m_entries.end() ? std::string_view()
-                                                                        : it->second);
+        node.m_ports->forwardToPeer(command,
+                                    it == node.m_entries.end() ? std::string_view() : it->second);
     }
 
     void operator()(const routing::SendCreditReport &command) const
@@ -78,8 +100,7 @@
     , m_accepted(&counters->counter("entry_requests_accepted_total"))
     , m_refusedNotReady(&counters->counter("entry_requests_refused_not_ready_total"))
     , m_configVersion(&counters->counter("entry_config_version", MetricKind::Gauge))
-{
-}
+{ }
 
 bool EntryNode::ready(Timestamp now) const
 {
@@ -296,7 +317,7 @@
                            std::to_string(reply.config_version()));
         leaf::try_handle_all(
                 [&]() -> Result<void> {
-                    BOOST_LEAF_AUTO(services, decodeServices(m_config.document()));
+                    BOOST_LEAF_AUTO(services, peers::decodeServices(m_config.document()));
                     Commands commands;
                     m_scheduler.configApplied(at.now, services, &commands);
                     run(at, &commands);
@@ -322,8 +343,8 @@
 void EntryNode::onApiRequest(Moment at, const wire::Envelope &envelope)
 {
     const wire::ApiRequest &request = envelope.api_request();
-    const peers::ApiAnswer answer
-            = answerLocally({ .method = request.method(), .path = request.path() });
+    const peers::ApiAnswer answer =
+            answerLocally({ .method = request.method(), .path = request.path() });
     wire::Envelope reply;
     reply.mutable_api_reply()->set_call(request.call());
     reply.mutable_api_reply()->set_status(static_cast<std::uint32_t>(answer.status));
@@ -344,8 +365,8 @@
 
 void EntryNode::onCreditGrant(Moment at, const wire::Envelope &envelope)
 {
-    const routing::CreditGrant grant
-            = peers::decodeGrant(envelope.credit_grant(), m_link->identity().process);
+    const routing::CreditGrant grant =
+            peers::decodeGrant(envelope.credit_grant(), m_link->identity().process);
     Commands commands;
     m_scheduler.grantReceived(at.now, grant, &commands);
     run(at, &commands);
@@ -366,9 +387,10 @@
 {
     using routing::LedgerVerdict;
     /// By wire::LedgerAnswer.
-    static constexpr std::array verdicts { LedgerVerdict::Unavailable, LedgerVerdict::Recorded,
-                                           LedgerVerdict::Running, LedgerVerdict::EndedAnswered,
-                                           LedgerVerdict::EndedUnknown, LedgerVerdict::BodyDiffers };
+    static constexpr std::array verdicts {
+        LedgerVerdict::Unavailable,   LedgerVerdict::Recorded,     LedgerVerdict::Running,
+        LedgerVerdict::EndedAnswered, LedgerVerdict::EndedUnknown, LedgerVerdict::BodyDiffers
+    };
     const wire::LedgerVerdict &message = envelope.ledger_verdict();
     const RequestId request { message.request() };
 
@@ -376,8 +398,8 @@
     if (!m_ledger.answered(request))
         return;
     const auto index = static_cast<std::size_t>(message.answer());
-    const LedgerVerdict verdict = index < verdicts.size() ? verdicts[index]
-                                                          : LedgerVerdict::Unavailable;
+    const LedgerVerdict verdict =
+            index < verdicts.size() ? verdicts[index] : LedgerVerdict::Unavailable;
     Commands commands;
     m_scheduler.ledgerVerdict(at.now, request, verdict, &commands);
     run(at, &commands);
@@ -395,7 +417,8 @@
         return { .status = 200, .body = peers::timelineJson(*m_timeline) };
     if (call.method == "GET" && call.path == "/acaciafork/v1/counters")
         return { .status = 200, .body = m_counters->prometheusText() };
-    return peers::failureAnswer(FailureKind::NotFound, "an entry does not serve this path to peers");
+    return peers::failureAnswer(FailureKind::NotFound,
+                                "an entry does not serve this path to peers");
 }
 
 } // namespace acaciafork::entry
--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -78,7 +78,10 @@
     /// Version of the configuration that runs here.
     [[nodiscard]] ConfigVersion configVersion() const { return m_config.version(); }
     /// Requests without their final answer.
-    [[nodiscard]] std::size_t requestsInProgress() const { return m_scheduler.requestsInProgress(); }
+    [[nodiscard]] std::size_t requestsInProgress() const
+    {
+        return m_scheduler.requestsInProgress();
+    }
     /// The decisions, for counters and tests.
     [[nodiscard]] const routing::EntryScheduler &scheduler() const { return m_scheduler; }
 
--- a/acaciafork/entry/LedgerOutbox.cpp
+++ b/acaciafork/entry/LedgerOutbox.cpp
@@ -4,8 +4,7 @@
 
 LedgerOutbox::LedgerOutbox(const LedgerOutboxSettings &settings)
     : m_settings(settings)
-{
-}
+{ }
 
 void LedgerOutbox::ask(Timestamp now, const routing::AskLedger &command)
 {
--- a/acaciafork/entry/ConfigCodec.cpp
+++ b/acaciafork/peers/ConfigCodec.cpp
@@ -1,8 +1,8 @@
-#include "acaciafork/entry/ConfigCodec.h"
+#include "acaciafork/peers/ConfigCodec.h"
 
 #include "wire/state.pb.h"
 
-namespace acaciafork::entry {
+namespace acaciafork::peers {
 namespace {
 
 using Milliseconds = std::chrono::milliseconds;
@@ -27,7 +27,8 @@
     if (spec.ejected_percent() > 0)
         settings.ejectionFloorPercent = 100 - std::min(spec.ejected_percent(), 100U);
     if (spec.slots() > 0 && spec.short_work_slots() > 0)
-        settings.shortSlotsPercent = 100 * std::min(spec.short_work_slots(), spec.slots()) / spec.slots();
+        settings.shortSlotsPercent =
+                100 * std::min(spec.short_work_slots(), spec.slots()) / spec.slots();
     return settings;
 }
 
@@ -45,4 +46,4 @@
     return services;
 }
 
-} // namespace acaciafork::entry
+} // namespace acaciafork::peers
--- a/acaciafork/peers/PeerLink.cpp
+++ b/acaciafork/peers/PeerLink.cpp
@@ -13,8 +13,7 @@
     , m_received(&counters->counter("peer_messages_received_total"))
     , m_malformed(&counters->counter("peer_messages_dropped_total{reason=\"malformed\"}"))
     , m_foreign(&counters->counter("peer_messages_dropped_total{reason=\"foreign\"}"))
-{
-}
+{ }
 
 void PeerLink::send(ProcessId to, wire::Envelope *envelope, std::int64_t wallMicroseconds)
 {
--- a/acaciafork/peers/Peers.h
+++ b/acaciafork/peers/Peers.h
@@ -3,6 +3,7 @@
 /// Public header of the peers library: links between entries and control members.
 
 #include "acaciafork/peers/CallTable.h"
+#include "acaciafork/peers/ConfigCodec.h"
 #include "acaciafork/peers/CreditCodec.h"
 #include "acaciafork/peers/LeaderTracker.h"
 #include "acaciafork/peers/PeerLink.h"
