Add the batch scheduler's interface and task life cycle

Cause: the control leader needs one pure object that decides where jobs and service tasks run. Change: records, events, commands; task table, fleet, placement index, waiting queue by fair share, task life cycle with leases, service planner, rack drainer, scheduler.

--- /dev/null
+++ b/acaciafork/decisions/batch/Batch.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Public header of the batch library: where jobs and service tasks run, and the move of racks.
+
+#include "acaciafork/decisions/batch/Commands.h"
+#include "acaciafork/decisions/batch/Events.h"
+#include "acaciafork/decisions/batch/Records.h"
+#include "acaciafork/decisions/batch/Scheduler.h"
+#include "acaciafork/decisions/batch/SchedulerCounters.h"
+#include "acaciafork/decisions/batch/Settings.h"
+#include "acaciafork/decisions/batch/Types.h"
--- /dev/null
+++ b/acaciafork/decisions/batch/Fleet.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <vector>
+
+#include "acaciafork/decisions/batch/NameIndex.h"
+#include "acaciafork/decisions/batch/Records.h"
+
+namespace acaciafork::batch {
+
+/// One worker of the platform.
+struct Worker
+{
+    Index rack = noIndex;
+    Incarnation incarnation;
+    /// Number of the latest report taken, and when it arrived; leases count from it.
+    std::uint64_t seq = 0;
+    Timestamp reportedAt {};
+    Resources room;
+    /// Sum of what its tasks were granted, proposed leases among them. Never over `room`, but for a
+    /// worker that reports less room than it once had.
+    Resources granted;
+    /// Tasks that take room here.
+    std::vector<Index> tasks;
+    /// Reported to this leader, and not silent for too long.
+    bool present = false;
+    /// Takes no new work until a probe succeeds.
+    bool quarantined = false;
+    /// Kept clear for a task that has waited too long; noIndex when it is not.
+    Index reservedFor = noIndex;
+
+    /// Place in the placement index; kept by it.
+    Index indexBucket = noIndex;
+    Index indexPosition = noIndex;
+
+    /// What a new task may take.
+    [[nodiscard]] Resources freeRoom() const { return room - granted; }
+};
+
+/// One rack.
+struct Rack
+{
+    RackRecord record;
+    Index building = noIndex;
+    Index zone = noIndex;
+    std::vector<Index> workers;
+    /// Tasks that take room at its workers.
+    std::uint32_t tasks = 0;
+    /// The running move empties it now.
+    bool moveDraining = false;
+    /// RackDrained or RackRetired waits for its commit.
+    bool proposed = false;
+
+    /// Work leaves this rack.
+    [[nodiscard]] bool draining() const
+    {
+        return record.state != RackState::Active || moveDraining;
+    }
+};
+
+/// Workers and racks, and who stands where.
+class Fleet
+{
+public:
+    /// Worker of that name, new when it was not seen before.
+    Index internWorker(const WorkerName &name);
+    /// Worker of that name, or noIndex.
+    [[nodiscard]] Index findWorker(const WorkerName &name) const
+    {
+        return m_workerNames.find(name);
+    }
+    /// Rack of that name, or noIndex.
+    [[nodiscard]] Index findRack(const RackName &name) const { return m_rackNames.find(name); }
+    /// Building of that name, new when it was not seen before.
+    Index internBuilding(const BuildingName &name) { return m_buildings.intern(name); }
+
+    /// Adds or replaces the record of a rack.
+    Index putRack(const RackRecord &record);
+    /// Says that a worker stands in a rack.
+    void setRack(Index worker, Index rack);
+    /// Adds a task to a worker's list, taking what it was granted.
+    /// @return its position in the list
+    Index attach(Index worker, Index task, const Resources &granted);
+    /// Takes the task at `position` off the list.
+    /// @return the task that took its position, or noIndex
+    Index detach(Index worker, Index position, const Resources &granted);
+
+    Worker &worker(Index index) { return m_workers[index]; }
+    [[nodiscard]] const Worker &worker(Index index) const { return m_workers[index]; }
+    Rack &rack(Index index) { return m_racks[index]; }
+    [[nodiscard]] const Rack &rack(Index index) const { return m_racks[index]; }
+    [[nodiscard]] const WorkerName &workerName(Index i) const { return m_workerNames.name(i); }
+    [[nodiscard]] Index workerCount() const { return static_cast<Index>(m_workers.size()); }
+    [[nodiscard]] Index zoneCount() const { return static_cast<Index>(m_zones.size()); }
+    [[nodiscard]] Index rackCount() const { return static_cast<Index>(m_racks.size()); }
+
+    /// True when the worker may be given new work.
+    [[nodiscard]] bool eligible(Index worker) const;
+
+private:
+    NameIndex<WorkerName> m_workerNames;
+    NameIndex<RackName> m_rackNames;
+    NameIndex<BuildingName> m_buildings;
+    NameIndex<ZoneName> m_zones;
+    std::vector<Worker> m_workers;
+    std::vector<Rack> m_racks;
+};
+
+} // namespace acaciafork::batch
--- /dev/null
+++ b/acaciafork/decisions/batch/PlacementIndex.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <array>
+#include <vector>
+
+#include "acaciafork/decisions/batch/Fleet.h"
+
+namespace acaciafork::batch {
+
+/// Workers that may be given new work, in buckets by free cores, those with accelerators apart; a
+/// search looks at few of them, tightest first.
+class PlacementIndex
+{
+public:
+    explicit PlacementIndex(Fleet *fleet);
+
+    /// Puts a worker where its free room and eligibility say; call after each change of them.
+    void refresh(Index worker);
+
+    /// Calls `visit(worker)` for workers with room for `size`, tightest buckets first, until it
+    /// returns false. Workers without accelerators come first for tasks that need none.
+    template <typename Visit>
+    void forEachFitting(const Resources &size, Visit &&visit);
+
+private:
+    /// One bucket for each whole free core, the last one open upwards.
+    static constexpr Index bucketsPerClass = 128;
+    static constexpr std::int32_t millicoresPerBucket = 1000;
+
+    using Bucket = std::vector<Index>;
+
+    [[nodiscard]] Index bucketOf(Index worker) const;
+    void erase(Index worker);
+
+    template <typename Visit>
+    bool visitClass(Index first, const Resources &size, Visit &visit);
+
+    Fleet *m_fleet;
+    /// Buckets of workers without accelerators, then of those with.
+    std::array<Bucket, std::size_t { 2 } * bucketsPerClass> m_buckets;
+    /// Where the search in a bucket starts; moves on, so that work spreads within a bucket.
+    std::array<Index, std::size_t { 2 } * bucketsPerClass> m_cursors {};
+};
+
+template <typename Visit>
+void PlacementIndex::forEachFitting(const Resources &size, Visit &&visit)
+{
+    if (size.accelerators == 0 && !visitClass(0, size, visit))
+        return;
+    visitClass(bucketsPerClass, size, visit);
+}
+
+template <typename Visit>
+bool PlacementIndex::visitClass(Index first, const Resources &size, Visit &visit)
+{
+    const auto least = static_cast<Index>(std::max(size.millicores, 0) / millicoresPerBucket);
+    for (Index bucket = std::min(least, bucketsPerClass - 1); bucket < bucketsPerClass; ++bucket) {
+        const Bucket &workers = m_buckets[first + bucket];
+        const auto n = static_cast<Index>(workers.size());
+        if (n == 0)
+            continue;
+        const Index start = m_cursors[first + bucket]++ % n;
+        for (Index i = 0; i < n; ++i) {
+            const Index worker = workers[start + i < n ? start + i : start + i - n];
+            if (size.fitsIn(m_fleet->worker(worker).freeRoom()) && !visit(worker))
+                return false;
+        }
+    }
+    return true;
+}
+
+} // namespace acaciafork::batch
--- /dev/null
+++ b/acaciafork/decisions/batch/PlacementRound.cpp
@@ -0,0 +1,115 @@
+#include "acaciafork/decisions/batch/PlacementRound.h"
+
+namespace acaciafork::batch {
+
+PlacementRound::PlacementRound(Model *model, Placer *placer, TaskLifecycle *lifecycle)
+    : m_model(model)
+    , m_placer(placer)
+    , m_lifecycle(lifecycle)
+{ }
+
+void PlacementRound::run()
+{
+    m_budget = m_model->settings.tick.placementsPerTick;
+    m_noRoomFor.clear();
+    for (const QueueClass it :
+         { QueueClass::Service, QueueClass::Urgent, QueueClass::Evicted, QueueClass::Normal })
+        runClass(it);
+}
+
+void PlacementRound::runClass(QueueClass queueClass)
+{
+    if (m_model->queue.size(queueClass) == 0)
+        return;
+    ++m_round;
+    m_teamDone.resize(std::max(m_teamDone.size(), std::size_t { m_model->queue.teamCount() }));
+    while (m_budget > 0) {
+        const Index team = nextTeam(queueClass);
+        if (team == noIndex)
+            return;
+        place(queueClass, team);
+    }
+}
+
+Index PlacementRound::nextTeam(QueueClass queueClass)
+{
+    Index best = noIndex;
+    double bestShare = 0;
+    for (Index team = 0; team < m_model->queue.teamCount(); ++team) {
+        if (m_teamDone[team] == m_round)
+            continue;
+        if (m_model->queue.lines(queueClass, team).empty()) {
+            m_teamDone[team] = m_round;
+            continue;
+        }
+        const double share = m_model->teams.dominantShare(team);
+        if (best == noIndex || share < bestShare) {
+            best = team;
+            bestShare = share;
+        }
+    }
+    return best;
+}
+
+WaitingQueue::Line *PlacementRound::nextLine(QueueClass queueClass, Index team)
+{
+    WaitingQueue::Lines &lines = m_model->queue.lines(queueClass, team);
+    WaitingQueue::Line *best = nullptr;
+    std::int32_t bestAccelerators = 0;
+    for (auto it = lines.begin(); it != lines.end();) {
+        WaitingQueue::Line &line = it->second;
+        if (!m_model->queue.pruneHead(&line)) {
+            it = lines.erase(it);
+            continue;
+        }
+        ++it;
+        if (line.blockedInRound == m_round)
+            continue;
+
+        // Tasks that need accelerators go first, then the oldest.
+        const std::int32_t accelerators =
+                m_model->tasks[line.tasks.front().first].declared.accelerators;
+        if (best != nullptr && accelerators < bestAccelerators)
+            break;
+        if (best == nullptr || line.tasks.front().second < best->tasks.front().second) {
+            best = &line;
+            bestAccelerators = accelerators;
+        }
+    }
+    return best;
+}
+
+void PlacementRound::place(QueueClass queueClass, Index team)
+{
+    WaitingQueue::Line *line = nextLine(queueClass, team);
+    if (line == nullptr) {
+        m_teamDone[team] = m_round;
+        return;
+    }
+    const Index index = line->tasks.front().first;
+    const Resources size = m_model->sizeFor(m_model->tasks[index]);
+
+    // What can't be placed now holds up its own line for this round, no other.
+    if (knownNotToFit(size) || !m_model->teams.withinQuota(team, size)) {
+        line->blockedInRound = m_round;
+        return;
+    }
+    const Placement placement = m_placer->choose(index, size);
+    if (placement.worker == noIndex) {
+        line->blockedInRound = m_round;
+        if (!placement.anyRoom)
+            m_noRoomFor.push_back(size);
+        ++m_model->counters.searchesWithoutRoom;
+        return;
+    }
+    m_lifecycle->lease(index, placement.worker);
+    --m_budget;
+}
+
+bool PlacementRound::knownNotToFit(const Resources &size) const
+{
+    return std::any_of(m_noRoomFor.begin(), m_noRoomFor.end(),
+                       [&](const Resources &it) { return it.fitsIn(size); });
+}
+
+} // namespace acaciafork::batch
--- /dev/null
+++ b/acaciafork/decisions/batch/Scheduler.cpp
@@ -0,0 +1,208 @@
+#include "acaciafork/decisions/batch/Scheduler.h"
+
+#include "acaciafork/decisions/batch/Model.h"
+#include "acaciafork/decisions/batch/PlacementRound.h"
+#include "acaciafork/decisions/batch/Placer.h"
+#include "acaciafork/decisions/batch/RackDrainer.h"
+#include "acaciafork/decisions/batch/ServicePlanner.h"
+#include "acaciafork/decisions/batch/TaskLifecycle.h"
+#include "acaciafork/decisions/batch/WorkerReports.h"
+
+namespace acaciafork::batch {
+
+/// The classes that decide on parts, over one model.
+struct Scheduler::Parts
+{
+    explicit Parts(const SchedulerSettings &settings)
+        : model(settings)
+    { }
+
+    Model model;
+    TaskLifecycle lifecycle { &model };
+    WorkerReports reports { &model, &lifecycle };
+    Placer placer { &model };
+    PlacementRound placement { &model, &placer, &lifecycle };
+    ServicePlanner services { &model, &lifecycle };
+    RackDrainer drainer { &model, &lifecycle };
+};
+
+namespace {
+
+/// True for changes that RackDrainer proposes.
+bool isRackChange(const DurableChange &change)
+{
+    return std::holds_alternative<RackDrained>(change)
+            || std::holds_alternative<RackRetired>(change)
+            || std::holds_alternative<MoveStepDone>(change);
+}
+
+} // namespace
+
+Scheduler::Scheduler(const SchedulerSettings &settings)
+    : m_parts(std::make_unique<Parts>(settings))
+{ }
+
+Scheduler::~Scheduler() = default;
+
+void Scheduler::handle(Timestamp now, const Event &event, std::vector<Command> *commands)
+{
+    m_parts->model.now = now;
+    m_parts->model.outbox.open(commands);
+    std::visit([this](const auto &it) { on(it); }, event);
+}
+
+void Scheduler::on(const StateRestored &event)
+{
+    const RestoredState &state = event.state;
+    for (const TeamRecord &it : state.teams)
+        m_parts->model.teams.put(it);
+    for (const RackRecord &it : state.racks)
+        m_parts->drainer.put(it);
+    for (const PlacementRecord &it : state.placements)
+        m_parts->services.put(it);
+    for (const TaskRecord &it : state.tasks) {
+        m_parts->lifecycle.restore(it);
+        if (!it.service.value.empty())
+            m_parts->services.adopt(m_parts->model.tasks.find(it.job.task), it.service);
+    }
+    if (!state.move.steps.empty())
+        m_parts->drainer.putMove(state.move);
+}
+
+void Scheduler::on(const TaskSubmitted &event)
+{
+    m_parts->lifecycle.submit(event.job);
+}
+
+void Scheduler::on(const TaskCancelled &event)
+{
+    m_parts->lifecycle.cancel(event.task);
+}
+
+void Scheduler::on(const WorkerReported &event)
+{
+    m_parts->reports.onReport(event.report);
+}
+
+void Scheduler::on(const UsageReported & /*event*/) { }
+
+void Scheduler::on(const CommandCommitted &event)
+{
+    PendingChange pending;
+    if (!m_parts->model.outbox.take(event.proposal, &pending))
+        return;
+    if (isRackChange(pending.change))
+        m_parts->drainer.onCommitted(pending);
+    else
+        m_parts->lifecycle.onCommitted(pending);
+}
+
+void Scheduler::on(const CommandRejected &event)
+{
+    PendingChange pending;
+    if (!m_parts->model.outbox.take(event.proposal, &pending))
+        return;
+    if (isRackChange(pending.change))
+        m_parts->drainer.onRejected(pending);
+    else
+        m_parts->lifecycle.onRejected(pending);
+}
+
+void Scheduler::on(const WorkerCallAnswered &event)
+{
+    // Reports are the truth about workers; an answer only shows whether calls get through.
+    m_parts->model.counters.workerCallsFailed += event.answer == CallAnswer::Ok ? 0 : 1;
+}
+
+void Scheduler::on(const RackChanged &event)
+{
+    m_parts->drainer.put(event.rack);
+}
+
+void Scheduler::on(const PlacementChanged &event)
+{
+    m_parts->services.put(event.placement);
+}
+
+void Scheduler::on(const TeamChanged &event)
+{
+    m_parts->model.teams.put(event.team);
+}
+
+void Scheduler::on(const MoveChanged &event)
+{
+    m_parts->drainer.putMove(event.move);
+}
+
+void Scheduler::on(const EndpointWarm &event)
+{
+    m_parts->services.onWarm(event.task);
+}
+
+void Scheduler::on(const EndpointDrained &event)
+{
+    m_parts->services.onDrained(event.task);
+}
+
+void Scheduler::on(const Tick & /*event*/)
+{
+    m_parts->reports.tick();
+    m_parts->lifecycle.tick();
+    m_parts->services.tick();
+    m_parts->drainer.tick();
+    m_parts->placement.run();
+}
+
+TaskView Scheduler::task(const TaskName &name) const
+{
+    const Model &m = m_parts->model;
+    const Index index = m.tasks.find(name);
+    if (index == noIndex)
+        return {};
+    const Task &task = m.tasks[index];
+    return { .known = true,
+             .phase = task.phase,
+             .worker = task.onWorker() ? m.fleet.workerName(task.worker) : WorkerName {},
+             .epoch = task.epoch,
+             .checkpoint = task.checkpoint,
+             .failures = task.failures };
+}
+
+std::vector<RackView> Scheduler::racks() const
+{
+    const Fleet &fleet = m_parts->model.fleet;
+    std::vector<RackView> views;
+    for (Index index = 0; index < fleet.rackCount(); ++index) {
+        const Rack &rack = fleet.rack(index);
+        const auto present = std::count_if(rack.workers.begin(), rack.workers.end(),
+                                           [&](Index it) { return fleet.worker(it).present; });
+        views.push_back({ .record = rack.record,
+                          .workers = static_cast<std::uint32_t>(rack.workers.size()),
+                          .presentWorkers = static_cast<std::uint32_t>(present),
+                          .tasks = rack.tasks,
+                          .draining = rack.draining() });
+    }
+    return views;
+}
+
+SchedulerSummary Scheduler::summary() const
+{
+    const Model &m = m_parts->model;
+    SchedulerSummary summary { .tasks = m.tasks.size(),
+                               .waiting = m.queue.size(),
+                               .workers = m.fleet.workerCount(),
+                               .room = m.teams.room(),
+                               .proposalsPending = m.outbox.pendingCount() };
+    for (Index index = 0; index < m.fleet.workerCount(); ++index) {
+        summary.presentWorkers += m.fleet.worker(index).present ? 1 : 0;
+        summary.granted += m.fleet.worker(index).granted;
+    }
+    return summary;
+}
+
+const SchedulerCounters &Scheduler::counters() const
+{
+    return m_parts->model.counters;
+}
+
+} // namespace acaciafork::batch
--- /dev/null
+++ b/acaciafork/decisions/batch/ServicePlanner.cpp
@@ -0,0 +1,225 @@
+#include "acaciafork/decisions/batch/ServicePlanner.h"
+
+namespace acaciafork::batch {
+
+namespace {
+
+/// Name of a service's task: stable by position, so that its epochs keep fencing.
+TaskName replicaName(const ServiceName &service, std::size_t position)
+{
+    return TaskName { service.value + "#" + std::to_string(position) };
+}
+
+} // namespace
+
+ServicePlanner::ServicePlanner(Model *model, TaskLifecycle *lifecycle)
+    : m_model(model)
+    , m_lifecycle(lifecycle)
+{ }
+
+void ServicePlanner::put(const PlacementRecord &placement)
+{
+    const Index index = m_model->services.intern(placement.service);
+    if (index == m_services.size()) {
+        m_services.emplace_back();
+        m_model->serviceTasks.emplace_back();
+    }
+    Service &service = m_services[index];
+    service.wanted = placement;
+    service.team = m_model->teams.intern(placement.team);
+
+    // A new size holds for replicas that start from now on.
+    for (const Replica &it : service.replicas)
+        m_model->tasks[it.task].declared = placement.size;
+}
+
+void ServicePlanner::adopt(Index task, const ServiceName &service)
+{
+    const Index index = m_model->services.find(service);
+    ACACIAFORK_ASSERT(index != noIndex);
+    Task &it = m_model->tasks[task];
+    it.service = index;
+    it.declared = m_services[index].wanted.size;
+    if (!it.onWorker())
+        it.phase = TaskPhase::Finished;
+    const ReplicaState state = it.onWorker() ? ReplicaState::Starting : ReplicaState::Idle;
+    m_services[index].replicas.push_back({ .task = task, .state = state, .since = m_model->now });
+    m_model->serviceTasks[index].push_back(task);
+}
+
+void ServicePlanner::onWarm(const TaskName &task)
+{
+    Replica *it = find(task);
+    if (it != nullptr && it->state == ReplicaState::Starting)
+        it->state = ReplicaState::Warm;
+}
+
+void ServicePlanner::onDrained(const TaskName &task)
+{
+    Replica *it = find(task);
+    if (it != nullptr && it->state != ReplicaState::Idle)
+        end(it);
+}
+
+void ServicePlanner::tick()
+{
+    m_leaving = 0;
+    for (Index it = 0; it < m_services.size(); ++it)
+        advance(it);
+}
+
+void ServicePlanner::advance(Index index)
+{
+    Service &service = m_services[index];
+    for (Replica &it : service.replicas)
+        settle(&it);
+
+    // Fill up to what is wanted, with a bounded surplus while others go away.
+    const std::uint32_t wanted = service.wanted.removed ? 0 : service.wanted.replicas;
+    constexpr std::int64_t whole = 1000;
+    const auto surge = static_cast<std::uint32_t>(
+            std::max<std::int64_t>(1, wanted * m_model->settings.service.surgePermille / whole));
+    Census now = census(service);
+    while (now.staying < wanted && now.staying + now.goingAway < wanted + surge) {
+        startReplica(index);
+        ++now.staying;
+    }
+
+    // Make before break: a replica leaves only when enough warm ones remain without it.
+    for (Replica &it : service.replicas) {
+        if (it.state == ReplicaState::Leaving)
+            ++m_leaving;
+        const bool live = it.state == ReplicaState::Starting || it.state == ReplicaState::Warm;
+        if (!live)
+            continue;
+        const bool warm = it.state == ReplicaState::Warm;
+        const bool surplus = now.staying > wanted;
+        const bool goes = !stays(it) && reachable(it);
+        if (!goes && !surplus)
+            continue;
+        const bool enough = now.stayingWarm >= wanted || now.warm > wanted;
+        if (!enough)
+            continue;
+        if (!goes) {
+            --now.staying;
+            now.stayingWarm -= warm ? 1 : 0;
+        }
+        now.warm -= warm ? 1 : 0;
+        leave(&it);
+    }
+}
+
+void ServicePlanner::settle(Replica *replica)
+{
+    const Task &task = m_model->tasks[replica->task];
+    if (task.phase == TaskPhase::Finished)
+        replica->state = ReplicaState::Idle;
+
+    // A call may have been lost, or the lease may have been in the making when the end was wanted.
+    if (replica->state == ReplicaState::Ending)
+        end(replica);
+    if (replica->state == ReplicaState::Leaving
+        && m_model->now - replica->since > m_model->settings.service.leaveRetryInterval)
+        leave(replica);
+
+    // One that does not get warm is given up; its place is taken by a new one.
+    const bool late = replica->state == ReplicaState::Starting && task.phase == TaskPhase::Running
+            && m_model->now - std::max(replica->since, task.startedAt)
+                    > m_model->settings.service.warmUpTimeout;
+    if (late && stays(*replica))
+        leave(replica);
+}
+
+ServicePlanner::Census ServicePlanner::census(const Service &service) const
+{
+    Census census;
+    for (const Replica &it : service.replicas) {
+        if (it.state != ReplicaState::Starting && it.state != ReplicaState::Warm)
+            continue;
+        const std::uint32_t warm = it.state == ReplicaState::Warm && reachable(it) ? 1 : 0;
+        census.warm += warm;
+        if (stays(it)) {
+            ++census.staying;
+            census.stayingWarm += warm;
+        } else if (reachable(it)) {
+            ++census.goingAway;
+        }
+    }
+    return census;
+}
+
+bool ServicePlanner::stays(const Replica &replica) const
+{
+    const Task &task = m_model->tasks[replica.task];
+    if (!task.onWorker())
+        return true;
+    const Worker &worker = m_model->fleet.worker(task.worker);
+    return worker.present && !m_model->fleet.rack(worker.rack).draining();
+}
+
+bool ServicePlanner::reachable(const Replica &replica) const
+{
+    const Task &task = m_model->tasks[replica.task];
+    return !task.onWorker() || m_model->fleet.worker(task.worker).present;
+}
+
+void ServicePlanner::startReplica(Index index)
+{
+    Service &service = m_services[index];
+    auto it = std::find_if(service.replicas.begin(), service.replicas.end(),
+                           [](const Replica &r) { return r.state == ReplicaState::Idle; });
+    if (it == service.replicas.end()) {
+        std::size_t position = service.replicas.size();
+        while (m_model->tasks.find(replicaName(service.wanted.service, position)) != noIndex)
+            ++position;
+        const TaskName name = replicaName(service.wanted.service, position);
+        const Index task =
+                m_lifecycle->addServiceTask(name, index, service.team, service.wanted.size);
+        m_model->serviceTasks[index].push_back(task);
+        it = service.replicas.insert(it, { .task = task });
+    }
+    it->state = ReplicaState::Starting;
+    it->since = m_model->now;
+    m_model->enqueue(it->task, false);
+}
+
+void ServicePlanner::leave(Replica *replica)
+{
+    // One that never ran has no endpoint to tell. Any other may have one, also where no sign of it
+    // has reached this leader.
+    const Task &task = m_model->tasks[replica->task];
+    if (task.phase != TaskPhase::Running) {
+        end(replica);
+        return;
+    }
+    replica->state = ReplicaState::Leaving;
+    replica->since = m_model->now;
+    m_model->outbox.send(EndpointLeave { .task = task.name });
+}
+
+void ServicePlanner::end(Replica *replica)
+{
+    Task &task = m_model->tasks[replica->task];
+    if (task.phase == TaskPhase::Queued) {
+        m_model->queue.remove(replica->task);
+        task.phase = TaskPhase::Finished;
+        replica->state = ReplicaState::Idle;
+        return;
+    }
+    replica->state = ReplicaState::Ending;
+    m_lifecycle->stop(replica->task);
+}
+
+ServicePlanner::Replica *ServicePlanner::find(const TaskName &task)
+{
+    const Index index = m_model->tasks.find(task);
+    if (index == noIndex || !m_model->tasks[index].isService())
+        return nullptr;
+    for (Replica &it : m_services[m_model->tasks[index].service].replicas) {
+        if (it.task == index)
+            return &it;
+    }
+    return nullptr;
+}
+
+} // namespace acaciafork::batch
--- /dev/null
+++ b/acaciafork/decisions/batch/TaskLifecycle.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <deque>
+
+#include "acaciafork/decisions/batch/Model.h"
+
+namespace acaciafork::batch {
+
+/// Carries each task from submission to its end: proposes leases and outcomes, sends the worker
+/// calls, and never lets two leases of one task be in force at once.
+class TaskLifecycle
+{
+public:
+    explicit TaskLifecycle(Model *model);
+
+    /// Takes over a committed task from an earlier leader.
+    void restore(const TaskRecord &record);
+    /// Adds a job; a name that is known already is a repeat.
+    void submit(const JobRecord &job);
+    /// Marks a job cancelled; the calls and records follow within bounded ticks.
+    void cancel(const TaskName &name);
+    /// Adds a task of a service, without a lease.
+    Index addServiceTask(const TaskName &name, Index service, Index team, const Resources &size);
+
+    /// Proposes a lease of a queued task at a worker with room for it.
+    void lease(Index task, Index worker);
+    /// Asks for a checkpoint and the end of a leased task; after `patience` it is stopped.
+    void evict(Index task, Duration patience);
+    /// Asks for the end of a leased task without a checkpoint.
+    void stop(Index task);
+    /// Ends a queued task that can never run.
+    void refuse(Index task, UnschedulableReason reason);
+
+    /// A worker's report lists a task.
+    /// @return true when the task's lease is to be renewed
+    bool onListed(Index worker, const TaskReport &report);
+    /// A worker's report does not list a task that takes room there.
+    void onUnlisted(Index task);
+    /// A worker is silent: ends a lease that has surely expired.
+    void onSilent(Index task);
+    /// A lease was renewed by the worker's latest report.
+    void renewed(Index task);
+
+    /// A proposed change about a task is committed or refused.
+    void onCommitted(const PendingChange &pending);
+    void onRejected(const PendingChange &pending);
+
+    /// Carries out cancellations, a bounded number.
+    void tick();
+
+    /// Tasks whose lease ended since the last call, for those who plan by it.
+    [[nodiscard]] bool takeRoomFreed();
+
+private:
+    void committed(Index task, const LeaseTask &change);
+    void committed(Index task, const RecordStopped &change);
+    void committed(Index task, const RecordFinished &change);
+    void committed(Index task, const RecordFailed &change);
+    void committed(Index task, const RecordCancelled &change);
+    void committed(Index task, const RecordUnschedulable &change);
+    void committed(Index task, const RecordStarted &change);
+    void committed(Index task, const RecordCheckpointed &change);
+    template <typename Other>
+    void committed(Index task, const Other &change);
+
+    void onRunning(Index task, const TaskReport &report);
+    void onEnded(Index task, const TaskReport &report);
+    void proposeStopped(Index task, CheckpointId checkpoint);
+    void proposeCancelled(Index task);
+    void proposeFailed(Index task, TaskFailureCause cause);
+    void sendStart(Index task);
+    void sendEnd(Index task);
+    void sendStop(const Task &task, bool release);
+    void endLease(Index task);
+    void forget(Index task);
+    [[nodiscard]] Timestamp expiry(Timestamp basis) const;
+
+    Model *m_model;
+    /// Cancelled tasks whose call or record is still to be sent.
+    std::deque<TaskName> m_cancelled;
+    bool m_roomFreed = false;
+};
+
+} // namespace acaciafork::batch
--- /dev/null
+++ b/acaciafork/decisions/batch/WaitingQueue.cpp
@@ -0,0 +1,80 @@
+#include "acaciafork/decisions/batch/WaitingQueue.h"
+
+#include <bit>
+
+namespace acaciafork::batch {
+
+namespace {
+
+/// Half powers of two up to `amount`, so that sizes of one line differ by less than half.
+std::uint32_t sizeStep(std::int32_t amount)
+{
+    const auto value = static_cast<std::uint32_t>(std::max(amount, 1));
+    const auto power = static_cast<std::uint32_t>(std::bit_width(value));
+    const bool upperHalf = power >= 2 && (value >> (power - 2) & 1U) != 0;
+    return 2 * power + (upperHalf ? 1 : 0);
+}
+
+/// Key of the line for a size. Lines with more accelerators come first in the map.
+std::uint32_t lineKey(const Resources &size)
+{
+    constexpr std::int32_t mostAccelerators = 255;
+    const auto accelerators = static_cast<std::uint32_t>(
+            mostAccelerators - std::clamp(size.accelerators, 0, mostAccelerators));
+    return accelerators << 16U | sizeStep(size.millicores) << 8U | sizeStep(size.memoryMb);
+}
+
+} // namespace
+
+WaitingQueue::WaitingQueue(const TaskTable *tasks)
+    : m_tasks(tasks)
+{ }
+
+void WaitingQueue::add(Index task, Index team, QueueClass queueClass, const Resources &size,
+                       bool atFront)
+{
+    ACACIAFORK_ASSERT(!contains(task));
+    if (task >= m_tickets.size())
+        m_tickets.resize(m_tasks->places());
+    m_tickets[task] = { ++m_lastTicket, queueClass };
+    auto &line = lines(queueClass, team)[lineKey(size)].tasks;
+    if (atFront)
+        line.emplace_front(task, m_lastTicket);
+    else
+        line.emplace_back(task, m_lastTicket);
+    ++m_size;
+    ++m_classSizes[static_cast<std::size_t>(queueClass)];
+}
+
+void WaitingQueue::remove(Index task)
+{
+    if (!contains(task))
+        return;
+    --m_classSizes[static_cast<std::size_t>(m_tickets[task].second)];
+    m_tickets[task].first = 0;
+    --m_size;
+}
+
+bool WaitingQueue::contains(Index task) const
+{
+    return task < m_tickets.size() && m_tickets[task].first != 0;
+}
+
+WaitingQueue::Lines &WaitingQueue::lines(QueueClass queueClass, Index team)
+{
+    for (auto &it : m_lines) {
+        if (team >= it.size())
+            it.resize(team + 1);
+    }
+    return m_lines[static_cast<std::size_t>(queueClass)][team];
+}
+
+bool WaitingQueue::pruneHead(Line *line) const
+{
+    auto &tasks = line->tasks;
+    while (!tasks.empty() && m_tickets[tasks.front().first].first != tasks.front().second)
+        tasks.pop_front();
+    return !tasks.empty();
+}
+
+} // namespace acaciafork::batch
