--- /dev/null
+++ b/acaciafork/control/ControlSettings.cpp
@@ -0,0 +1,74 @@
+#include "acaciafork/control/ControlSettings.h"
+
+namespace acaciafork::control {
+namespace {
+
+using Field = SettingField<ControlSettings>;
+
+const std::array ownFields {
+    Field { .section = "listen",
+            .key = "operators",
+            .member = &ControlSettings::listenOperators,
+            .required = true,
+            .meaning = "host:port for operators" },
+    Field { .section = "control",
+            .key = "data-folder",
+            .member = &ControlSettings::dataFolder,
+            .required = true,
+            .meaning = "folder of the replicated log and its snapshots" },
+    Field { .section = "operators",
+            .key = "token-file",
+            .member = &ControlSettings::tokenFile,
+            .required = true,
+            .meaning = "file that holds the operators' bearer token" },
+    Field { .section = "config",
+            .key = "lease-ms",
+            .member = &ControlSettings::configLease,
+            .least = 500,
+            .most = 10'000,
+            .meaning = "how long an entry serves without news; the same as in the entries" },
+    Field { .section = "tasks",
+            .key = "lease-ms",
+            .member = &ControlSettings::taskLease,
+            .least = 1'000,
+            .most = 600'000,
+            .meaning = "how long a worker may run a task without a renewal" },
+    Field { .section = "tasks",
+            .key = "worker-silence-ms",
+            .member = &ControlSettings::workerSilence,
+            .least = 1'000,
+            .most = 600'000,
+            .meaning = "silence after which a worker gets no new work" },
+};
+
+/// The rows of every process and the member's own.
+std::vector<Field> makeFields()
+{
+    static constexpr auto common = peers::processFields<ControlSettings>();
+    std::vector<Field> fields(common.begin(), common.end());
+    fields.insert(fields.end(), ownFields.begin(), ownFields.end());
+    return fields;
+}
+
+} // namespace
+
+std::span<const Field> controlFields()
+{
+    static const std::vector<Field> fields = makeFields();
+    return fields;
+}
+
+Result<ControlSettings> readControlSettings(std::string_view ini, std::string_view file)
+{
+    ControlSettings settings;
+    BOOST_LEAF_AUTO(sections, parseIni(ini, file));
+    BOOST_LEAF_CHECK(readSettings<ControlSettings>(sections, file, controlFields(), &settings));
+    BOOST_LEAF_CHECK(peers::checkProcessSettings(settings, file));
+    BOOST_LEAF_ASSIGN(settings.entries,
+                      peers::parsePeers(settings.peerList, false, file, "peers", "list"));
+    BOOST_LEAF_ASSIGN(settings.members,
+                      peers::parsePeers(settings.controlMembers, true, file, "control", "members"));
+    return settings;
+}
+
+} // namespace acaciafork::control
--- /dev/null
+++ b/acaciafork/control/ControlSettings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string_view>
+
+#include "acaciafork/peers/Peers.h"
+
+namespace acaciafork::control {
+
+/// Settings of a control member, from its INI file.
+struct ControlSettings : peers::ProcessSettings
+{
+    /// `host:port` of the operators' interface.
+    std::string listenOperators;
+    /// Folder of the log and the snapshots.
+    std::string dataFolder;
+    /// File with the operators' bearer token.
+    std::string tokenFile;
+    /// The entries' readiness lease.
+    Duration configLease = std::chrono::seconds(3);
+    /// Lease of tasks at workers.
+    Duration taskLease = std::chrono::seconds(30);
+    /// Silence after which a worker gets no new work.
+    Duration workerSilence = std::chrono::seconds(5);
+
+    /// The lists of the base struct, parsed.
+    std::vector<peers::PeerAddress> entries;
+    std::vector<peers::PeerAddress> members;
+};
+
+/// The table of keys.
+std::span<const SettingField<ControlSettings>> controlFields();
+
+/// Reads and checks a control member's settings. Fails with SettingsProblems.
+Result<ControlSettings> readControlSettings(std::string_view ini, std::string_view file);
+
+} // namespace acaciafork::control
--- a/acaciafork/peers/Peers.h
+++ b/acaciafork/peers/Peers.h
@@ -7,4 +7,5 @@
 #include "acaciafork/peers/CreditCodec.h"
 #include "acaciafork/peers/LeaderTracker.h"
 #include "acaciafork/peers/PeerLink.h"
+#include "acaciafork/peers/ProcessSettings.h"
 #include "acaciafork/peers/TimelineJson.h"
