Let entries batch announcements and introduce themselves

Cause: an announcement a second from each endpoint must not cost the leader one message each, and a process that joins should not need settings changed elsewhere. Conclusion: entries pass announcements on once a tick.

--- a/acaciafork/control/ControlNode.cpp
+++ b/acaciafork/control/ControlNode.cpp
@@ -115,10 +115,11 @@
     using Body = wire::Envelope::BodyCase;
     using Method = void (ControlNode::*)(Moment, const wire::Envelope &);
     /// Messages that the leader takes from entries, and what takes them.
-    static constexpr std::array<std::pair<Body, Method>, 5> handlers { {
+    static constexpr std::array<std::pair<Body, Method>, 6> handlers { {
             { Body::kEntryHeartbeat, &ControlNode::onEntryHeartbeat },
             { Body::kCreditReport, &ControlNode::onCreditReport },
             { Body::kLeavingNotice, &ControlNode::onLeavingNotice },
+            { Body::kEndpointAnnouncements, &ControlNode::onEndpointAnnouncements },
             { Body::kLedgerAsk, &ControlNode::onLedgerAsk },
             { Body::kLedgerEnds, &ControlNode::onLedgerEnds },
     } };
@@ -300,6 +301,7 @@
                                              .incarnation = { envelope.incarnation() },
                                              .zone = heartbeat.zone(),
                                              .callersAddress = heartbeat.callers_address(),
+                                             .operatorsAddress = heartbeat.operators_address(),
                                              .version = { heartbeat.config_version() },
                                              .draining = heartbeat.draining() });
     if (isNew)
@@ -343,6 +345,12 @@
     run(at, commands);
 }
 
+void ControlNode::onEndpointAnnouncements(Moment at, const wire::Envelope &envelope)
+{
+    for (const wire::EndpointAnnouncement &it : envelope.endpoint_announcements().announcements())
+        endpointAnnounced(at, peers::decodeAnnouncement(it));
+}
+
 void ControlNode::onLedgerAsk(Moment at, const wire::Envelope &envelope)
 {
     m_ledgerAsks->add();
--- a/acaciafork/control/ControlNode.h
+++ b/acaciafork/control/ControlNode.h
@@ -91,6 +91,7 @@
     void onEntryHeartbeat(Moment at, const wire::Envelope &envelope);
     void onCreditReport(Moment at, const wire::Envelope &envelope);
     void onLeavingNotice(Moment at, const wire::Envelope &envelope);
+    void onEndpointAnnouncements(Moment at, const wire::Envelope &envelope);
     void onLedgerAsk(Moment at, const wire::Envelope &envelope);
     void onLedgerEnds(Moment at, const wire::Envelope &envelope);
     void answerLedger(Moment at, ProcessId entry, std::uint64_t request, wire::LedgerAnswer answer);
--- a/acaciafork/control/EntryRegistry.h
+++ b/acaciafork/control/EntryRegistry.h
@@ -25,6 +25,7 @@
     Incarnation incarnation;
     std::string zone;
     std::string callersAddress;
+    std::string operatorsAddress;
     ConfigVersion version;
     bool draining = false;
     /// When the leader last confirmed a heartbeat; the entry's lease ends no later than this plus
--- a/acaciafork/entry/EntryNode.cpp
+++ b/acaciafork/entry/EntryNode.cpp
@@ -143,6 +143,7 @@
 
 void EntryNode::endpointAnnounced(Moment at, const routing::EndpointAnnouncement &announcement)
 {
+    peers::encodeAnnouncement(announcement, m_announcements.add_announcements());
     Commands commands;
     m_scheduler.endpointAnnounced(at.now, announcement, &commands);
     run(at, &commands);
@@ -188,10 +189,9 @@
     using Body = wire::Envelope::BodyCase;
     using Method = void (EntryNode::*)(Moment, const wire::Envelope &);
     /// Messages that an entry takes, and what takes them.
-    static constexpr std::array<std::pair<Body, Method>, 8> handlers { {
+    static constexpr std::array<std::pair<Body, Method>, 7> handlers { {
             { Body::kHeartbeatReply, &EntryNode::onHeartbeatReply },
             { Body::kNotLeader, &EntryNode::onNotLeader },
-            { Body::kApiRequest, &EntryNode::onApiRequest },
             { Body::kApiReply, &EntryNode::onApiReply },
             { Body::kCreditGrant, &EntryNode::onCreditGrant },
             { Body::kLeavingNotice, &EntryNode::onLeavingNotice },
@@ -226,6 +226,7 @@
         m_scheduler.ledgerVerdict(at.now, it, routing::LedgerVerdict::Unavailable, &commands);
 
     sendCalls(at);
+    sendAnnouncements(at);
     m_calls.expire(at.now);
     m_scheduler.tick(at.now, &commands);
     run(at, &commands);
@@ -268,6 +269,7 @@
     message->set_callers_address(m_settings.callersAddress);
     message->set_config_version(m_config.version().value);
     message->set_draining(m_draining);
+    message->set_operators_address(m_settings.operatorsAddress);
     sendToLeader(at, &envelope);
 }
 
@@ -285,6 +287,15 @@
     }
 }
 
+void EntryNode::sendAnnouncements(Moment at)
+{
+    if (m_announcements.announcements().empty())
+        return;
+    wire::Envelope envelope;
+    envelope.mutable_endpoint_announcements()->Swap(&m_announcements);
+    sendToLeader(at, &envelope);
+}
+
 void EntryNode::followLeader(Moment at, std::uint64_t term)
 {
     if (m_controlKnown && term <= m_term)
@@ -340,18 +351,6 @@
         m_heartbeatAt = at.now;
 }
 
-void EntryNode::onApiRequest(Moment at, const wire::Envelope &envelope)
-{
-    const wire::ApiRequest &request = envelope.api_request();
-    const peers::ApiAnswer answer =
-            answerLocally({ .method = request.method(), .path = request.path() });
-    wire::Envelope reply;
-    reply.mutable_api_reply()->set_call(request.call());
-    reply.mutable_api_reply()->set_status(static_cast<std::uint32_t>(answer.status));
-    reply.mutable_api_reply()->set_body(answer.body);
-    m_link->send(ProcessId { envelope.sender() }, &reply, at.wallMicroseconds);
-}
-
 void EntryNode::onApiReply(Moment at, const wire::Envelope &envelope)
 {
     const wire::ApiReply &reply = envelope.api_reply();
@@ -411,14 +410,4 @@
     m_ledger.acknowledged(envelope.ledger_ends_ack().sequence());
 }
 
-peers::ApiAnswer EntryNode::answerLocally(const peers::ApiCall &call) const
-{
-    if (call.method == "GET" && call.path == "/acaciafork/v1/timeline")
-        return { .status = 200, .body = peers::timelineJson(*m_timeline) };
-    if (call.method == "GET" && call.path == "/acaciafork/v1/counters")
-        return { .status = 200, .body = m_counters->prometheusText() };
-    return peers::failureAnswer(FailureKind::NotFound,
-                                "an entry does not serve this path to peers");
-}
-
 } // namespace acaciafork::entry
--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -19,6 +19,8 @@
     ZoneName zone;
     /// host:port of its callers' interface, for requests passed on by peers.
     std::string callersAddress;
+    /// host:port of its operators' interface.
+    std::string operatorsAddress;
     /// Control members known at start; not empty.
     std::vector<ProcessId> controlMembers;
     /// Pause between two heartbeats.
@@ -93,18 +95,15 @@
     void sendToLeader(Moment at, wire::Envelope *envelope);
     void sendHeartbeat(Moment at);
     void sendCalls(Moment at);
+    void sendAnnouncements(Moment at);
     void followLeader(Moment at, std::uint64_t term);
     void onHeartbeatReply(Moment at, const wire::Envelope &envelope);
     void onNotLeader(Moment at, const wire::Envelope &envelope);
-    void onApiRequest(Moment at, const wire::Envelope &envelope);
     void onApiReply(Moment at, const wire::Envelope &envelope);
     void onCreditGrant(Moment at, const wire::Envelope &envelope);
     void onLeavingNotice(Moment at, const wire::Envelope &envelope);
     void onLedgerVerdict(Moment at, const wire::Envelope &envelope);
     void onLedgerEndsAck(Moment at, const wire::Envelope &envelope);
-    /// Answers what this entry knows itself: its counters and time line.
-    [[nodiscard]] peers::ApiAnswer answerLocally(const peers::ApiCall &call) const;
-
     EntryNodeSettings m_settings;
     peers::PeerLink *m_link;
     EntryPorts *m_ports;
@@ -117,6 +116,8 @@
     LedgerOutbox m_ledger;
     /// Other live entries, from the last heartbeat's reply.
     std::map<ProcessId, std::string> m_entries;
+    /// Announcements not passed on yet.
+    wire::EndpointAnnouncements m_announcements;
     std::uint64_t m_term = 0;
     bool m_controlKnown = false;
     bool m_draining = false;
--- a/acaciafork/entry/EntrySettings.h
+++ b/acaciafork/entry/EntrySettings.h
@@ -11,6 +11,10 @@
 {
     /// `host:port` of the callers' interface.
     std::string listenCallers;
+    /// `host:port` of the operators' interface: time line and counters.
+    std::string listenOperators;
+    /// File with the operators' bearer token.
+    std::string tokenFile;
     /// Bounds of callers' requests.
     std::int64_t mostHeadBytes = 32 * 1024;
     std::int64_t mostBodyBytes = 16 * 1024 * 1024;
--- a/acaciafork/peers/CreditCodec.cpp
+++ b/acaciafork/peers/CreditCodec.cpp
@@ -154,4 +154,35 @@
     return grant;
 }
 
+void encodeAnnouncement(const routing::EndpointAnnouncement &announcement,
+                        wire::EndpointAnnouncement *message)
+{
+    message->set_endpoint(announcement.endpoint.value);
+    message->set_service(announcement.service.value);
+    message->set_address(announcement.address);
+    message->set_zone(announcement.zone.value);
+    message->set_rack(announcement.rack.value);
+    message->set_incarnation(announcement.incarnation.value);
+    message->set_sequence(announcement.sequence);
+    message->set_slots(announcement.slots);
+    message->set_connections(announcement.connections);
+    message->set_requests_in_progress(announcement.requestsInProgress);
+    message->set_leaving(announcement.leaving);
+}
+
+routing::EndpointAnnouncement decodeAnnouncement(const wire::EndpointAnnouncement &message)
+{
+    return { .endpoint = { message.endpoint() },
+             .service = { message.service() },
+             .address = message.address(),
+             .zone = { message.zone() },
+             .rack = { message.rack() },
+             .incarnation = { message.incarnation() },
+             .sequence = message.sequence(),
+             .slots = message.slots(),
+             .connections = message.connections(),
+             .requestsInProgress = message.requests_in_progress(),
+             .leaving = message.leaving() };
+}
+
 } // namespace acaciafork::peers
--- a/acaciafork/peers/CreditCodec.h
+++ b/acaciafork/peers/CreditCodec.h
@@ -17,4 +17,11 @@
 /// Decodes a grant that reached the entry `self`.
 routing::CreditGrant decodeGrant(const wire::CreditGrant &message, ProcessId self);
 
+/// Encodes an announcement.
+void encodeAnnouncement(const routing::EndpointAnnouncement &announcement,
+                        wire::EndpointAnnouncement *message);
+
+/// Decodes an announcement.
+routing::EndpointAnnouncement decodeAnnouncement(const wire::EndpointAnnouncement &message);
+
 } // namespace acaciafork::peers
--- a/acaciafork/peers/PeerLink.h
+++ b/acaciafork/peers/PeerLink.h
@@ -21,6 +21,8 @@
     /// Messages of another cluster are dropped.
     std::string cluster;
     CellId cell;
+    /// host:port at which this process takes messages.
+    std::string address;
 };
 
 /// Stamps outgoing envelopes and checks incoming ones. The bytes travel over whatever datagrams the
