Add net: loop, HTTP server and client over h2o, message link over nng

Cause: the daemons need one loop, HTTP with bounds and backpressure, and datagrams between processes. Change: h2o's server behind a gate that sees each head first (typed 400, 413, 431, 503 by a memory budget, 408), h2o's client with phases, backpressure, and whole answers only; nng push and pull. Before the change, h2o's client took a chunked body that ended with the connection for a whole one (seen in the truncation test); now it is a failure. Conclusion: h2o's own proxy handler stays unused; its server and client serve with a gate and a watch.

--- a/acaciafork/net/H2o.h
+++ b/acaciafork/net/H2o.h
@@ -6,8 +6,25 @@
 #include <h2o/http1.h>
 #include <h2o/http1client.h>
 
+#include <cstddef>
 #include <string_view>
 
+/// Header as the parser inside h2o gives it.
+struct phr_header // NOLINT(readability-identifier-naming)
+{
+    const char *name;
+    std::size_t name_len; // NOLINT(readability-identifier-naming)
+    const char *value;
+    std::size_t value_len; // NOLINT(readability-identifier-naming)
+};
+
+/// The request parser inside h2o, which the library exports without a header.
+/// @return bytes of the head, -1 when it is malformed, -2 when it is not complete
+extern "C" int phr_parse_request(const char *buf, std::size_t len, // NOLINT
+                                 const char **method, std::size_t *methodLength, const char **path,
+                                 std::size_t *pathLength, int *minorVersion, phr_header *headers,
+                                 std::size_t *headerCount, std::size_t lastLength);
+
 namespace acaciafork::net {
 
 /// View of the bytes of an h2o vector.
--- a/acaciafork/net/HttpCall.h
+++ b/acaciafork/net/HttpCall.h
@@ -1,15 +1,16 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
 #include "acaciafork/net/HttpClient.h"
 #include "acaciafork/net/Loop.h"
 
-struct st_h2o_http1client_t;
 struct st_h2o_header_t;
-struct st_h2o_iovec_t;
+struct st_h2o_http1client_t;
 struct st_h2o_socket_t;
+struct st_h2o_socketpool_t;
 
 namespace acaciafork::net {
 
@@ -40,23 +41,40 @@
         : m_sink(sink)
     { }
 
+    void begin(const HttpRequest &request, st_h2o_socketpool_t *pool);
     void buildRequest(const HttpRequest &request);
-    void fail(FailureKind kind, std::string detail);
+    void failWith(FailureKind kind, std::string detail);
     void end(CallEnd end);
-    void drop();
+    void forget();
+    void closeConnection();
+    void retire();
+    void stopReading();
+    bool handleConnected(const char *error);
     bool handleHead(const char *error, int status, st_h2o_header_t *headers, std::size_t count,
                     int headSize);
-    void handleBody(const char *error);
+    bool handleBody(const char *error);
     void deliverInput();
+    void watchReads();
+    void endByError(const char *error);
 
     HttpCallSink *m_sink;
     HttpClient::Impl *m_owner = nullptr;
     st_h2o_http1client_t *m_client = nullptr;
     CallPhase m_phase = CallPhase::NotConnected;
-    bool m_isHead = false;
-    bool m_isUpgrade = false;
+    bool m_isHeadMethod = false;
     bool m_isPaused = false;
-    void (*m_resumeRead)(st_h2o_socket_t *, const char *) = nullptr;
+    /// True within a call from h2o, which then closes the connection itself when told to.
+    bool m_isInCallback = false;
+    /// True when the last byte has arrived while the call was paused.
+    bool m_isEndHeld = false;
+    std::string m_held;
+    /// What h2o wants called with new bytes while the call is paused.
+    void (*m_pausedRead)(st_h2o_socket_t *, const char *) = nullptr;
+    /// What h2o wants called with new bytes of the body.
+    void (*m_bodyRead)(st_h2o_socket_t *, const char *) = nullptr;
+    /// True when h2o is being told that reading has failed or ended.
+    bool m_hasReadFailed = false;
+    bool m_isChunked = false;
     TimerId m_deadline;
     TimerId m_connectDeadline;
     std::string m_request;
--- a/acaciafork/net/HttpExchange.cpp
+++ b/acaciafork/net/HttpExchange.cpp
@@ -68,6 +68,22 @@
     }
 }
 
+void HttpExchange::attach(const std::shared_ptr<HttpExchange> &exchange, st_h2o_req_t *req)
+{
+    auto *generator = static_cast<Generator *>(
+            h2o_mem_alloc_shared(&req->pool, sizeof(Generator), [](void *data) {
+                auto *it = static_cast<Generator *>(data);
+                (*it->exchange)->handleDisposed();
+                delete it->exchange;
+            }));
+    generator->super.proceed = [](h2o_generator_t *self, h2o_req_t *) {
+        (*reinterpret_cast<Generator *>(self)->exchange)->handleProceed();
+    };
+    generator->super.stop = [](h2o_generator_t *, h2o_req_t *) {};
+    generator->exchange = new std::shared_ptr<HttpExchange>(exchange);
+    exchange->m_generator = generator;
+}
+
 std::string_view HttpExchange::method() const
 {
     return m_req == nullptr ? std::string_view() : view(m_req->input.method);
@@ -229,6 +245,7 @@
     }
     m_isBegun = true;
     m_isSent = true;
+    m_isUpgraded = true;
     m_req->res.status = 101;
     m_req->res.reason = reasonOf(101).data();
     addHeaders(headers);
@@ -266,7 +283,7 @@
     if (!wasWhole)
         noteGone();
     if (m_onClosed)
-        m_onClosed();
+        m_onClosed(m_isUpgraded);
 
     // Functions often hold the exchange itself: dropping them ends the cycle.
     m_onDrained = nullptr;
--- a/acaciafork/net/HttpExchange.h
+++ b/acaciafork/net/HttpExchange.h
@@ -89,6 +89,7 @@
     friend class HttpServer;
     struct Generator;
 
+    static void attach(const std::shared_ptr<HttpExchange> &exchange, st_h2o_req_t *req);
     void addHeaders(std::span<const Header> headers);
     void startResponse(int status, std::span<const Header> headers);
     void send();
@@ -105,11 +106,13 @@
     bool m_isAborted = false;
     bool m_isSent = false;
     bool m_isGone = false;
+    bool m_isUpgraded = false;
     std::string m_inFlight;
     std::string m_pending;
     std::function<void()> m_onDrained;
     std::function<void()> m_onGone;
-    std::function<void()> m_onClosed;
+    /// Tells the server of the end, and whether it was an upgrade.
+    std::function<void(bool)> m_onClosed;
 };
 
 } // namespace acaciafork::net
--- a/acaciafork/net/HttpServer.h
+++ b/acaciafork/net/HttpServer.h
@@ -72,8 +72,10 @@
     /// What was counted so far.
     [[nodiscard]] const HttpServerCounts &counts() const;
 
-private:
+    /// The work behind the server, private to this library.
     class Impl;
+
+private:
     std::unique_ptr<Impl> m_impl;
 };
 
--- /dev/null
+++ b/acaciafork/net/MessageLink.cpp
@@ -0,0 +1,175 @@
+#include "acaciafork/net/MessageLink.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "acaciafork/core/Assert.h"
+#include "acaciafork/net/Loop.h"
+
+namespace acaciafork::net {
+
+namespace {
+
+constexpr nng_duration LeastReconnectMs = 100;
+constexpr nng_duration MostReconnectMs = 1'000;
+// Messages handed on in one turn, so that a burst of them does not hold up requests.
+constexpr int MessagesPerTurn = 256;
+
+std::string urlOf(const Address &address)
+{
+    return "tcp://" + address.toString();
+}
+
+} // namespace
+
+/// The sockets of nng and who they lead to.
+class MessageLink::Impl
+{
+public:
+    struct Peer
+    {
+        nng_socket socket;
+        Address address;
+    };
+
+    Impl(Loop &aLoop, MessageLinkSettings aSettings)
+        : loop(aLoop)
+        , settings(aSettings)
+    { }
+
+    ~Impl()
+    {
+        for (const auto &[id, peer] : peers)
+            nng_close(peer.socket);
+        if (!isListening)
+            return;
+        loop.unwatch(watch);
+        nng_close(incoming);
+    }
+
+    void drainIncoming();
+
+    Loop &loop;
+    const MessageLinkSettings settings;
+    MessageLinkCounts counts;
+    Handler handler;
+    std::unordered_map<ProcessId, Peer> peers;
+    nng_socket incoming = NNG_SOCKET_INITIALIZER;
+    bool isListening = false;
+    WatchId watch;
+};
+
+// The receive descriptor is readable as long as messages wait; what is left over wakes the loop
+// again.
+void MessageLink::Impl::drainIncoming()
+{
+    for (int i = 0; i != MessagesPerTurn; ++i) {
+        nng_msg *msg = nullptr;
+        if (nng_recvmsg(incoming, &msg, NNG_FLAG_NONBLOCK) != 0)
+            return;
+        ++counts.received;
+        counts.bytesReceived += nng_msg_len(msg);
+        if (handler)
+            handler({ static_cast<const std::byte *>(nng_msg_body(msg)), nng_msg_len(msg) });
+        nng_msg_free(msg);
+    }
+}
+
+MessageLink::MessageLink(Loop &loop, MessageLinkSettings settings)
+    : m_impl(std::make_unique<Impl>(loop, settings))
+{ }
+
+MessageLink::~MessageLink() = default;
+
+Result<std::uint16_t> MessageLink::listen(const Address &address)
+{
+    ACACIAFORK_ASSERT(!m_impl->isListening);
+    nng_socket &socket = m_impl->incoming;
+    if (nng_pull0_open(&socket) != 0)
+        return fail(FailureKind::Internal, "cannot open a receiving socket");
+    nng_socket_set_int(socket, NNG_OPT_RECVBUF, static_cast<int>(m_impl->settings.receiveQueue));
+    nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ,
+                        static_cast<std::size_t>(m_impl->settings.mostMessageBytes));
+
+    nng_listener listener = NNG_LISTENER_INITIALIZER;
+    const int rc = nng_listen(socket, urlOf(address).c_str(), &listener, 0);
+    int port = address.port;
+    int fd = -1;
+    if (rc != 0 || nng_socket_get_int(socket, NNG_OPT_RECVFD, &fd) != 0) {
+        nng_close(socket);
+        return fail(FailureKind::Unreachable,
+                    "cannot listen on " + address.toString() + ": " + nng_strerror(rc));
+    }
+    if (port == 0)
+        nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
+    m_impl->isListening = true;
+    m_impl->watch = m_impl->loop.watchReadable(fd, [this] { m_impl->drainIncoming(); });
+    return static_cast<std::uint16_t>(port);
+}
+
+Result<void> MessageLink::addPeer(ProcessId peer, const Address &address)
+{
+    const auto it = m_impl->peers.find(peer);
+    if (it != m_impl->peers.end() && it->second.address == address)
+        return {};
+    removePeer(peer);
+
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    if (nng_push0_open(&socket) != 0)
+        return fail(FailureKind::Internal, "cannot open a sending socket");
+    nng_socket_set_int(socket, NNG_OPT_SENDBUF, static_cast<int>(m_impl->settings.sendQueue));
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, LeastReconnectMs);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, MostReconnectMs);
+    const int rc = nng_dial(socket, urlOf(address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    if (rc != 0) {
+        nng_close(socket);
+        return fail(FailureKind::InvalidArgument,
+                    "cannot dial " + address.toString() + ": " + nng_strerror(rc));
+    }
+    m_impl->peers.emplace(peer, Impl::Peer { .socket = socket, .address = address });
+    return {};
+}
+
+void MessageLink::removePeer(ProcessId peer)
+{
+    const auto it = m_impl->peers.find(peer);
+    if (it == m_impl->peers.end())
+        return;
+    nng_close(it->second.socket);
+    m_impl->peers.erase(it);
+}
+
+bool MessageLink::send(ProcessId peer, std::span<const std::byte> message)
+{
+    const auto it = m_impl->peers.find(peer);
+    const bool isTooLarge =
+            message.size() > static_cast<std::size_t>(m_impl->settings.mostMessageBytes);
+    // nng only reads the bytes; its interface is in C.
+    if (it == m_impl->peers.end() || isTooLarge
+        || nng_send(it->second.socket, const_cast<std::byte *>(message.data()), message.size(),
+                    NNG_FLAG_NONBLOCK)
+                != 0) {
+        ++m_impl->counts.droppedOnSend;
+        return false;
+    }
+    ++m_impl->counts.sent;
+    m_impl->counts.bytesSent += message.size();
+    return true;
+}
+
+void MessageLink::onMessage(Handler fn)
+{
+    m_impl->handler = std::move(fn);
+}
+
+const MessageLinkCounts &MessageLink::counts() const
+{
+    return m_impl->counts;
+}
+
+} // namespace acaciafork::net
