Add the routing library: entry scheduler and credit grantor

Cause: the daemons need both decision objects and their messages. Change: public header, plain messages, typed commands; credits with leases, queues by lane, power of two choices, health, retry table, ledger, leaving endpoints; a fake world in virtual time for the tests. Conclusion: a request flows from announcement to grant to attempt to answer; the names of events and commands are stable from here on.

--- /dev/null
+++ b/acaciafork/decisions/routing/AttemptTable.cpp
@@ -0,0 +1,52 @@
+#include "acaciafork/decisions/routing/AttemptTable.h"
+
+#include "acaciafork/core/Assert.h"
+
+namespace acaciafork::routing {
+namespace {
+
+/// An attempt id is 12 bits of process, 12 bits of incarnation, 40 bits of count.
+constexpr int countBits = 40;
+constexpr int incarnationBits = 12;
+constexpr std::uint64_t incarnationMask = (1ULL << incarnationBits) - 1;
+constexpr std::uint64_t processMask = (1ULL << (64 - countBits - incarnationBits)) - 1;
+
+} // namespace
+
+std::uint64_t attemptIdPrefix(ProcessId process, Incarnation incarnation)
+{
+    const std::uint64_t processPart = process.value & processMask;
+    const std::uint64_t incarnationPart = incarnation.value & incarnationMask;
+    return ((processPart << incarnationBits) | incarnationPart) << countBits;
+}
+
+std::uint64_t attemptIdPrefix(AttemptId attempt)
+{
+    return attempt.value >> countBits << countBits;
+}
+
+AttemptTable::AttemptTable(ProcessId process, Incarnation incarnation)
+    : m_prefix(attemptIdPrefix(process, incarnation))
+{ }
+
+AttemptRecord *AttemptTable::add()
+{
+    const AttemptId attempt { m_prefix | ++m_last };
+    const auto [it, inserted] = m_records.try_emplace(attempt.value);
+    ACACIAFORK_ASSERT(inserted);
+    it->second.attempt = attempt;
+    return &it->second;
+}
+
+AttemptRecord *AttemptTable::find(AttemptId attempt)
+{
+    const auto it = m_records.find(attempt.value);
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
+void AttemptTable::remove(AttemptId attempt)
+{
+    m_records.erase(attempt.value);
+}
+
+} // namespace acaciafork::routing
--- /dev/null
+++ b/acaciafork/decisions/routing/EndpointHealth.cpp
@@ -0,0 +1,51 @@
+#include "acaciafork/decisions/routing/EndpointHealth.h"
+
+#include <algorithm>
+
+namespace acaciafork::routing {
+namespace {
+
+/// Most doublings of the ejection time.
+constexpr std::uint32_t maxDoublings = 4;
+
+} // namespace
+
+void EndpointHealth::noteSuccess()
+{
+    m_failuresInRow = 0;
+    m_ejections = 0;
+}
+
+bool EndpointHealth::noteFailure(const ServiceSettings &settings)
+{
+    ++m_failuresInRow;
+    return m_state == State::Serving && m_failuresInRow >= settings.ejectionFailures;
+}
+
+void EndpointHealth::eject(Timestamp now, const ServiceSettings &settings)
+{
+    const std::uint32_t doublings = std::min(m_ejections, maxDoublings);
+    m_state = State::Ejected;
+    m_ejectedUntil = now + settings.ejectionTime * (1U << doublings);
+    ++m_ejections;
+}
+
+bool EndpointHealth::probeDue(Timestamp now) const
+{
+    return m_state == State::Ejected && now >= m_ejectedUntil;
+}
+
+void EndpointHealth::probeEnded(Timestamp now, bool reached, const ServiceSettings &settings)
+{
+    if (m_state != State::Probing)
+        return;
+    if (!reached) {
+        eject(now, settings);
+        return;
+    }
+    // One more failure ejects it again: a connect alone does not show that it works.
+    m_state = State::Serving;
+    m_failuresInRow = settings.ejectionFailures - 1;
+}
+
+} // namespace acaciafork::routing
--- /dev/null
+++ b/acaciafork/decisions/routing/GrantAllocator.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <span>
+#include <unordered_map>
+
+#include "acaciafork/decisions/routing/GrantorTables.h"
+#include "acaciafork/decisions/routing/Messages.h"
+#include "acaciafork/decisions/routing/RoutingSettings.h"
+
+namespace acaciafork::routing {
+
+/// Decides how many slots of a service each entry should hold, and at which endpoints.
+class GrantAllocator
+{
+public:
+    /// @param[in] tables outlive the object
+    GrantAllocator(GrantorTables *tables, const CreditSettings &settings);
+
+    /// Takes over the apertures of the services.
+    void configure(std::span<const ServiceSettings> services);
+
+    /// Shares the room of a service out among the live entries by their demand.
+    void setTargets(TableIndex service);
+
+    /// Adds to `grant` what the session should be told: new slots up to its targets, grants that
+    /// may have been lost, evidence for lingering attempts, targets, and peers with spare credit.
+    void fill(Timestamp now, TableIndex session, CreditGrant *grant);
+
+    /// True when a session lacks slots and some are free.
+    [[nodiscard]] bool canGrantMore(TableIndex session);
+
+    /// Takes slots back from entries until those granted fit the endpoint's room again.
+    /// @param[out] changed sessions that must be told
+    void reclaim(Timestamp now, TableIndex endpoint, std::vector<TableIndex> *changed);
+
+private:
+    void allocate(Timestamp now, TableIndex session, TableIndex service, CreditGrant *grant);
+    TableIndex pick(TableIndex session, TableIndex service);
+    TableIndex pickHeld(TableIndex session, TableIndex service);
+    void setGrant(Timestamp now, TableIndex session, TableIndex endpoint, std::uint32_t slots);
+    void addLine(Timestamp now, TableIndex session, TableIndex endpoint, CreditGrant *grant);
+    void addWatched(Timestamp now, TableIndex session, CreditGrant *grant);
+    void addTargets(TableIndex session, CreditGrant *grant);
+    void addHints(TableIndex session, TableIndex service, CreditGrant *grant);
+    [[nodiscard]] std::uint32_t apertureOf(TableIndex service);
+
+    GrantorTables *m_tables;
+    CreditSettings m_settings;
+    std::unordered_map<ServiceName, std::uint32_t> m_apertures;
+};
+
+} // namespace acaciafork::routing
--- /dev/null
+++ b/acaciafork/decisions/routing/GrantorCommands.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <variant>
+#include <vector>
+
+#include "acaciafork/decisions/routing/EntryCommands.h"
+#include "acaciafork/decisions/routing/Messages.h"
+
+namespace acaciafork::routing {
+
+/// Send the grant to its entry.
+struct SendGrant
+{
+    CreditGrant grant;
+};
+
+/// One thing that the control leader must do.
+using GrantorCommand = std::variant<SendGrant, RecordEvent>;
+/// Commands in the order in which they must be carried out.
+using GrantorCommands = std::vector<GrantorCommand>;
+
+} // namespace acaciafork::routing
--- /dev/null
+++ b/acaciafork/decisions/routing/RequestQueue.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <array>
+
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
+
+#include "acaciafork/decisions/routing/RequestRecord.h"
+
+namespace acaciafork::routing {
+
+/// Requests of one service that wait for a slot, by lane. Adding, taking and removing cost a
+/// logarithm of its length and allocate nothing. The records must outlive their stay.
+class RequestQueue
+{
+public:
+    /// Adds a record at the end of its lane's arrival order; `orderKey` and `latestStart` are set.
+    void push(RequestRecord *record);
+
+    /// Removes a record that is in the queue.
+    void remove(RequestRecord *record);
+
+    /// Record of a lane with the smallest order key, or nullptr.
+    [[nodiscard]] RequestRecord *first(Lane lane);
+
+    /// Record of a lane that came last, or nullptr.
+    [[nodiscard]] RequestRecord *newest(Lane lane);
+
+    /// Record of a lane that came first, or nullptr.
+    [[nodiscard]] RequestRecord *oldest(Lane lane);
+
+    /// Record that has to be started soonest, or nullptr.
+    [[nodiscard]] RequestRecord *mostUrgent();
+
+    [[nodiscard]] std::size_t size() const { return m_size; }
+    [[nodiscard]] bool empty() const { return m_size == 0; }
+    /// Number of records in a lane.
+    [[nodiscard]] std::size_t size(Lane lane) const;
+
+private:
+    struct ByOrder
+    {
+        bool operator()(const RequestRecord &a, const RequestRecord &b) const
+        {
+            return a.orderKey < b.orderKey;
+        }
+    };
+    struct ByLatestStart
+    {
+        bool operator()(const RequestRecord &a, const RequestRecord &b) const
+        {
+            return a.latestStart < b.latestStart;
+        }
+    };
+    using Hook = RequestRecord::QueueHook;
+    using OrderSet = boost::intrusive::multiset<
+            RequestRecord,
+            boost::intrusive::member_hook<RequestRecord, Hook, &RequestRecord::orderHook>,
+            boost::intrusive::compare<ByOrder>>;
+    using StartSet = boost::intrusive::multiset<
+            RequestRecord,
+            boost::intrusive::member_hook<RequestRecord, Hook, &RequestRecord::startHook>,
+            boost::intrusive::compare<ByLatestStart>>;
+    using ArrivalList = boost::intrusive::list<
+            RequestRecord,
+            boost::intrusive::member_hook<RequestRecord, RequestRecord::ListHook,
+                                          &RequestRecord::arrivalHook>>;
+    struct LaneQueue
+    {
+        OrderSet byOrder;
+        ArrivalList byArrival;
+    };
+
+    LaneQueue &lane(Lane lane) { return m_lanes[static_cast<std::size_t>(lane)]; }
+
+    std::array<LaneQueue, laneCount> m_lanes;
+    StartSet m_byLatestStart;
+    std::size_t m_size = 0;
+};
+
+} // namespace acaciafork::routing
--- /dev/null
+++ b/acaciafork/decisions/routing/RoomEvidence.cpp
@@ -0,0 +1,108 @@
+#include "acaciafork/decisions/routing/RoomEvidence.h"
+
+#include <algorithm>
+
+#include "acaciafork/decisions/routing/AttemptTable.h"
+
+namespace acaciafork::routing {
+
+RoomEvidence::RoomEvidence(GrantorTables *tables, const CreditSettings &settings)
+    : m_tables(tables)
+    , m_settings(settings)
+{ }
+
+bool RoomEvidence::provesSince(Timestamp now, Timestamp startsEndAt) const
+{
+    // What was started last arrives one flight later; the announcement was made at most one
+    // flight before it came.
+    return now >= startsEndAt + surelyOver(2 * m_settings.flightBound);
+}
+
+void RoomEvidence::take(Timestamp now, TableIndex index, Timestamp settledAt, GrantorCommands *out)
+{
+    takeUnknown(now, index, settledAt);
+    const std::vector<TableIndex> holders = m_tables->endpoint(index).holders;
+    for (const TableIndex it : holders) {
+        if (!m_tables->session(it).live)
+            takeLost(now, index, it, out);
+    }
+}
+
+void RoomEvidence::takeUnknown(Timestamp now, TableIndex index, Timestamp settledAt)
+{
+    const GrantorEndpoint &endpoint = m_tables->endpoint(index);
+    const bool nothing = endpoint.unknownSlots == 0 && endpoint.unknownConnections == 0;
+    if (nothing || !provesSince(now, settledAt))
+        return;
+
+    // Every process but those on lost instances has closed its connections by now. For these,
+    // all connections that the slots do not need are kept back until the endpoint closes them.
+    const std::uint32_t needed = endpoint.slots * m_settings.connectionsPerSlot;
+    const bool closed = now >= settledAt + m_settings.halfOpenTimeout;
+    const std::uint32_t halfOpen =
+            closed || needed > endpoint.connections ? 0 : endpoint.connections - needed;
+    const std::uint32_t running = runningUnknown(endpoint);
+    m_tables->changeEndpoint(index, [&](GrantorEndpoint *it) {
+        it->unknownSlots = std::min(it->unknownSlots, running);
+        it->unknownConnections = std::min(it->unknownConnections, halfOpen);
+    });
+}
+
+std::uint32_t RoomEvidence::runningUnknown(const GrantorEndpoint &endpoint) const
+{
+    if (!endpoint.listsAttempts)
+        return endpoint.requestsInProgress;
+    const std::vector<AttemptId> &running = endpoint.attemptsInProgress;
+    const auto n = std::count_if(running.begin(), running.end(),
+                                 [&](AttemptId it) { return !knownPrefix(attemptIdPrefix(it)); });
+    return static_cast<std::uint32_t>(n);
+}
+
+bool RoomEvidence::knownPrefix(std::uint64_t prefix) const
+{
+    for (TableIndex it = 0; it < m_tables->sessionCount(); ++it) {
+        const EntrySession &session = m_tables->session(it);
+        if (session.used && session.adopted
+            && attemptIdPrefix(session.entry, session.incarnation) == prefix)
+            return true;
+    }
+    return false;
+}
+
+void RoomEvidence::takeLost(Timestamp now, TableIndex index, TableIndex sessionIndex,
+                            GrantorCommands *out)
+{
+    const EntrySession &session = m_tables->session(sessionIndex);
+    if (!provesSince(now, session.startsEndAt))
+        return;
+
+    const GrantorEndpoint &endpoint = m_tables->endpoint(index);
+    std::uint32_t running = endpoint.requestsInProgress;
+    if (endpoint.listsAttempts) {
+        const std::uint64_t prefix = attemptIdPrefix(session.entry, session.incarnation);
+        const std::vector<AttemptId> &ids = endpoint.attemptsInProgress;
+        running =
+                static_cast<std::uint32_t>(std::count_if(ids.begin(), ids.end(), [&](AttemptId it) {
+                    return attemptIdPrefix(it) == prefix;
+                }));
+    }
+    const bool closed = now >= session.startsEndAt + m_settings.halfOpenTimeout;
+    const std::uint32_t before = m_tables->holding(sessionIndex, index).chargedSlots();
+    m_tables->changeHolding(sessionIndex, index, [&](GrantorHolding *it) {
+        const std::uint32_t charged = it->chargedSlots();
+        it->reportedConnections = closed ? 0 : it->chargedConnections();
+        it->reportedSlots = std::min(charged, running);
+        it->slots = 0;
+        it->lingering = 0;
+        it->pendingSlots = 0;
+        it->pendingConnections = 0;
+        it->takenNumber = it->lastNumber;
+    });
+    if (before > 0 && running == 0) {
+        out->push_back(RecordEvent { .kind = EventKind::CreditReleased,
+                                     .subject = endpoint.name.value,
+                                     .detail = "entry=" + std::to_string(session.entry.value) });
+    }
+}
+
+} // namespace acaciafork::routing
--- /dev/null
+++ b/acaciafork/decisions/routing/Routing.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Public header of the routing library: pure policy for requests. `EntryScheduler` decides at an
+/// entry, `CreditGrantor` on the control leader; the messages between them are plain structs.
+
+#include "acaciafork/decisions/routing/CreditGrantor.h"
+#include "acaciafork/decisions/routing/EntryCommands.h"
+#include "acaciafork/decisions/routing/EntryScheduler.h"
+#include "acaciafork/decisions/routing/GrantorCommands.h"
+#include "acaciafork/decisions/routing/Messages.h"
+#include "acaciafork/decisions/routing/RequestInfo.h"
+#include "acaciafork/decisions/routing/RetryPolicy.h"
+#include "acaciafork/decisions/routing/RoutingSettings.h"
--- /dev/null
+++ b/acaciafork/decisions/routing/ServiceTable.cpp
@@ -0,0 +1,69 @@
+#include "acaciafork/decisions/routing/ServiceTable.h"
+
+#include <algorithm>
+
+namespace acaciafork::routing {
+namespace {
+
+/// Share of `slots`, rounded up.
+std::uint32_t percentOf(std::uint32_t slots, std::uint32_t percent)
+{
+    return (slots * percent + 99) / 100;
+}
+
+} // namespace
+
+bool EntryService::laneMayStart(Lane lane) const
+{
+    if (lane == Lane::Short)
+        return true;
+
+    // Long work leaves the reserved slots alone, but an entry with one slot still serves it.
+    const std::uint32_t reserved = percentOf(heldSlots, settings.shortSlotsPercent);
+    const std::uint32_t open = std::max(heldSlots > reserved ? heldSlots - reserved : 0, 1U);
+    if (longInUse + streamsInUse >= open)
+        return false;
+
+    const std::uint32_t streams = percentOf(heldSlots, settings.streamSlotsPercent);
+    return lane != Lane::Stream || streamsInUse < std::max(streams, 1U);
+}
+
+std::uint32_t EntryService::spareSlots() const
+{
+    return heldSlots > inUse ? heldSlots - inUse : 0;
+}
+
+void EntryService::countAttempt(Lane lane, bool countsAsLong, int change)
+{
+    const auto delta = static_cast<std::uint32_t>(change);
+    inUse += delta;
+    if (lane == Lane::Stream)
+        streamsInUse += delta;
+    else if (countsAsLong)
+        longInUse += delta;
+}
+
+void ServiceTable::configure(std::span<const ServiceSettings> services)
+{
+    for (EntryService &it : m_services)
+        it.configured = false;
+
+    for (const ServiceSettings &settings : services) {
+        TableIndex index = find(settings.service);
+        if (index == noIndex) {
+            index = size();
+            m_services.emplace_back();
+            m_byName.emplace(settings.service, index);
+        }
+        m_services[index].settings = settings;
+        m_services[index].configured = true;
+    }
+}
+
+TableIndex ServiceTable::find(const ServiceName &name) const
+{
+    const auto it = m_byName.find(name);
+    return it == m_byName.end() ? noIndex : it->second;
+}
+
+} // namespace acaciafork::routing
--- /dev/null
+++ b/acaciafork/decisions/routing/TombstoneTable.cpp
@@ -0,0 +1,37 @@
+#include "acaciafork/decisions/routing/TombstoneTable.h"
+
+namespace acaciafork::routing {
+
+TombstoneTable::TombstoneTable(Duration keepTime)
+    : m_keepTime(keepTime)
+{ }
+
+bool TombstoneTable::add(Timestamp now, const LeavingNotice &notice)
+{
+    if (covers(notice.endpoint, notice.incarnation))
+        return false;
+    m_incarnations[notice.endpoint] = notice.incarnation;
+    m_expiries.push_back(Expiry { .at = now + m_keepTime,
+                                  .endpoint = notice.endpoint,
+                                  .incarnation = notice.incarnation });
+    return true;
+}
+
+bool TombstoneTable::covers(const EndpointName &endpoint, Incarnation incarnation) const
+{
+    const auto it = m_incarnations.find(endpoint);
+    return it != m_incarnations.end() && incarnation <= it->second;
+}
+
+void TombstoneTable::expire(Timestamp now)
+{
+    while (!m_expiries.empty() && m_expiries.front().at <= now) {
+        const Expiry &expiry = m_expiries.front();
+        const auto it = m_incarnations.find(expiry.endpoint);
+        if (it != m_incarnations.end() && it->second == expiry.incarnation)
+            m_incarnations.erase(it);
+        m_expiries.pop_front();
+    }
+}
+
+} // namespace acaciafork::routing
--- /dev/null
+++ b/tests/decisions/routing/FakeWorld.cpp
@@ -0,0 +1,569 @@
+#include "tests/decisions/routing/FakeWorld.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace acaciafork::routing::fake {
+namespace {
+
+constexpr std::int64_t tickInterval = 10'000;
+constexpr std::int64_t announceInterval = 1'000'000;
+/// Process number of the grantor in the skew of clocks.
+constexpr int grantorProcess = -1;
+/// Request ids at a peer entry: the same request under another number.
+constexpr std::uint64_t forwardedBit = 1ULL << 62U;
+
+} // namespace
+
+struct FakeWorld::Endpoint
+{
+    EndpointName name;
+    bool up = true;
+    bool dead = false;
+    bool leaving = false;
+    double slowness = 1;
+    std::uint64_t incarnation = 1;
+    std::uint64_t sequence = 0;
+    std::set<std::uint64_t> running;
+    int connections = 0;
+    int starts = 0;
+    std::int64_t lastStart = -1;
+};
+
+struct FakeWorld::Entry
+{
+    std::uint64_t incarnation = 0;
+    std::unique_ptr<EntryScheduler> scheduler;
+};
+
+struct FakeWorld::Attempt
+{
+    int entry = 0;
+    std::uint64_t entryIncarnation = 0;
+    int endpoint = 0;
+    std::uint64_t endpointIncarnation = 0;
+    std::size_t record = 0;
+    bool arrived = false;
+    bool headers = false;
+};
+
+FakeWorld::FakeWorld(const WorldOptions &options)
+    : m_options(options)
+    , m_generator(options.seed)
+{
+    m_options.service.service = ServiceName { "loopdraw" };
+    for (int it = 0; it < options.endpoints; ++it) {
+        m_endpoints.push_back(std::make_unique<Endpoint>());
+        m_endpoints.back()->name = EndpointName { "endpoint-" + std::to_string(it) };
+        at(announceInterval * it / options.endpoints, [this, it] { announce(it); });
+    }
+    m_entries.resize(options.entries);
+    for (int it = 0; it < options.entries; ++it) {
+        m_entries[it] = std::make_unique<Entry>();
+        startEntry(it);
+        at(tickInterval * it / options.entries, [this, it] { tickEntry(it); });
+    }
+    changeLeader();
+    tickGrantor();
+}
+
+FakeWorld::~FakeWorld() = default;
+
+Timestamp FakeWorld::localTime(int process) const
+{
+    // Origins differ as well, so that a time of one clock used on another shows at once.
+    const std::int64_t origin = (process + 2) * 1'000'000'000LL;
+    if (!m_options.skewedClocks)
+        return timestampFromMicroseconds(origin + m_now);
+    const std::int64_t skew = process % 2 == 0 ? -m_now / 200 : m_now / 200;
+    return timestampFromMicroseconds(origin + m_now + skew);
+}
+
+std::int64_t FakeWorld::realDelay(int process, Timestamp local) const
+{
+    return std::max<std::int64_t>((local - localTime(process)).count(), 0);
+}
+
+void FakeWorld::at(std::int64_t time, std::function<void()> action)
+{
+    m_actions.push(Action { .time = time, .order = ++m_order, .run = std::move(action) });
+}
+
+void FakeWorld::runUntil(std::int64_t until)
+{
+    while (!m_actions.empty() && m_actions.top().time <= until) {
+        const Action action = m_actions.top();
+        m_actions.pop();
+        m_now = action.time;
+        action.run();
+    }
+    m_now = until;
+}
+
+template <typename Event>
+void FakeWorld::tell(int entry, Event event)
+{
+    EntryScheduler *scheduler = m_entries[entry]->scheduler.get();
+    if (!scheduler)
+        return;
+    EntryCommands commands;
+    event(scheduler, localTime(entry), &commands);
+    carryOut(entry, &commands);
+}
+
+EntryScheduler *FakeWorld::entry(int index)
+{
+    return m_entries[index]->scheduler.get();
+}
+
+int FakeWorld::runningAt(int endpoint) const
+{
+    return static_cast<int>(m_endpoints[endpoint]->running.size());
+}
+
+std::int64_t FakeWorld::lastStartAt(int endpoint) const
+{
+    return m_endpoints[endpoint]->lastStart;
+}
+
+int FakeWorld::startsAt(int endpoint) const
+{
+    return m_endpoints[endpoint]->starts;
+}
+
+void FakeWorld::startEntry(int index)
+{
+    Entry &entry = *m_entries[index];
+    ++entry.incarnation;
+    entry.scheduler = std::make_unique<EntryScheduler>(
+            EntryOptions { .process = ProcessId { static_cast<std::uint32_t>(index + 1) },
+                           .incarnation = Incarnation { entry.incarnation },
+                           .zone = ZoneName { "zone-" + std::to_string(index % m_options.zones) },
+                           .credit = m_options.credit,
+                           .seed = m_generator() });
+    tell(index, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+        it->configApplied(now, std::span(&m_options.service, 1), out);
+        if (m_leaderUp)
+            it->controlFound(now, m_term, out);
+    });
+}
+
+void FakeWorld::crashEntry(int index)
+{
+    m_entries[index]->scheduler.reset();
+    // Requests of its callers are lost with it; what runs at endpoints runs on.
+    for (auto &[id, attempt] : m_attempts) {
+        WorldRecord &record = m_records[attempt.record];
+        if (attempt.entry == index && record.outcome == WorldEnd::Open)
+            record.outcome = WorldEnd::Unknown;
+    }
+}
+
+void FakeWorld::loseLeader()
+{
+    m_leaderUp = false;
+    for (int it = 0; it < m_options.entries; ++it) {
+        tell(it, [](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+            scheduler->controlLost(now, out);
+        });
+    }
+}
+
+void FakeWorld::changeLeader()
+{
+    m_leaderUp = true;
+    ++m_term;
+    m_grantor = std::make_unique<CreditGrantor>(m_options.credit);
+    std::vector<ProcessId> known;
+    known.reserve(m_entries.size());
+    for (int it = 0; it < m_options.entries; ++it)
+        known.push_back(ProcessId { static_cast<std::uint32_t>(it + 1) });
+    GrantorCommands commands;
+    m_grantor->becameLeader(localTime(grantorProcess), m_term, known, true, &commands);
+    carryOut(&commands);
+    for (int it = 0; it < m_options.entries; ++it) {
+        tell(it, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+            scheduler->controlFound(now, m_term, out);
+        });
+    }
+}
+
+void FakeWorld::tickEntry(int index)
+{
+    tell(index, [](EntryScheduler *it, Timestamp now, EntryCommands *out) { it->tick(now, out); });
+    at(m_now + tickInterval, [this, index] { tickEntry(index); });
+}
+
+void FakeWorld::tickGrantor()
+{
+    if (m_leaderUp) {
+        GrantorCommands commands;
+        m_grantor->tick(localTime(grantorProcess), &commands);
+        carryOut(&commands);
+    }
+    at(m_now + tickInterval, [this] { tickGrantor(); });
+}
+
+void FakeWorld::control(std::function<void()> deliver)
+{
+    ++m_controlMessages;
+    const auto percent = [&] { return static_cast<int>(m_generator() % 100); };
+    if (percent() < m_options.lostPercent)
+        return;
+    const auto late = [&]() -> std::int64_t {
+        const auto most = static_cast<std::uint64_t>(m_options.lateness.count());
+        return m_options.hop.count() + static_cast<std::int64_t>(m_generator() % (most + 1));
+    };
+    if (percent() < m_options.repeatedPercent)
+        at(m_now + late(), deliver);
+    at(m_now + late(), std::move(deliver));
+}
+
+void FakeWorld::announce(int index)
+{
+    Endpoint &endpoint = *m_endpoints[index];
+    at(m_now + announceInterval, [this, index] { announce(index); });
+    if (!endpoint.up || endpoint.dead)
+        return;
+    EndpointAnnouncement announcement {
+        .endpoint = endpoint.name,
+        .service = m_options.service.service,
+        .address = "127.0.0.1:" + std::to_string(index),
+        .zone = ZoneName { "zone-" + std::to_string(index % m_options.zones) },
+        .rack = RackName { "rack-" + std::to_string(index / m_options.endpointsPerRack) },
+        .incarnation = Incarnation { endpoint.incarnation },
+        .sequence = ++endpoint.sequence,
+        .slots = m_options.slots,
+        .connections = m_options.connections,
+        .requestsInProgress = static_cast<std::uint32_t>(endpoint.running.size()),
+        .listsAttempts = m_options.listsAttempts,
+        .leaving = endpoint.leaving,
+    };
+    if (m_options.listsAttempts) {
+        for (const std::uint64_t it : endpoint.running)
+            announcement.attemptsInProgress.push_back(AttemptId { it });
+    }
+    // By way of one entry to the leader.
+    const int through = static_cast<int>(m_generator() % m_entries.size());
+    tell(through, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+        it->endpointAnnounced(now, announcement, out);
+    });
+    control([this, announcement, term = m_term] {
+        if (!m_leaderUp || term != m_term)
+            return;
+        GrantorCommands commands;
+        m_grantor->endpointAnnounced(localTime(grantorProcess), announcement, &commands);
+        carryOut(&commands);
+    });
+}
+
+void FakeWorld::carryOut(GrantorCommands *commands)
+{
+    for (const GrantorCommand &command : *commands) {
+        const SendGrant *send = std::get_if<SendGrant>(&command);
+        if (!send)
+            continue;
+        CreditGrant grant = send->grant;
+        if (tamperGrant)
+            tamperGrant(&grant);
+        control([this, grant] {
+            const int index = static_cast<int>(grant.entry.value) - 1;
+            tell(index, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+                it->grantReceived(now, grant, out);
+            });
+        });
+    }
+}
+
+void FakeWorld::carryOut(int entry, EntryCommands *commands)
+{
+    for (const EntryCommand &command : *commands)
+        carryOutOne(entry, command);
+}
+
+void FakeWorld::carryOutOne(int entry, const EntryCommand &command)
+{
+    if (const auto *attempt = std::get_if<StartAttempt>(&command)) {
+        start(entry, *attempt);
+    } else if (const auto *notRun = std::get_if<AnswerNotRun>(&command)) {
+        close(notRun->request, WorldEnd::NotRun);
+    } else if (const auto *unknown = std::get_if<AnswerUnknown>(&command)) {
+        close(unknown->request, WorldEnd::Unknown);
+    } else if (const auto *forwarded = std::get_if<ForwardToPeer>(&command)) {
+        forward(entry, *forwarded);
+    } else if (const auto *ask = std::get_if<AskLedger>(&command)) {
+        const auto [row, fresh] = m_ledger.try_emplace(ask->keyDigest, LedgerVerdict::Running);
+        const LedgerVerdict verdict = fresh ? LedgerVerdict::Recorded : row->second;
+        m_ledgerCommits += fresh ? 1 : 0;
+        at(m_now + 4 * m_options.hop.count(),
+           [this, entry, request = ask->request, verdict, n = m_entries[entry]->incarnation] {
+               if (m_entries[entry]->incarnation != n)
+                   return;
+               tell(entry, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+                   scheduler->ledgerVerdict(now, request, verdict, out);
+               });
+           });
+    } else if (const auto *noted = std::get_if<RecordLedgerEnd>(&command)) {
+        if (noted->end == LedgerEnd::NotRun)
+            m_ledger.erase(noted->keyDigest);
+        else
+            m_ledger[noted->keyDigest] = LedgerVerdict::EndedUnknown;
+    } else if (const auto *send = std::get_if<SendCreditReport>(&command)) {
+        CreditReport report = send->report;
+        if (tamperReport)
+            tamperReport(&report);
+        control([this, report] {
+            if (!m_leaderUp)
+                return;
+            GrantorCommands commands;
+            m_grantor->creditReport(localTime(grantorProcess), report, &commands);
+            carryOut(&commands);
+        });
+    } else if (const auto *spread = std::get_if<SpreadLeaving>(&command)) {
+        for (int it = 0; it < m_options.entries; ++it) {
+            if (it == entry)
+                continue;
+            control([this, it, notice = spread->notice] {
+                tell(it, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+                    scheduler->endpointLeaving(now, notice, out);
+                });
+            });
+        }
+    } else if (const auto *close = std::get_if<CloseConnections>(&command)) {
+        const EndpointName name { std::string(close->endpoint) };
+        const int index = std::stoi(name.value.substr(name.value.find('-') + 1));
+        const std::uint32_t count = close->count;
+        at(m_now + m_options.hop.count(),
+           [this, entry, name, index, count, n = m_entries[entry]->incarnation] {
+               m_endpoints[index]->connections -= static_cast<int>(count);
+               for (std::uint32_t it = 0; it < count && m_entries[entry]->incarnation == n; ++it) {
+                   tell(entry, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+                       scheduler->connectionClosed(now, name, out);
+                   });
+               }
+           });
+    } else if (const auto *probe = std::get_if<ProbeEndpoint>(&command)) {
+        const EndpointName name { std::string(probe->endpoint) };
+        const int index = std::stoi(name.value.substr(name.value.find('-') + 1));
+        at(m_now + 2 * m_options.hop.count(), [this, entry, name, index] {
+            const Endpoint &endpoint = *m_endpoints[index];
+            tell(entry, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+                scheduler->probeEnded(now, name, endpoint.up && !endpoint.dead, out);
+            });
+        });
+    }
+}
+
+std::size_t FakeWorld::put(const WorldRequest &request)
+{
+    const std::size_t index = m_records.size();
+    m_records.push_back(WorldRecord { .request = request, .arrival = m_now });
+    if (!m_entries[request.entry]->scheduler) {
+        m_records[index].outcome = WorldEnd::NotRun;
+        return index;
+    }
+    tell(request.entry, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+        it->requestArrived(now, infoOf(index, false, request.entry), out);
+    });
+    return index;
+}
+
+RequestInfo FakeWorld::infoOf(std::size_t index, bool forwarded, int entry) const
+{
+    const WorldRecord &record = m_records[index];
+    const std::int64_t left = record.arrival + record.request.timeout.count() - m_now;
+    return RequestInfo { .request = RequestId { (index + 1) | (forwarded ? forwardedBit : 0) },
+                         .service = m_options.service.service,
+                         .routeHash = record.request.route,
+                         .requestClass = record.request.requestClass,
+                         .idempotent = record.request.idempotent,
+                         .keyDigest = record.request.key,
+                         .bodyDigest = record.request.key,
+                         .deadline = localTime(entry) + Duration(left),
+                         .forwarded = forwarded };
+}
+
+void FakeWorld::forward(int entry, const ForwardToPeer &command)
+{
+    const std::size_t index = command.request.value - 1;
+    ++m_records[index].forwards;
+    const int peer = static_cast<int>(command.peer.value) - 1;
+    at(m_now + m_options.hop.count(), [this, entry, peer, index] {
+        if (!m_entries[peer]->scheduler) {
+            tell(entry, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+                it->forwardEnded(now, RequestId { index + 1 }, ForwardOutcome::NotRun, out);
+            });
+            return;
+        }
+        tell(peer, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+            it->requestArrived(now, infoOf(index, true, peer), out);
+        });
+    });
+}
+
+void FakeWorld::start(int entry, const StartAttempt &command)
+{
+    ++m_attemptCount;
+    const std::string name(command.endpoint);
+    const int index = std::stoi(name.substr(name.find('-') + 1));
+    const std::uint64_t id = command.attempt.value;
+    m_attempts[id] = Attempt { .entry = entry,
+                               .entryIncarnation = m_entries[entry]->incarnation,
+                               .endpoint = index,
+                               .record = (command.request.value & ~forwardedBit) - 1 };
+    const bool opens = !command.reuseConnection;
+    at(m_now + m_options.hop.count(), [this, id, opens, index] {
+        const Endpoint &endpoint = *m_endpoints[index];
+        if (!endpoint.up || endpoint.dead) {
+            at(m_now + m_options.hop.count(), [this, id] {
+                end(id, AttemptPhase::NotSent, AttemptOutcome::ConnectFailed, false);
+            });
+            return;
+        }
+        if (opens && ++m_endpoints[index]->connections > static_cast<int>(m_options.connections))
+            ++m_connectionOvershoots;
+        arrive(id);
+    });
+    at(m_now + realDelay(entry, command.deadline), [this, id] {
+        if (m_attempts.count(id) > 0)
+            end(id, AttemptPhase::Sent, AttemptOutcome::Timeout, false);
+    });
+}
+
+void FakeWorld::arrive(std::uint64_t id)
+{
+    Attempt &attempt = m_attempts[id];
+    Endpoint &endpoint = *m_endpoints[attempt.endpoint];
+    attempt.arrived = true;
+    attempt.endpointIncarnation = endpoint.incarnation;
+    endpoint.running.insert(id);
+    endpoint.lastStart = m_now;
+    ++endpoint.starts;
+    ++m_records[attempt.record].runs;
+    if (endpoint.running.size() > m_options.slots)
+        ++m_overshoots;
+
+    const auto work = static_cast<std::int64_t>(
+            static_cast<double>(m_records[attempt.record].request.work.count())
+            * endpoint.slowness);
+    at(m_now + work, [this, id] { finish(id); });
+}
+
+void FakeWorld::finish(std::uint64_t id)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end())
+        return;
+    Endpoint &endpoint = *m_endpoints[it->second.endpoint];
+    if (endpoint.running.erase(id) == 0)
+        return;
+    if (!m_entries[it->second.entry]->scheduler
+        || m_entries[it->second.entry]->incarnation != it->second.entryIncarnation) {
+        --endpoint.connections;
+        m_attempts.erase(it);
+        return;
+    }
+    at(m_now + m_options.hop.count(), [this, id] {
+        const auto found = m_attempts.find(id);
+        if (found == m_attempts.end())
+            return;
+        tell(found->second.entry,
+             [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+                 scheduler->attemptHeaders(now, AttemptId { id }, false, out);
+             });
+        end(id, AttemptPhase::Body, AttemptOutcome::Ok, true);
+    });
+}
+
+void FakeWorld::end(std::uint64_t id, AttemptPhase phase, AttemptOutcome outcome, bool kept)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end())
+        return;
+    const Attempt attempt = it->second;
+    const bool final = outcome != AttemptOutcome::Timeout;
+    if (final)
+        m_attempts.erase(it);
+    if (m_entries[attempt.entry]->incarnation != attempt.entryIncarnation)
+        return;
+
+    EntryScheduler *scheduler = m_entries[attempt.entry]->scheduler.get();
+    if (!scheduler)
+        return;
+    EntryCommands commands;
+    const bool answers = outcome == AttemptOutcome::Ok;
+    const std::size_t before = scheduler->requestsInProgress();
+    scheduler->attemptEnded(
+            localTime(attempt.entry), AttemptId { id },
+            AttemptEnd { .phase = phase, .outcome = outcome, .connectionKept = kept }, &commands);
+    // The request was still waiting for this attempt when the scheduler forgets it.
+    (void)before;
+    if (answers)
+        close(RequestId { attempt.record + 1 }, WorldEnd::Answered);
+    carryOut(attempt.entry, &commands);
+}
+
+void FakeWorld::close(RequestId request, WorldEnd outcome)
+{
+    const bool forwarded = (request.value & forwardedBit) != 0;
+    const std::size_t index = (request.value & ~forwardedBit) - 1;
+    WorldRecord &record = m_records[index];
+    if (forwarded && outcome != WorldEnd::Answered) {
+        const ForwardOutcome back =
+                outcome == WorldEnd::NotRun ? ForwardOutcome::NotRun : ForwardOutcome::Unknown;
+        at(m_now + m_options.hop.count(), [this, index, back] {
+            tell(m_records[index].request.entry,
+                 [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+                     it->forwardEnded(now, RequestId { index + 1 }, back, out);
+                 });
+        });
+        return;
+    }
+    if (record.forwards > 0 && outcome == WorldEnd::Answered) {
+        tell(record.request.entry, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+            it->forwardEnded(now, RequestId { index + 1 }, ForwardOutcome::Answered, out);
+        });
+    }
+    if (record.outcome != WorldEnd::Open)
+        return;
+    record.outcome = outcome;
+    record.end = m_now;
+    ++record.answers;
+}
+
+void FakeWorld::restartEndpoint(int index, Duration away)
+{
+    Endpoint &endpoint = *m_endpoints[index];
+    endpoint.up = false;
+    const std::set<std::uint64_t> running = std::move(endpoint.running);
+    endpoint.running.clear();
+    endpoint.connections = 0;
+    for (const std::uint64_t id : running) {
+        at(m_now + m_options.hop.count(),
+           [this, id] { end(id, AttemptPhase::Sent, AttemptOutcome::Reset, false); });
+    }
+    at(m_now + away.count(), [this, index] {
+        Endpoint &back = *m_endpoints[index];
+        back.up = true;
+        ++back.incarnation;
+        back.sequence = 0;
+    });
+}
+
+void FakeWorld::killEndpoint(int index)
+{
+    m_endpoints[index]->dead = true;
+}
+
+void FakeWorld::leaveEndpoint(int index)
+{
+    m_endpoints[index]->leaving = true;
+}
+
+void FakeWorld::slowEndpoint(int index, double factor)
+{
+    m_endpoints[index]->slowness = factor;
+}
+
+} // namespace acaciafork::routing::fake
--- /dev/null
+++ b/tests/decisions/routing/FlowTest.cpp
@@ -0,0 +1,42 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "tests/decisions/routing/FakeWorld.h"
+
+namespace acaciafork::routing::fake {
+namespace {
+
+constexpr std::int64_t second = 1'000'000;
+
+} // namespace
+
+TEST_CASE("a request flows from announcement and grant to its answer")
+{
+    FakeWorld world(WorldOptions {});
+    world.runUntil(10 * second);
+    const std::size_t request = world.put(WorldRequest {});
+    world.runUntil(11 * second);
+    CHECK(world.records()[request].outcome == WorldEnd::Answered);
+    CHECK(world.records()[request].runs == 1);
+    CHECK(world.overshoots() == 0);
+}
+
+TEST_CASE("requests beyond the room are refused at once or wait, never overshoot")
+{
+    FakeWorld world(WorldOptions {});
+    world.runUntil(10 * second);
+    for (int it = 0; it < 60; ++it)
+        world.put(WorldRequest { .entry = it % 3, .work = std::chrono::milliseconds(400) });
+    world.runUntil(20 * second);
+    int answered = 0;
+    for (const WorldRecord &it : world.records()) {
+        CHECK(it.outcome != WorldEnd::Open);
+        CHECK(it.outcome != WorldEnd::Unknown);
+        answered += it.outcome == WorldEnd::Answered ? 1 : 0;
+    }
+    CHECK(answered >= 8);
+    CHECK(world.overshoots() == 0);
+    CHECK(world.connectionOvershoots() == 0);
+}
+
+} // namespace acaciafork::routing::fake
