--- a/acaciafork/peers/CallTable.h
+++ b/acaciafork/peers/CallTable.h
@@ -17,6 +17,8 @@
     std::string path;
     std::string token;
     std::string body;
+    /// It came in by the operators' port; else it came from a callers' port.
+    bool operatorsPort = false;
     /// A control member has passed it on already.
     bool relayed = false;
 };
