--- a/acaciafork/net/HttpCall.cpp
+++ b/acaciafork/net/HttpCall.cpp
@@ -341,7 +341,7 @@
     end({ .phase = phase, .failure = Failure { kind, std::move(detail) } });
 }
 
-void HttpCall::end(CallEnd end)
+void HttpCall::end(const CallEnd &end)
 {
     m_phase = end.phase;
     HttpCallSink *sink = std::exchange(m_sink, nullptr);
--- a/acaciafork/net/HttpCall.h
+++ b/acaciafork/net/HttpCall.h
@@ -44,7 +44,7 @@
     void begin(const HttpRequest &request, st_h2o_socketpool_t *pool);
     void buildRequest(const HttpRequest &request);
     void failWith(FailureKind kind, std::string detail);
-    void end(CallEnd end);
+    void end(const CallEnd &end);
     void forget();
     void closeConnection();
     void retire();
--- a/acaciafork/net/HttpClient.cpp
+++ b/acaciafork/net/HttpClient.cpp
@@ -13,7 +13,7 @@
 
 // Bound that h2o keeps on each step of a call. Ours are set for each call; a stream may be idle for
 // hours, so this one is as good as none.
-constexpr std::uint64_t NoIoTimeoutMs = 1'000ULL * 3'600 * 24 * 365;
+constexpr std::uint64_t noIoTimeoutMs = 1'000ULL * 3'600 * 24 * 365;
 
 /// Collects an answer for HttpClient::call().
 class Collector : public HttpCallSink
@@ -81,7 +81,7 @@
     : loop(aLoop)
     , settings(aSettings)
 {
-    h2o_timeout_init(loop.native(), &m_ioTimeout, NoIoTimeoutMs);
+    h2o_timeout_init(loop.native(), &m_ioTimeout, noIoTimeoutMs);
     context.loop = loop.native();
     context.io_timeout = &m_ioTimeout;
     context.websocket_timeout = &m_ioTimeout;
--- a/acaciafork/net/HttpClient.h
+++ b/acaciafork/net/HttpClient.h
@@ -43,7 +43,7 @@
     /// Most idle connections kept to one address.
     std::int64_t mostIdlePerAddress = 1'000;
     /// Most bytes of an answer that call() collects.
-    std::int64_t mostCollectedBytes = 16 * 1024 * 1024;
+    std::int64_t mostCollectedBytes = 16LL * 1024 * 1024;
 };
 
 /// Request of a client. The client copies all of it.
--- a/acaciafork/net/HttpServer.cpp
+++ b/acaciafork/net/HttpServer.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 // Connections taken in one turn, so that a burst of them does not hold up requests.
-constexpr int AcceptsPerTurn = 32;
+constexpr int acceptsPerTurn = 32;
 // How often the watch over unfinished requests looks.
-constexpr Duration TickPeriod = std::chrono::milliseconds(10);
+constexpr Duration tickPeriod = std::chrono::milliseconds(10);
 
 /// The handler as h2o holds it.
 struct NativeHandler
@@ -100,7 +100,7 @@
         if (!isAlive.expired())
             closeGates();
     });
-    m_ticker = loop.every(TickPeriod, [this] { tick(); });
+    m_ticker = loop.every(tickPeriod, [this] { tick(); });
 }
 
 HttpServer::Impl::~Impl()
@@ -152,7 +152,7 @@
     if (error != nullptr)
         return;
     auto *self = static_cast<Impl *>(listener->data);
-    for (int i = 0; i != AcceptsPerTurn; ++i) {
+    for (int i = 0; i != acceptsPerTurn; ++i) {
         h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
         if (socket == nullptr)
             return;
--- a/acaciafork/net/HttpServer.h
+++ b/acaciafork/net/HttpServer.h
@@ -18,11 +18,11 @@
 struct HttpServerSettings
 {
     /// Most bytes of the request line and headers; past it 431.
-    std::int64_t mostHeadBytes = 32 * 1024;
+    std::int64_t mostHeadBytes = 32LL * 1024;
     /// Most bytes of one request body; past it 413.
-    std::int64_t mostBodyBytes = 16 * 1024 * 1024;
+    std::int64_t mostBodyBytes = 16LL * 1024 * 1024;
     /// Most bytes of requests held at one time over all connections; past it 503.
-    std::int64_t mostBufferedBytes = 64 * 1024 * 1024;
+    std::int64_t mostBufferedBytes = 64LL * 1024 * 1024;
     /// Most connections at one time; past it new ones are closed.
     std::int64_t mostConnections = 10'000;
     /// Longest time from the first byte of a request to its last; past it 408.
--- a/acaciafork/net/HttpServerGuard.cpp
+++ b/acaciafork/net/HttpServerGuard.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Every how many ticks the peers of requests in progress are looked at.
-constexpr std::uint64_t TicksPerPeerLook = 5;
+constexpr std::uint64_t ticksPerPeerLook = 5;
 
 } // namespace
 
@@ -21,7 +21,7 @@
     m_lingering.tick(now);
     watchArrivals(now);
     enforceBudget();
-    if (++m_ticks % TicksPerPeerLook == 0)
+    if (++m_ticks % ticksPerPeerLook == 0)
         watchPeers();
     closeIdle(now);
     finishDrain();
--- a/acaciafork/net/HttpTypes.cpp
+++ b/acaciafork/net/HttpTypes.cpp
@@ -15,7 +15,7 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-constexpr std::array<std::string_view, 9> HopHeaders {
+constexpr std::array<std::string_view, 9> hopHeaders {
     "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
     "transfer-encoding", "upgrade",    "content-length",
 };
@@ -40,7 +40,7 @@
 
 bool isHopHeader(std::string_view name)
 {
-    return std::any_of(HopHeaders.begin(), HopHeaders.end(),
+    return std::any_of(hopHeaders.begin(), hopHeaders.end(),
                        [name](std::string_view it) { return sameHeaderName(it, name); });
 }
 
--- /dev/null
+++ b/acaciafork/net/JsonReader.cpp
@@ -0,0 +1,115 @@
+#include "acaciafork/net/JsonReader.h"
+
+#include <algorithm>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+
+namespace acaciafork::net {
+
+namespace json = boost::json;
+
+Result<json::object> parseJsonObject(std::string_view text)
+{
+    boost::system::error_code ec;
+    json::value value = json::parse(text, ec);
+    if (ec)
+        return fail(FailureKind::InvalidArgument, "malformed JSON: " + ec.message());
+    if (!value.is_object())
+        return fail(FailureKind::InvalidArgument, "JSON: allowed is an object");
+    return std::move(value.get_object());
+}
+
+const json::value *JsonReader::find(std::string_view key)
+{
+    return m_object.if_contains(key);
+}
+
+void JsonReader::note(std::string_view key, std::string_view allowed)
+{
+    if (m_problem.empty())
+        m_problem = "field " + std::string(key) + ": allowed is " + std::string(allowed);
+}
+
+std::string JsonReader::text(std::string_view key, std::size_t most)
+{
+    std::string found = optionalText(key, most);
+    if (found.empty())
+        note(key, "text of 1 to " + std::to_string(most) + " bytes");
+    return found;
+}
+
+std::string JsonReader::optionalText(std::string_view key, std::size_t most)
+{
+    const json::value *value = find(key);
+    if (value == nullptr)
+        return {};
+    if (!value->is_string() || value->get_string().size() > most) {
+        note(key, "text of at most " + std::to_string(most) + " bytes");
+        return {};
+    }
+    return std::string(value->get_string());
+}
+
+std::int64_t JsonReader::number(std::string_view key, std::int64_t least, std::int64_t most)
+{
+    const json::value *value = find(key);
+    boost::system::error_code ec;
+    const std::int64_t n = value != nullptr ? value->to_number<std::int64_t>(ec) : 0;
+    if (value == nullptr || ec || n < least || n > most) {
+        note(key, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        return least;
+    }
+    return n;
+}
+
+std::int64_t JsonReader::optionalNumber(std::string_view key, std::int64_t least, std::int64_t most,
+                                        std::int64_t absent)
+{
+    return find(key) == nullptr ? absent : number(key, least, most);
+}
+
+Address JsonReader::address(std::string_view key)
+{
+    const std::string found = text(key);
+    return leaf::try_handle_all([&]() -> Result<Address> { return parseAddress(found); },
+                                [&] {
+                                    note(key, "an IP number and port");
+                                    return Address();
+                                });
+}
+
+std::size_t JsonReader::choice(std::string_view key, std::initializer_list<std::string_view> words)
+{
+    const std::string found = text(key);
+    const auto *it = std::find(words.begin(), words.end(), found);
+    if (it != words.end())
+        return static_cast<std::size_t>(it - words.begin());
+    std::string allowed;
+    for (const auto word : words)
+        allowed += (allowed.empty() ? "" : " or ") + std::string(word);
+    note(key, allowed);
+    return 0;
+}
+
+const json::array *JsonReader::optionalArray(std::string_view key)
+{
+    const json::value *value = find(key);
+    if (value == nullptr)
+        return nullptr;
+    if (!value->is_array()) {
+        note(key, "an array");
+        return nullptr;
+    }
+    return &value->get_array();
+}
+
+Result<void> JsonReader::check() const
+{
+    if (!m_problem.empty())
+        return fail(FailureKind::InvalidArgument, m_problem);
+    return {};
+}
+
+} // namespace acaciafork::net
--- /dev/null
+++ b/acaciafork/net/JsonReader.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include <boost/json/fwd.hpp>
+
+#include "acaciafork/core/Failure.h"
+#include "acaciafork/net/Address.h"
+
+namespace acaciafork::net {
+
+/// Parses a JSON object. Fails with Failure InvalidArgument.
+Result<boost::json::object> parseJsonObject(std::string_view text);
+
+/// Reads typed fields out of one JSON object. The first thing wrong is kept and names its field, so
+/// that a decoder reads all fields in a row and checks once.
+class JsonReader
+{
+public:
+    /// @param[in] object outlives the reader
+    explicit JsonReader(const boost::json::object &object)
+        : m_object(object)
+    { }
+
+    /// Text of 1 to `most` bytes.
+    std::string text(std::string_view key, std::size_t most = 256);
+    /// Text that may be absent or empty.
+    std::string optionalText(std::string_view key, std::size_t most = 4'096);
+    /// Whole number from `least` to `most`.
+    std::int64_t number(std::string_view key, std::int64_t least, std::int64_t most);
+    /// Whole number that is `absent` when the key is not there.
+    std::int64_t optionalNumber(std::string_view key, std::int64_t least, std::int64_t most,
+                                std::int64_t absent);
+    /// IP number and port.
+    Address address(std::string_view key);
+    /// Index of the word that stands there among those allowed.
+    std::size_t choice(std::string_view key, std::initializer_list<std::string_view> words);
+    /// Array, or null when it is absent.
+    const boost::json::array *optionalArray(std::string_view key);
+
+    /// Fails with the first Failure met, InvalidArgument.
+    Result<void> check() const;
+
+private:
+    const boost::json::value *find(std::string_view key);
+    void note(std::string_view key, std::string_view allowed);
+
+    const boost::json::object &m_object;
+    std::string m_problem;
+};
+
+} // namespace acaciafork::net
--- a/acaciafork/net/Lingering.cpp
+++ b/acaciafork/net/Lingering.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // How long a connection is read on after its answer.
-constexpr Duration LingerTime = std::chrono::seconds(1);
+constexpr Duration lingerTime = std::chrono::seconds(1);
 
 /// Reads off what is there; true at the end of the stream.
 bool drainInput(int fd)
@@ -46,7 +46,7 @@
     if (own < 0)
         return;
     ::shutdown(own, SHUT_WR);
-    m_items.push_back({ .fd = own, .until = now + LingerTime });
+    m_items.push_back({ .fd = own, .until = now + lingerTime });
 }
 
 void Lingering::tick(Timestamp now)
--- a/acaciafork/net/Loop.cpp
+++ b/acaciafork/net/Loop.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 // Longest wait of one turn, in milliseconds; the loop has nothing to poll, so any bound will do.
-constexpr std::int64_t LongestWaitMs = 60'000;
+constexpr std::int64_t longestWaitMs = 60'000;
 
 // Write end of the pipe that the signal handler of this process fills; -1 while there is none.
 volatile int signalFd = -1;
@@ -160,7 +160,7 @@
 {
     m_isStopped = false;
     while (!m_isStopped)
-        runOnce(std::chrono::milliseconds(LongestWaitMs));
+        runOnce(std::chrono::milliseconds(longestWaitMs));
 }
 
 void Loop::runOnce(Duration most)
@@ -171,7 +171,7 @@
         wait = Duration::zero();
     const auto ms = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
     h2o_evloop_run(m_native,
-                   static_cast<std::int32_t>(std::clamp<std::int64_t>(ms, 0, LongestWaitMs)));
+                   static_cast<std::int32_t>(std::clamp<std::int64_t>(ms, 0, longestWaitMs)));
 
     runTimers();
     runPosted();
@@ -183,7 +183,7 @@
 Duration Loop::timeToNextTimer() const
 {
     if (m_order.empty())
-        return std::chrono::milliseconds(LongestWaitMs);
+        return std::chrono::milliseconds(longestWaitMs);
     return std::max(Duration::zero(), m_order.begin()->first.first - now());
 }
 
--- a/acaciafork/net/MessageLink.cpp
+++ b/acaciafork/net/MessageLink.cpp
@@ -15,10 +15,10 @@
 
 namespace {
 
-constexpr nng_duration LeastReconnectMs = 100;
-constexpr nng_duration MostReconnectMs = 1'000;
+constexpr nng_duration leastReconnectMs = 100;
+constexpr nng_duration mostReconnectMs = 1'000;
 // Messages handed on in one turn, so that a burst of them does not hold up requests.
-constexpr int MessagesPerTurn = 256;
+constexpr int messagesPerTurn = 256;
 
 std::string urlOf(const Address &address)
 {
@@ -68,7 +68,7 @@
 // again.
 void MessageLink::Impl::drainIncoming()
 {
-    for (int i = 0; i != MessagesPerTurn; ++i) {
+    for (int i = 0; i != messagesPerTurn; ++i) {
         nng_msg *msg = nullptr;
         if (nng_recvmsg(incoming, &msg, NNG_FLAG_NONBLOCK) != 0)
             return;
@@ -123,8 +123,8 @@
     if (nng_push0_open(&socket) != 0)
         return fail(FailureKind::Internal, "cannot open a sending socket");
     nng_socket_set_int(socket, NNG_OPT_SENDBUF, static_cast<int>(m_impl->settings.sendQueue));
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, LeastReconnectMs);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, MostReconnectMs);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, leastReconnectMs);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, mostReconnectMs);
     const int rc = nng_dial(socket, urlOf(address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
     if (rc != 0) {
         nng_close(socket);
--- a/acaciafork/net/MessageLink.h
+++ b/acaciafork/net/MessageLink.h
@@ -18,7 +18,7 @@
 struct MessageLinkSettings
 {
     /// Most bytes of one message; larger ones are refused on sending and dropped on arrival.
-    std::int64_t mostMessageBytes = 4 * 1024 * 1024;
+    std::int64_t mostMessageBytes = 4LL * 1024 * 1024;
     /// Messages kept for a peer that is slow or away; past it they are dropped.
     std::int64_t sendQueue = 256;
     /// Messages that have arrived and wait for the loop.
--- a/acaciafork/net/Net.h
+++ b/acaciafork/net/Net.h
@@ -9,6 +9,7 @@
 #include "acaciafork/net/HttpExchange.h"
 #include "acaciafork/net/HttpServer.h"
 #include "acaciafork/net/HttpTypes.h"
+#include "acaciafork/net/JsonReader.h"
 #include "acaciafork/net/Loop.h"
 #include "acaciafork/net/MessageLink.h"
 #include "acaciafork/net/TcpStream.h"
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -6,7 +6,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::string_view WholeAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+constexpr std::string_view wholeAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 /// Runs one call against a server that follows `script`, and returns what the sink saw.
 std::unique_ptr<RecordingSink> callOnce(Loop &loop, HttpClient &client, const Address &address,
@@ -24,7 +24,7 @@
 {
     Loop loop;
     HttpClient client(loop, {});
-    RawServer server(loop, [](TcpStream &it, const std::string &) { it.write(WholeAnswer); });
+    RawServer server(loop, [](TcpStream &it, const std::string &) { it.write(wholeAnswer); });
     for (int i = 0; i != 5; ++i) {
         const auto sink = callOnce(loop, client, server.address());
         CHECK(sink->end->phase == CallPhase::Complete);
@@ -100,7 +100,7 @@
     RawServer server(loop, [&](TcpStream &it, const std::string &) {
         streams.push_back(&it);
         if (streams.size() == 2)
-            it.write(WholeAnswer);
+            it.write(wholeAnswer);
     });
     const auto late = callOnce(loop, client, server.address(), 20ms);
     CHECK(late->end->phase == CallPhase::Sent);
@@ -117,7 +117,7 @@
 {
     Loop loop;
     HttpClient client(loop, {});
-    RawServer server(loop, [](TcpStream &it, const std::string &) { it.write(WholeAnswer); });
+    RawServer server(loop, [](TcpStream &it, const std::string &) { it.write(wholeAnswer); });
     RecordingSink sink;
     sink.isHeadWanted = false;
     client.start({ .address = server.address() }, sink);
@@ -146,12 +146,12 @@
 {
     Loop loop;
     HttpClient client(loop, {});
-    constexpr std::size_t Whole = 64 * 1024 * 1024;
+    constexpr std::size_t whole = 64 * 1024 * 1024;
     TcpStream *served = nullptr;
     RawServer server(loop, [&](TcpStream &it, const std::string &) {
         served = &it;
-        it.write("HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(Whole) + "\r\n\r\n");
-        it.write(std::string(Whole, 'p'));
+        it.write("HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(whole) + "\r\n\r\n");
+        it.write(std::string(whole, 'p'));
     });
     /// Pauses at the first bytes.
     struct PausingSink : RecordingSink
@@ -167,14 +167,14 @@
     runUntil(loop, [&] { return !sink.body.empty(); });
     for (int i = 0; i != 20; ++i)
         loop.runOnce(1ms);
-    CHECK(sink.body.size() < Whole);
+    CHECK(sink.body.size() < whole);
     CHECK(served->backlog() != 0);
     runUntil(loop, [&] {
         sink.call->resume();
         return sink.end.has_value();
     });
     CHECK(sink.end->phase == CallPhase::Complete);
-    CHECK(sink.body.size() == Whole);
+    CHECK(sink.body.size() == whole);
 }
 
 TEST_CASE("a call may be cancelled at any time, also from within its sink")
@@ -204,7 +204,7 @@
         std::shared_ptr<HttpCall> call;
     };
     for (const std::string_view answer :
-         { WholeAnswer, std::string_view("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok") }) {
+         { wholeAnswer, std::string_view("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok") }) {
         for (int step = 0; step != 3; ++step) {
             Loop loop;
             HttpClient client(loop, {});
@@ -247,7 +247,7 @@
     Loop loop;
     HttpClient client(loop, { .mostCollectedBytes = 3 });
     RawServer server(loop, [n = 0](TcpStream &it, const std::string &) mutable {
-        it.write(++n == 1 ? WholeAnswer
+        it.write(++n == 1 ? wholeAnswer
                           : "HTTP/1.1 200 OK\r\ntransfer-encoding: "
                             "chunked\r\n\r\n4\r\nlong\r\n0\r\n\r\n");
     });
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -149,31 +149,31 @@
     RawPeer peer(fixture.loop, fixture.port);
     peer.stream->write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
     const auto exchange = fixture.next();
-    constexpr std::size_t Whole = 64 * 1024 * 1024;
-    constexpr std::size_t Piece = 64 * 1024;
-    const std::string piece(Piece, 'p');
+    constexpr std::size_t whole = 64 * 1024 * 1024;
+    constexpr std::size_t pieceBytes = 64 * 1024;
+    const std::string piece(pieceBytes, 'p');
     std::size_t written = 0;
     std::size_t mostBacklog = 0;
     const auto writeOn = [&] {
-        while (written < Whole && exchange->backlog() == 0) {
+        while (written < whole && exchange->backlog() == 0) {
             exchange->write(piece);
-            written += Piece;
+            written += pieceBytes;
         }
         mostBacklog = std::max(mostBacklog, exchange->backlog());
-        if (written == Whole)
+        if (written == whole)
             exchange->finish();
     };
     peer.stream->pauseReading();
     exchange->onDrained(writeOn);
-    exchange->begin(200, {}, Whole);
+    exchange->begin(200, {}, whole);
     writeOn();
     // While the peer does not read, no more than the kernel takes leaves.
     for (int i = 0; i != 20; ++i)
         fixture.loop.runOnce(std::chrono::milliseconds(1));
-    CHECK(written < Whole);
+    CHECK(written < whole);
     peer.stream->resumeReading();
-    runUntil(fixture.loop, [&] { return peer.received.size() >= Whole; });
-    CHECK(mostBacklog <= 2 * Piece);
+    runUntil(fixture.loop, [&] { return peer.received.size() >= whole; });
+    CHECK(mostBacklog <= 2 * pieceBytes);
     runUntil(fixture.loop, [&] { return !exchange->isOpen(); });
 }
 
