--- a/acaciafork/state/TaskRecords.cpp
+++ b/acaciafork/state/TaskRecords.cpp
@@ -11,6 +11,9 @@
         return "a task needs an id";
     if (command.team().empty() == command.service().empty())
         return "a task belongs to a team or to a service";
+    const std::string owner = command.team().empty() ? '@' + command.service() : command.team();
+    if (!command.task().starts_with(owner + '/'))
+        return "the id must begin with team/ or @service/";
     if (command.family().size() > longestName || command.service().size() > longestName)
         return "a name is too long";
     if (!isBounded(command.size()))
