Work out the usual steps of a move when the plan is applied

Cause: the operators' interface filled in the usual steps, so a plan resent after a rack had been retired had another content and got a conflict in place of the first answer. Change: Moves adds the steps on apply; a test resends the plan after a retirement. Conclusion: what a resent request holds depends on the operator's words alone.

--- a/acaciafork/operators/ChangeRoutes.cpp
+++ b/acaciafork/operators/ChangeRoutes.cpp
@@ -111,29 +111,11 @@
     });
 }
 
-/// Steps of a move that names none: each rack of the building left is drained, then retired, one
-/// after the other in order of name.
-void addUsualSteps(const state::Racks &racks, wire::Move *move)
-{
-    for (const auto &[name, rack] : racks.all()) {
-        if (rack.building() != move->from_building() || rack.state() == wire::RACK_STATE_RETIRED)
-            continue;
-        for (const wire::MoveAction action :
-             { wire::MOVE_ACTION_DRAIN, wire::MOVE_ACTION_RETIRE }) {
-            wire::MoveStep *step = move->add_steps();
-            step->set_rack(name);
-            step->set_action(action);
-        }
-    }
-}
-
 Result<ApiOutcome> planMove(const Context &context, const Request &request)
 {
-    return proposeVersion(context, request, [&](JsonFields *fields, wire::Command *command) {
+    return proposeVersion(context, request, [](JsonFields *fields, wire::Command *command) {
         wire::PlanMove *change = command->mutable_plan_move();
         fromJson(fields, change->mutable_move());
-        if (change->move().steps().empty())
-            addUsualSteps(context.machine.racks(), change->mutable_move());
         return change;
     });
 }
--- a/acaciafork/state/Moves.cpp
+++ b/acaciafork/state/Moves.cpp
@@ -52,6 +52,23 @@
     move->set_changed_us(nowMicroseconds);
 }
 
+/// Steps of a plan that names none: each rack of the building left is drained, then retired, one
+/// after the other in order of name. Done here and not by the proposer, so that a resent plan has
+/// the same content whatever became of the racks meanwhile.
+void addUsualSteps(const Racks &racks, wire::Move *move)
+{
+    for (const auto &[name, rack] : racks.all()) {
+        if (rack.building() != move->from_building() || rack.state() == wire::RACK_STATE_RETIRED)
+            continue;
+        for (const wire::MoveAction action :
+             { wire::MOVE_ACTION_DRAIN, wire::MOVE_ACTION_RETIRE }) {
+            wire::MoveStep *step = move->add_steps();
+            step->set_rack(name);
+            step->set_action(action);
+        }
+    }
+}
+
 ApplyResult wrongState(const wire::Move &move)
 {
     return makeResult(wire::OUTCOME_WRONG_STATE, move.version(),
@@ -78,7 +95,9 @@
 
 ApplyResult Moves::plan(const wire::PlanMove &command, std::int64_t nowMicroseconds)
 {
-    const wire::Move &move = command.move();
+    wire::Move move = command.move();
+    if (move.steps().empty())
+        addUsualSteps(m_racks, &move);
     if (std::string problem = problemOf(move); !problem.empty())
         return makeResult(wire::OUTCOME_INVALID, 0, std::move(problem));
     const wire::Move *old = find(move.id());
@@ -90,8 +109,9 @@
     if (old == nullptr && m_moves.size() >= m_limits.moves && !makeRoom())
         return makeResult(wire::OUTCOME_FULL, 0, "too many plans");
 
-    wire::Move &stored = m_moves[move.id()];
-    stored = move;
+    const std::string id = move.id();
+    wire::Move &stored = m_moves[id];
+    stored = std::move(move);
     for (wire::MoveStep &it : *stored.mutable_steps())
         it.set_done(false);
     stored.set_version(version);
--- a/tests/operators/OperatorApiTest.cpp
+++ b/tests/operators/OperatorApiTest.cpp
@@ -160,11 +160,10 @@
                 + R"(","expectedVersion":0,"building":"old","zone":"a"})";
         CHECK(fixture.call("PUT", "racks/" + std::string(name), body).status == 200);
     }
-    CHECK(fixture.call("POST", "move",
-                       R"({"requestId":"m1","expectedVersion":0,"id":"weekend","from":"old",)"
-                       R"("to":"new","deadlineUs":5})")
-                  .status
-          == 200);
+    const std::string plan = R"({"requestId":"m1","expectedVersion":0,"id":"weekend","from":"old",)"
+                             R"("to":"new","deadlineUs":5})";
+    const std::string firstAnswer = fixture.call("POST", "move", plan).body;
+    CHECK(firstAnswer == R"({"outcome":"applied","version":1})");
     CHECK(fixture.machine.moves().find("weekend")->steps_size() == 4);
     const std::string change = R"({"requestId":"m2","expectedVersion":1})";
     CHECK(fixture.call("POST", "move/weekend/start", change).status == 200);
@@ -175,6 +174,18 @@
           == 409);
     CHECK(json::parse(fixture.call("GET", "move").body).at("moves").at(0).at("state").as_string()
           == "running");
+
+    // The plan resent after a rack has gone: the usual steps would differ now, the answer does not.
+    wire::Command drained;
+    drained.set_cell(1);
+    drained.mutable_change_rack()->set_name("r1");
+    drained.mutable_change_rack()->set_target(wire::RACK_STATE_DRAINED);
+    drained.mutable_change_rack()->set_expected_version(2);
+    const std::string bytes = state::encodeCommand(drained);
+    fixture.machine.apply(++fixture.index, state::bytesOf(bytes));
+    CHECK(fixture.call("POST", "racks/r1/retire", R"({"requestId":"e","expectedVersion":3})").status
+          == 200);
+    CHECK(fixture.call("POST", "move", plan).body == firstAnswer);
 }
 
 TEST_CASE("every read route answers, and unknown ones are refused")
