--- a/acaciafork/control/BatchDriver.cpp
+++ b/acaciafork/control/BatchDriver.cpp
@@ -1,6 +1,7 @@
 #include "acaciafork/control/BatchDriver.h"
 
 #include "acaciafork/control/BatchRecords.h"
+#include "acaciafork/control/PlatformRecords.h"
 
 namespace acaciafork::control {
 namespace {
@@ -20,18 +21,6 @@
     }
 };
 
-/// Number of a worker call; none for other commands.
-struct CallOf
-{
-    batch::CallId operator()(const batch::Propose &) const { return {}; }
-    batch::CallId operator()(const batch::EndpointLeave &) const { return {}; }
-    template <typename Call>
-    batch::CallId operator()(const Call &call) const
-    {
-        return call.call;
-    }
-};
-
 } // namespace
 
 BatchDriver::BatchDriver(const batch::SchedulerSettings &settings,
@@ -283,7 +272,7 @@
     const auto it = m_addresses.find(*worker);
     if (it == m_addresses.end()) {
         handle(at,
-               batch::WorkerCallAnswered { .call = std::visit(CallOf {}, command),
+               batch::WorkerCallAnswered { .call = callOf(command),
                                            .answer = batch::CallAnswer::Failed });
         return;
     }
--- a/acaciafork/operators/Operators.h
+++ b/acaciafork/operators/Operators.h
@@ -4,6 +4,7 @@
 /// and teams, free of any transport.
 
 #include "acaciafork/operators/ApiCall.h"
+#include "acaciafork/operators/Bearer.h"
 #include "acaciafork/operators/LiveJson.h"
 #include "acaciafork/operators/LiveViews.h"
 #include "acaciafork/operators/OperatorApi.h"
--- a/acaciafork/platform/WorkerCommand.cpp
+++ b/acaciafork/platform/WorkerCommand.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::int64_t mostLeaseMs = 24LL * 3'600 * 1'000;
+constexpr std::int64_t mostPerMille = 1'000;
 constexpr std::size_t mostPayloadBytes = 1024UL * 1024;
 
 constexpr std::array<std::string_view, 5> actionNames {
@@ -37,6 +38,12 @@
     it.epoch = { static_cast<std::uint64_t>(reader.number("epoch", 1, INT64_MAX)) };
     it.leaseDuration =
             std::chrono::milliseconds(reader.optionalNumber("leaseMs", 0, mostLeaseMs, 0));
+    it.incarnation
+            = { static_cast<std::uint64_t>(reader.optionalNumber("incarnation", 0, INT64_MAX, 0)) };
+    it.reportSequence
+            = static_cast<std::uint64_t>(reader.optionalNumber("reportSequence", 0, INT64_MAX, 0));
+    it.perMille = reader.optionalNumber("perMille", 0, mostPerMille, mostPerMille);
+    it.release = reader.optionalNumber("release", 0, 1, 0) == 1;
     it.payload = reader.optionalText("payload", mostPayloadBytes);
     it.checkpoint = reader.optionalText("checkpoint");
     BOOST_LEAF_CHECK(reader.check());
@@ -49,6 +56,10 @@
         { "action", workerActionName(command.action) },
         { "epoch", command.epoch.value },
         { "leaseMs", command.leaseDuration.count() / 1'000 },
+        { "incarnation", command.incarnation.value },
+        { "reportSequence", command.reportSequence },
+        { "perMille", command.perMille },
+        { "release", command.release ? 1 : 0 },
         { "payload", command.payload },
         { "checkpoint", command.checkpoint },
     };
--- a/acaciafork/platform/WorkerCommand.h
+++ b/acaciafork/platform/WorkerCommand.h
@@ -29,8 +29,15 @@
     WorkerAction action = WorkerAction::Start;
     /// The lease; a worker refuses one below what it has seen for the task.
     LeaseEpoch epoch;
-    /// How long the lease lasts from the arrival of the command.
+    /// How long the lease lasts, counted from when the worker sent report `reportSequence` of
+    /// `incarnation`; so a command that arrives late extends nothing. For Start and Renew.
     Duration leaseDuration = Duration::zero();
+    Incarnation incarnation;
+    std::uint64_t reportSequence = 0;
+    /// Share of its processors that the task may use, in thousandths; for Throttle only.
+    std::int64_t perMille = 1'000;
+    /// The task's end is recorded: the worker may drop it from its reports. For Stop only.
+    bool release = false;
     /// What to run; for Start only.
     std::string payload;
     /// Where to resume from; for Start only, empty for the beginning.
--- /dev/null
+++ b/daemons/entry/main.cpp
@@ -0,0 +1,36 @@
+#include <csignal>
+
+#include "acaciafork/entry/Entry.h"
+#include "daemons/common/CommandLine.h"
+
+using namespace acaciafork;
+
+namespace {
+
+Result<void> runEntry(const CommandLine &commandLine)
+{
+    BOOST_LEAF_AUTO(ini, readFile(commandLine.settingsFile));
+    BOOST_LEAF_AUTO(settings, entry::readEntrySettings(ini, commandLine.settingsFile));
+    if (commandLine.checkSettings)
+        return {};
+
+    initLogging({ .json = settings.logFormat == "json", .level = settings.logLevel },
+                "acaciafork-entry", ProcessId { static_cast<std::uint32_t>(settings.id) });
+    net::Loop loop;
+    entry::EntryProcess process(&loop, settings);
+    BOOST_LEAF_CHECK(process.start());
+    loop.onSignal([&process](int) { process.drain(); });
+    loop.run();
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runDaemon({ .name = "acaciafork-entry",
+                       .purpose = "takes callers' requests and brings them to endpoints",
+                       .settingsHelp = describeFields(entry::entryFields()),
+                       .run = runEntry },
+                     argc, argv);
+}
