--- /dev/null
+++ b/acaciafork/consensus/Consensus.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Public header of the consensus library: the pure node, its storage, and the replica over both.
+
+#include "acaciafork/consensus/LogFolder.h"
+#include "acaciafork/consensus/Membership.h"
+#include "acaciafork/consensus/Message.h"
+#include "acaciafork/consensus/MessageCodec.h"
+#include "acaciafork/consensus/Node.h"
+#include "acaciafork/consensus/NodeSettings.h"
+#include "acaciafork/consensus/PosixFolder.h"
+#include "acaciafork/consensus/Replica.h"
+#include "acaciafork/consensus/StorageFolder.h"
--- /dev/null
+++ b/acaciafork/consensus/LogFolder.cpp
@@ -0,0 +1,159 @@
+#include "acaciafork/consensus/LogFolder.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "acaciafork/consensus/MessageCodec.h"
+#include "acaciafork/consensus/RecordCodec.h"
+#include "wire/consensus.pb.h"
+
+// Writing; LogRecovery.cpp reads a folder, SnapshotFiles.cpp keeps the snapshots.
+
+namespace acaciafork::consensus {
+
+LogFolder::LogFolder(StorageFolder *files, const LogFolderSettings &settings)
+    : m_files(files)
+    , m_settings(settings)
+{ }
+
+std::string LogFolder::segmentName(std::uint64_t sequence)
+{
+    std::string name(32, '\0');
+    const int n = std::snprintf(name.data(), name.size(), "log-%016llx",
+                                static_cast<unsigned long long>(sequence));
+    name.resize(static_cast<std::size_t>(n));
+    return name;
+}
+
+std::uint64_t LogFolder::logBytes() const
+{
+    std::uint64_t bytes = 0;
+    for (const Segment &it : m_segments)
+        bytes += it.bytes;
+    return bytes;
+}
+
+Result<void> LogFolder::write(const std::optional<HardState> &hardState,
+                              std::span<const Entry> entries)
+{
+    if (m_broken)
+        return fail(FailureKind::Storage, "the data folder failed before; restart the process");
+    if (!m_active || m_segments.back().bytes >= static_cast<std::uint64_t>(m_settings.segmentBytes))
+        BOOST_LEAF_CHECK(startSegment());
+
+    Segment &segment = m_segments.back();
+    std::string group;
+    if (hardState) {
+        wire::consensus::HardState record;
+        record.set_term(hardState->term);
+        record.set_vote(hardState->vote.value);
+        appendRecord(RecordKind::HardState, segment.bytes, segment.sequence,
+                     record.SerializeAsString(), &group);
+    }
+    for (const Entry &it : entries) {
+        wire::consensus::Entry record;
+        toWire(it, &record);
+        appendRecord(RecordKind::Entry, segment.bytes, segment.sequence, record.SerializeAsString(),
+                     &group);
+    }
+    BOOST_LEAF_CHECK(writeGroup(group));
+
+    if (hardState)
+        m_hardState = *hardState;
+    if (!entries.empty()) {
+        m_lastIndex = entries.back().index;
+        m_lastTerm = entries.back().term;
+        segment.maxIndex = std::max(segment.maxIndex, m_lastIndex);
+    }
+    return {};
+}
+
+Result<void> LogFolder::writeGroup(std::string_view group)
+{
+    Segment &segment = m_segments.back();
+    bool full = false;
+    const bool written = leaf::try_handle_all(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(m_active->append(group));
+                return true;
+            },
+            [&](const Failure &failure) {
+                full = failure.kind == FailureKind::Full;
+                return false;
+            },
+            [] { return false; });
+    if (written) {
+        // After a failed sync nobody knows which pages reached the disk: only a restart tells.
+        auto syncedNow = m_active->sync();
+        m_broken = !syncedNow;
+        if (m_broken)
+            return syncedNow;
+        segment.bytes += group.size();
+        return {};
+    }
+
+    // A write that ran out of room leaves no trace, so that it can be tried again.
+    const bool cut = static_cast<bool>(m_active->truncate(segment.bytes));
+    m_broken = !full || !cut;
+    if (m_broken)
+        return fail(FailureKind::Storage, "write to " + segmentName(segment.sequence) + " failed");
+    return fail(FailureKind::Full, "no room for " + segmentName(segment.sequence));
+}
+
+Result<void> LogFolder::startSegment()
+{
+    const Segment segment { .sequence = m_segments.empty() ? 1 : m_segments.back().sequence + 1,
+                            .bytes = 0,
+                            .maxIndex = 0 };
+    wire::consensus::SegmentHeader header;
+    header.set_format(1);
+    header.set_sequence(segment.sequence);
+    header.set_base_index(m_lastIndex);
+    header.set_base_term(m_lastTerm);
+    header.set_reset(m_resetNext);
+    wire::consensus::HardState state;
+    state.set_term(m_hardState.term);
+    state.set_vote(m_hardState.vote.value);
+
+    // Every segment repeats the hard state, so that older ones can be dropped.
+    std::string group;
+    appendRecord(RecordKind::SegmentHeader, 0, segment.sequence, header.SerializeAsString(),
+                 &group);
+    appendRecord(RecordKind::HardState, 0, segment.sequence, state.SerializeAsString(), &group);
+
+    const std::string name = segmentName(segment.sequence);
+    std::unique_ptr<StorageFile> file;
+    auto create = [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(file, m_files->openFile(name));
+        BOOST_LEAF_CHECK(file->append(group));
+        BOOST_LEAF_CHECK(file->sync());
+        return m_files->sync();
+    };
+    auto created = create();
+    if (!created) {
+        // Without the file the next try starts clean.
+        file.reset();
+        m_broken = !m_files->remove(name);
+        return created;
+    }
+    m_active = std::move(file);
+    m_segments.push_back(segment);
+    m_segments.back().bytes = group.size();
+    m_resetNext = false;
+    return {};
+}
+
+Result<void> LogFolder::compactTo(LogIndex base)
+{
+    bool removed = false;
+    while (m_segments.size() > 1 && m_segments.front().maxIndex <= base) {
+        BOOST_LEAF_CHECK(m_files->remove(segmentName(m_segments.front().sequence)));
+        m_segments.pop_front();
+        removed = true;
+    }
+    if (removed)
+        return m_files->sync();
+    return {};
+}
+
+} // namespace acaciafork::consensus
--- /dev/null
+++ b/acaciafork/consensus/Node.cpp
@@ -0,0 +1,220 @@
+#include "acaciafork/consensus/Node.h"
+
+#include <algorithm>
+
+namespace acaciafork::consensus {
+
+Node::Node(NodeSettings settings, NodeIdentity identity, RecoveredState recovered, Timestamp now,
+           std::uint64_t seed)
+    : m_settings(settings)
+    , m_identity(std::move(identity))
+    , m_folder(recovered.folder)
+    , m_random(seed)
+    , m_hardState(recovered.hardState)
+    , m_log(recovered.baseIndex, recovered.baseTerm, std::move(recovered.entries))
+    , m_commit(recovered.snapshot.index)
+    , m_applied(recovered.snapshot.index)
+    , m_handed(m_log.lastIndex())
+    , m_durable(m_log.lastIndex())
+    , m_snapshotIndex(recovered.snapshot.index)
+    // Before the restart this member may have promised a leader its silence: it keeps it now.
+    , m_heardLeaderAt(now)
+    , m_partial(std::move(recovered.partial))
+    , m_nextGreeting(now)
+{
+    ACACIAFORK_ASSERT(m_log.lastIndex() >= m_snapshotIndex);
+    m_memberships.push_back({ .index = recovered.snapshot.index,
+                              .membership = std::move(recovered.snapshot.membership) });
+    for (LogIndex it = std::max(m_log.baseIndex(), m_snapshotIndex) + 1; it <= m_log.lastIndex();
+         ++it)
+        pushMembership(m_log.at(it));
+    resetElectionDeadline(now);
+}
+
+void Node::tick(Timestamp now)
+{
+    if (m_fetch && now >= m_fetch->askedAt + m_settings.snapshotRetry)
+        askForSnapshot(now);
+    if (membership().members.empty()) {
+        greet(now);
+        return;
+    }
+    if (m_role == Role::Leader) {
+        tickLeader(now);
+        return;
+    }
+    if (now < m_electionDeadline)
+        return;
+    resetElectionDeadline(now);
+    if (membership().isVoter(m_identity.self) && !m_full && !m_displaced)
+        becomePreCandidate(now);
+}
+
+void Node::receive(Timestamp now, Message message)
+{
+    if (message.to != m_identity.self || message.from == m_identity.self)
+        return;
+    // Messages outside elections and replication carry no term.
+    if (const auto *hello = std::get_if<Hello>(&message.body)) {
+        onHello(now, message, *hello);
+        return;
+    }
+    if (isForeign(message))
+        return;
+    if (std::holds_alternative<SnapshotFetch>(message.body)) {
+        m_output.fetches.push_back(std::move(message));
+        return;
+    }
+    if (auto *chunk = std::get_if<SnapshotChunk>(&message.body)) {
+        onSnapshotChunk(now, message, *chunk);
+        return;
+    }
+
+    if (!acceptTerm(now, message))
+        return;
+    if (const auto *request = std::get_if<VoteRequest>(&message.body))
+        onVoteRequest(now, message, *request);
+    else if (const auto *reply = std::get_if<VoteReply>(&message.body))
+        onVoteReply(now, message, *reply);
+    else if (auto *append = std::get_if<AppendRequest>(&message.body))
+        onAppendRequest(now, message, *append);
+    else if (const auto *answer = std::get_if<AppendReply>(&message.body))
+        onAppendReply(now, message, *answer);
+    else if (const auto *offer = std::get_if<SnapshotOffer>(&message.body))
+        onSnapshotOffer(now, message, *offer);
+    else if (std::holds_alternative<TimeoutNow>(message.body) && message.from == m_leader
+             && membership().isVoter(m_identity.self))
+        becomeCandidate(now, true);
+}
+
+bool Node::isForeign(const Message &message) const
+{
+    // A member that lost its folder has forgotten its votes: nothing it says under its old id
+    // counts.
+    const Member *member = membership().find(message.from);
+    return member != nullptr && member->folder != message.fromFolder;
+}
+
+NodeOutput Node::takeOutput(Timestamp now)
+{
+    if (m_role == Role::Leader)
+        replicate(now);
+    // Entries about to be synced are acknowledged together, after the sync.
+    if (m_owesReply && (m_full || m_handed == m_log.lastIndex()))
+        sendAcknowledgement();
+
+    if (m_hardStateDirty)
+        m_output.hardState = m_hardState;
+    if (m_handed < m_log.lastIndex() && !m_full) {
+        m_output.entries = m_log.slice(m_handed + 1, m_log.lastIndex(), SIZE_MAX);
+        m_handed = m_log.lastIndex();
+    }
+
+    if (m_applied < m_commit) {
+        m_output.committed = m_log.slice(m_applied + 1, m_commit, SIZE_MAX);
+        m_applied = m_commit;
+    }
+    if (m_role == Role::Leader)
+        resolveReads(now);
+    return std::exchange(m_output, {});
+}
+
+void Node::synced(Timestamp now)
+{
+    m_hardStateDirty = false;
+    m_full = false;
+    std::ranges::move(m_held, std::back_inserter(m_output.messages));
+    m_held.clear();
+    if (m_durable != m_handed) {
+        m_durable = m_handed;
+        m_owesReply = m_owesReply || (m_role == Role::Follower && m_leader);
+    }
+
+    // The own vote and the own copy count only now.
+    if (m_role == Role::Candidate && m_votes.insert(m_identity.self).second)
+        countVotes(now);
+    if (m_role == Role::Leader)
+        advanceCommit(now);
+}
+
+void Node::writeFailed(bool full)
+{
+    // Messages that wait for the sync are lost, as any message may be.
+    m_held.clear();
+    m_handed = m_durable;
+    m_full = full;
+}
+
+void Node::send(ProcessId to, Term term, Message::Body body)
+{
+    auto &queue = m_hardStateDirty ? m_held : m_output.messages;
+    queue.push_back({ .from = m_identity.self,
+                      .to = to,
+                      .fromFolder = m_folder,
+                      .term = term,
+                      .body = std::move(body) });
+}
+
+SnapshotMeta Node::describeSnapshot() const
+{
+    SnapshotMeta meta { .index = m_applied,
+                        .term = m_log.termAt(m_applied).value_or(0),
+                        .membership = {},
+                        .size = 0,
+                        .checksum = 0 };
+    for (const MembershipAt &it : m_memberships) {
+        if (it.index <= m_applied)
+            meta.membership = it.membership;
+    }
+    return meta;
+}
+
+void Node::snapshotStored(const SnapshotMeta &meta)
+{
+    m_snapshotIndex = std::max(m_snapshotIndex, meta.index);
+
+    // Entries stay a while behind the snapshot, so that a follower that lags a little needs none.
+    const auto trailing = static_cast<LogIndex>(m_settings.trailingEntries);
+    const LogIndex keepFrom = m_snapshotIndex > trailing ? m_snapshotIndex - trailing : 0;
+    const LogIndex base = std::min(keepFrom, m_durable);
+    if (base > m_log.baseIndex())
+        m_log.compactTo(base);
+
+    // Memberships before the snapshot's can't come back.
+    while (m_memberships.size() > 1 && m_memberships[1].index <= m_snapshotIndex)
+        m_memberships.erase(m_memberships.begin());
+}
+
+NodeStatus Node::status(Timestamp now) const
+{
+    NodeStatus status { .role = m_role,
+                        .term = m_hardState.term,
+                        .leader = m_leader,
+                        .commit = m_commit,
+                        .last = m_log.lastIndex(),
+                        .durable = m_durable,
+                        .snapshot = m_snapshotIndex,
+                        .displaced = m_displaced,
+                        .membership = membership(),
+                        .members = {},
+                        .spares = {} };
+    if (m_role != Role::Leader)
+        return status;
+
+    for (const Member &it : membership().members) {
+        MemberStatus member { .member = it, .match = m_durable, .live = true, .full = m_full };
+        if (const auto found = m_progress.find(it.id); found != m_progress.end()) {
+            member.match = found->second.match;
+            member.live = now - found->second.heardAt < m_settings.electionTimeoutMost;
+            member.full = found->second.full;
+        }
+        status.members.push_back(std::move(member));
+    }
+    for (const auto &[id, spare] : m_greeters) {
+        if (membership().find(id) == nullptr && !membership().isRetired(id))
+            status.spares.push_back(spare);
+    }
+    return status;
+}
+
+} // namespace acaciafork::consensus
--- /dev/null
+++ b/acaciafork/consensus/NodeMembership.cpp
@@ -0,0 +1,236 @@
+#include <algorithm>
+
+#include "acaciafork/consensus/Node.h"
+
+// Membership: forming a group, greetings, one change at a time, leadership transfer.
+
+namespace acaciafork::consensus {
+
+namespace {
+
+/// Most processes without a place in the group that are remembered.
+constexpr std::size_t greeterLimit = 64;
+/// How long a removed member is still fed, so that it learns of its removal.
+constexpr Duration farewellTime = std::chrono::seconds(2);
+
+} // namespace
+
+void Node::pushMembership(const Entry &entry)
+{
+    if (entry.kind != EntryKind::Membership)
+        return;
+    auto decoded = decodeMembership(*entry.payload);
+    ACACIAFORK_ASSERT(decoded.has_value());
+    m_memberships.push_back({ .index = entry.index, .membership = std::move(*decoded) });
+}
+
+void Node::syncProgress(Timestamp now)
+{
+    for (const Member &it : membership().members) {
+        if (it.id == m_identity.self || m_progress.contains(it.id))
+            continue;
+        Progress progress;
+        progress.next = m_log.lastIndex() + 1;
+        m_progress.emplace(it.id, progress);
+    }
+    for (auto &[id, progress] : m_progress) {
+        if (progress.removedBy != 0 || membership().find(id) != nullptr)
+            continue;
+        progress.removedBy = m_memberships.back().index;
+        progress.removedAt = now;
+    }
+}
+
+Result<LogPosition> Node::proposeMembership(Timestamp now, const Membership &changed)
+{
+    if (!committedInTerm() || m_transfer)
+        return fail(FailureKind::NotReady, "this member does not lead, or only just began to");
+    if (m_memberships.back().index > m_commit)
+        return fail(FailureKind::NotReady, "another membership change is not committed yet");
+    if (m_full)
+        return fail(FailureKind::Full, "the disk of the leader has no room");
+    const LogPosition position = appendOwn(EntryKind::Membership, encodeMembership(changed));
+    syncProgress(now);
+    return position;
+}
+
+Result<LogPosition> Node::addLearner(Timestamp now, ProcessId id, ProcessId replaces)
+{
+    if (m_role != Role::Leader)
+        return fail(FailureKind::NotReady, "this member does not lead");
+    if (membership().find(id) != nullptr || membership().isRetired(id))
+        return fail(FailureKind::Conflict,
+                    "member id " + std::to_string(id.value) + " is or was in use");
+    if (replaces && membership().find(replaces) == nullptr)
+        return fail(FailureKind::NotFound,
+                    "no member " + std::to_string(replaces.value) + " to replace");
+    const auto spare = m_greeters.find(id);
+    if (spare == m_greeters.end())
+        return fail(FailureKind::NotFound,
+                    "process " + std::to_string(id.value) + " has not shown itself");
+
+    Membership changed = membership();
+    changed.members.push_back({ .id = id,
+                                .zone = spare->second.zone,
+                                .voter = false,
+                                .folder = spare->second.folder,
+                                .replaces = replaces });
+    return proposeMembership(now, changed);
+}
+
+Result<LogPosition> Node::removeMember(Timestamp now, ProcessId id)
+{
+    const Member *member = membership().find(id);
+    if (member == nullptr)
+        return fail(FailureKind::NotFound, "no member " + std::to_string(id.value));
+    if (member->voter && membership().voterCount() == 1)
+        return fail(FailureKind::Conflict, "the last voter can't be removed");
+    Membership changed = membership();
+    changed.remove(id);
+    return proposeMembership(now, changed);
+}
+
+void Node::advanceMembership(Timestamp now)
+{
+    std::erase_if(m_progress, [&](const auto &it) {
+        const Progress &progress = it.second;
+        return progress.removedBy != 0 && m_commit >= progress.removedBy
+                && now - progress.removedAt > farewellTime;
+    });
+    if (!committedInTerm() || m_memberships.back().index > m_commit || m_transfer || m_full)
+        return;
+
+    // A learner votes as soon as it has synced almost all; then the member it replaces leaves.
+    for (const Member &it : membership().members) {
+        Membership changed = membership();
+        if (it.voter) {
+            if (!it.replaces)
+                continue;
+            changed.find(it.id)->replaces = {};
+            if (changed.find(it.replaces) != nullptr)
+                changed.remove(it.replaces);
+        } else {
+            const auto found = m_progress.find(it.id);
+            if (found == m_progress.end())
+                continue;
+            const Progress &progress = found->second;
+            const bool live = now - progress.heardAt < m_settings.electionTimeoutLeast;
+            const auto lag = static_cast<LogIndex>(m_settings.promoteLag);
+            if (!live || progress.full || progress.match == 0
+                || progress.match + lag < m_log.lastIndex())
+                continue;
+            changed.find(it.id)->voter = true;
+        }
+        (void)proposeMembership(now, changed);
+        return;
+    }
+}
+
+ProcessId Node::mostAdvancedVoter() const
+{
+    ProcessId best;
+    LogIndex match = 0;
+    for (const auto &[id, progress] : m_progress) {
+        if (!membership().isVoter(id) || progress.match < match)
+            continue;
+        best = id;
+        match = progress.match;
+    }
+    return best;
+}
+
+void Node::leaveIfRemoved(Timestamp now)
+{
+    const bool removed = membership().find(m_identity.self) == nullptr;
+    if (!removed || m_memberships.back().index > m_commit)
+        return;
+    // The group need not wait for its election timeout.
+    if (const ProcessId heir = mostAdvancedVoter())
+        send(heir, m_hardState.term, TimeoutNow {});
+    becomeFollower(now, m_hardState.term, {});
+}
+
+Result<void> Node::transferLeadership(Timestamp now, ProcessId to)
+{
+    if (m_role != Role::Leader)
+        return fail(FailureKind::NotReady, "this member does not lead");
+    if (to == m_identity.self)
+        return {};
+    if (!membership().isVoter(to))
+        return fail(FailureKind::NotFound, "no voter " + std::to_string(to.value));
+    m_transfer = Transfer { .to = to, .deadline = now + m_settings.transferTimeout, .askAt = now };
+    m_leaseGivenUp = true;
+    return {};
+}
+
+void Node::greet(Timestamp now)
+{
+    if (now < m_nextGreeting)
+        return;
+    m_nextGreeting = now + m_settings.greetingInterval;
+    std::set<ProcessId> contacts(m_contacts.begin(), m_contacts.end());
+    for (const Member &it : m_identity.initialMembers)
+        contacts.insert(it.id);
+    contacts.erase(m_identity.self);
+    for (const ProcessId it : contacts)
+        send(it, 0, Hello { .zone = m_identity.zone, .membership = {} });
+    formGroup(now);
+}
+
+void Node::formGroup(Timestamp now)
+{
+    // One member alone writes the first entry, once every other has shown an empty folder: so no
+    // two groups are formed, and a member that lost its folder never takes part in its old one.
+    const auto &initial = m_identity.initialMembers;
+    if (m_sawGroup || initial.empty() || initial.front().id != m_identity.self)
+        return;
+    Membership formed;
+    for (Member it : initial) {
+        it.voter = true;
+        it.replaces = {};
+        if (it.id == m_identity.self) {
+            it.folder = m_folder;
+        } else {
+            const auto found = m_greeters.find(it.id);
+            if (found == m_greeters.end())
+                return;
+            it.folder = found->second.folder;
+        }
+        formed.members.push_back(std::move(it));
+    }
+    if (m_log.lastIndex() != 0 || m_hardState.term > 1)
+        return;
+    if (m_hardState.term == 0)
+        adoptTerm(1);
+    appendOwn(EntryKind::Membership, encodeMembership(formed));
+    m_electionDeadline = now;
+}
+
+void Node::showGroup(ProcessId to)
+{
+    send(to, 0, Hello { .zone = m_identity.zone, .membership = membership() });
+}
+
+void Node::onHello(Timestamp now, const Message &message, const Hello &hello)
+{
+    if (hello.membership) {
+        // The group answers: is this member in it, with this folder?
+        const Member *self = hello.membership->find(m_identity.self);
+        const bool otherFolder = self != nullptr && self->folder != m_folder;
+        m_displaced = m_displaced || otherFolder || hello.membership->isRetired(m_identity.self);
+        m_sawGroup = true;
+        m_contacts.clear();
+        for (const Member &it : hello.membership->members)
+            m_contacts.push_back(it.id);
+        return;
+    }
+
+    if (m_greeters.size() < greeterLimit || m_greeters.contains(message.from))
+        m_greeters[message.from] = {
+            .id = message.from, .zone = hello.zone, .folder = message.fromFolder, .heardAt = now
+        };
+    if (!membership().members.empty())
+        showGroup(message.from);
+}
+
+} // namespace acaciafork::consensus
--- /dev/null
+++ b/acaciafork/consensus/NodeReads.cpp
@@ -0,0 +1,70 @@
+#include <algorithm>
+
+#include "acaciafork/consensus/Node.h"
+
+// Reads: the leader's lease, and rounds of heartbeats where it does not hold.
+
+namespace acaciafork::consensus {
+
+Timestamp Node::quorumAckedAt(Timestamp now) const
+{
+    std::vector<Timestamp> acked;
+    for (const Member &it : membership().members) {
+        if (!it.voter)
+            continue;
+        const auto found = m_progress.find(it.id);
+        acked.push_back(found == m_progress.end() ? now : found->second.ackedSentAt);
+    }
+    if (acked.empty())
+        return longAgo;
+    const std::size_t quorum = membership().quorum();
+    std::ranges::nth_element(acked, acked.begin() + static_cast<std::ptrdiff_t>(quorum) - 1,
+                             std::greater<>());
+    return acked[quorum - 1];
+}
+
+bool Node::leaseValid(Timestamp now) const
+{
+    // Once a member was told to start an election at once, voters no longer keep their silence.
+    return !m_leaseGivenUp && now < quorumAckedAt(now) + m_settings.leaseLength();
+}
+
+bool Node::canReadNow(Timestamp now) const
+{
+    return committedInTerm() && m_applied == m_commit && leaseValid(now);
+}
+
+Result<ReadTicket> Node::readBarrier(Timestamp now)
+{
+    if (!committedInTerm())
+        return fail(FailureKind::NotReady, "this member does not lead, or only just began to");
+    const ReadTicket ticket { ++m_lastTicket };
+    m_reads.push_back({ .ticket = ticket, .askedAt = now });
+    // Without a lease the read waits for a quorum to answer a heartbeat sent from now on.
+    if (!leaseValid(now))
+        m_nextHeartbeat = std::min(m_nextHeartbeat, now);
+    return ticket;
+}
+
+void Node::resolveReads(Timestamp now)
+{
+    if (m_reads.empty())
+        return;
+    const bool lease = leaseValid(now);
+    const Timestamp acked = quorumAckedAt(now);
+    std::erase_if(m_reads, [&](const PendingRead &it) {
+        const bool ready = lease || it.askedAt <= acked;
+        if (ready)
+            m_output.reads.push_back({ .ticket = it.ticket, .ready = true });
+        return ready;
+    });
+}
+
+void Node::failReads()
+{
+    for (const PendingRead &it : m_reads)
+        m_output.reads.push_back({ .ticket = it.ticket, .ready = false });
+    m_reads.clear();
+}
+
+} // namespace acaciafork::consensus
--- /dev/null
+++ b/acaciafork/consensus/NodeReplication.cpp
@@ -0,0 +1,283 @@
+#include <algorithm>
+
+#include "acaciafork/consensus/Node.h"
+
+// Replication: appends and their answers, commit, check-quorum.
+
+namespace acaciafork::consensus {
+
+namespace {
+
+/// True when the terms of an append never fall and never pass the leader's.
+bool termsInOrder(const AppendRequest &request, Term leaderTerm)
+{
+    Term last = request.prevTerm;
+    for (const Entry &it : request.entries) {
+        if (it.term < last || it.term > leaderTerm)
+            return false;
+        last = it.term;
+    }
+    return true;
+}
+
+} // namespace
+
+void Node::followLeader(Timestamp now, const Message &message)
+{
+    if (m_role != Role::Follower || m_leader != message.from)
+        becomeFollower(now, message.term, message.from);
+    m_heardLeaderAt = now;
+    resetElectionDeadline(now);
+}
+
+void Node::onAppendRequest(Timestamp now, const Message &message, AppendRequest &request)
+{
+    if (m_role == Role::Leader || !termsInOrder(request, message.term))
+        return;
+    followLeader(now, message);
+    m_leaderSentAt = std::max(m_leaderSentAt, request.sentAt);
+
+    // Committed entries are the same on every member; behind them the terms must agree.
+    const bool meets =
+            request.prevIndex <= m_commit || m_log.termAt(request.prevIndex) == request.prevTerm;
+    if (!meets) {
+        refuseAppend(request.sentAt, message.from, request.prevIndex);
+        return;
+    }
+    m_matched = std::max(m_matched, storeEntries(request.prevIndex, request.entries));
+    commitTo(std::min(request.commit, m_matched));
+    m_owesReply = true;
+}
+
+LogIndex Node::storeEntries(LogIndex prevIndex, std::vector<Entry> &entries)
+{
+    LogIndex verified = std::min(prevIndex, m_log.lastIndex());
+    for (Entry &it : entries) {
+        const LogIndex index = it.index;
+        const bool known = index <= m_commit || m_log.termAt(index) == it.term;
+        if (!known) {
+            if (m_full)
+                break;
+            if (index <= m_log.lastIndex())
+                truncateFrom(index);
+            m_log.append(std::move(it));
+            pushMembership(m_log.at(index));
+        }
+        verified = index;
+    }
+    return verified;
+}
+
+void Node::truncateFrom(LogIndex index)
+{
+    ACACIAFORK_ASSERT(index > m_commit);
+    m_log.truncateFrom(index);
+    m_handed = std::min(m_handed, index - 1);
+    m_durable = std::min(m_durable, index - 1);
+    m_matched = std::min(m_matched, index - 1);
+    while (m_memberships.size() > 1 && m_memberships.back().index >= index)
+        m_memberships.pop_back();
+}
+
+LogIndex Node::meetingHint(LogIndex prevIndex) const
+{
+    if (prevIndex > m_log.lastIndex())
+        return m_log.lastIndex();
+    // The whole run of the conflicting term is skipped at once.
+    const auto term = m_log.termAt(prevIndex);
+    LogIndex hint = prevIndex;
+    while (hint > m_commit && m_log.termAt(hint) == term)
+        --hint;
+    return hint;
+}
+
+void Node::refuseAppend(Timestamp sentAt, ProcessId to, LogIndex prevIndex)
+{
+    send(to, m_hardState.term,
+         AppendReply { .accepted = false,
+                       .match = meetingHint(prevIndex),
+                       .rejectedPrev = prevIndex,
+                       .sentAt = sentAt,
+                       .full = m_full });
+}
+
+void Node::sendAcknowledgement()
+{
+    m_owesReply = false;
+    if (!m_leader || m_leader == m_identity.self)
+        return;
+    send(m_leader, m_hardState.term,
+         AppendReply { .accepted = true,
+                       .match = std::min(m_matched, m_durable),
+                       .rejectedPrev = 0,
+                       .sentAt = m_leaderSentAt,
+                       .full = m_full });
+}
+
+void Node::onAppendReply(Timestamp now, const Message &message, const AppendReply &reply)
+{
+    const auto found = m_progress.find(message.from);
+    if (m_role != Role::Leader || found == m_progress.end())
+        return;
+    Progress &progress = found->second;
+    progress.heardAt = now;
+    progress.ackedSentAt = std::max(progress.ackedSentAt, reply.sentAt);
+    progress.full = reply.full;
+
+    if (progress.state == ProgressState::Snapshot) {
+        if (reply.match >= m_log.baseIndex())
+            progress.probeFrom(reply.match + 1);
+        return;
+    }
+    if (reply.accepted) {
+        progress.acknowledged(std::min(reply.match, m_log.lastIndex()));
+        progress.state = ProgressState::Replicate;
+        advanceCommit(now);
+        return;
+    }
+
+    // An answer to an older message than the one that moved `next` says nothing new.
+    const bool stale = progress.state == ProgressState::Replicate
+            ? reply.rejectedPrev <= progress.match
+            : reply.rejectedPrev != progress.next - 1;
+    if (!stale)
+        progress.probeFrom(std::min(reply.rejectedPrev, reply.match + 1));
+}
+
+LogPosition Node::appendOwn(EntryKind kind, std::string payload)
+{
+    const LogIndex index = m_log.lastIndex() + 1;
+    m_log.append({ .index = index,
+                   .term = m_hardState.term,
+                   .kind = kind,
+                   .payload = std::make_shared<const std::string>(std::move(payload)) });
+    m_uncommittedBytes += m_log.at(index).size();
+    pushMembership(m_log.at(index));
+    return { .index = index, .term = m_hardState.term };
+}
+
+Result<LogPosition> Node::propose(Timestamp /*now*/, std::string command)
+{
+    if (m_role != Role::Leader || m_transfer)
+        return fail(FailureKind::NotReady, "this member does not lead");
+    if (m_full)
+        return fail(FailureKind::Full, "the disk of the leader has no room");
+    if (m_uncommittedBytes + command.size() > static_cast<std::size_t>(m_settings.uncommittedBytes))
+        return fail(FailureKind::Overloaded, "too many proposals are uncommitted");
+    return appendOwn(EntryKind::Command, std::move(command));
+}
+
+void Node::replicate(Timestamp now)
+{
+    const bool heartbeat = now >= m_nextHeartbeat;
+    if (heartbeat)
+        m_nextHeartbeat = now + m_settings.heartbeatInterval;
+    for (auto &[id, progress] : m_progress)
+        feed(now, id, progress, heartbeat);
+}
+
+void Node::feed(Timestamp now, ProcessId id, Progress &progress, bool heartbeat)
+{
+    if (progress.state == ProgressState::Snapshot || progress.next <= m_log.baseIndex()) {
+        offerSnapshot(now, id, progress);
+        return;
+    }
+
+    bool sent = false;
+    const auto maxBytes = static_cast<std::size_t>(m_settings.appendBytes);
+    const auto hasMore = [&] { return !progress.full && progress.next <= m_log.lastIndex(); };
+    if (progress.state == ProgressState::Probe && hasMore()
+        && now - progress.sentAt >= m_settings.heartbeatInterval) {
+        sendAppend(now, id, progress, m_log.slice(progress.next, m_log.lastIndex(), maxBytes));
+        sent = true;
+    }
+    while (progress.state == ProgressState::Replicate && hasMore()
+           && progress.inflight.size() < static_cast<std::size_t>(m_settings.inflightMessages)
+           && progress.inflightBytes < static_cast<std::size_t>(m_settings.inflightBytes)) {
+        auto entries = m_log.slice(progress.next, m_log.lastIndex(), maxBytes);
+        std::size_t bytes = 0;
+        for (const Entry &it : entries)
+            bytes += it.size();
+        const LogIndex last = entries.back().index;
+        sendAppend(now, id, progress, std::move(entries));
+        progress.sent(last, bytes);
+        sent = true;
+    }
+    if (heartbeat && !sent)
+        sendAppend(now, id, progress, {});
+}
+
+void Node::sendAppend(Timestamp now, ProcessId id, Progress &progress, std::vector<Entry> entries)
+{
+    const LogIndex prev = progress.next - 1;
+    progress.sentAt = now;
+    send(id, m_hardState.term,
+         AppendRequest { .prevIndex = prev,
+                         .prevTerm = m_log.termAt(prev).value_or(0),
+                         .commit = m_commit,
+                         .sentAt = now,
+                         .entries = std::move(entries) });
+}
+
+void Node::advanceCommit(Timestamp now)
+{
+    std::vector<LogIndex> matches;
+    for (const Member &it : membership().members) {
+        if (!it.voter)
+            continue;
+        const auto found = m_progress.find(it.id);
+        matches.push_back(found == m_progress.end() ? m_durable : found->second.match);
+    }
+    if (matches.empty())
+        return;
+    const std::size_t quorum = membership().quorum();
+    std::ranges::nth_element(matches, matches.begin() + static_cast<std::ptrdiff_t>(quorum) - 1,
+                             std::greater<>());
+    const LogIndex agreed = matches[quorum - 1];
+    // Only an entry of the own term is committed by counting; it commits those before it.
+    if (agreed > m_commit && m_log.termAt(agreed) == m_hardState.term) {
+        commitTo(agreed);
+        leaveIfRemoved(now);
+    }
+}
+
+void Node::commitTo(LogIndex index)
+{
+    index = std::min(index, m_log.lastIndex());
+    if (m_role != Role::Leader) {
+        m_commit = std::max(m_commit, index);
+        return;
+    }
+    while (m_commit < index) {
+        ++m_commit;
+        if (m_commit >= m_termStart)
+            m_uncommittedBytes -= m_log.at(m_commit).size();
+    }
+}
+
+bool Node::committedInTerm() const
+{
+    return m_role == Role::Leader && m_commit >= m_termStart;
+}
+
+void Node::tickLeader(Timestamp now)
+{
+    // A leader that no quorum answers makes way, and stops holding up its callers.
+    const Timestamp contact = std::max(quorumAckedAt(now), m_leaderSince);
+    if (now - contact > m_settings.electionTimeoutMost) {
+        becomeFollower(now, m_hardState.term, {});
+        return;
+    }
+    if (m_transfer) {
+        const auto target = m_progress.find(m_transfer->to);
+        if (now >= m_transfer->deadline || target == m_progress.end()) {
+            m_transfer.reset();
+        } else if (target->second.match == m_log.lastIndex() && now >= m_transfer->askAt) {
+            m_transfer->askAt = now + m_settings.heartbeatInterval;
+            send(m_transfer->to, m_hardState.term, TimeoutNow {});
+        }
+    }
+    advanceMembership(now);
+}
+
+} // namespace acaciafork::consensus
--- /dev/null
+++ b/acaciafork/consensus/Replica.cpp
@@ -0,0 +1,238 @@
+#include "acaciafork/consensus/Replica.h"
+
+#include "acaciafork/consensus/MessageCodec.h"
+#include "acaciafork/consensus/RecordCodec.h"
+
+namespace acaciafork::consensus {
+
+namespace {
+
+/// Most rounds of output in one turn; what is left waits for the next turn.
+constexpr int roundsPerFlush = 8;
+
+/// Outcome of a call on the data folder.
+enum class Outcome : std::uint8_t { Done, Full, Corrupt, Failed };
+
+/// Runs a call that may fail, and reduces its failure to what the replica tells apart.
+template <typename F>
+Outcome outcomeOf(F &&call)
+{
+    return leaf::try_handle_all(
+            [&]() -> Result<Outcome> {
+                BOOST_LEAF_CHECK(call());
+                return Outcome::Done;
+            },
+            [](const Failure &failure) {
+                if (failure.kind == FailureKind::Full)
+                    return Outcome::Full;
+                return failure.kind == FailureKind::Corrupt ? Outcome::Corrupt : Outcome::Failed;
+            },
+            [] { return Outcome::Failed; });
+}
+
+} // namespace
+
+Result<std::unique_ptr<Replica>> Replica::open(Timestamp now, ReplicaSettings settings,
+                                               StorageFolder *files, ReplicaHandler *handler)
+{
+    RandomGenerator random(settings.seed);
+    const FolderOwner owner { .cluster = settings.cluster,
+                              .member = settings.identity.self,
+                              .newFolder = FolderId { random() | 1U } };
+    settings.seed = random();
+    BOOST_LEAF_AUTO(folder, LogFolder::open(files, owner, settings.folder));
+    if (folder->snapshot().index != 0) {
+        BOOST_LEAF_AUTO(bytes, folder->loadSnapshot());
+        if (!handler->loadSnapshot(bytes))
+            return failCorrupt("snapshot", 0, "the state machine refuses it");
+    }
+    auto recovered = folder->takeRecovered();
+    return std::unique_ptr<Replica>(new Replica(std::move(settings), std::move(folder),
+                                                std::move(recovered), handler, now));
+}
+
+Replica::Replica(ReplicaSettings settings, std::unique_ptr<LogFolder> folder,
+                 RecoveredState recovered, ReplicaHandler *handler, Timestamp now)
+    : m_settings(std::move(settings))
+    , m_folder(std::move(folder))
+    , m_node(m_settings.node, m_settings.identity, std::move(recovered), now, m_settings.seed)
+    , m_handler(handler)
+{ }
+
+void Replica::tick(Timestamp now)
+{
+    if (!m_folder->broken())
+        m_node.tick(now);
+}
+
+Result<void> Replica::receive(Timestamp now, std::string_view bytes)
+{
+    BOOST_LEAF_AUTO(message, decodeMessage(bytes));
+    if (!m_folder->broken())
+        m_node.receive(now, std::move(message));
+    return {};
+}
+
+Result<LogPosition> Replica::propose(Timestamp now, std::string command)
+{
+    return m_node.propose(now, std::move(command));
+}
+
+Result<ReadTicket> Replica::readBarrier(Timestamp now)
+{
+    return m_node.readBarrier(now);
+}
+
+void Replica::flush(Timestamp now)
+{
+    for (int it = 0; it < roundsPerFlush && !m_folder->broken(); ++it) {
+        const NodeOutput output = m_node.takeOutput(now);
+        if (output.empty())
+            break;
+        // What needs no sync leaves first, so that followers write while this member does.
+        sendAll(output.messages);
+        answerFetches(output.fetches);
+        if (output.hasWrites())
+            write(now, output);
+        takePieces(now, output.pieces);
+        applyAll(output.committed);
+        for (const ReadResult &read : output.reads)
+            m_handler->readReady(read.ticket, read.ready);
+        reportRole();
+    }
+    if (!m_folder->broken())
+        storeSnapshot();
+    reportRole();
+}
+
+void Replica::write(Timestamp now, const NodeOutput &output)
+{
+    const Outcome outcome =
+            outcomeOf([&] { return m_folder->write(output.hardState, output.entries); });
+    m_full = outcome == Outcome::Full;
+    if (outcome == Outcome::Done)
+        m_node.synced(now);
+    else
+        m_node.writeFailed(m_full);
+}
+
+void Replica::sendAll(const std::vector<Message> &messages)
+{
+    for (const Message &it : messages)
+        m_handler->send(it.to, encodeMessage(it));
+}
+
+void Replica::answerFetches(const std::vector<Message> &fetches)
+{
+    const SnapshotMeta &meta = m_folder->snapshot();
+    if (meta.index == 0)
+        return;
+    for (const Message &it : fetches) {
+        const auto &fetch = std::get<SnapshotFetch>(it.body);
+        // Another snapshot than the one asked for begins at its start.
+        const bool same = fetch.index == meta.index && fetch.checksum == meta.checksum;
+        const std::uint64_t offset = same ? std::min(fetch.offset, meta.size) : 0;
+        auto bytes = m_folder->readSnapshot(
+                offset, static_cast<std::uint64_t>(m_settings.node.snapshotChunkBytes));
+        if (!bytes)
+            continue;
+        Message answer { .from = it.to,
+                         .to = it.from,
+                         .fromFolder = m_node.folder(),
+                         .term = 0,
+                         .body = SnapshotChunk {
+                                 .meta = meta, .offset = offset, .data = std::move(*bytes) } };
+        m_handler->send(answer.to, encodeMessage(answer));
+    }
+}
+
+void Replica::takePieces(Timestamp now, const std::vector<SnapshotChunk> &pieces)
+{
+    for (const SnapshotChunk &it : pieces) {
+        const Outcome outcome = outcomeOf([&] { return m_folder->writePiece(it); });
+        if (outcome != Outcome::Done) {
+            m_node.snapshotRejected(now);
+            return;
+        }
+        if (it.offset + it.data.size() == it.meta.size)
+            installSnapshot(now, it.meta);
+    }
+}
+
+void Replica::installSnapshot(Timestamp now, const SnapshotMeta &meta)
+{
+    const Outcome outcome =
+            outcomeOf([&] { return m_folder->finishPartial(!m_node.covers(meta)); });
+    auto bytes = outcome == Outcome::Done ? m_folder->loadSnapshot() : std::string();
+    if (outcome != Outcome::Done || !bytes || !m_handler->loadSnapshot(*bytes)) {
+        m_node.snapshotRejected(now);
+        return;
+    }
+    m_node.snapshotInstalled(now, meta);
+}
+
+void Replica::applyAll(const std::vector<Entry> &committed)
+{
+    for (const Entry &it : committed) {
+        if (it.kind == EntryKind::Command)
+            m_handler->apply({ .index = it.index, .term = it.term }, *it.payload);
+    }
+}
+
+void Replica::storeSnapshot()
+{
+    const auto every = static_cast<LogIndex>(m_settings.node.snapshotEntries);
+    if (m_node.appliedIndex() < m_folder->snapshot().index + every
+        || m_node.appliedIndex() > m_node.durableIndex())
+        return;
+    SnapshotMeta meta = m_node.describeSnapshot();
+    const std::string bytes = m_handler->makeSnapshot();
+    if (outcomeOf([&] { return m_folder->storeSnapshot(&meta, bytes); }) != Outcome::Done)
+        return;
+    m_node.snapshotStored(meta);
+    // Segments that could not be removed are removed with the next snapshot.
+    (void)outcomeOf([&] { return m_folder->compactTo(m_node.baseIndex()); });
+}
+
+void Replica::reportRole()
+{
+    if (m_role == m_node.role() && m_leader == m_node.leader())
+        return;
+    m_role = m_node.role();
+    m_leader = m_node.leader();
+    m_handler->roleChanged(m_role, m_leader);
+}
+
+ReplicaStatus Replica::status(Timestamp now) const
+{
+    ReplicaStatus status { .node = m_node.status(now),
+                           .redundancy = {},
+                           .full = m_full,
+                           .broken = m_folder->broken(),
+                           .logBytes = m_folder->logBytes(),
+                           .snapshotBytes = m_folder->snapshot().size };
+    status.redundancy = redundancy(status.node);
+    return status;
+}
+
+Result<LogPosition> Replica::addLearner(Timestamp now, ProcessId id)
+{
+    return m_node.addLearner(now, id);
+}
+
+Result<LogPosition> Replica::replaceMember(Timestamp now, ProcessId old, ProcessId spare)
+{
+    return m_node.addLearner(now, spare, old);
+}
+
+Result<LogPosition> Replica::removeMember(Timestamp now, ProcessId id)
+{
+    return m_node.removeMember(now, id);
+}
+
+Result<void> Replica::transferLeadership(Timestamp now, ProcessId to)
+{
+    return m_node.transferLeadership(now, to);
+}
+
+} // namespace acaciafork::consensus
--- /dev/null
+++ b/acaciafork/consensus/SnapshotFiles.cpp
@@ -0,0 +1,210 @@
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+
+#include "acaciafork/consensus/LogFolder.h"
+#include "acaciafork/consensus/MessageCodec.h"
+#include "acaciafork/consensus/RecordCodec.h"
+#include "wire/consensus.pb.h"
+
+// Snapshots in a data folder: one record that describes it, then the state machine's bytes.
+
+namespace acaciafork::consensus {
+
+namespace {
+
+constexpr std::string_view snapshotPrefix = "snapshot-";
+constexpr const char *partialName = "partial-snapshot";
+constexpr const char *temporarySuffix = ".new";
+/// Most bytes read to find the record at the head of a snapshot file.
+constexpr std::uint64_t headLimit = 64ULL * 1024;
+
+/// Record that stands at the head of a snapshot file.
+std::string snapshotHead(const SnapshotMeta &meta)
+{
+    wire::consensus::SnapshotMeta message;
+    toWire(meta, &message);
+    std::string head;
+    appendRecord(RecordKind::SnapshotMeta, 0, 0, message.SerializeAsString(), &head);
+    return head;
+}
+
+/// Reads the record at the head of a snapshot file; false when it is broken.
+bool readSnapshotHead(std::string_view bytes, SnapshotMeta *meta, std::uint64_t *headBytes)
+{
+    Record record;
+    wire::consensus::SnapshotMeta message;
+    if (!readRecord(bytes, 0, 0, &record) || record.kind != RecordKind::SnapshotMeta
+        || !message.ParseFromArray(record.body.data(), static_cast<int>(record.body.size())))
+        return false;
+    *meta = fromWire(message);
+    *headBytes = record.end;
+    return true;
+}
+
+} // namespace
+
+std::string LogFolder::snapshotName(const SnapshotMeta &meta)
+{
+    std::string name(64, '\0');
+    const int n = std::snprintf(name.data(), name.size(), "snapshot-%016llx-%016llx",
+                                static_cast<unsigned long long>(meta.index),
+                                static_cast<unsigned long long>(meta.term));
+    name.resize(static_cast<std::size_t>(n));
+    return name;
+}
+
+Result<void> LogFolder::recoverSnapshot(const std::vector<std::string> &names)
+{
+    for (const std::string &it : names) {
+        if (it.ends_with(temporarySuffix))
+            BOOST_LEAF_CHECK(m_files->remove(it));
+    }
+
+    // Names sort by index; older ones than the newest were about to be removed.
+    std::string newest;
+    for (const std::string &it : names) {
+        if (!it.starts_with(snapshotPrefix) || it.ends_with(temporarySuffix))
+            continue;
+        if (!newest.empty())
+            BOOST_LEAF_CHECK(m_files->remove(newest));
+        newest = it;
+    }
+    if (newest.empty())
+        return {};
+    BOOST_LEAF_AUTO(head, m_files->read(newest, 0, headLimit));
+    if (!readSnapshotHead(head, &m_snapshot, &m_snapshotHead) || snapshotName(m_snapshot) != newest)
+        return failCorrupt(newest, 0, "malformed snapshot");
+    BOOST_LEAF_CHECK(loadSnapshot());
+    return {};
+}
+
+Result<void> LogFolder::recoverPartial(const std::vector<std::string> &names)
+{
+    if (std::ranges::find(names, partialName) == names.end())
+        return {};
+    BOOST_LEAF_AUTO(length, m_files->size(partialName));
+    BOOST_LEAF_AUTO(head, m_files->read(partialName, 0, headLimit));
+    const bool whole = readSnapshotHead(head, &m_partialMeta, &m_partialHead)
+            && m_partialMeta.index > m_snapshot.index
+            && length <= m_partialHead + m_partialMeta.size;
+    if (!whole) {
+        m_partialMeta = {};
+        return m_files->remove(partialName);
+    }
+    m_partialBytes = length - m_partialHead;
+    m_recovered.partial = PartialSnapshot { .meta = m_partialMeta, .received = m_partialBytes };
+    return {};
+}
+
+Result<std::string> LogFolder::readSnapshot(std::uint64_t offset, std::uint64_t length)
+{
+    const std::uint64_t left = offset < m_snapshot.size ? m_snapshot.size - offset : 0;
+    return m_files->read(snapshotName(m_snapshot), m_snapshotHead + offset, std::min(length, left));
+}
+
+Result<std::string> LogFolder::loadSnapshot()
+{
+    if (m_snapshot.index == 0)
+        return std::string();
+    BOOST_LEAF_AUTO(bytes, readSnapshot(0, m_snapshot.size));
+    if (bytes.size() != m_snapshot.size
+        || XXH3_64bits(bytes.data(), bytes.size()) != m_snapshot.checksum)
+        return failCorrupt(snapshotName(m_snapshot), m_snapshotHead,
+                           "snapshot does not match its checksum");
+    return bytes;
+}
+
+Result<void> LogFolder::replaceFile(const std::string &name, std::string_view head,
+                                    std::string_view bytes)
+{
+    const std::string temporary = name + temporarySuffix;
+    auto write = [&]() -> Result<void> {
+        BOOST_LEAF_CHECK(m_files->remove(temporary));
+        BOOST_LEAF_AUTO(file, m_files->openFile(temporary));
+        BOOST_LEAF_CHECK(file->append(head));
+        BOOST_LEAF_CHECK(file->append(bytes));
+        BOOST_LEAF_CHECK(file->sync());
+        BOOST_LEAF_CHECK(m_files->rename(temporary, name));
+        return m_files->sync();
+    };
+    auto written = write();
+    // What is left of a failed try only takes up room.
+    if (!written)
+        (void)m_files->remove(temporary);
+    return written;
+}
+
+Result<void> LogFolder::adoptSnapshot(const SnapshotMeta &meta, std::uint64_t head)
+{
+    const SnapshotMeta old = std::exchange(m_snapshot, meta);
+    m_snapshotHead = head;
+    if (old.index != 0 && snapshotName(old) != snapshotName(meta))
+        return m_files->remove(snapshotName(old));
+    return {};
+}
+
+Result<void> LogFolder::storeSnapshot(SnapshotMeta *meta, std::string_view bytes)
+{
+    if (m_broken)
+        return fail(FailureKind::Storage, "the data folder failed before; restart the process");
+    meta->size = bytes.size();
+    meta->checksum = XXH3_64bits(bytes.data(), bytes.size());
+    const std::string head = snapshotHead(*meta);
+    BOOST_LEAF_CHECK(replaceFile(snapshotName(*meta), head, bytes));
+    return adoptSnapshot(*meta, head.size());
+}
+
+Result<void> LogFolder::writePiece(const SnapshotChunk &piece)
+{
+    if (m_broken)
+        return fail(FailureKind::Storage, "the data folder failed before; restart the process");
+    if (piece.offset == 0) {
+        const std::string head = snapshotHead(piece.meta);
+        m_partialFile.reset();
+        BOOST_LEAF_CHECK(m_files->remove(partialName));
+        BOOST_LEAF_ASSIGN(m_partialFile, m_files->openFile(partialName));
+        BOOST_LEAF_CHECK(m_partialFile->append(head));
+        m_partialMeta = piece.meta;
+        m_partialHead = head.size();
+        m_partialBytes = 0;
+    } else if (!m_partialFile) {
+        BOOST_LEAF_ASSIGN(m_partialFile, m_files->openFile(partialName));
+    }
+    if (piece.offset != m_partialBytes || piece.meta.checksum != m_partialMeta.checksum)
+        return fail(FailureKind::Protocol, "piece of a snapshot out of order");
+    BOOST_LEAF_CHECK(m_partialFile->append(piece.data));
+    m_partialBytes += piece.data.size();
+    return {};
+}
+
+Result<void> LogFolder::finishPartial(bool resetLog)
+{
+    const SnapshotMeta meta = m_partialMeta;
+    BOOST_LEAF_CHECK(m_partialFile->sync());
+    m_partialFile.reset();
+    BOOST_LEAF_AUTO(bytes, m_files->read(partialName, m_partialHead, meta.size));
+    if (bytes.size() != meta.size || XXH3_64bits(bytes.data(), bytes.size()) != meta.checksum) {
+        BOOST_LEAF_CHECK(m_files->remove(partialName));
+        return failCorrupt(partialName, m_partialHead, "snapshot does not match its checksum");
+    }
+    BOOST_LEAF_CHECK(m_files->rename(partialName, snapshotName(meta)));
+    BOOST_LEAF_CHECK(m_files->sync());
+    BOOST_LEAF_CHECK(adoptSnapshot(meta, m_partialHead));
+    if (!resetLog)
+        return {};
+
+    m_lastIndex = meta.index;
+    m_lastTerm = meta.term;
+    m_resetNext = true;
+    BOOST_LEAF_CHECK(startSegment());
+    // Everything before the new segment is superseded.
+    while (m_segments.size() > 1) {
+        BOOST_LEAF_CHECK(m_files->remove(segmentName(m_segments.front().sequence)));
+        m_segments.pop_front();
+    }
+    return {};
+}
+
+} // namespace acaciafork::consensus
--- /dev/null
+++ b/tests/consensus/Group.cpp
@@ -0,0 +1,257 @@
+#include "Group.h"
+
+#include <algorithm>
+
+namespace acaciafork::consensus {
+
+namespace {
+
+constexpr Duration turnLength = std::chrono::milliseconds(1);
+
+/// True with the given probability.
+bool chance(RandomGenerator *random, double rate)
+{
+    return rate > 0 && std::uniform_real_distribution<>(0, 1)(*random) < rate;
+}
+
+} // namespace
+
+GroupMember::GroupMember(Group *group, ProcessId member, ZoneName memberZone, std::uint64_t seed,
+                         double clockRate)
+    : id(member)
+    , zone(std::move(memberZone))
+    , disk(seed, group->settings().faults)
+    , m_group(group)
+    , m_clockRate(clockRate)
+{ }
+
+Timestamp GroupMember::clock() const
+{
+    const double elapsed = static_cast<double>(toMicroseconds(m_group->now())) * m_clockRate;
+    return timestampFromMicroseconds(static_cast<std::int64_t>(elapsed) + id.value * 1'000'000LL);
+}
+
+bool GroupMember::start()
+{
+    ++starts;
+    state = {};
+    reads.clear();
+    folder = std::make_unique<MemoryFolder>(&disk);
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                ReplicaSettings settings {
+                    .cluster = "test",
+                    .identity = { .self = id, .zone = zone, .initialMembers = m_group->m_initial },
+                    .node = m_group->settings().node,
+                    .folder = m_group->settings().folder,
+                    .seed = m_group->random()()
+                };
+                BOOST_LEAF_ASSIGN(replica,
+                                  Replica::open(clock(), std::move(settings), folder.get(), this));
+                return {};
+            },
+            [&](const Failure &failure) {
+                if (!disk.dead())
+                    m_group->report("member " + std::to_string(id.value)
+                                    + " can't start: " + failure.detail);
+            },
+            [&] { m_group->report("unknown failure at start"); });
+    return running();
+}
+
+void GroupMember::crash()
+{
+    replica.reset();
+    folder.reset();
+    disk.restart();
+}
+
+void GroupMember::send(ProcessId to, std::string bytes)
+{
+    if (!disk.dead())
+        m_group->post(id, to, std::move(bytes));
+}
+
+void GroupMember::apply(const LogPosition &position, std::string_view command)
+{
+    if (disk.dead())
+        return;
+    m_group->noteApplied(*this, position, command);
+    state.apply(command);
+}
+
+bool GroupMember::loadSnapshot(std::string_view bytes)
+{
+    const std::uint64_t before = state.version();
+    const bool loaded = state.load(bytes);
+    if (state.version() < before)
+        m_group->report("a snapshot took member " + std::to_string(id.value) + " back");
+    return loaded;
+}
+
+void GroupMember::roleChanged(Role role, ProcessId /*leader*/)
+{
+    if (role == Role::Leader && !disk.dead())
+        m_group->checkLeader(*this);
+}
+
+void GroupMember::readReady(ReadTicket ticket, bool ready)
+{
+    reads.push_back({ .ticket = ticket, .ready = ready });
+}
+
+Group::Group(GroupSettings settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_now(timestampFromMicroseconds(1'000'000))
+{
+    for (std::uint32_t it = 1; it <= m_settings.members; ++it)
+        m_initial.push_back({ .id = ProcessId { it },
+                              .zone = ZoneName { "z" + std::to_string(it % 3) },
+                              .voter = true,
+                              .folder = {},
+                              .replaces = {} });
+    for (std::size_t it = 0; it < m_settings.members + m_settings.spares; ++it)
+        addProcess();
+}
+
+GroupMember &Group::addProcess()
+{
+    const auto id = static_cast<std::uint32_t>(m_members.size() + 1);
+    std::uniform_int_distribution<std::int64_t> spread(-m_settings.clockRateSpread,
+                                                       m_settings.clockRateSpread);
+    const double rate = 1.0 + static_cast<double>(spread(m_random)) / 1000.0;
+    auto member = std::make_unique<GroupMember>(
+            this, ProcessId { id }, ZoneName { "z" + std::to_string(id % 3) }, m_random(), rate);
+    GroupMember &added = *member;
+    m_members.emplace(added.id, std::move(member));
+    added.start();
+    return added;
+}
+
+void Group::report(std::string text)
+{
+    if (m_violation.empty())
+        m_violation = std::move(text);
+}
+
+void Group::isolate(ProcessId id)
+{
+    for (const auto &[other, member] : m_members) {
+        cut(id, other);
+        cut(other, id);
+    }
+}
+
+void Group::post(ProcessId from, ProcessId to, std::string bytes)
+{
+    m_bytesSent += bytes.size();
+    const LinkSettings &link = m_settings.link;
+    if (m_cuts.contains({ from, to }) || chance(&m_random, link.lossRate))
+        return;
+    std::uniform_int_distribution<std::int64_t> delay(link.delayLeast.count(),
+                                                      link.delayMost.count());
+    if (chance(&m_random, link.repeatRate))
+        m_packets.emplace(m_now + Duration(delay(m_random)), Packet { to, bytes });
+    m_packets.emplace(m_now + Duration(delay(m_random)), Packet { to, std::move(bytes) });
+}
+
+void Group::step()
+{
+    m_now += turnLength;
+    while (!m_packets.empty() && m_packets.begin()->first <= m_now) {
+        const Packet packet = std::move(m_packets.begin()->second);
+        m_packets.erase(m_packets.begin());
+        GroupMember &to = *m_members.at(packet.to);
+        if (to.running() && !to.replica->receive(to.clock(), packet.bytes))
+            report("a message could not be read");
+    }
+    for (auto &[id, member] : m_members) {
+        if (!member->running())
+            continue;
+        member->replica->tick(member->clock());
+        member->replica->flush(member->clock());
+        if (member->disk.dead())
+            member->crash();
+    }
+}
+
+void Group::run(Duration length)
+{
+    const Timestamp end = m_now + length;
+    while (m_now < end)
+        step();
+}
+
+GroupMember *Group::leader()
+{
+    GroupMember *best = nullptr;
+    for (auto &[id, member] : m_members) {
+        if (member->running() && member->replica->isLeader()
+            && (best == nullptr || member->replica->node().term() > best->replica->node().term()))
+            best = member.get();
+    }
+    return best;
+}
+
+bool Group::awaitLeader(Duration limit)
+{
+    const Timestamp end = m_now + limit;
+    while (m_now < end) {
+        step();
+        GroupMember *best = leader();
+        if (best != nullptr && best->replica->canReadNow(best->clock()))
+            return true;
+    }
+    return false;
+}
+
+void Group::checkLeader(GroupMember &member)
+{
+    // Election safety: one leader a term. Leader completeness: it has all that was committed.
+    const Node &node = member.replica->node();
+    const auto [found, added] = m_leaders.emplace(node.term(), member.id);
+    if (!added && found->second != member.id)
+        report("two leaders in term " + std::to_string(node.term()));
+    for (const auto &[index, applied] : m_applied) {
+        if (index > node.log().baseIndex() && node.log().termAt(index) != applied.term) {
+            report("leader " + std::to_string(member.id.value) + " of term "
+                   + std::to_string(node.term()) + " lacks entry " + std::to_string(index));
+            return;
+        }
+    }
+}
+
+void Group::noteApplied(const GroupMember &member, const LogPosition &position,
+                        std::string_view command)
+{
+    // State machine safety: the same command at the same place on every member.
+    const auto [found, added] =
+            m_applied.emplace(position.index, Applied { position.term, std::string(command) });
+    if (!added && (found->second.term != position.term || found->second.command != command))
+        report("member " + std::to_string(member.id.value) + " applied another command at "
+               + std::to_string(position.index));
+}
+
+void Group::checkLogs()
+{
+    // Log matching: where two logs hold an entry of one term, all entries up to it are equal.
+    for (auto left = m_members.begin(); left != m_members.end(); ++left) {
+        for (auto right = std::next(left); right != m_members.end(); ++right) {
+            if (!left->second->running() || !right->second->running())
+                continue;
+            const EntryLog &a = left->second->replica->node().log();
+            const EntryLog &b = right->second->replica->node().log();
+            LogIndex it = std::min(a.lastIndex(), b.lastIndex());
+            const LogIndex base = std::max(a.baseIndex(), b.baseIndex());
+            while (it > base && a.termAt(it) != b.termAt(it))
+                --it;
+            for (; it > base; --it) {
+                if (a.termAt(it) != b.termAt(it) || *a.at(it).payload != *b.at(it).payload)
+                    report("logs differ before a place where they agree");
+            }
+        }
+    }
+}
+
+} // namespace acaciafork::consensus
