--- a/acaciafork/decisions/batch/TaskLifecycle.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycle.cpp
@@ -209,9 +209,10 @@
 
 Timestamp TaskLifecycle::expiry(Timestamp basis) const
 {
+    // A clock that runs slower by the margin takes that much longer, rounded up.
     constexpr std::int64_t whole = 1000;
     const LeaseSettings &lease = m_model->settings.lease;
-    return basis + lease.leaseLength * (whole + lease.clockMarginPermille) / whole;
+    return basis + lease.leaseLength * whole / (whole - lease.clockMarginPermille) + Duration(1);
 }
 
 bool TaskLifecycle::takeRoomFreed()
--- a/acaciafork/decisions/batch/TaskLifecycleCommits.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycleCommits.cpp
@@ -164,7 +164,7 @@
 {
     Task &task = m_model->tasks[index];
     if (task.isService()) {
-        proposeStopped(index, {});
+        proposeStopped(index, task.checkpoint);
         return;
     }
     if (task.cancelRequested) {
--- a/acaciafork/decisions/batch/TaskLifecycleReports.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycleReports.cpp
@@ -73,7 +73,7 @@
     case TaskStatus::Finished:
         // A service does not finish: its replica is to be replaced.
         if (task.isService()) {
-            proposeStopped(index, {});
+            proposeStopped(index, task.checkpoint);
             return;
         }
         task.proposed = true;
