Check the room of endpoints over thousands of event sequences

Cause: the promise that no endpoint is over its slots or connections needs a check that can fail. Change: scenarios of load, loss, repetition, crossing, crashes, leader changes, endpoint restarts, cut-off entries and clocks 1% apart; five broken variants that must be caught. An entry that is cut off keeps its busy connections charged after the half-open timeout.

--- a/acaciafork/decisions/routing/RoomEvidence.cpp
+++ b/acaciafork/decisions/routing/RoomEvidence.cpp
@@ -90,7 +90,7 @@
     const std::uint32_t before = m_tables->holding(sessionIndex, index).chargedSlots();
     m_tables->changeHolding(sessionIndex, index, [&](GrantorHolding *it) {
         const std::uint32_t charged = it->chargedSlots();
-        it->reportedConnections = closed ? 0 : it->chargedConnections();
+        it->reportedConnections = closed ? running : it->chargedConnections();
         it->reportedSlots = std::min(charged, running);
         it->slots = 0;
         it->lingering = 0;
--- a/tests/decisions/routing/FakeWorld.cpp
+++ b/tests/decisions/routing/FakeWorld.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::int64_t tickInterval = 10'000;
-constexpr std::int64_t announceInterval = 1'000'000;
 /// Process number of the grantor in the skew of clocks.
 constexpr int grantorProcess = -1;
 /// Request ids at a peer entry: the same request under another number.
@@ -25,8 +24,10 @@
     double slowness = 1;
     std::uint64_t incarnation = 1;
     std::uint64_t sequence = 0;
+    int restarts = 0;
     std::set<std::uint64_t> running;
-    int connections = 0;
+    /// Open connections by entry and its incarnation.
+    std::map<std::pair<int, std::uint64_t>, int> connections;
     int starts = 0;
     std::int64_t lastStart = -1;
 };
@@ -34,6 +35,7 @@
 struct FakeWorld::Entry
 {
     std::uint64_t incarnation = 0;
+    bool cut = false;
     std::unique_ptr<EntryScheduler> scheduler;
 };
 
@@ -44,8 +46,8 @@
     int endpoint = 0;
     std::uint64_t endpointIncarnation = 0;
     std::size_t record = 0;
-    bool arrived = false;
-    bool headers = false;
+    /// True once the port has given up on it: its connection carries nothing else.
+    bool retired = false;
 };
 
 FakeWorld::FakeWorld(const WorldOptions &options)
@@ -56,7 +58,7 @@
     for (int it = 0; it < options.endpoints; ++it) {
         m_endpoints.push_back(std::make_unique<Endpoint>());
         m_endpoints.back()->name = EndpointName { "endpoint-" + std::to_string(it) };
-        at(announceInterval * it / options.endpoints, [this, it] { announce(it); });
+        at(options.announceInterval.count() * it / options.endpoints, [this, it] { announce(it); });
     }
     m_entries.resize(options.entries);
     for (int it = 0; it < options.entries; ++it) {
@@ -135,6 +137,8 @@
 void FakeWorld::startEntry(int index)
 {
     Entry &entry = *m_entries[index];
+    if (entry.scheduler)
+        crashEntry(index);
     ++entry.incarnation;
     entry.scheduler = std::make_unique<EntryScheduler>(
             EntryOptions { .process = ProcessId { static_cast<std::uint32_t>(index + 1) },
@@ -151,7 +155,10 @@
 
 void FakeWorld::crashEntry(int index)
 {
+    // Its kernel closes the connections.
     m_entries[index]->scheduler.reset();
+    for (const auto &it : m_endpoints)
+        it->connections.erase(std::pair(index, m_entries[index]->incarnation));
     // Requests of its callers are lost with it; what runs at endpoints runs on.
     for (auto &[id, attempt] : m_attempts) {
         WorldRecord &record = m_records[attempt.record];
@@ -170,14 +177,29 @@
     }
 }
 
-void FakeWorld::changeLeader()
+void FakeWorld::cutEntry(int entry, bool cut)
+{
+    m_entries[entry]->cut = cut;
+}
+
+void FakeWorld::leaveCaller(std::size_t record)
+{
+    tell(m_records[record].request.entry,
+         [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
+             it->callerGone(now, RequestId { record + 1 }, out);
+         });
+    if (m_records[record].outcome == WorldEnd::Open)
+        m_records[record].outcome = WorldEnd::Unknown;
+}
+
+void FakeWorld::changeLeader(bool knowsEntries)
 {
     m_leaderUp = true;
     ++m_term;
     m_grantor = std::make_unique<CreditGrantor>(m_options.credit);
     std::vector<ProcessId> known;
     known.reserve(m_entries.size());
-    for (int it = 0; it < m_options.entries; ++it)
+    for (int it = 0; knowsEntries && it < m_options.entries; ++it)
         known.push_back(ProcessId { static_cast<std::uint32_t>(it + 1) });
     GrantorCommands commands;
     m_grantor->becameLeader(localTime(grantorProcess), m_term, known, true, &commands);
@@ -205,14 +227,17 @@
     at(m_now + tickInterval, [this] { tickGrantor(); });
 }
 
-void FakeWorld::control(std::function<void()> deliver)
+void FakeWorld::control(int entry, std::function<void()> deliver, Duration mostLate)
 {
     ++m_controlMessages;
+    if (m_entries[entry]->cut)
+        return;
     const auto percent = [&] { return static_cast<int>(m_generator() % 100); };
     if (percent() < m_options.lostPercent)
         return;
     const auto late = [&]() -> std::int64_t {
-        const auto most = static_cast<std::uint64_t>(m_options.lateness.count());
+        const auto most =
+                static_cast<std::uint64_t>(std::min(m_options.lateness, mostLate).count());
         return m_options.hop.count() + static_cast<std::int64_t>(m_generator() % (most + 1));
     };
     if (percent() < m_options.repeatedPercent)
@@ -223,7 +248,7 @@
 void FakeWorld::announce(int index)
 {
     Endpoint &endpoint = *m_endpoints[index];
-    at(m_now + announceInterval, [this, index] { announce(index); });
+    at(m_now + m_options.announceInterval.count(), [this, index] { announce(index); });
     if (!endpoint.up || endpoint.dead)
         return;
     EndpointAnnouncement announcement {
@@ -249,13 +274,14 @@
     tell(through, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
         it->endpointAnnounced(now, announcement, out);
     });
-    control([this, announcement, term = m_term] {
-        if (!m_leaderUp || term != m_term)
+    const auto deliver = [this, announcement] {
+        if (!m_leaderUp)
             return;
         GrantorCommands commands;
         m_grantor->endpointAnnounced(localTime(grantorProcess), announcement, &commands);
         carryOut(&commands);
-    });
+    };
+    control(through, deliver, m_options.credit.flightBound - 4 * m_options.hop);
 }
 
 void FakeWorld::carryOut(GrantorCommands *commands)
@@ -267,8 +293,10 @@
         CreditGrant grant = send->grant;
         if (tamperGrant)
             tamperGrant(&grant);
-        control([this, grant] {
-            const int index = static_cast<int>(grant.entry.value) - 1;
+        const int index = static_cast<int>(grant.entry.value) - 1;
+        control(index, [this, grant, index] {
+            if (m_entries[index]->cut)
+                return;
             tell(index, [&](EntryScheduler *it, Timestamp now, EntryCommands *out) {
                 it->grantReceived(now, grant, out);
             });
@@ -313,7 +341,7 @@
         CreditReport report = send->report;
         if (tamperReport)
             tamperReport(&report);
-        control([this, report] {
+        control(entry, [this, report] {
             if (!m_leaderUp)
                 return;
             GrantorCommands commands;
@@ -324,7 +352,7 @@
         for (int it = 0; it < m_options.entries; ++it) {
             if (it == entry)
                 continue;
-            control([this, it, notice = spread->notice] {
+            control(it, [this, it, notice = spread->notice] {
                 tell(it, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
                     scheduler->endpointLeaving(now, notice, out);
                 });
@@ -335,14 +363,28 @@
         const int index = std::stoi(name.value.substr(name.value.find('-') + 1));
         const std::uint32_t count = close->count;
         at(m_now + m_options.hop.count(),
-           [this, entry, name, index, count, n = m_entries[entry]->incarnation] {
-               m_endpoints[index]->connections -= static_cast<int>(count);
+           [this, entry, name, index, count, n = m_entries[entry]->incarnation,
+            restarts = m_endpoints[index]->restarts] {
+               // A restart has closed them, and said so, in the meantime.
+               if (m_endpoints[index]->restarts != restarts)
+                   return;
+               m_endpoints[index]->connections[std::pair(entry, n)] -= static_cast<int>(count);
                for (std::uint32_t it = 0; it < count && m_entries[entry]->incarnation == n; ++it) {
                    tell(entry, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
                        scheduler->connectionClosed(now, name, out);
                    });
                }
            });
+    } else if (const auto *abandoned = std::get_if<AbandonAttempt>(&command)) {
+        const auto found = m_attempts.find(abandoned->attempt.value);
+        if (found != m_attempts.end())
+            found->second.retired = true;
+    } else if (const auto *released = std::get_if<ReleaseAttempt>(&command)) {
+        const auto found = m_attempts.find(released->attempt.value);
+        if (found == m_attempts.end())
+            return;
+        closeConnection(found->second);
+        m_attempts.erase(found);
     } else if (const auto *probe = std::get_if<ProbeEndpoint>(&command)) {
         const EndpointName name { std::string(probe->endpoint) };
         const int index = std::stoi(name.value.substr(name.value.find('-') + 1));
@@ -413,7 +455,11 @@
                                .endpoint = index,
                                .record = (command.request.value & ~forwardedBit) - 1 };
     const bool opens = !command.reuseConnection;
-    at(m_now + m_options.hop.count(), [this, id, opens, index] {
+    const auto late = static_cast<std::int64_t>(
+            m_generator() % (static_cast<std::uint64_t>(m_options.attemptLateness.count()) + 1));
+    at(m_now + m_options.hop.count() + late, [this, id, opens, index] {
+        if (m_attempts.count(id) == 0)
+            return;
         const Endpoint &endpoint = *m_endpoints[index];
         if (!endpoint.up || endpoint.dead) {
             at(m_now + m_options.hop.count(), [this, id] {
@@ -421,22 +467,54 @@
             });
             return;
         }
-        if (opens && ++m_endpoints[index]->connections > static_cast<int>(m_options.connections))
-            ++m_connectionOvershoots;
+        if (opens)
+            openConnection(id);
+        else if (!hasConnection(id))
+            return end(id, AttemptPhase::NotSent, AttemptOutcome::Reset, false);
         arrive(id);
     });
     at(m_now + realDelay(entry, command.deadline), [this, id] {
         if (m_attempts.count(id) > 0)
-            end(id, AttemptPhase::Sent, AttemptOutcome::Timeout, false);
+            end(id, timeoutFrees ? AttemptPhase::NotSent : AttemptPhase::Sent,
+                AttemptOutcome::Timeout, false);
     });
 }
 
+void FakeWorld::openConnection(std::uint64_t id)
+{
+    const Attempt &attempt = m_attempts[id];
+    // The SYN of a process that has died since is not answered.
+    Endpoint &endpoint = *m_endpoints[attempt.endpoint];
+    if (m_entries[attempt.entry]->scheduler
+        && m_entries[attempt.entry]->incarnation == attempt.entryIncarnation)
+        ++endpoint.connections[std::pair(attempt.entry, attempt.entryIncarnation)];
+    int open = 0;
+    for (const auto &[owner, count] : endpoint.connections)
+        open += count;
+    m_connectionOvershoots += open > static_cast<int>(m_options.connections) ? 1 : 0;
+}
+
+bool FakeWorld::hasConnection(std::uint64_t id)
+{
+    const Attempt &attempt = m_attempts[id];
+    const std::pair owner(attempt.entry, attempt.entryIncarnation);
+    // A crashed process has sent its bytes already.
+    const bool alive = m_entries[attempt.entry]->scheduler
+            && m_entries[attempt.entry]->incarnation == attempt.entryIncarnation;
+    return !alive || m_endpoints[attempt.endpoint]->connections[owner] > 0;
+}
+
+void FakeWorld::closeConnection(const Attempt &attempt)
+{
+    int &open = m_endpoints[attempt.endpoint]
+                        ->connections[std::pair(attempt.entry, attempt.entryIncarnation)];
+    open = std::max(open - 1, 0);
+}
+
 void FakeWorld::arrive(std::uint64_t id)
 {
     Attempt &attempt = m_attempts[id];
     Endpoint &endpoint = *m_endpoints[attempt.endpoint];
-    attempt.arrived = true;
-    attempt.endpointIncarnation = endpoint.incarnation;
     endpoint.running.insert(id);
     endpoint.lastStart = m_now;
     ++endpoint.starts;
@@ -460,7 +538,6 @@
         return;
     if (!m_entries[it->second.entry]->scheduler
         || m_entries[it->second.entry]->incarnation != it->second.entryIncarnation) {
-        --endpoint.connections;
         m_attempts.erase(it);
         return;
     }
@@ -472,7 +549,11 @@
              [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
                  scheduler->attemptHeaders(now, AttemptId { id }, false, out);
              });
-        end(id, AttemptPhase::Body, AttemptOutcome::Ok, true);
+        // A connection that was given up on is closed with its late answer.
+        const bool retired = found->second.retired;
+        if (retired)
+            closeConnection(found->second);
+        end(id, AttemptPhase::Body, AttemptOutcome::Ok, !retired);
     });
 }
 
@@ -481,6 +562,7 @@
     const auto it = m_attempts.find(id);
     if (it == m_attempts.end())
         return;
+    it->second.retired |= outcome == AttemptOutcome::Timeout;
     const Attempt attempt = it->second;
     const bool final = outcome != AttemptOutcome::Timeout;
     if (final)
@@ -493,12 +575,9 @@
         return;
     EntryCommands commands;
     const bool answers = outcome == AttemptOutcome::Ok;
-    const std::size_t before = scheduler->requestsInProgress();
     scheduler->attemptEnded(
             localTime(attempt.entry), AttemptId { id },
             AttemptEnd { .phase = phase, .outcome = outcome, .connectionKept = kept }, &commands);
-    // The request was still waiting for this attempt when the scheduler forgets it.
-    (void)before;
     if (answers)
         close(RequestId { attempt.record + 1 }, WorldEnd::Answered);
     carryOut(attempt.entry, &commands);
@@ -536,13 +615,24 @@
 {
     Endpoint &endpoint = *m_endpoints[index];
     endpoint.up = false;
+    ++endpoint.restarts;
     const std::set<std::uint64_t> running = std::move(endpoint.running);
     endpoint.running.clear();
-    endpoint.connections = 0;
+    auto connections = std::move(endpoint.connections);
+    endpoint.connections.clear();
     for (const std::uint64_t id : running) {
+        const Attempt &attempt = m_attempts[id];
+        --connections[std::pair(attempt.entry, attempt.entryIncarnation)];
         at(m_now + m_options.hop.count(),
            [this, id] { end(id, AttemptPhase::Sent, AttemptOutcome::Reset, false); });
     }
+    for (const auto &[owner, idle] : connections) {
+        for (int it = 0; it < idle && m_entries[owner.first]->incarnation == owner.second; ++it) {
+            tell(owner.first, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+                scheduler->connectionClosed(now, endpoint.name, out);
+            });
+        }
+    }
     at(m_now + away.count(), [this, index] {
         Endpoint &back = *m_endpoints[index];
         back.up = true;
--- a/tests/decisions/routing/FakeWorld.h
+++ b/tests/decisions/routing/FakeWorld.h
@@ -29,6 +29,9 @@
     int repeatedPercent = 0;
     /// Most that such a message is late, so that messages cross.
     Duration lateness {};
+    /// Most that an attempt's bytes are late on their way to the endpoint.
+    Duration attemptLateness {};
+    Duration announceInterval = std::chrono::seconds(1);
     /// True to run the clocks of odd processes 1% fast and of even ones 1% slow.
     bool skewedClocks = false;
     /// True when endpoints list the attempts that they run.
@@ -79,10 +82,16 @@
     /// Puts a request now. @return its place in records()
     std::size_t put(const WorldRequest &request);
 
+    /// The caller of a request goes away.
+    void leaveCaller(std::size_t record);
+    /// Nothing passes between the entry and the grantor while it is cut off.
+    void cutEntry(int entry, bool cut);
     void crashEntry(int entry);
     void startEntry(int entry);
     /// The leader is lost; another follows once its lease is over.
-    void changeLeader();
+    void changeLeader() { changeLeader(true); }
+    /// For a broken variant: a leader that thinks that nobody holds anything.
+    void changeLeader(bool knowsEntries);
     /// Silent until changeLeader.
     void loseLeader();
     /// The endpoint's process dies and comes back after `away`, with nothing running.
@@ -96,6 +105,8 @@
     std::function<void(CreditGrant *)> tamperGrant;
     /// Replaces a report on its way; for broken variants.
     std::function<void(CreditReport *)> tamperReport;
+    /// For a broken variant: the port says that a timed-out attempt never left.
+    bool timeoutFrees = false;
 
     [[nodiscard]] std::int64_t now() const { return m_now; }
     [[nodiscard]] const std::vector<WorldRecord> &records() const { return m_records; }
@@ -132,8 +143,11 @@
     void carryOut(int entry, EntryCommands *commands);
     void carryOutOne(int entry, const EntryCommand &command);
     void carryOut(GrantorCommands *commands);
-    void control(std::function<void()> deliver);
+    void control(int entry, std::function<void()> deliver, Duration mostLate = Duration::max());
     void start(int entry, const StartAttempt &command);
+    void openConnection(std::uint64_t attempt);
+    bool hasConnection(std::uint64_t attempt);
+    void closeConnection(const Attempt &attempt);
     void arrive(std::uint64_t attempt);
     void finish(std::uint64_t attempt);
     void end(std::uint64_t attempt, AttemptPhase phase, AttemptOutcome outcome, bool kept);
