Add the control daemon

Cause: the thin whole path needs the control member as a process of its own. Change: ControlProcess over the replica, the state, the operators' interface and the worker client; ControlViews; main function.

--- /dev/null
+++ b/acaciafork/control/Control.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Public header of the control library: the control daemon's parts.
+
+#include "acaciafork/control/ControlNode.h"
+#include "acaciafork/control/ControlProcess.h"
+#include "acaciafork/control/ControlSettings.h"
--- /dev/null
+++ b/acaciafork/control/ControlProcess.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "acaciafork/consensus/Consensus.h"
+#include "acaciafork/control/ControlNode.h"
+#include "acaciafork/control/ControlSettings.h"
+#include "acaciafork/control/ControlViews.h"
+#include "acaciafork/net/Net.h"
+#include "acaciafork/operators/Operators.h"
+#include "acaciafork/platform/Platform.h"
+
+namespace acaciafork::control {
+
+/// One control member with its sockets and its data folder.
+class ControlProcess : private ControlPorts, private consensus::ReplicaHandler
+{
+public:
+    ControlProcess(net::Loop *loop, const ControlSettings &settings);
+    ~ControlProcess() override;
+    ControlProcess(const ControlProcess &) = delete;
+    ControlProcess &operator=(const ControlProcess &) = delete;
+
+    /// Opens the data folder and every socket, and starts the timers.
+    Result<void> start();
+
+    /// Hands the leadership on if it has it, then stops the loop.
+    void drain();
+
+private:
+    using Reply = peers::CallTable::Handler;
+
+    Result<consensus::LogPosition> propose(Timestamp now, std::string command) override;
+    [[nodiscard]] bool canActAsLeader(Timestamp now) const override;
+    [[nodiscard]] ProcessId leader() const override;
+    void callWorker(std::string_view address, const batch::Command &command) override;
+
+    void send(ProcessId to, std::string bytes) override;
+    void apply(const consensus::LogPosition &position, std::string_view command) override;
+    std::string makeSnapshot() override;
+    bool loadSnapshot(std::string_view bytes) override;
+    void roleChanged(consensus::Role role, ProcessId leader) override;
+    void readReady(consensus::ReadTicket ticket, bool ready) override;
+
+    [[nodiscard]] Moment moment() const;
+    [[nodiscard]] ProcessId self() const;
+    Result<void> openReplica();
+    Result<void> listenPeers();
+    Result<void> listenOperators();
+    Result<void> connectPeers();
+    void learnAddress(const wire::Envelope &envelope);
+    void onMessage(const wire::Envelope &envelope);
+    void onApiRequest(const wire::Envelope &envelope);
+    void tick();
+
+    /// Carries a call out here, or passes it to the leader.
+    void callApi(const peers::ApiCall &call, const Reply &reply);
+    void callApiAsLeader(const peers::ApiCall &call, const Reply &reply);
+    bool takeWorkerReport(const peers::ApiCall &call, const Reply &reply);
+    void proposeFor(wire::Command command, const Reply &reply);
+    void changeMembers(const operators::MemberChange &change, const Reply &reply);
+    void sendRelays();
+
+    net::Loop *m_loop;
+    ControlSettings m_settings;
+    Incarnation m_incarnation;
+    CounterRegistry m_counters;
+    Timeline m_timeline;
+    net::MessageLink m_messages;
+    platform::WorkerClient m_workers;
+    std::string m_peersAddress;
+    std::string m_operatorsAddress;
+    std::unique_ptr<peers::PeerLink> m_link;
+    std::unique_ptr<ControlNode> m_node;
+    std::unique_ptr<ControlViews> m_views;
+    std::unique_ptr<operators::OperatorApi> m_api;
+    std::unique_ptr<net::HttpServer> m_operators;
+    std::unique_ptr<consensus::PosixFolder> m_folder;
+    std::unique_ptr<consensus::Replica> m_replica;
+    peers::CallTable m_relays;
+    bool m_draining = false;
+    Counter *m_committed;
+};
+
+} // namespace acaciafork::control
--- a/acaciafork/control/ControlViews.h
+++ b/acaciafork/control/ControlViews.h
@@ -25,7 +25,10 @@
                  const Timeline *timeline, const CounterRegistry *counters);
 
     /// Sets where the state of the agreement comes from.
-    void setStatus(std::function<consensus::ReplicaStatus()> status) { m_status = std::move(status); }
+    void setStatus(std::function<consensus::ReplicaStatus()> status)
+    {
+        m_status = std::move(status);
+    }
     /// Remembers the address of a member.
     void setMemberAddress(ProcessId member, MemberAddress address);
 
--- a/acaciafork/control/PlatformRecords.cpp
+++ b/acaciafork/control/PlatformRecords.cpp
@@ -24,9 +24,8 @@
     using From = platform::TaskStatus;
     using To = batch::TaskStatus;
     /// By platform::TaskStatus.
-    static constexpr std::array statuses { To::Running, To::Running, To::Running,
-                                           To::Checkpointed, To::Stopped, To::Finished,
-                                           To::Failed };
+    static constexpr std::array statuses { To::Running, To::Running,  To::Running, To::Checkpointed,
+                                           To::Stopped, To::Finished, To::Failed };
     static_assert(statuses.size() == static_cast<std::size_t>(From::Failed) + 1);
     return statuses.at(static_cast<std::size_t>(status));
 }
@@ -52,8 +51,8 @@
     platform::WorkerCommand &add(platform::WorkerAction action, const TaskName &task,
                                  LeaseEpoch epoch) const
     {
-        return commands->emplace_back(platform::WorkerCommand {
-                .task = task, .action = action, .epoch = epoch });
+        return commands->emplace_back(
+                platform::WorkerCommand { .task = task, .action = action, .epoch = epoch });
     }
 
     static void setBasis(const batch::LeaseBasis &basis, platform::WorkerCommand *command)
@@ -65,7 +64,8 @@
 
     void operator()(const batch::StartTask &call) const
     {
-        platform::WorkerCommand &command = add(platform::WorkerAction::Start, call.task, call.epoch);
+        platform::WorkerCommand &command =
+                add(platform::WorkerAction::Start, call.task, call.epoch);
         setBasis(call.basis, &command);
         command.checkpoint = toText(call.checkpoint);
         if (const state::Task *task = machine.tasks().find(call.task.value)) {
@@ -150,8 +150,7 @@
                   .epoch = it.epoch,
                   .used = { .millicores = cutAmount(it.millicores),
                             .memoryMb = cutAmount(it.memoryMb) },
-                  .slowdownPermille
-                  = cutAmount(fullSpeedPerMille * fullSpeedPerMille / speed) });
+                  .slowdownPermille = cutAmount(fullSpeedPerMille * fullSpeedPerMille / speed) });
     }
     return converted;
 }
--- a/acaciafork/entry/EntryAttempt.cpp
+++ b/acaciafork/entry/EntryAttempt.cpp
@@ -33,8 +33,7 @@
     : m_attempt(attempt)
     , m_client(client)
     , m_owner(owner)
-{
-}
+{ }
 
 void EntryAttempt::forwardTo(std::shared_ptr<callers::CallerExchange> exchange)
 {
@@ -104,8 +103,8 @@
     m_stream = std::move(stream);
     if (m_abandoned) {
         m_stream->reset();
-        m_owner->attemptEnded(m_attempt, { .phase = phase(),
-                                           .outcome = routing::AttemptOutcome::Reset });
+        m_owner->attemptEnded(m_attempt,
+                              { .phase = phase(), .outcome = routing::AttemptOutcome::Reset });
         return;
     }
     m_owner->attemptHeaders(m_attempt, false);
@@ -153,16 +152,18 @@
     m_exchange->upgrade({}, [this](std::unique_ptr<net::TcpStream> caller) {
         if (!caller) {
             m_stream->reset();
-            m_owner->attemptEnded(m_attempt, { .phase = routing::AttemptPhase::Body,
-                                               .outcome = routing::AttemptOutcome::Reset });
+            m_owner->attemptEnded(m_attempt,
+                                  { .phase = routing::AttemptPhase::Body,
+                                    .outcome = routing::AttemptOutcome::Reset });
             return;
         }
         m_tunnel = std::make_unique<endpoints::StreamTunnel>(
                 std::move(caller), std::move(m_stream), [this](const endpoints::TunnelEnd &end) {
                     const auto outcome = end.isClean ? routing::AttemptOutcome::Ok
                                                      : routing::AttemptOutcome::Reset;
-                    m_owner->attemptEnded(m_attempt, { .phase = routing::AttemptPhase::Body,
-                                                       .outcome = outcome });
+                    m_owner->attemptEnded(
+                            m_attempt,
+                            { .phase = routing::AttemptPhase::Body, .outcome = outcome });
                 });
         m_tunnel->start();
     });
--- a/acaciafork/entry/EntryProcess.cpp
+++ b/acaciafork/entry/EntryProcess.cpp
@@ -39,8 +39,7 @@
     , m_notRun(&m_counters.counter("entry_requests_total{outcome=\"not-run\"}"))
     , m_unknown(&m_counters.counter("entry_requests_total{outcome=\"unknown\"}"))
     , m_requestsInProgress(&m_counters.counter("entry_requests_in_progress", MetricKind::Gauge))
-{
-}
+{ }
 
 EntryProcess::~EntryProcess() = default;
 
@@ -67,13 +66,16 @@
 
     // The callers' and the operators' interfaces.
     m_callers = std::make_unique<callers::CallerServer>(
-            *m_loop, callerSettings(m_settings), *this, [this] { return nextRequestId(); });
+            *m_loop, callerSettings(m_settings), static_cast<callers::CallerHandler &>(*this),
+            [this] { return nextRequestId(); });
     BOOST_LEAF_AUTO(callersAddress, net::parseAddress(m_settings.listenCallers));
     BOOST_LEAF_ASSIGN(callersAddress.port, m_callers->listen(callersAddress));
     m_callersPort = callersAddress.port;
     m_operators = std::make_unique<net::HttpServer>(
             *m_loop, net::HttpServerSettings {},
-            [this](const std::shared_ptr<net::HttpExchange> &exchange) { answerOperator(exchange); });
+            [this](const std::shared_ptr<net::HttpExchange> &exchange) {
+                answerOperator(exchange);
+            });
     BOOST_LEAF_AUTO(operatorsAddress, net::parseAddress(m_settings.listenOperators));
     BOOST_LEAF_ASSIGN(operatorsAddress.port, m_operators->listen(operatorsAddress));
 
@@ -81,13 +83,13 @@
                                      .callersAddress = callersAddress.toString(),
                                      .operatorsAddress = operatorsAddress.toString(),
                                      .config = { .lease = m_settings.configLease,
-                                                 .serveWithoutControl
-                                                 = m_settings.serveWithoutControl },
+                                                 .serveWithoutControl =
+                                                         m_settings.serveWithoutControl },
                                      .seed = m_incarnation.value };
     for (const peers::PeerAddress &it : m_settings.members)
         nodeSettings.controlMembers.push_back(it.process);
-    m_node = std::make_unique<EntryNode>(std::move(nodeSettings), m_link.get(), this, &m_timeline,
-                                         &m_counters);
+    m_node = std::make_unique<EntryNode>(std::move(nodeSettings), m_link.get(),
+                                         static_cast<EntryPorts *>(this), &m_timeline, &m_counters);
     BOOST_LEAF_CHECK(connectPeers());
     m_loop->every(tickInterval, [this] {
         m_node->tick(moment());
@@ -231,20 +233,21 @@
 
 void EntryProcess::relay(const std::shared_ptr<net::HttpExchange> &exchange)
 {
-    m_node->apiCall(moment(),
-                    { .method = std::string(exchange->method()),
-                      .path = std::string(exchange->target()),
-                      .token = std::string(operators::bearerToken(exchange->header("authorization"))),
-                      .body = std::string(exchange->body()) },
-                    [exchange](const peers::ApiAnswer &answer) {
-                        exchange->answerJson(answer.status, answer.body);
-                    });
+    m_node->apiCall(
+            moment(),
+            { .method = std::string(exchange->method()),
+              .path = std::string(exchange->target()),
+              .token = std::string(operators::bearerToken(exchange->header("authorization"))),
+              .body = std::string(exchange->body()) },
+            [exchange](const peers::ApiAnswer &answer) {
+                exchange->answerJson(answer.status, answer.body);
+            });
 }
 
 void EntryProcess::answerOperator(const std::shared_ptr<net::HttpExchange> &exchange)
 {
-    const std::string digest
-            = operators::tokenDigest(operators::bearerToken(exchange->header("authorization")));
+    const std::string digest =
+            operators::tokenDigest(operators::bearerToken(exchange->header("authorization")));
     if (!operators::equalDigests(digest, m_tokenDigest)) {
         exchange->answerFailure(FailureKind::Unauthorized, "the operators' token is needed");
         return;
@@ -255,7 +258,8 @@
     else if (exchange->method() == "GET" && exchange->target() == "/acaciafork/v1/counters")
         reply = operators::countersReply(m_counters);
     else
-        reply = operators::errorReply({ FailureKind::NotFound, "an entry serves timeline and counters" });
+        reply = operators::errorReply(
+                { FailureKind::NotFound, "an entry serves timeline and counters" });
     exchange->answerJson(reply.status, reply.body);
 }
 
@@ -275,7 +279,8 @@
                 return {};
             },
             [] {});
-    auto attempt = std::make_unique<EntryAttempt>(id, &m_endpoints, this);
+    auto attempt = std::make_unique<EntryAttempt>(id, &m_endpoints,
+                                                  static_cast<EntryAttemptOwner *>(this));
     EntryAttempt *sink = attempt.get();
     const Duration timeLeft = std::max(command.deadline - net::Loop::now(), Duration { 1 });
     m_attempts[id] = { .attempt = std::move(attempt),
@@ -298,9 +303,9 @@
     const auto it = m_attempts.find(attempt);
     if (it == m_attempts.end() || it->second.attempt->upgraded())
         return;
-    m_node->attemptEnded(moment(), attempt,
-                         { .phase = it->second.attempt->phase(),
-                           .outcome = routing::AttemptOutcome::Timeout });
+    m_node->attemptEnded(
+            moment(), attempt,
+            { .phase = it->second.attempt->phase(), .outcome = routing::AttemptOutcome::Timeout });
     const auto late = m_attempts.find(attempt);
     if (late != m_attempts.end())
         late->second.attempt->abandon();
@@ -336,8 +341,7 @@
     if (node.mapped().exchange->isBegun())
         node.mapped().exchange->abort();
     else
-        node.mapped().exchange->answerUnknown(command.kind,
-                                              refusalReasonName(command.reason));
+        node.mapped().exchange->answerUnknown(command.kind, refusalReasonName(command.reason));
 }
 
 void EntryProcess::forwardToPeer(const routing::ForwardToPeer &command, std::string_view address)
@@ -417,7 +421,9 @@
                         });
                 return {};
             },
-            [&] { m_loop->post([this, endpoint] { m_node->probeEnded(moment(), endpoint, false); }); });
+            [&] {
+                m_loop->post([this, endpoint] { m_node->probeEnded(moment(), endpoint, false); });
+            });
 }
 
 // ---- what the attempts tell
--- a/acaciafork/entry/PeerForward.cpp
+++ b/acaciafork/entry/PeerForward.cpp
@@ -5,15 +5,14 @@
 PeerForward::PeerForward(std::shared_ptr<callers::CallerExchange> exchange, Ended ended)
     : m_exchange(std::move(exchange))
     , m_ended(std::move(ended))
-{
-}
+{ }
 
 void PeerForward::start(net::HttpClient *client, const net::Address &address,
                         const callers::CallerRequest &request, Duration timeout)
 {
     std::vector<net::Header> headers;
-    const std::string timeoutText
-            = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+    const std::string timeoutText =
+            std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
     for (const net::Header &it : request.headers) {
         const bool replaced = net::isHopHeader(it.name)
                 || net::sameHeaderName(it.name, "acaciafork-timeout-ms")
--- a/acaciafork/entry/RequestDigest.cpp
+++ b/acaciafork/entry/RequestDigest.cpp
@@ -24,9 +24,8 @@
         path.remove_prefix(1);
         const std::string_view segment = path.substr(0, path.find('/'));
         path.remove_prefix(segment.size());
-        const bool namesOne = std::any_of(segment.begin(), segment.end(), [](unsigned char c) {
-            return std::isdigit(c) != 0;
-        });
+        const bool namesOne = std::any_of(segment.begin(), segment.end(),
+                                          [](unsigned char c) { return std::isdigit(c) != 0; });
         value = hash(namesOne ? "*" : segment, value);
     }
     return value;
--- a/acaciafork/platform/WorkerCommand.cpp
+++ b/acaciafork/platform/WorkerCommand.cpp
@@ -38,10 +38,10 @@
     it.epoch = { static_cast<std::uint64_t>(reader.number("epoch", 1, INT64_MAX)) };
     it.leaseDuration =
             std::chrono::milliseconds(reader.optionalNumber("leaseMs", 0, mostLeaseMs, 0));
-    it.incarnation
-            = { static_cast<std::uint64_t>(reader.optionalNumber("incarnation", 0, INT64_MAX, 0)) };
-    it.reportSequence
-            = static_cast<std::uint64_t>(reader.optionalNumber("reportSequence", 0, INT64_MAX, 0));
+    it.incarnation = { static_cast<std::uint64_t>(
+            reader.optionalNumber("incarnation", 0, INT64_MAX, 0)) };
+    it.reportSequence =
+            static_cast<std::uint64_t>(reader.optionalNumber("reportSequence", 0, INT64_MAX, 0));
     it.perMille = reader.optionalNumber("perMille", 0, mostPerMille, mostPerMille);
     it.release = reader.optionalNumber("release", 0, 1, 0) == 1;
     it.payload = reader.optionalText("payload", mostPayloadBytes);
--- /dev/null
+++ b/daemons/control/main.cpp
@@ -0,0 +1,36 @@
+#include <csignal>
+
+#include "acaciafork/control/Control.h"
+#include "daemons/common/CommandLine.h"
+
+using namespace acaciafork;
+
+namespace {
+
+Result<void> runControl(const CommandLine &commandLine)
+{
+    BOOST_LEAF_AUTO(ini, readFile(commandLine.settingsFile));
+    BOOST_LEAF_AUTO(settings, control::readControlSettings(ini, commandLine.settingsFile));
+    if (commandLine.checkSettings)
+        return {};
+
+    initLogging({ .json = settings.logFormat == "json", .level = settings.logLevel },
+                "acaciafork-control", ProcessId { static_cast<std::uint32_t>(settings.id) });
+    net::Loop loop;
+    control::ControlProcess process(&loop, settings);
+    BOOST_LEAF_CHECK(process.start());
+    loop.onSignal([&process](int) { process.drain(); });
+    loop.run();
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runDaemon({ .name = "acaciafork-control",
+                       .purpose = "holds the agreed state, hands out credits, leases and plans",
+                       .settingsHelp = describeFields(control::controlFields()),
+                       .run = runControl },
+                     argc, argv);
+}
