--- a/acaciafork/callers/CallerRequest.cpp
+++ b/acaciafork/callers/CallerRequest.cpp
@@ -117,10 +117,14 @@
     request.method = exchange.method();
     request.headers = exchange.headers();
     request.body = exchange.body();
-    BOOST_LEAF_CHECK(parsePath(exchange, settings, &request));
-    BOOST_LEAF_CHECK(parseIdempotency(exchange, settings, &request));
-    BOOST_LEAF_CHECK(parseTimeout(exchange, settings, &request));
-    BOOST_LEAF_CHECK(parseClass(exchange, &request));
+    if (auto ok = parsePath(exchange, settings, &request); !ok)
+        return ok.error();
+    if (auto ok = parseIdempotency(exchange, settings, &request); !ok)
+        return ok.error();
+    if (auto ok = parseTimeout(exchange, settings, &request); !ok)
+        return ok.error();
+    if (auto ok = parseClass(exchange, &request); !ok)
+        return ok.error();
     return request;
 }
 
--- a/acaciafork/endpoints/Announcement.cpp
+++ b/acaciafork/endpoints/Announcement.cpp
@@ -33,7 +33,8 @@
     it.inProgress = static_cast<std::uint32_t>(reader.number("inProgress", 0, mostSlots));
     it.state = reader.choice("state", { "ready", "leaving" }) == 0 ? EndpointState::Ready
                                                                    : EndpointState::Leaving;
-    BOOST_LEAF_CHECK(reader.check());
+    if (auto ok = reader.check(); !ok)
+        return ok.error();
     return it;
 }
 
--- a/acaciafork/endpoints/StreamTunnel.cpp
+++ b/acaciafork/endpoints/StreamTunnel.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Bytes that wait for a slow side before the other one is read no further.
-constexpr std::size_t mostBacklogBytes = 256 * 1024;
+constexpr std::size_t mostBacklogBytes = 256UL * 1024;
 
 } // namespace
 
--- a/acaciafork/net/HttpServer.cpp
+++ b/acaciafork/net/HttpServer.cpp
@@ -1,13 +1,9 @@
 #include "acaciafork/net/HttpServer.h"
 
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
-
-#include <cerrno>
-#include <cstring>
 
 #include "acaciafork/net/HttpServerImpl.h"
+#include "acaciafork/net/TcpListener.h"
 
 namespace acaciafork::net {
 
@@ -124,27 +120,12 @@
 
 Result<std::uint16_t> HttpServer::Impl::listen(const Address &address)
 {
-    sockaddr_storage storage;
-    const auto length = toSocketAddress(address, &storage);
-    if (length == 0)
-        return fail(FailureKind::InvalidArgument, "not an IP number: " + address.host);
-
-    const int fd = ::socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    const int on = 1;
-    auto *bytes = reinterpret_cast<sockaddr *>(&storage);
-    socklen_t boundLength = sizeof(storage);
-    if (fd < 0 || ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0
-        || ::bind(fd, bytes, length) != 0 || ::listen(fd, SOMAXCONN) != 0
-        || ::getsockname(fd, bytes, &boundLength) != 0) {
-        const std::string reason = std::strerror(errno);
-        ::close(fd);
-        return fail(FailureKind::Unreachable,
-                    "cannot listen on " + address.toString() + ": " + reason);
-    }
+    std::uint16_t port = 0;
+    BOOST_LEAF_AUTO(fd, openListeningSocket(address, &port));
     m_listener = h2o_evloop_socket_create(loop.native(), fd, H2O_SOCKET_FLAG_DONT_READ);
     m_listener->data = this;
     h2o_socket_read_start(m_listener, handleReadable);
-    return fromSocketAddress(bytes).port;
+    return port;
 }
 
 void HttpServer::Impl::handleReadable(h2o_socket_t *listener, const char *error)
--- a/acaciafork/net/Net.h
+++ b/acaciafork/net/Net.h
@@ -12,4 +12,5 @@
 #include "acaciafork/net/JsonReader.h"
 #include "acaciafork/net/Loop.h"
 #include "acaciafork/net/MessageLink.h"
+#include "acaciafork/net/TcpListener.h"
 #include "acaciafork/net/TcpStream.h"
--- a/acaciafork/platform/WorkerCommand.cpp
+++ b/acaciafork/platform/WorkerCommand.cpp
@@ -39,7 +39,8 @@
             std::chrono::milliseconds(reader.optionalNumber("leaseMs", 0, mostLeaseMs, 0));
     it.payload = reader.optionalText("payload", mostPayloadBytes);
     it.checkpoint = reader.optionalText("checkpoint");
-    BOOST_LEAF_CHECK(reader.check());
+    if (auto ok = reader.check(); !ok)
+        return ok.error();
     return it;
 }
 
--- a/acaciafork/platform/WorkerReport.cpp
+++ b/acaciafork/platform/WorkerReport.cpp
@@ -37,7 +37,8 @@
                           { statusNames[0], statusNames[1], statusNames[2], statusNames[3],
                             statusNames[4], statusNames[5], statusNames[6] }));
     it.checkpoint = reader.optionalText("checkpoint", mostCheckpointBytes);
-    BOOST_LEAF_CHECK(reader.check());
+    if (auto ok = reader.check(); !ok)
+        return ok.error();
     return it;
 }
 
@@ -58,7 +59,8 @@
     it.millicores = reader.number("millicores", 0, mostMillicores);
     it.memoryMb = reader.number("memoryMb", 0, mostMemoryMb);
     it.speedPerMille = reader.optionalNumber("speedPerMille", 0, 1'000'000, 1'000);
-    BOOST_LEAF_CHECK(reader.check());
+    if (auto ok = reader.check(); !ok)
+        return ok.error();
     return it;
 }
 
@@ -107,7 +109,8 @@
     it.accelerators = reader.optionalNumber("accelerators", 0, mostAccelerators, 0);
     it.address = reader.address("address");
     BOOST_LEAF_ASSIGN(it.tasks, decodeTasks<TaskReport>(reader, decodeTask));
-    BOOST_LEAF_CHECK(reader.check());
+    if (auto ok = reader.check(); !ok)
+        return ok.error();
     return it;
 }
 
@@ -133,7 +136,8 @@
     it.lag = std::chrono::milliseconds(reader.number("lagMs", 0, mostLagMs));
     it.window = std::chrono::milliseconds(reader.number("windowMs", 1, mostLagMs));
     BOOST_LEAF_ASSIGN(it.tasks, decodeTasks<TaskUsage>(reader, decodeTaskUsage));
-    BOOST_LEAF_CHECK(reader.check());
+    if (auto ok = reader.check(); !ok)
+        return ok.error();
     return it;
 }
 
--- a/tests/net/NetFixtures.h
+++ b/tests/net/NetFixtures.h
@@ -72,9 +72,6 @@
     using Script = std::function<void(TcpStream &, const std::string &)>;
 
     RawServer(Loop &loop, Script script);
-    ~RawServer();
-    RawServer(const RawServer &) = delete;
-    RawServer &operator=(const RawServer &) = delete;
 
     /// Where it listens.
     [[nodiscard]] Address address() const { return { .host = "127.0.0.1", .port = m_port }; }
@@ -83,14 +80,12 @@
     [[nodiscard]] std::size_t accepted() const { return m_streams.size(); }
 
 private:
-    void accept();
+    void accept(std::unique_ptr<TcpStream> accepted);
 
-    Loop &m_loop;
     Script m_script;
-    int m_fd;
     std::uint16_t m_port = 0;
-    WatchId m_watch;
     std::vector<std::unique_ptr<TcpStream>> m_streams;
+    TcpListener m_listener;
 };
 
 /// Sink that keeps all that a call shows.
