--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -159,7 +159,7 @@
                     settings.announcement.zone = m_report.zone;
                     settings.announcement.rack = m_report.rack;
                     task.endpoint = std::make_unique<StandinEndpoint>(m_loop, m_reporter, settings);
-                    if (const auto ok =
+                    if (auto ok =
                                 task.endpoint->start({ .host = m_report.address.host, .port = 0 });
                         !ok)
                         return ok.error();
