--- a/acaciafork/platform/WorkerCommand.cpp
+++ b/acaciafork/platform/WorkerCommand.cpp
@@ -46,7 +46,8 @@
     it.release = reader.optionalNumber("release", 0, 1, 0) == 1;
     it.payload = reader.optionalText("payload", mostPayloadBytes);
     it.checkpoint = reader.optionalText("checkpoint");
-    BOOST_LEAF_CHECK(reader.check());
+    if (auto ok = reader.check(); !ok)
+        return ok.error();
     return it;
 }
 
