Learn sizes and disturbance, judge health, make room for urgent work

Cause: declared sizes are far from the truth, neighbours disturb services, workers and jobs fail, and urgent work must start within seconds. Change: quantile sketches by family; pairwise slowdown learned from late use by who ran together at the reported time; throttle, then checkpoint, within an eviction budget; quarantine with probes; refusal with the reason; preemption at the least cost; workers kept clear for starved tasks.

--- a/acaciafork/decisions/batch/Fleet.cpp
+++ b/acaciafork/decisions/batch/Fleet.cpp
@@ -59,10 +59,33 @@
     return position < it.tasks.size() ? last : noIndex;
 }
 
+UnschedulableReason Fleet::whyNeverFits(const Resources &size) const
+{
+    // Workers that are silent now may come back, so all that ever reported count.
+    Resources most;
+    bool fits = false;
+    for (const Worker &it : m_workers) {
+        if (it.rack == noIndex || m_racks[it.rack].record.state == RackState::Retired)
+            continue;
+        most = largest(most, it.room);
+        fits = fits || size.fitsIn(it.room);
+    }
+    if (fits || most == Resources {})
+        return UnschedulableReason::None;
+    if (size.millicores > most.millicores)
+        return UnschedulableReason::TooManyCores;
+    if (size.memoryMb > most.memoryMb)
+        return UnschedulableReason::TooMuchMemory;
+    if (size.accelerators > most.accelerators)
+        return UnschedulableReason::TooManyAccelerators;
+    return UnschedulableReason::NoSuchShape;
+}
+
 bool Fleet::eligible(Index worker) const
 {
     const Worker &it = m_workers[worker];
-    return it.present && !it.quarantined && it.rack != noIndex && !m_racks[it.rack].draining();
+    return it.present && !it.quarantined && it.reservedFor == noIndex && it.rack != noIndex
+            && !m_racks[it.rack].draining();
 }
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/Fleet.h
+++ b/acaciafork/decisions/batch/Fleet.h
@@ -7,6 +7,14 @@
 
 namespace acaciafork::batch {
 
+/// Task that ran at a worker, between two of its reports.
+struct PastRun
+{
+    Index family = noIndex;
+    std::uint64_t firstSeq = 0;
+    std::uint64_t lastSeq = 0;
+};
+
 /// One worker of the platform.
 struct Worker
 {
@@ -21,6 +29,27 @@
     Resources granted;
     /// Tasks that take room here.
     std::vector<Index> tasks;
+    /// Tasks that ended a short while ago in this incarnation, for use that is reported late.
+    std::vector<PastRun> pastRuns;
+    /// Numbers of the latest usage reports taken, so that repeats are dropped.
+    std::vector<std::uint64_t> usageSeen;
+    /// Smoothed worst latency of its services over that of running alone, less one.
+    float pressure = 0;
+    /// Usage reports in a row above the upper and below the lower bound of pressure.
+    std::uint16_t pressedReports = 0;
+    std::uint16_t calmReports = 0;
+    /// Tasks of it that are throttled.
+    std::uint16_t throttledTasks = 0;
+    /// Latest step against pressure, or latest lifting of one.
+    Timestamp pressureActedAt {};
+
+    /// Different jobs in a row that failed here and are not known to fail elsewhere.
+    std::vector<Index> failedStreak;
+    /// When quarantined: the next probe, the wait before it, and the task that probes.
+    Timestamp probeDueAt {};
+    Duration probeBackoff {};
+    Index probeTask = noIndex;
+
     /// Reported to this leader, and not silent for too long.
     bool present = false;
     /// Takes no new work until a probe succeeds.
@@ -93,6 +122,8 @@
     [[nodiscard]] Index zoneCount() const { return static_cast<Index>(m_zones.size()); }
     [[nodiscard]] Index rackCount() const { return static_cast<Index>(m_racks.size()); }
 
+    /// Why no worker that stays could ever hold `size`; None when one could, or none is known yet.
+    [[nodiscard]] UnschedulableReason whyNeverFits(const Resources &size) const;
     /// True when the worker may be given new work.
     [[nodiscard]] bool eligible(Index worker) const;
 
--- a/acaciafork/decisions/batch/Model.cpp
+++ b/acaciafork/decisions/batch/Model.cpp
@@ -4,6 +4,8 @@
 
 Model::Model(const SchedulerSettings &schedulerSettings)
     : settings(schedulerSettings)
+    , sizes(schedulerSettings.size)
+    , interference(schedulerSettings.interference)
 { }
 
 void Model::takeRoom(Index task, Index worker, const Resources &granted)
@@ -26,11 +28,28 @@
         tasks[moved].workerPosition = it.workerPosition;
     teams[it.team].used -= it.granted;
     const Index worker = it.worker;
+    rememberRun(it);
     it.worker = noIndex;
     it.workerPosition = noIndex;
     index.refresh(worker);
 }
 
+void Model::rememberRun(const Task &task)
+{
+    Worker &worker = fleet.worker(task.worker);
+    if (task.throttlePermille < throttleNone)
+        --worker.throttledTasks;
+    if (task.firstSeq == 0 || task.incarnation != worker.incarnation)
+        return;
+
+    // Use is reported late, but not later than this many reports.
+    constexpr std::uint64_t rememberedReports = 64;
+    std::erase_if(worker.pastRuns,
+                  [&](const PastRun &it) { return it.lastSeq + rememberedReports < worker.seq; });
+    worker.pastRuns.push_back(
+            { .family = task.family, .firstSeq = task.firstSeq, .lastSeq = task.lastSeq });
+}
+
 void Model::enqueue(Index task, bool atFront)
 {
     Task &it = tasks[task];
@@ -49,8 +68,13 @@
 
 Resources Model::sizeFor(const Task &task) const
 {
-    Resources size = task.declared;
-    size.slots = std::max(size.slots, 1);
+    if (task.isService()) {
+        Resources size = task.declared;
+        size.slots = std::max(size.slots, 1);
+        return size;
+    }
+    Resources size = sizes.size(task.family, task.declared);
+    size.memoryMb = std::max(size.memoryMb, task.memoryFloorMb);
     return size;
 }
 
--- a/acaciafork/decisions/batch/Model.h
+++ b/acaciafork/decisions/batch/Model.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "acaciafork/decisions/batch/Fleet.h"
+#include "acaciafork/decisions/batch/InterferenceModel.h"
 #include "acaciafork/decisions/batch/Outbox.h"
 #include "acaciafork/decisions/batch/PlacementIndex.h"
 #include "acaciafork/decisions/batch/SchedulerCounters.h"
 #include "acaciafork/decisions/batch/Settings.h"
+#include "acaciafork/decisions/batch/SizeEstimator.h"
 #include "acaciafork/decisions/batch/TaskTable.h"
 #include "acaciafork/decisions/batch/TeamTable.h"
 #include "acaciafork/decisions/batch/WaitingQueue.h"
@@ -22,6 +24,8 @@
     void takeRoom(Index task, Index worker, const Resources &granted);
     /// Gives a task's room back.
     void freeRoom(Index task);
+    /// Keeps that a task ran at its worker, for use that is reported late.
+    void rememberRun(const Task &task);
     /// Puts a task that has no lease into the queue.
     void enqueue(Index task, bool atFront);
     /// Size to grant to a task at its next lease.
@@ -47,6 +51,8 @@
     /// Tasks of each service, idle ones among them.
     std::vector<std::vector<Index>> serviceTasks;
     WaitingQueue queue { &tasks };
+    SizeEstimator sizes;
+    InterferenceModel interference;
     Outbox outbox;
     SchedulerCounters counters;
 };
--- a/acaciafork/decisions/batch/PlacementRound.cpp
+++ b/acaciafork/decisions/batch/PlacementRound.cpp
@@ -2,10 +2,12 @@
 
 namespace acaciafork::batch {
 
-PlacementRound::PlacementRound(Model *model, Placer *placer, TaskLifecycle *lifecycle)
+PlacementRound::PlacementRound(Model *model, Placer *placer, TaskLifecycle *lifecycle,
+                               HealthJudge *health)
     : m_model(model)
     , m_placer(placer)
     , m_lifecycle(lifecycle)
+    , m_health(health)
 { }
 
 void PlacementRound::run()
@@ -89,12 +91,32 @@
     const Index index = line->tasks.front().first;
     const Resources size = m_model->sizeFor(m_model->tasks[index]);
 
+    // A worker that is kept clear for the task takes it as soon as it can.
+    if (const Index reserved = m_model->tasks[index].reserved; reserved != noIndex) {
+        const Worker &worker = m_model->fleet.worker(reserved);
+        const bool ready = worker.reservedFor == index && worker.present && !worker.quarantined
+                && !m_model->fleet.rack(worker.rack).draining();
+        if (ready && size.fitsIn(worker.freeRoom())) {
+            m_lifecycle->lease(index, reserved);
+            --m_budget;
+            return;
+        }
+    }
+
     // What can't be placed now holds up its own line for this round, no other.
     if (knownNotToFit(size) || !m_model->teams.withinQuota(team, size)) {
         line->blockedInRound = m_round;
         return;
     }
+    if (const Index probe = m_health->probeFor(m_model->tasks[index], size); probe != noIndex) {
+        m_lifecycle->lease(index, probe);
+        m_health->onProbe(probe, index);
+        --m_budget;
+        return;
+    }
     const Placement placement = m_placer->choose(index, size);
+    if (!placement.anyRoom && refuseImpossible(index, size))
+        return;
     if (placement.worker == noIndex) {
         line->blockedInRound = m_round;
         if (!placement.anyRoom)
@@ -106,6 +128,20 @@
     --m_budget;
 }
 
+bool PlacementRound::refuseImpossible(Index index, const Resources &size)
+{
+    // Workers get some time to report first, to a new leader as well.
+    const Task &task = m_model->tasks[index];
+    const bool early = m_model->now - task.queuedAt < m_model->settings.health.unschedulableAfter;
+    if (task.isService() || early)
+        return false;
+    const UnschedulableReason reason = m_model->fleet.whyNeverFits(size);
+    if (reason == UnschedulableReason::None)
+        return false;
+    m_lifecycle->refuse(index, reason);
+    return true;
+}
+
 bool PlacementRound::knownNotToFit(const Resources &size) const
 {
     return std::any_of(m_noRoomFor.begin(), m_noRoomFor.end(),
--- a/acaciafork/decisions/batch/PlacementRound.h
+++ b/acaciafork/decisions/batch/PlacementRound.h
@@ -12,7 +12,7 @@
 class PlacementRound
 {
 public:
-    PlacementRound(Model *model, Placer *placer, TaskLifecycle *lifecycle);
+    PlacementRound(Model *model, Placer *placer, TaskLifecycle *lifecycle, HealthJudge *health);
 
     /// Proposes leases, a bounded number.
     void run();
@@ -24,11 +24,14 @@
     /// Line of the team whose head goes next, or nullptr.
     WaitingQueue::Line *nextLine(QueueClass queueClass, Index team);
     void place(QueueClass queueClass, Index team);
+    /// Ends the task if no worker of the fleet could ever hold it.
+    bool refuseImpossible(Index task, const Resources &size);
     [[nodiscard]] bool knownNotToFit(const Resources &size) const;
 
     Model *m_model;
     Placer *m_placer;
     TaskLifecycle *m_lifecycle;
+    HealthJudge *m_health;
     /// Leases that may still be proposed in this round.
     std::int32_t m_budget = 0;
     std::uint64_t m_round = 0;
--- a/acaciafork/decisions/batch/Placer.cpp
+++ b/acaciafork/decisions/batch/Placer.cpp
@@ -4,6 +4,13 @@
 
 namespace acaciafork::batch {
 
+namespace {
+
+/// Cost of a place that is not taken.
+constexpr double unacceptable = 1e9;
+
+} // namespace
+
 Placer::Placer(Model *model)
     : m_model(model)
 { }
@@ -19,11 +26,15 @@
     Placement best;
     double bestCost = 0;
     std::int32_t left = m_model->settings.tick.candidatesPerPlacement;
+    constexpr std::int32_t searchesPerCandidate = 8;
+    std::int32_t searches = left * searchesPerCandidate;
     m_model->index.forEachFitting(size, [&](Index worker) {
         best.anyRoom = true;
         if (starvesAccelerators(m_model->fleet.worker(worker), size))
             return true;
         const double cost = jobCost(task, size, worker);
+        if (cost >= unacceptable)
+            return --searches > 0;
         if (best.worker == noIndex || cost < bestCost) {
             best.worker = worker;
             bestCost = cost;
@@ -57,9 +68,67 @@
     return best;
 }
 
-double Placer::jobCost(const Task & /*task*/, const Resources &size, Index worker) const
+double Placer::jobCost(const Task &task, const Resources &size, Index worker) const
+{
+    // Where the job failed before it does not go again; what a service would feel it does not do
+    // knowingly.
+    if (failedAt(task, worker))
+        return unacceptable;
+    const Harm added = harm(task, size, worker);
+    constexpr double permilleWhole = 1000;
+    const double limit =
+            static_cast<double>(m_model->settings.pressure.placementLimitPermille) / permilleWhole;
+    if (added.toServices > limit)
+        return unacceptable;
+    constexpr double serviceWeight = 10;
+    constexpr double jobWeight = 2;
+    return leftover(m_model->fleet.worker(worker), size) + serviceWeight * added.toServices
+            + jobWeight * added.toJobs;
+}
+
+Placer::Harm Placer::harm(const Task &task, const Resources &size, Index index) const
+{
+    const Worker &worker = m_model->fleet.worker(index);
+    const InterferenceModel &model = m_model->interference;
+    const Index level = InterferenceModel::levelOf(worker.granted.millicores + size.millicores,
+                                                   worker.room.millicores);
+    Harm sum;
+    double suffered = 0;
+    for (const Index neighbour : worker.tasks) {
+        const Task &it = m_model->tasks[neighbour];
+        const double caused = model.expected(it.family, task.family, level);
+        (it.isService() ? sum.toServices : sum.toJobs) += caused;
+        suffered += model.expected(task.family, it.family, level);
+    }
+    if (sum.toServices > 0)
+        sum.toServices = std::max(sum.toServices, worstService(task, worker, level));
+    sum.toJobs += suffered;
+    return sum;
+}
+
+double Placer::worstService(const Task &task, const Worker &worker, Index level) const
+{
+    // A service feels all its neighbours together, so those already there count with the new one.
+    const InterferenceModel &model = m_model->interference;
+    double worst = 0;
+    for (const Index victim : worker.tasks) {
+        const Task &service = m_model->tasks[victim];
+        if (!service.isService())
+            continue;
+        double felt = model.expected(service.family, task.family, level);
+        for (const Index neighbour : worker.tasks) {
+            if (neighbour != victim)
+                felt += model.expected(service.family, m_model->tasks[neighbour].family, level);
+        }
+        worst = std::max(worst, felt);
+    }
+    return worst;
+}
+
+bool Placer::failedAt(const Task &task, Index worker)
 {
-    return leftover(m_model->fleet.worker(worker), size);
+    return std::find(task.failedWorkers.begin(), task.failedWorkers.end(), worker)
+            != task.failedWorkers.end();
 }
 
 double Placer::leftover(const Worker &worker, const Resources &size)
--- a/acaciafork/decisions/batch/Placer.h
+++ b/acaciafork/decisions/batch/Placer.h
@@ -27,6 +27,15 @@
     Placement chooseForService(const Task &task, const Resources &size);
     /// Cost of a place; lower is better, negative infinity is never reached.
     [[nodiscard]] double jobCost(const Task &task, const Resources &size, Index worker) const;
+    /// Slowdown that the task would add at the worker: to services, and to jobs and itself.
+    struct Harm
+    {
+        double toServices = 0;
+        double toJobs = 0;
+    };
+    [[nodiscard]] Harm harm(const Task &task, const Resources &size, Index worker) const;
+    [[nodiscard]] double worstService(const Task &task, const Worker &worker, Index level) const;
+    [[nodiscard]] static bool failedAt(const Task &task, Index worker);
     /// Room left over and how unevenly, from 0 (full) to 1.
     [[nodiscard]] static double leftover(const Worker &worker, const Resources &size);
     /// True when the task would take cores that the worker's free accelerators need.
--- /dev/null
+++ b/acaciafork/decisions/batch/PressureControl.cpp
@@ -0,0 +1,142 @@
+#include "acaciafork/decisions/batch/PressureControl.h"
+
+namespace acaciafork::batch {
+
+namespace {
+
+constexpr double permilleWhole = 1000;
+/// The throttle goes down to this part before the task is moved away.
+constexpr std::int16_t leastThrottle = 250;
+constexpr std::int16_t throttleStep = 2;
+
+} // namespace
+
+PressureControl::PressureControl(Model *model, TaskLifecycle *lifecycle)
+    : m_model(model)
+    , m_lifecycle(lifecycle)
+    , m_evictions(static_cast<double>(model->settings.pressure.evictionBurst))
+{ }
+
+void PressureControl::onUsage(Index index, const UsageReport &report)
+{
+    const PressureSettings &settings = m_model->settings.pressure;
+    Worker &worker = m_model->fleet.worker(index);
+    updatePressure(&worker, worstPressure(report));
+
+    // Measurements are late: after a step, what arrives still tells of the time before it.
+    if (m_model->now - worker.pressureActedAt < settings.stepInterval)
+        return;
+    if (worker.pressedReports >= settings.reportsToAct)
+        holdBack(index);
+    else if (worker.throttledTasks > 0 && worker.calmReports >= settings.reportsToRelease)
+        letGo(index);
+}
+
+double PressureControl::worstPressure(const UsageReport &report) const
+{
+    double worst = 0;
+    for (const TaskUsage &it : report.tasks)
+        worst = std::max(worst, (it.latencyPermille - permilleWhole) / permilleWhole);
+    return worst;
+}
+
+void PressureControl::updatePressure(Worker *worker, double pressure) const
+{
+    constexpr float weight = 0.4F;
+    worker->pressure += weight * (static_cast<float>(pressure) - worker->pressure);
+    const PressureSettings &settings = m_model->settings.pressure;
+    const double smoothed = worker->pressure * permilleWhole;
+    const bool pressed = smoothed > static_cast<double>(settings.upperPermille);
+    const bool calm = smoothed < static_cast<double>(settings.lowerPermille);
+    constexpr std::uint16_t most = 1000;
+    worker->pressedReports =
+            pressed ? std::min<std::uint16_t>(worker->pressedReports + 1, most) : 0;
+    worker->calmReports = calm ? std::min<std::uint16_t>(worker->calmReports + 1, most) : 0;
+}
+
+Index PressureControl::worstJob(Index index) const
+{
+    const Worker &worker = m_model->fleet.worker(index);
+    const Index level =
+            InterferenceModel::levelOf(worker.granted.millicores, worker.room.millicores);
+    Index worst = noIndex;
+    double worstHarm = 0;
+    for (const Index job : worker.tasks) {
+        const Task &task = m_model->tasks[job];
+        if (task.isService() || task.phase != TaskPhase::Running || task.intent != TaskIntent::Run)
+            continue;
+        double harm = 0;
+        for (const Index victim : worker.tasks) {
+            if (m_model->tasks[victim].isService())
+                harm += m_model->interference.expected(m_model->tasks[victim].family, task.family,
+                                                       level);
+        }
+        harm *= task.throttlePermille / permilleWhole;
+        if (harm > worstHarm) {
+            worst = job;
+            worstHarm = harm;
+        }
+    }
+    return worst;
+}
+
+void PressureControl::holdBack(Index index)
+{
+    const Index job = worstJob(index);
+    if (job == noIndex)
+        return;
+    Worker &worker = m_model->fleet.worker(index);
+    const Task &task = m_model->tasks[job];
+    if (task.throttlePermille > leastThrottle)
+        throttle(job, static_cast<std::int16_t>(task.throttlePermille / throttleStep));
+    else if (takeEviction())
+        m_lifecycle->evict(job, m_model->settings.lease.checkpointTimeout);
+    worker.pressureActedAt = m_model->now;
+    worker.pressedReports = 0;
+}
+
+void PressureControl::letGo(Index index)
+{
+    Worker &worker = m_model->fleet.worker(index);
+    for (const Index job : worker.tasks) {
+        const Task &task = m_model->tasks[job];
+        if (task.throttlePermille == throttleNone)
+            continue;
+        throttle(job, static_cast<std::int16_t>(task.throttlePermille * throttleStep));
+        break;
+    }
+    worker.pressureActedAt = m_model->now;
+    worker.calmReports = 0;
+}
+
+void PressureControl::throttle(Index job, std::int16_t permille)
+{
+    Task &task = m_model->tasks[job];
+    Worker &worker = m_model->fleet.worker(task.worker);
+    const bool wasThrottled = task.throttlePermille < throttleNone;
+    const bool isThrottled = permille < throttleNone;
+    worker.throttledTasks += (isThrottled ? 1 : 0) - (wasThrottled ? 1 : 0);
+    task.throttlePermille = permille;
+    ++m_model->counters.throttles;
+    m_model->outbox.call(ThrottleTask { .worker = m_model->fleet.workerName(task.worker),
+                                        .task = task.name,
+                                        .epoch = task.epoch,
+                                        .permille = permille });
+}
+
+bool PressureControl::takeEviction()
+{
+    const PressureSettings &settings = m_model->settings.pressure;
+    const auto passed = static_cast<double>((m_model->now - m_refilledAt).count());
+    m_refilledAt = m_model->now;
+    m_evictions =
+            std::min(static_cast<double>(settings.evictionBurst),
+                     m_evictions + passed / static_cast<double>(settings.evictionInterval.count()));
+    if (m_evictions < 1)
+        return false;
+    m_evictions -= 1;
+    ++m_model->counters.pressureEvictions;
+    return true;
+}
+
+} // namespace acaciafork::batch
--- /dev/null
+++ b/acaciafork/decisions/batch/QuantileSketch.cpp
@@ -0,0 +1,34 @@
+#include "acaciafork/decisions/batch/QuantileSketch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace acaciafork::batch {
+
+void QuantileSketch::add(double ratio)
+{
+    if (m_total >= mostWeight) {
+        for (float &it : m_counts)
+            it /= 2;
+        m_total /= 2;
+    }
+    const double position = (std::log2(std::max(ratio, 1e-9)) + lowestOctave) * bucketsPerOctave;
+    ++m_counts[static_cast<std::size_t>(std::clamp(position, 0.0, bucketCount - 1.0))];
+    ++m_total;
+}
+
+double QuantileSketch::quantile(double q) const
+{
+    if (m_total <= 0)
+        return 0;
+    double seen = 0;
+    int bucket = 0;
+    for (; bucket < bucketCount - 1; ++bucket) {
+        seen += m_counts[static_cast<std::size_t>(bucket)];
+        if (seen >= q * m_total)
+            break;
+    }
+    return std::exp2(static_cast<double>(bucket + 1) / bucketsPerOctave - lowestOctave);
+}
+
+} // namespace acaciafork::batch
--- /dev/null
+++ b/acaciafork/decisions/batch/QuantileSketch.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+namespace acaciafork::batch {
+
+/// Quantiles of a positive ratio, in logarithmic buckets of a quarter octave; older observations
+/// fade, so that a change of habit shows.
+class QuantileSketch
+{
+public:
+    /// Adds one observation.
+    void add(double ratio);
+    /// Upper edge of the bucket that holds the quantile; 0 without observations.
+    [[nodiscard]] double quantile(double q) const;
+    /// Weight of what was seen and has not faded.
+    [[nodiscard]] double weight() const { return m_total; }
+
+private:
+    static constexpr int bucketsPerOctave = 4;
+    static constexpr int octaves = 16;
+    static constexpr int bucketCount = bucketsPerOctave * octaves;
+    /// Ratio of the lowest edge: 2^-lowestOctave.
+    static constexpr int lowestOctave = 8;
+    /// Beyond this weight all is halved.
+    static constexpr float mostWeight = 400;
+
+    std::array<float, bucketCount> m_counts {};
+    float m_total = 0;
+};
+
+} // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/Scheduler.cpp
+++ b/acaciafork/decisions/batch/Scheduler.cpp
@@ -3,9 +3,12 @@
 #include "acaciafork/decisions/batch/Model.h"
 #include "acaciafork/decisions/batch/PlacementRound.h"
 #include "acaciafork/decisions/batch/Placer.h"
+#include "acaciafork/decisions/batch/Preemption.h"
+#include "acaciafork/decisions/batch/PressureControl.h"
 #include "acaciafork/decisions/batch/RackDrainer.h"
 #include "acaciafork/decisions/batch/ServicePlanner.h"
 #include "acaciafork/decisions/batch/TaskLifecycle.h"
+#include "acaciafork/decisions/batch/UsageReports.h"
 #include "acaciafork/decisions/batch/WorkerReports.h"
 
 namespace acaciafork::batch {
@@ -18,10 +21,14 @@
     { }
 
     Model model;
-    TaskLifecycle lifecycle { &model };
+    HealthJudge health { &model };
+    TaskLifecycle lifecycle { &model, &health };
     WorkerReports reports { &model, &lifecycle };
+    UsageReports usage { &model };
+    PressureControl pressure { &model, &lifecycle };
     Placer placer { &model };
-    PlacementRound placement { &model, &placer, &lifecycle };
+    PlacementRound placement { &model, &placer, &lifecycle, &health };
+    Preemption preemption { &model, &lifecycle };
     ServicePlanner services { &model, &lifecycle };
     RackDrainer drainer { &model, &lifecycle };
 };
@@ -61,9 +68,10 @@
     for (const PlacementRecord &it : state.placements)
         m_parts->services.put(it);
     for (const TaskRecord &it : state.tasks) {
-        m_parts->lifecycle.restore(it);
-        if (!it.service.value.empty())
-            m_parts->services.adopt(m_parts->model.tasks.find(it.job.task), it.service);
+        if (it.service.value.empty())
+            m_parts->lifecycle.restore(it);
+        else
+            m_parts->services.restore(it);
     }
     if (!state.move.steps.empty())
         m_parts->drainer.putMove(state.move);
@@ -84,7 +92,12 @@
     m_parts->reports.onReport(event.report);
 }
 
-void Scheduler::on(const UsageReported & /*event*/) { }
+void Scheduler::on(const UsageReported &event)
+{
+    const Index worker = m_parts->usage.onReport(event.report);
+    if (worker != noIndex)
+        m_parts->pressure.onUsage(worker, event.report);
+}
 
 void Scheduler::on(const CommandCommitted &event)
 {
@@ -151,6 +164,7 @@
     m_parts->services.tick();
     m_parts->drainer.tick();
     m_parts->placement.run();
+    m_parts->preemption.tick();
 }
 
 TaskView Scheduler::task(const TaskName &name) const
--- a/acaciafork/decisions/batch/SchedulerCounters.h
+++ b/acaciafork/decisions/batch/SchedulerCounters.h
@@ -23,6 +23,12 @@
     std::uint64_t proposalsRejected = 0;
     std::uint64_t workerCallsFailed = 0;
     std::uint64_t searchesWithoutRoom = 0;
+    std::uint64_t staleUsage = 0;
+    std::uint64_t throttles = 0;
+    std::uint64_t pressureEvictions = 0;
+    std::uint64_t preemptions = 0;
+    std::uint64_t quarantines = 0;
+    std::uint64_t probes = 0;
 };
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/ServicePlanner.cpp
+++ b/acaciafork/decisions/batch/ServicePlanner.cpp
@@ -33,17 +33,26 @@
         m_model->tasks[it.task].declared = placement.size;
 }
 
-void ServicePlanner::adopt(Index task, const ServiceName &service)
+void ServicePlanner::restore(const TaskRecord &record)
 {
-    const Index index = m_model->services.find(service);
-    ACACIAFORK_ASSERT(index != noIndex);
+    // A service that is no longer wanted still has to leave.
+    if (m_model->services.find(record.service) == noIndex)
+        put({ .service = record.service, .removed = true });
+    const Index index = m_model->services.find(record.service);
+    Service &service = m_services[index];
+
+    TaskRecord own = record;
+    own.job.team = service.wanted.team;
+    own.job.family = FamilyName { record.service.value };
+    m_lifecycle->restore(own);
+    const Index task = m_model->tasks.find(record.job.task);
     Task &it = m_model->tasks[task];
     it.service = index;
-    it.declared = m_services[index].wanted.size;
+    it.declared = service.wanted.size;
     if (!it.onWorker())
         it.phase = TaskPhase::Finished;
     const ReplicaState state = it.onWorker() ? ReplicaState::Starting : ReplicaState::Idle;
-    m_services[index].replicas.push_back({ .task = task, .state = state, .since = m_model->now });
+    service.replicas.push_back({ .task = task, .state = state, .since = m_model->now });
     m_model->serviceTasks[index].push_back(task);
 }
 
--- a/acaciafork/decisions/batch/ServicePlanner.h
+++ b/acaciafork/decisions/batch/ServicePlanner.h
@@ -15,8 +15,8 @@
 
     /// Adds or replaces the wish for a service.
     void put(const PlacementRecord &placement);
-    /// Takes over a task of a service from an earlier leader; its wish must be known.
-    void adopt(Index task, const ServiceName &service);
+    /// Takes over a task of a service from an earlier leader, after the wishes.
+    void restore(const TaskRecord &record);
     /// The task's endpoint takes full traffic.
     void onWarm(const TaskName &task);
     /// The task's endpoint has left and has no request in progress.
--- a/acaciafork/decisions/batch/Settings.h
+++ b/acaciafork/decisions/batch/Settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "acaciafork/decisions/batch/Types.h"
+#include "acaciafork/decisions/batch/InterferenceModel.h"
+#include "acaciafork/decisions/batch/SizeEstimator.h"
 
 namespace acaciafork::batch {
 
@@ -57,6 +58,57 @@
     Duration evictionCost = std::chrono::seconds(60);
 };
 
+/// When disturbance of services is acted upon.
+struct PressureSettings
+{
+    /// Latency over that of running alone, less one, in thousandths: above it a task is held back,
+    /// below the lower bound it is let go.
+    std::int64_t upperPermille = 150;
+    std::int64_t lowerPermille = 80;
+    /// Usage reports in a row that it takes to act, and to let go.
+    std::int64_t reportsToAct = 3;
+    std::int64_t reportsToRelease = 6;
+    /// Least time between two steps at one worker; longer than use is reported late.
+    Duration stepInterval = std::chrono::seconds(10);
+    /// Evictions for disturbance: so many in a burst, and one more after each interval.
+    std::int64_t evictionBurst = 10;
+    Duration evictionInterval = std::chrono::seconds(20);
+    /// Slowdown of a service that placement does not foresee knowingly, in thousandths.
+    std::int64_t placementLimitPermille = 120;
+};
+
+/// When workers and jobs are taken to be at fault.
+struct HealthSettings
+{
+    /// Different jobs in a row that fail at a worker before it is quarantined.
+    std::int64_t failuresToQuarantine = 3;
+    /// Wait before the first probe; doubled after each failed one.
+    Duration firstProbeAfter = std::chrono::minutes(1);
+    Duration mostProbeAfter = std::chrono::hours(1);
+    /// Failures that count against a job before it has failed for good, and failures in all.
+    std::int64_t attempts = 3;
+    std::int64_t attemptsInAll = 10;
+    /// A job that no worker could hold is refused after workers had this long to report.
+    Duration unschedulableAfter = std::chrono::seconds(15);
+};
+
+/// How urgent work gets room, and large work is kept from starving.
+struct PreemptionSettings
+{
+    /// Time that a preempted task has for a checkpoint before it is stopped.
+    Duration patience = std::chrono::milliseconds(2000);
+    /// Workers weighed for one urgent task.
+    std::int32_t workersWeighed = 256;
+    /// Urgent tasks that room is made for in one tick.
+    std::int32_t tasksPerTick = 64;
+    /// A worker kept clear for a task is released after this time.
+    Duration reservationTimeout = std::chrono::seconds(30);
+    /// A task that waited this long gets a worker kept clear for it.
+    Duration starvedAfter = std::chrono::minutes(10);
+    /// Workers that may be kept clear for starved tasks, in thousandths of all; one at least.
+    std::int64_t starvedWorkersPermille = 10;
+};
+
 /// Everything that can be set about batch policy.
 struct SchedulerSettings
 {
@@ -64,6 +116,11 @@
     TickSettings tick;
     ServiceSettings service;
     DrainSettings drain;
+    SizeSettings size;
+    InterferenceSettings interference;
+    PressureSettings pressure;
+    HealthSettings health;
+    PreemptionSettings preemption;
 };
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/TaskLifecycle.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycle.cpp
@@ -2,8 +2,9 @@
 
 namespace acaciafork::batch {
 
-TaskLifecycle::TaskLifecycle(Model *model)
+TaskLifecycle::TaskLifecycle(Model *model, HealthJudge *health)
     : m_model(model)
+    , m_health(health)
 { }
 
 void TaskLifecycle::restore(const TaskRecord &record)
@@ -73,6 +74,7 @@
     Task &task = m_model->tasks[index];
     task.service = service;
     task.team = team;
+    task.family = m_model->families.intern(FamilyName { m_model->services.name(service).value });
     task.declared = size;
     task.phase = TaskPhase::Finished;
     return index;
@@ -90,6 +92,7 @@
 
 void TaskLifecycle::tick()
 {
+    stopOverdue();
     // Each cancelled task costs one call or one record; the rest waits for the next tick.
     for (std::int32_t n = m_model->settings.tick.cancellationsPerTick;
          n > 0 && !m_cancelled.empty(); --n) {
@@ -129,18 +132,19 @@
 void TaskLifecycle::evict(Index index, Duration patience)
 {
     Task &task = m_model->tasks[index];
-    if (!task.leased() || task.intent != TaskIntent::Run)
+    if (!task.leased() || task.proposed || task.intent != TaskIntent::Run)
         return;
     ++m_model->counters.evictions;
     task.intent = TaskIntent::Checkpoint;
     task.stopDueAt = m_model->now + patience;
+    m_overdue.push({ .at = task.stopDueAt, .task = task.name, .epoch = task.epoch });
     sendEnd(index);
 }
 
 void TaskLifecycle::stop(Index index)
 {
     Task &task = m_model->tasks[index];
-    if (!task.leased() || task.intent == TaskIntent::Stop)
+    if (!task.leased() || task.proposed || task.intent == TaskIntent::Stop)
         return;
     task.intent = TaskIntent::Stop;
     sendEnd(index);
@@ -215,9 +219,15 @@
     return basis + lease.leaseLength * whole / (whole - lease.clockMarginPermille) + Duration(1);
 }
 
-bool TaskLifecycle::takeRoomFreed()
+void TaskLifecycle::stopOverdue()
 {
-    return std::exchange(m_roomFreed, false);
+    while (!m_overdue.empty() && m_overdue.top().at <= m_model->now) {
+        const Index index = m_model->tasks.find(m_overdue.top().task);
+        const LeaseEpoch epoch = m_overdue.top().epoch;
+        m_overdue.pop();
+        if (index != noIndex && m_model->tasks[index].epoch == epoch)
+            stop(index);
+    }
 }
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/TaskLifecycle.h
+++ b/acaciafork/decisions/batch/TaskLifecycle.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <deque>
+#include <queue>
 
-#include "acaciafork/decisions/batch/Model.h"
+#include "acaciafork/decisions/batch/HealthJudge.h"
 
 namespace acaciafork::batch {
 
@@ -11,7 +12,7 @@
 class TaskLifecycle
 {
 public:
-    explicit TaskLifecycle(Model *model);
+    TaskLifecycle(Model *model, HealthJudge *health);
 
     /// Takes over a committed task from an earlier leader.
     void restore(const TaskRecord &record);
@@ -48,9 +49,6 @@
     /// Carries out cancellations, a bounded number.
     void tick();
 
-    /// Tasks whose lease ended since the last call, for those who plan by it.
-    [[nodiscard]] bool takeRoomFreed();
-
 private:
     void committed(Index task, const LeaseTask &change);
     void committed(Index task, const RecordStopped &change);
@@ -72,13 +70,28 @@
     void sendEnd(Index task);
     void sendStop(const Task &task, bool release);
     void endLease(Index task);
+    /// Adds what the lease achieved to the task's attained time.
+    void keepAttained(Task *task) const;
+    /// Learns from a job that came to its end.
+    void learn(const Task &task);
+    /// Stops checkpoints that took too long.
+    void stopOverdue();
     void forget(Index task);
     [[nodiscard]] Timestamp expiry(Timestamp basis) const;
 
     Model *m_model;
+    HealthJudge *m_health;
     /// Cancelled tasks whose call or record is still to be sent.
     std::deque<TaskName> m_cancelled;
-    bool m_roomFreed = false;
+    /// A checkpoint call and when it turns into a stop.
+    struct Overdue
+    {
+        Timestamp at {};
+        TaskName task;
+        LeaseEpoch epoch;
+        bool operator<(const Overdue &o) const { return at > o.at; }
+    };
+    std::priority_queue<Overdue> m_overdue;
 };
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/TaskLifecycleCommits.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycleCommits.cpp
@@ -40,6 +40,8 @@
 {
     Model &m = *m_model;
     Task &task = m.tasks[index];
+    m_health->onStopped(index);
+    keepAttained(&task);
     endLease(index);
     if (change.checkpoint > task.checkpoint)
         task.checkpoint = change.checkpoint;
@@ -58,6 +60,8 @@
 void TaskLifecycle::committed(Index index, const RecordFinished & /*change*/)
 {
     ++m_model->counters.finished;
+    learn(m_model->tasks[index]);
+    m_health->onSuccess(index);
     endLease(index);
     forget(index);
 }
@@ -66,6 +70,7 @@
 {
     Model &m = *m_model;
     Task &task = m.tasks[index];
+    keepAttained(&task);
     endLease(index);
     ++m.counters.failedAttempts;
     task.failures += change.counted ? 1 : 0;
@@ -85,8 +90,10 @@
 void TaskLifecycle::committed(Index index, const RecordCancelled & /*change*/)
 {
     ++m_model->counters.cancelled;
-    if (m_model->tasks[index].onWorker())
+    if (m_model->tasks[index].onWorker()) {
+        m_health->onStopped(index);
         endLease(index);
+    }
     forget(index);
 }
 
@@ -151,7 +158,24 @@
     task.proposed = false;
     task.mayStart = false;
     task.intent = TaskIntent::Run;
-    m_roomFreed = true;
+    task.firstSeq = 0;
+    task.throttlePermille = throttleNone;
+    task.checkpointedAt = {};
+}
+
+void TaskLifecycle::keepAttained(Task *task) const
+{
+    // What came after the latest checkpoint is lost.
+    if (task->checkpointedAt > task->startedAt)
+        task->attained += task->checkpointedAt - task->startedAt;
+}
+
+void TaskLifecycle::learn(const Task &task)
+{
+    if (task.peak.millicores > 0)
+        m_model->sizes.learnUse(task.family, task.declared, task.granted, task.peak);
+    const Duration runTime = task.attained + (m_model->now - task.startedAt);
+    m_model->sizes.learnRunTime(task.family, task.declaredRunTime, runTime);
 }
 
 void TaskLifecycle::forget(Index index)
@@ -171,14 +195,14 @@
         proposeCancelled(index);
         return;
     }
-    constexpr int mostFailures = 3;
+    const FailureVerdict verdict = m_health->onFailure(index, cause);
     task.proposed = true;
     m_model->outbox.propose(index,
                             RecordFailed { .task = task.name,
                                            .epoch = task.epoch,
                                            .cause = cause,
-                                           .counted = true,
-                                           .last = task.failures + 1 >= mostFailures });
+                                           .counted = verdict.counted,
+                                           .last = verdict.last });
 }
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/TaskLifecycleReports.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycleReports.cpp
@@ -37,7 +37,11 @@
 {
     Model &m = *m_model;
     Task &task = m.tasks[index];
-    task.incarnation = m.fleet.worker(task.worker).incarnation;
+    const Worker &worker = m.fleet.worker(task.worker);
+    if (task.firstSeq == 0 || task.incarnation != worker.incarnation)
+        task.firstSeq = worker.seq;
+    task.lastSeq = worker.seq;
+    task.incarnation = worker.incarnation;
     if (task.phase == TaskPhase::Leased) {
         task.phase = TaskPhase::Running;
         task.startedAt = m.now;
@@ -66,8 +70,10 @@
     switch (report.status) {
     case TaskStatus::Running:
         return;
-    case TaskStatus::Stopped:
     case TaskStatus::Checkpointed:
+        task.checkpointedAt = m.now;
+        [[fallthrough]];
+    case TaskStatus::Stopped:
         proposeStopped(index, std::max(task.checkpoint, report.checkpoint));
         return;
     case TaskStatus::Finished:
--- a/acaciafork/decisions/batch/TaskTable.h
+++ b/acaciafork/decisions/batch/TaskTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +16,9 @@
     Stop, ///< end as soon as can be
 };
 
+/// Throttle of a task that is not held back, in thousandths.
+inline constexpr std::int16_t throttleNone = 1000;
+
 /// One batch job or service task that has not ended.
 struct Task
 {
@@ -30,11 +34,17 @@
     Resources declared;
     /// Size that the present lease takes at its worker; also of a proposed lease.
     Resources granted;
+    /// Largest use that was reported.
+    Resources peak;
+    /// Least memory to grant, after a failure for lack of it.
+    std::int32_t memoryFloorMb = 0;
     Duration declaredRunTime {};
     /// Run time of earlier leases that a checkpoint kept, and of the present one up to its start.
     Duration attained {};
 
     Timestamp queuedAt {};
+    /// Worker kept clear for it while it waits; noIndex when none is.
+    Index reserved = noIndex;
     Timestamp startedAt {};
     /// When the latest checkpoint of the present lease was recorded.
     Timestamp checkpointedAt {};
@@ -54,9 +64,18 @@
     /// Stamp of the report that listed the task last.
     std::uint64_t listedBy = 0;
 
+    /// Numbers of the first and the latest report of the present incarnation that listed it
+    /// running.
+    std::uint64_t firstSeq = 0;
+    std::uint64_t lastSeq = 0;
+
+    /// Workers at which it failed, latest first.
+    std::array<Index, 3> failedWorkers { noIndex, noIndex, noIndex };
+    /// Attempts that count against the job, and all that failed.
     std::uint16_t failures = 0;
+    std::uint16_t failedAttempts = 0;
     /// Throttle asked for, in thousandths of the granted processor time.
-    std::int16_t throttlePermille = 1000;
+    std::int16_t throttlePermille = throttleNone;
     TaskPhase phase = TaskPhase::Queued;
     TaskIntent intent = TaskIntent::Run;
     bool urgent = false;
--- /dev/null
+++ b/acaciafork/decisions/batch/UsageReports.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <vector>
+
+#include "acaciafork/decisions/batch/Model.h"
+
+namespace acaciafork::batch {
+
+/// Takes in late accounts of use: sizes of tasks, and disturbance attributed to those that ran
+/// together at the time of the measurement.
+class UsageReports
+{
+public:
+    explicit UsageReports(Model *model);
+
+    /// Takes one account.
+    /// @return the worker it is about, or noIndex when it is a repeat, unknown or too old
+    Index onReport(const UsageReport &report);
+
+private:
+    [[nodiscard]] static bool isRepeat(Worker *worker, std::uint64_t seq);
+    /// Families that ran at the worker when it sent report `seq`, with their counts.
+    void collectCoRunners(const Worker &worker, std::uint64_t seq);
+    void addCoRunner(Index family);
+    void learn(const Worker &worker, const UsageReport &report);
+    void learnSlowdown(const Task &victim, Index level, double slowdown);
+
+    Model *m_model;
+    /// Families of the measurement in progress, and those without the victim.
+    std::vector<CoRunner> m_together;
+    std::vector<CoRunner> m_others;
+};
+
+} // namespace acaciafork::batch
--- a/benchmarks/batch/fakes/Session.cpp
+++ b/benchmarks/batch/fakes/Session.cpp
@@ -131,11 +131,8 @@
         if (!leader->inOffice)
             return;
         const bool applied = state.apply(command.change);
-        if (const auto *it = std::get_if<RecordFinished>(&command.change); applied && it != nullptr)
-            world.audit.onOutcome(it->task);
-        if (const auto *it = std::get_if<RecordCancelled>(&command.change);
-            applied && it != nullptr)
-            world.audit.onOutcome(it->task);
+        if (applied)
+            auditOutcome(command.change);
         if (applied)
             handle(leader, CommandCommitted { .proposal = command.proposal });
         else
@@ -143,6 +140,22 @@
     });
 }
 
+void Session::auditOutcome(const DurableChange &change)
+{
+    TaskName task;
+    if (const auto *finished = std::get_if<RecordFinished>(&change))
+        task = finished->task;
+    else if (const auto *ended = std::get_if<RecordCancelled>(&change))
+        task = ended->task;
+    else
+        return;
+
+    // A lease that ran out since the worker last looked has ended its run there.
+    if (const auto it = world.runners.find(task); it != world.runners.end())
+        it->second->advance(m_now);
+    world.audit.onOutcome(task);
+}
+
 template <typename Call>
 void Session::call(const std::shared_ptr<Leader> &leader, const Call &command)
 {
--- a/benchmarks/batch/fakes/Session.h
+++ b/benchmarks/batch/fakes/Session.h
@@ -105,6 +105,7 @@
     void handle(const std::shared_ptr<Leader> &leader, const Event &event);
     void carryOut(const std::shared_ptr<Leader> &leader, const Command &command);
     void propose(const std::shared_ptr<Leader> &leader, const Propose &command);
+    void auditOutcome(const DurableChange &change);
     template <typename Call>
     void call(const std::shared_ptr<Leader> &leader, const Call &command);
     void tellEndpoint(const EndpointLeave &command);
