Plan, carry out and foretell the move of racks

Cause: all racks of a building have to retire by a deadline that operators can watch. Change: order of racks with the shortage at the destination; racks emptied a few at a time; what was moved once goes only to racks that stay; projected finish from the racks emptied so far, with bounds; what is in the way of the move; racks emptied only as far as the destination has room.

--- a/acaciafork/decisions/batch/Batch.h
+++ b/acaciafork/decisions/batch/Batch.h
@@ -4,6 +4,8 @@
 
 #include "acaciafork/decisions/batch/Commands.h"
 #include "acaciafork/decisions/batch/Events.h"
+#include "acaciafork/decisions/batch/MovePlanner.h"
+#include "acaciafork/decisions/batch/MoveView.h"
 #include "acaciafork/decisions/batch/Records.h"
 #include "acaciafork/decisions/batch/Scheduler.h"
 #include "acaciafork/decisions/batch/SchedulerCounters.h"
--- a/acaciafork/decisions/batch/Fleet.h
+++ b/acaciafork/decisions/batch/Fleet.h
@@ -76,6 +76,13 @@
     std::uint32_t tasks = 0;
     /// The running move empties it now.
     bool moveDraining = false;
+    /// The running move will empty it later; its workers come last in a search.
+    bool leavingSoon = false;
+    /// The two as they were before the latest change of the move.
+    bool wasDraining = false;
+    bool wasLeaving = false;
+    /// When its drain by the move began.
+    Timestamp drainStartedAt {};
     /// RackDrained or RackRetired waits for its commit.
     bool proposed = false;
 
--- a/acaciafork/decisions/batch/Model.h
+++ b/acaciafork/decisions/batch/Model.h
@@ -40,6 +40,8 @@
     SchedulerSettings settings;
     /// Time of the event in progress.
     Timestamp now {};
+    /// When the next rack that the move will empty is expected to be; max() without a move.
+    Timestamp leavingFrom = Timestamp::max();
     /// Number of the worker report in progress, over all workers.
     std::uint64_t reportStamp = 0;
     TaskTable tasks;
--- a/acaciafork/decisions/batch/PlacementIndex.h
+++ b/acaciafork/decisions/batch/PlacementIndex.h
@@ -7,6 +7,13 @@
 
 namespace acaciafork::batch {
 
+/// Which workers a search looks at while a move is on.
+enum class SearchOrder : std::uint8_t {
+    StayingOnly, ///< racks that the move will not empty
+    StayingFirst, ///< those, then the others
+    LeavingFirst, ///< racks that the move will empty later, then the others
+};
+
 /// Workers that may be given new work, in buckets by free cores, those with accelerators apart; a
 /// search looks at few of them, tightest first.
 class PlacementIndex
@@ -20,11 +27,14 @@
     /// Calls `visit(worker)` for workers with room for `size`, tightest buckets first, until it
     /// returns false. Workers without accelerators come first for tasks that need none.
     template <typename Visit>
-    void forEachFitting(const Resources &size, Visit &&visit);
+    void forEachFitting(const Resources &size, SearchOrder order, Visit &&visit);
 
 private:
     /// One bucket for each whole free core, the last one open upwards.
     static constexpr Index bucketsPerClass = 128;
+    static constexpr Index classCount = 4;
+    /// Classes of one group: staying or leaving.
+    static constexpr Index classesPerGroup = 2;
     static constexpr std::int32_t millicoresPerBucket = 1000;
 
     using Bucket = std::vector<Index>;
@@ -32,22 +42,36 @@
     [[nodiscard]] Index bucketOf(Index worker) const;
     void erase(Index worker);
 
+    template <typename Visit>
+    bool visitGroup(Index group, const Resources &size, Visit &visit);
     template <typename Visit>
     bool visitClass(Index first, const Resources &size, Visit &visit);
 
     Fleet *m_fleet;
-    /// Buckets of workers without accelerators, then of those with.
-    std::array<Bucket, std::size_t { 2 } * bucketsPerClass> m_buckets;
+    /// Four classes: racks that stay and racks that leave, each without accelerators, then with.
+    std::array<Bucket, std::size_t { classCount } * bucketsPerClass> m_buckets;
     /// Where the search in a bucket starts; moves on, so that work spreads within a bucket.
-    std::array<Index, std::size_t { 2 } * bucketsPerClass> m_cursors {};
+    std::array<Index, std::size_t { classCount } * bucketsPerClass> m_cursors {};
 };
 
 template <typename Visit>
-void PlacementIndex::forEachFitting(const Resources &size, Visit &&visit)
+void PlacementIndex::forEachFitting(const Resources &size, SearchOrder order, Visit &&visit)
 {
-    if (size.accelerators == 0 && !visitClass(0, size, visit))
+    constexpr Index staying = 0;
+    constexpr Index leaving = classesPerGroup * bucketsPerClass;
+    const bool leavingFirst = order == SearchOrder::LeavingFirst;
+    if (!visitGroup(leavingFirst ? leaving : staying, size, visit))
         return;
-    visitClass(bucketsPerClass, size, visit);
+    if (order != SearchOrder::StayingOnly)
+        visitGroup(leavingFirst ? staying : leaving, size, visit);
+}
+
+template <typename Visit>
+bool PlacementIndex::visitGroup(Index group, const Resources &size, Visit &visit)
+{
+    if (size.accelerators == 0 && !visitClass(group, size, visit))
+        return false;
+    return visitClass(group + bucketsPerClass, size, visit);
 }
 
 template <typename Visit>
--- a/acaciafork/decisions/batch/PlacementRound.cpp
+++ b/acaciafork/decisions/batch/PlacementRound.cpp
@@ -91,18 +91,6 @@
     const Index index = line->tasks.front().first;
     const Resources size = m_model->sizeFor(m_model->tasks[index]);
 
-    // A worker that is kept clear for the task takes it as soon as it can.
-    if (const Index reserved = m_model->tasks[index].reserved; reserved != noIndex) {
-        const Worker &worker = m_model->fleet.worker(reserved);
-        const bool ready = worker.reservedFor == index && worker.present && !worker.quarantined
-                && !m_model->fleet.rack(worker.rack).draining();
-        if (ready && size.fitsIn(worker.freeRoom())) {
-            m_lifecycle->lease(index, reserved);
-            --m_budget;
-            return;
-        }
-    }
-
     // What can't be placed now holds up its own line for this round, no other.
     if (knownNotToFit(size) || !m_model->teams.withinQuota(team, size)) {
         line->blockedInRound = m_round;
--- a/acaciafork/decisions/batch/Placer.cpp
+++ b/acaciafork/decisions/batch/Placer.cpp
@@ -28,7 +28,7 @@
     std::int32_t left = m_model->settings.tick.candidatesPerPlacement;
     constexpr std::int32_t searchesPerCandidate = 8;
     std::int32_t searches = left * searchesPerCandidate;
-    m_model->index.forEachFitting(size, [&](Index worker) {
+    m_model->index.forEachFitting(size, orderFor(task), [&](Index worker) {
         best.anyRoom = true;
         if (starvesAccelerators(m_model->fleet.worker(worker), size))
             return true;
@@ -51,7 +51,7 @@
     countReplicas(task.service);
     Placement best;
     double bestCost = 0;
-    m_model->index.forEachFitting(size, [&](Index worker) {
+    m_model->index.forEachFitting(size, SearchOrder::StayingOnly, [&](Index worker) {
         best.anyRoom = true;
         const Worker &it = m_model->fleet.worker(worker);
         constexpr double zoneWeight = 100;
@@ -68,6 +68,22 @@
     return best;
 }
 
+SearchOrder Placer::orderFor(const Task &task) const
+{
+    if (m_model->leavingFrom == Timestamp::max())
+        return SearchOrder::StayingFirst;
+
+    // While a move is on, what was moved once is not to be moved again; what ends before the racks
+    // that come later are emptied goes there, and keeps the destination free.
+    if (task.epoch)
+        return SearchOrder::StayingOnly;
+    constexpr double quantile = 0.9;
+    const Duration runTime = m_model->sizes.runTime(task.family, task.declaredRunTime, quantile);
+    const bool endsBefore =
+            runTime > Duration::zero() && m_model->now + runTime < m_model->leavingFrom;
+    return endsBefore ? SearchOrder::LeavingFirst : SearchOrder::StayingFirst;
+}
+
 double Placer::jobCost(const Task &task, const Resources &size, Index worker) const
 {
     // Where the job failed before it does not go again; what a service would feel it does not do
--- a/acaciafork/decisions/batch/Placer.h
+++ b/acaciafork/decisions/batch/Placer.h
@@ -23,6 +23,7 @@
     Placement choose(Index task, const Resources &size);
 
 private:
+    [[nodiscard]] SearchOrder orderFor(const Task &task) const;
     Placement chooseForJob(const Task &task, const Resources &size);
     Placement chooseForService(const Task &task, const Resources &size);
     /// Cost of a place; lower is better, negative infinity is never reached.
--- a/acaciafork/decisions/batch/Preemption.cpp
+++ b/acaciafork/decisions/batch/Preemption.cpp
@@ -14,6 +14,20 @@
     reserveForStarved();
 }
 
+void Preemption::leaseReserved()
+{
+    for (const Reservation &it : m_reservations) {
+        const Index task = m_model->tasks.find(it.task);
+        if (task == noIndex || !m_model->queue.contains(task))
+            continue;
+        const Worker &worker = m_model->fleet.worker(it.worker);
+        const bool usable = worker.reservedFor == task && worker.present && !worker.quarantined
+                && !m_model->fleet.rack(worker.rack).draining();
+        if (usable && m_model->sizeFor(m_model->tasks[task]).fitsIn(worker.freeRoom()))
+            m_lifecycle->lease(task, it.worker);
+    }
+}
+
 void Preemption::releaseReservations()
 {
     // A reservation ends with its task's lease, or after a time.
--- a/acaciafork/decisions/batch/Preemption.h
+++ b/acaciafork/decisions/batch/Preemption.h
@@ -13,6 +13,8 @@
 public:
     Preemption(Model *model, TaskLifecycle *lifecycle);
 
+    /// Leases reserved workers that have room by now.
+    void leaseReserved();
     /// Looks at tasks that the placement round left waiting.
     void tick();
 
--- a/acaciafork/decisions/batch/RackDrainer.cpp
+++ b/acaciafork/decisions/batch/RackDrainer.cpp
@@ -9,7 +9,12 @@
 
 void RackDrainer::put(const RackRecord &rack)
 {
+    const Index known = m_model->fleet.findRack(rack.rack);
+    const bool wasDraining = known != noIndex && m_model->fleet.rack(known).draining();
     const Index index = m_model->fleet.putRack(rack);
+    if (!wasDraining)
+        m_model->fleet.rack(index).drainStartedAt = m_model->now;
+    markMoveRacks();
     m_model->refreshRack(index);
 }
 
@@ -32,8 +37,11 @@
     Rack &rack = m_model->fleet.rack(pending.subject);
     rack.proposed = false;
     const bool retired = std::holds_alternative<RackRetired>(pending.change);
+    if (retired && rack.moveDraining)
+        m_projection.addRack(m_model->now - rack.drainStartedAt);
     rack.record.state = retired ? RackState::Retired : RackState::Drained;
     m_model->refreshRack(pending.subject);
+    markMoveRacks();
 }
 
 void RackDrainer::onRejected(const PendingChange &pending)
@@ -48,79 +56,131 @@
 void RackDrainer::markMoveRacks()
 {
     for (Index rack = 0; rack < m_model->fleet.rackCount(); ++rack) {
-        if (!m_model->fleet.rack(rack).moveDraining)
-            continue;
-        m_model->fleet.rack(rack).moveDraining = false;
-        m_model->refreshRack(rack);
+        Rack &it = m_model->fleet.rack(rack);
+        it.wasDraining = it.moveDraining;
+        it.wasLeaving = it.leavingSoon;
+        it.moveDraining = false;
+        it.leavingSoon = false;
     }
-    if (m_move.state != MoveState::Running)
-        return;
+    m_model->leavingFrom = Timestamp::max();
+    if (m_move.state == MoveState::Running)
+        markSteps();
+    for (Index rack = 0; rack < m_model->fleet.rackCount(); ++rack) {
+        const Rack &it = m_model->fleet.rack(rack);
+        if (it.wasDraining != it.moveDraining || it.wasLeaving != it.leavingSoon)
+            m_model->refreshRack(rack);
+    }
+}
 
-    // The first steps that are not done, as many as may be emptied at once.
+void RackDrainer::markSteps()
+{
+    // The first racks that are not empty are emptied, as many as may be at once; the later ones are
+    // marked, so that nothing is moved twice.
     std::int32_t left = m_model->settings.drain.racksAtOnce;
-    for (std::size_t i = m_move.stepsDone; i < m_move.steps.size() && left > 0; ++i, --left) {
-        const Index rack = m_model->fleet.findRack(m_move.steps[i]);
-        if (rack == noIndex)
+    for (std::size_t i = m_move.stepsDone; i < m_move.steps.size(); ++i) {
+        const Index index = m_model->fleet.findRack(m_move.steps[i]);
+        if (index == noIndex || m_model->fleet.rack(index).record.state == RackState::Retired)
+            continue;
+        Rack &rack = m_model->fleet.rack(index);
+        if (left-- > 0) {
+            rack.moveDraining = true;
+            if (!rack.wasDraining)
+                rack.drainStartedAt = m_model->now;
             continue;
-        m_model->fleet.rack(rack).moveDraining = true;
-        m_model->refreshRack(rack);
+        }
+        rack.leavingSoon = true;
+        m_model->leavingFrom =
+                std::min(m_model->leavingFrom, m_model->now + m_projection.meanDrain());
     }
 }
 
 void RackDrainer::tick()
 {
+    bool counted = false;
     for (Index rack = 0; rack < m_model->fleet.rackCount(); ++rack) {
-        if (!m_model->fleet.rack(rack).draining())
+        const Rack &it = m_model->fleet.rack(rack);
+        if (!it.draining())
             continue;
-        if (m_model->fleet.rack(rack).tasks > 0)
-            drain(rack);
-        else
+        if (it.tasks == 0) {
             proposeEmpty(rack);
+            continue;
+        }
+        if (!counted)
+            countRoom();
+        counted = true;
+        drain(rack);
     }
     proposeSteps();
 }
 
+void RackDrainer::countRoom()
+{
+    m_room = {};
+    for (Index index = 0; index < m_model->fleet.workerCount(); ++index) {
+        const Worker &worker = m_model->fleet.worker(index);
+        if (m_model->fleet.eligible(index) && !m_model->fleet.rack(worker.rack).leavingSoon)
+            m_room += worker.freeRoom();
+    }
+    m_evicting = static_cast<std::int32_t>(m_model->queue.size(QueueClass::Evicted));
+    for (Index rack = 0; rack < m_model->fleet.rackCount(); ++rack) {
+        if (!m_model->fleet.rack(rack).draining())
+            continue;
+        for (const Index worker : m_model->fleet.rack(rack).workers) {
+            for (const Index index : m_model->fleet.worker(worker).tasks) {
+                const Task &task = m_model->tasks[index];
+                if (task.isService() || task.intent == TaskIntent::Run)
+                    continue;
+                ++m_evicting;
+                m_room -= task.granted;
+            }
+        }
+    }
+}
+
 void RackDrainer::drain(Index rack)
 {
-    // Only so much is under way at once that the rest of the fleet takes it in.
-    const auto waiting = static_cast<std::int32_t>(m_model->queue.size(QueueClass::Evicted));
-    std::int32_t budget = m_model->settings.drain.evictionsInProgress - waiting;
     for (const Index worker : m_model->fleet.rack(rack).workers)
-        evictFrom(worker, &budget);
+        evictFrom(worker, m_model->fleet.rack(rack).drainStartedAt);
 }
 
-void RackDrainer::evictFrom(Index worker, std::int32_t *budget)
+void RackDrainer::evictFrom(Index worker, Timestamp drainStartedAt)
 {
     for (const Index index : m_model->fleet.worker(worker).tasks) {
-        const Task &task = m_model->tasks[index];
-        if (task.isService() || !task.leased())
+        Task &task = m_model->tasks[index];
+        if (task.isService() || !task.leased() || task.proposed || task.intent != TaskIntent::Run)
             continue;
-        if (*budget <= 0)
-            return;
-        if (task.intent != TaskIntent::Run) {
-            --*budget;
+        task.runsOut = runsOut(task, drainStartedAt);
+        if (task.runsOut)
             continue;
-        }
-        if (runsOut(task) || !roomElsewhere(task))
+
+        // Only so much is under way at once that the rest of the fleet takes it in.
+        const Resources size = m_model->sizeFor(task);
+        if (m_evicting >= m_model->settings.drain.evictionsInProgress || !roomElsewhere(size))
             continue;
-        --*budget;
+        ++m_evicting;
+        m_room -= size;
         m_lifecycle->evict(index, m_model->settings.lease.checkpointTimeout);
     }
 }
 
-bool RackDrainer::runsOut(const Task &task) const
+bool RackDrainer::runsOut(const Task &task, Timestamp drainStartedAt) const
 {
-    if (task.phase != TaskPhase::Running || task.declaredRunTime == Duration::zero())
+    const Duration patience = m_model->settings.drain.evictionCost;
+    constexpr int overdue = 2;
+    if (task.phase != TaskPhase::Running || m_model->now - drainStartedAt > patience * overdue)
         return false;
-    const Duration remaining =
-            task.declaredRunTime - task.attained - (m_model->now - task.startedAt);
-    return remaining > Duration::zero() && remaining < m_model->settings.drain.evictionCost;
+    constexpr double quantile = 0.75;
+    const Duration runTime = m_model->sizes.runTime(task.family, task.declaredRunTime, quantile);
+    const Duration remaining = runTime - task.attained - (m_model->now - task.startedAt);
+    return remaining > Duration::zero() && remaining < patience;
 }
 
-bool RackDrainer::roomElsewhere(const Task &task)
+bool RackDrainer::roomElsewhere(const Resources &size)
 {
+    if (!size.fitsIn(m_room))
+        return false;
     bool found = false;
-    m_model->index.forEachFitting(m_model->sizeFor(task), [&](Index) {
+    m_model->index.forEachFitting(size, SearchOrder::StayingOnly, [&](Index) {
         found = true;
         return false;
     });
--- a/acaciafork/decisions/batch/RackDrainer.h
+++ b/acaciafork/decisions/batch/RackDrainer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciafork/decisions/batch/MoveProjection.h"
 #include "acaciafork/decisions/batch/TaskLifecycle.h"
 
 namespace acaciafork::batch {
@@ -24,22 +25,32 @@
 
     /// The move as last told.
     [[nodiscard]] const MoveRecord &move() const { return m_move; }
+    /// How long racks took so far.
+    [[nodiscard]] const MoveProjection &projection() const { return m_projection; }
 
 private:
     /// Marks the racks that the move empties now.
     void markMoveRacks();
+    void markSteps();
     void drain(Index rack);
-    void evictFrom(Index worker, std::int32_t *budget);
+    void evictFrom(Index worker, Timestamp drainStartedAt);
+    /// Sums up the room of workers that stay, less what is on its way there.
+    void countRoom();
     /// True when the task ends before it could be saved and started elsewhere.
-    [[nodiscard]] bool runsOut(const Task &task) const;
+    [[nodiscard]] bool runsOut(const Task &task, Timestamp drainStartedAt) const;
     /// True when some worker that stays has room for the task now.
-    [[nodiscard]] bool roomElsewhere(const Task &task);
+    [[nodiscard]] bool roomElsewhere(const Resources &size);
     void proposeEmpty(Index rack);
     void proposeSteps();
 
     Model *m_model;
     TaskLifecycle *m_lifecycle;
     MoveRecord m_move;
+    MoveProjection m_projection;
+    /// Room of workers that stay, less what is on its way there; as of this tick.
+    Resources m_room;
+    /// Jobs between eviction and their next lease.
+    std::int32_t m_evicting = 0;
     bool m_stepProposed = false;
 };
 
--- a/acaciafork/decisions/batch/Scheduler.cpp
+++ b/acaciafork/decisions/batch/Scheduler.cpp
@@ -1,6 +1,7 @@
 #include "acaciafork/decisions/batch/Scheduler.h"
 
 #include "acaciafork/decisions/batch/Model.h"
+#include "acaciafork/decisions/batch/MoveReporter.h"
 #include "acaciafork/decisions/batch/PlacementRound.h"
 #include "acaciafork/decisions/batch/Placer.h"
 #include "acaciafork/decisions/batch/Preemption.h"
@@ -163,6 +164,7 @@
     m_parts->lifecycle.tick();
     m_parts->services.tick();
     m_parts->drainer.tick();
+    m_parts->preemption.leaseReserved();
     m_parts->placement.run();
     m_parts->preemption.tick();
 }
@@ -214,6 +216,17 @@
     return summary;
 }
 
+MoveView Scheduler::move() const
+{
+    return MoveReporter(&m_parts->model)
+            .view(m_parts->drainer.move(), m_parts->drainer.projection());
+}
+
+MovePlan Scheduler::planMove(const BuildingName &from, const BuildingName &to) const
+{
+    return MovePlanner(&m_parts->model.fleet).plan(from, to);
+}
+
 const SchedulerCounters &Scheduler::counters() const
 {
     return m_parts->model.counters;
--- a/acaciafork/decisions/batch/Scheduler.h
+++ b/acaciafork/decisions/batch/Scheduler.h
@@ -5,6 +5,8 @@
 
 #include "acaciafork/decisions/batch/Commands.h"
 #include "acaciafork/decisions/batch/Events.h"
+#include "acaciafork/decisions/batch/MovePlanner.h"
+#include "acaciafork/decisions/batch/MoveView.h"
 #include "acaciafork/decisions/batch/SchedulerCounters.h"
 #include "acaciafork/decisions/batch/Settings.h"
 
@@ -69,6 +71,10 @@
     [[nodiscard]] std::vector<RackView> racks() const;
     /// Numbers of the whole.
     [[nodiscard]] SchedulerSummary summary() const;
+    /// The move as it stands, with its projected finish and what is in its way.
+    [[nodiscard]] MoveView move() const;
+    /// Plan for moving all work from one building to another, for operators to start.
+    [[nodiscard]] MovePlan planMove(const BuildingName &from, const BuildingName &to) const;
     /// What was counted since the start.
     [[nodiscard]] const SchedulerCounters &counters() const;
 
--- a/acaciafork/decisions/batch/ServicePlanner.cpp
+++ b/acaciafork/decisions/batch/ServicePlanner.cpp
@@ -189,6 +189,7 @@
     }
     it->state = ReplicaState::Starting;
     it->since = m_model->now;
+    m_model->tasks[it->task].leaving = false;
     m_model->enqueue(it->task, false);
 }
 
@@ -202,6 +203,7 @@
         return;
     }
     replica->state = ReplicaState::Leaving;
+    m_model->tasks[replica->task].leaving = true;
     replica->since = m_model->now;
     m_model->outbox.send(EndpointLeave { .task = task.name });
 }
--- a/acaciafork/decisions/batch/TaskTable.h
+++ b/acaciafork/decisions/batch/TaskTable.h
@@ -80,6 +80,10 @@
     TaskIntent intent = TaskIntent::Run;
     bool urgent = false;
     bool cancelRequested = false;
+    /// Its endpoint was told to leave.
+    bool leaving = false;
+    /// Its rack drains, and it ends sooner than it could be moved.
+    bool runsOut = false;
     /// A lease or an outcome of this task waits for its commit.
     bool proposed = false;
     /// This leader committed the lease, so it may send the first start of the epoch.
