Test batch policy: sizes, health, refusals, urgency, cancellation waves, shares, accelerators

Cause: each matter of policy needs a test that can fail. Change: ten tests of policy in virtual time.

--- /dev/null
+++ b/tests/decisions/batch/PolicyTest.cpp
@@ -0,0 +1,236 @@
+#include <doctest/doctest.h>
+
+#include "tests/decisions/batch/Scenario.h"
+
+using namespace acaciafork;
+using namespace acaciafork::batch;
+using namespace acaciafork::batch::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Submits `count` jobs named prefix0, prefix1, ...
+void submitMany(Session *session, const std::string &prefix, int count, const JobSketch &like)
+{
+    for (int i = 0; i < count; ++i) {
+        JobSketch job = like;
+        job.task = prefix + std::to_string(i);
+        submitJob(session, job);
+    }
+}
+
+/// Jobs with that prefix that have a lease.
+int leasedCount(const Session &session, const std::string &prefix, int count)
+{
+    int leased = 0;
+    for (int i = 0; i < count; ++i) {
+        const TaskRecord *task = session.state.task({ prefix + std::to_string(i) });
+        leased += task != nullptr && task->leased ? 1 : 0;
+    }
+    return leased;
+}
+
+} // namespace
+
+TEST_CASE("sizes declared far too large are corrected by what the family used")
+{
+    Session::Options options;
+    options.usageEvery = 1;
+    Session session(options);
+    addRack(&session, "r1", "old", "a", 1);
+    session.run(2s);
+    const JobSketch greedy { .declared = { .millicores = 16'000, .memoryMb = 60'000, .slots = 1 },
+                             .used = { .millicores = 3'000, .memoryMb = 9'000, .slots = 1 },
+                             .work = 20s };
+    submitMany(&session, "early", 12, greedy);
+    session.run(5s);
+    CHECK(leasedCount(session, "early", 12) == 2);
+    session.run(5min);
+    REQUIRE(session.state.finished == 12);
+    submitMany(&session, "late", 12, greedy);
+    session.run(5s);
+    CHECK(leasedCount(session, "late", 12) == 8);
+    CHECK(session.world.audit.violations() == 0);
+}
+
+TEST_CASE("a job cut short of memory by what was learned gets its declared size and no blame")
+{
+    Session::Options options;
+    options.usageEvery = 1;
+    Session session(options);
+    addRack(&session, "r1", "old", "a", 1);
+    session.run(2s);
+    const JobSketch small { .declared = { .millicores = 4'000, .memoryMb = 40'000, .slots = 1 },
+                            .used = { .millicores = 4'000, .memoryMb = 2'000, .slots = 1 },
+                            .work = 10s };
+    submitMany(&session, "small", 12, small);
+    session.run(3min);
+    REQUIRE(session.state.finished == 12);
+    JobSketch large = small;
+    large.task = "large";
+    large.used.memoryMb = 39'000;
+    submitJob(&session, large);
+    session.run(1min);
+    CHECK(session.state.finished == 13);
+    CHECK(session.scheduler().counters().failedAttempts == 1);
+    CHECK(session.state.failed == 0);
+}
+
+TEST_CASE("a worker that fails everything is quarantined, its jobs finish elsewhere")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 4);
+    session.workers[0]->setFailsEverything(true);
+    session.run(2s);
+    submitMany(&session, "job", 60, { .work = 30s });
+    session.run(10min);
+    CHECK(session.state.finished == 60);
+    CHECK(session.state.failed == 0);
+    CHECK(session.scheduler().counters().quarantines == 1);
+
+    // Once it is well, a probe brings it back.
+    session.workers[0]->setFailsEverything(false);
+    submitMany(&session, "later", 400, { .work = 60s });
+    session.run(2h);
+    CHECK(session.state.finished == 460);
+    CHECK(session.scheduler().counters().quarantines == 1);
+    submitMany(&session, "last", 32, { .work = 60s });
+    session.run(20s);
+    CHECK(session.workers[0]->runningCount() > 0);
+}
+
+TEST_CASE("a job that fails everywhere has failed for good, and no worker is blamed")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 4);
+    session.run(2s);
+    submitMany(&session, "bad", 30, { .family = "bad", .work = 60s, .failsAfter = 5s });
+    submitMany(&session, "good", 60, { .family = "good", .work = 20s });
+    session.run(30min);
+    CHECK(session.state.finished == 60);
+    CHECK(session.state.failed == 30);
+    CHECK(session.scheduler().counters().failedAttempts <= 30 * 4);
+}
+
+TEST_CASE("jobs that can never run are told so with the reason")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 1);
+    addRack(&session, "r2", "old", "a", 1,
+            { .millicores = 8'000, .memoryMb = 16'000, .accelerators = 2, .slots = 8 });
+    session.putTeam({ .team = { "poor" }, .quota = { .millicores = 2'000 } });
+    session.run(2s);
+    const auto submitSize = [&](const char *name, const char *team, Resources size) {
+        submitJob(&session, { .task = name, .team = team, .declared = size });
+    };
+    submitSize("cores", "t", { .millicores = 33'000, .memoryMb = 10 });
+    submitSize("memory", "t", { .millicores = 100, .memoryMb = 126'000 });
+    submitSize("accelerators", "t", { .millicores = 100, .memoryMb = 10, .accelerators = 3 });
+    submitSize("shape", "t", { .millicores = 16'000, .memoryMb = 10, .accelerators = 1 });
+    submitSize("quota", "poor", { .millicores = 3'000, .memoryMb = 10 });
+    submitSize("nothing", "t", {});
+    session.run(30s);
+    const auto &refused = session.state.unschedulable;
+    REQUIRE(refused.size() == 6);
+    CHECK(refused.at({ "cores" }) == UnschedulableReason::TooManyCores);
+    CHECK(refused.at({ "memory" }) == UnschedulableReason::TooMuchMemory);
+    CHECK(refused.at({ "accelerators" }) == UnschedulableReason::TooManyAccelerators);
+    CHECK(refused.at({ "shape" }) == UnschedulableReason::NoSuchShape);
+    CHECK(refused.at({ "quota" }) == UnschedulableReason::OverTeamQuota);
+    CHECK(refused.at({ "nothing" }) == UnschedulableReason::InvalidSize);
+    for (const auto &[task, reason] : refused)
+        CHECK(!describe(reason).empty());
+}
+
+TEST_CASE("urgent work starts within 6.3 s at full load, also past slow checkpoints")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 4);
+    session.run(2s);
+    submitMany(&session, "batch", 40, { .work = 2h, .checkpointTime = 60s });
+    session.run(5min);
+    std::map<std::string, Timestamp> started;
+    session.onCommand = [&](const Command &it) {
+        if (const auto *start = std::get_if<StartTask>(&it))
+            started.emplace(start->task.value, session.now());
+    };
+    const Timestamp asked = session.now();
+    submitMany(&session, "urgent", 6, { .work = 1min, .urgent = true });
+    session.run(6300ms);
+    for (int i = 0; i < 6; ++i) {
+        REQUIRE(started.contains("urgent" + std::to_string(i)));
+        CHECK(started["urgent" + std::to_string(i)] - asked < 6300ms);
+    }
+    CHECK(session.scheduler().counters().preemptions == 6);
+    session.run(6h);
+    CHECK(session.state.finished == 46);
+    CHECK(session.world.audit.violations() == 0);
+}
+
+TEST_CASE("a wave of 10,000 cancellations costs a bounded number of commands a tick")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 4);
+    session.run(2s);
+    submitMany(&session, "job", 10'000, { .work = 1h });
+    session.run(10s);
+    std::map<Timestamp, int> commands;
+    session.onCommand = [&](const Command &) { ++commands[session.now()]; };
+    for (int i = 0; i < 10'000; ++i)
+        session.cancel({ "job" + std::to_string(i) });
+    session.run(30s);
+    CHECK(session.state.cancelled == 10'000);
+    CHECK(session.scheduler().summary().tasks == 0);
+    const TickSettings bounds;
+    for (const auto &[at, count] : commands)
+        CHECK(count <= bounds.cancellationsPerTick + 2 * 32);
+}
+
+TEST_CASE("teams share by dominant resource and weight, and keep within quotas")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 6);
+    session.putTeam({ .team = { "heavy" }, .weight = 2 });
+    session.putTeam({ .team = { "bound" }, .quota = { .millicores = 12'000 } });
+    session.run(2s);
+    submitMany(&session, "a", 100, { .team = "heavy", .work = 1h });
+    submitMany(&session, "b", 100, { .team = "light", .work = 1h });
+    submitMany(&session, "c", 100, { .team = "bound", .work = 1h });
+    session.run(10s);
+    CHECK(leasedCount(session, "c", 100) == 3);
+    CHECK(leasedCount(session, "a", 100) == 30);
+    CHECK(leasedCount(session, "b", 100) == 15);
+}
+
+TEST_CASE("a job as large as a worker is not starved by a stream of small ones")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 2);
+    session.run(2s);
+    int next = 0;
+    session.every(5s, [&] {
+        submitMany(&session, "small" + std::to_string(next++) + "-", 2, { .work = 60s });
+    });
+    session.run(1min);
+    submitJob(&session, { .task = "large",
+                          .declared = { .millicores = 32'000, .memoryMb = 100'000, .slots = 8 },
+                          .work = 1min });
+    session.run(20min);
+    CHECK(session.state.task({ "large" }) == nullptr);
+}
+
+TEST_CASE("accelerators are kept for the work that needs them")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 1,
+            { .millicores = 32'000, .memoryMb = 125'000, .accelerators = 4, .slots = 16 });
+    addRack(&session, "r2", "old", "a", 1);
+    session.run(2s);
+    submitMany(&session, "plain", 40, { .work = 1h });
+    session.run(5s);
+    submitMany(&session, "model", 4,
+               { .declared = { .millicores = 4'000, .memoryMb = 15'000, .accelerators = 1 },
+                 .work = 1h });
+    session.run(5s);
+    CHECK(leasedCount(session, "model", 4) == 4);
+}
