Let a crest wait and refuse early only in lasting overload

Cause: at a 3 s crest of 120% load a sixth of the requests was refused, though a queue would have served them all within a second. Change: OverloadDetector by lane; a wait of up to 1.5 s is accepted at a crest, 100 ms in overload that lasts over 5 s, and the wait is worked out from the work that waits in the lane.

--- a/acaciafork/decisions/routing/Admission.cpp
+++ b/acaciafork/decisions/routing/Admission.cpp
@@ -11,6 +11,8 @@
 constexpr Duration delayPerSlotUsed = std::chrono::milliseconds(20);
 /// Time that requests wait for a first slot while the entry holds none.
 constexpr Duration creditPatience = std::chrono::seconds(2);
+/// Times the wait accepted after which a waiting request is refused.
+constexpr int patienceFactor = 2;
 /// Bounds of what a refused caller is told.
 constexpr Duration leastRetryAfter = std::chrono::seconds(1);
 constexpr Duration mostRetryAfter = std::chrono::seconds(30);
@@ -86,33 +88,44 @@
     return false;
 }
 
+Duration Admission::longestWait(Timestamp now, const RequestRecord &record) const
+{
+    // Nobody waits for batch work, and long work may wait as long as it takes.
+    const EntryService &service = m_state->services[record.service];
+    if (record.lane == Lane::Batch)
+        return Duration::max();
+    const auto &overload = service.overload[static_cast<std::size_t>(record.lane)];
+    const bool lasting = overload.overloaded(now, service.settings.standingTime);
+    const Duration bound = lasting ? service.settings.overloadWait : service.settings.crestWait;
+    return std::max(bound, record.expected);
+}
+
 void Admission::wait(Timestamp now, RequestRecord *record, EntryCommands *out)
 {
     EntryService &service = m_state->services[record->service];
-    if (now + expectedWait(service) > record->latestStart) {
+    OverloadDetector &overload = service.overload[static_cast<std::size_t>(record->lane)];
+    const Duration expected = service.expectedWait(record->lane);
+    if (now + expected > record->latestStart) {
         refuse(record, FailureKind::Overloaded, RefusalReason::DeadlineTooClose, out);
         return;
     }
-    if (service.queue.size() >= service.settings.queueBound) {
+    const bool full = service.queue.size() >= service.settings.queueBound;
+    if (full || expected > longestWait(now, *record)) {
+        overload.noteRefusal(now, service.settings.standingTime);
         refuse(record, FailureKind::Overloaded, RefusalReason::QueueFull, out);
         return;
     }
-    Timestamp &since = service.waitingSince[static_cast<std::size_t>(record->lane)];
-    if (service.queue.size(record->lane) == 0)
-        since = now;
     record->state = RequestState::Waiting;
     service.queue.push(record);
+    overload.queueChanged(now, false);
 }
 
-void Admission::leaveQueue(RequestRecord *record)
+void Admission::leaveQueue(Timestamp now, RequestRecord *record)
 {
-    m_state->services[record->service].queue.remove(record);
-}
-
-bool Admission::standing(Timestamp now, const EntryService &service, Lane lane) const
-{
-    const Timestamp since = service.waitingSince[static_cast<std::size_t>(lane)];
-    return service.queue.size(lane) > 0 && now - since >= service.settings.standingQueue;
+    EntryService &service = m_state->services[record->service];
+    service.queue.remove(record);
+    service.overload[static_cast<std::size_t>(record->lane)].queueChanged(
+            now, service.queue.size(record->lane) == 0);
 }
 
 RequestRecord *Admission::takeNext(Timestamp now, TableIndex index)
@@ -124,14 +137,15 @@
         if (service.queue.size(lane) == 0 || !service.laneMayStart(lane))
             continue;
         // In a queue that stands the oldest have little time left: serve those who still have it.
-        const bool newestFirst = lane != Lane::Batch && standing(now, service, lane);
+        const bool newestFirst = lane != Lane::Batch
+                && service.overload[it].overloaded(now, service.settings.standingTime);
         RequestRecord *candidate =
                 newestFirst ? service.queue.newest(lane) : service.queue.first(lane);
         if (!next || candidate->orderKey < next->orderKey)
             next = candidate;
     }
     if (next)
-        service.queue.remove(next);
+        leaveQueue(now, next);
     return next;
 }
 
@@ -141,18 +155,23 @@
     while (RequestRecord *record = service.queue.mostUrgent()) {
         if (record->latestStart >= now)
             break;
-        service.queue.remove(record);
+        leaveQueue(now, record);
         refuse(record, FailureKind::Overloaded, RefusalReason::DeadlineTooClose, out);
     }
 
-    const Duration patience =
-            service.heldSlots == 0 ? creditPatience : service.settings.standingQueue;
+    // Whoever has waited twice as long as was accepted is not going to be served in good time.
     for (const Lane lane : { Lane::Short, Lane::Long, Lane::Stream }) {
         while (RequestRecord *record = service.queue.oldest(lane)) {
+            const bool creditless = service.heldSlots == 0;
+            const Duration patience =
+                    creditless ? creditPatience : patienceFactor * longestWait(now, *record);
             if (now - record->arrival < patience)
                 break;
-            service.queue.remove(record);
-            refuse(record, FailureKind::Overloaded, RefusalReason::NoCredit, out);
+            leaveQueue(now, record);
+            service.overload[static_cast<std::size_t>(lane)].noteRefusal(
+                    now, service.settings.standingTime);
+            refuse(record, FailureKind::Overloaded,
+                   creditless ? RefusalReason::NoCredit : RefusalReason::QueueFull, out);
         }
     }
 }
@@ -178,17 +197,10 @@
     m_state->requests.remove(record);
 }
 
-Duration Admission::expectedWait(const EntryService &service) const
-{
-    if (service.heldSlots == 0)
-        return Duration::zero();
-    const auto ahead = static_cast<Duration::rep>(service.queue.size());
-    return service.estimator.serviceMean() * ahead / service.heldSlots;
-}
-
 Duration Admission::retryAfter(TableIndex index) const
 {
-    const Duration wait = 2 * expectedWait(m_state->services[index]);
+    const EntryService &service = m_state->services[index];
+    const Duration wait = 2 * (service.queue.work() / service.laneSlots(Lane::Short));
     return std::clamp(wait, leastRetryAfter, mostRetryAfter);
 }
 
--- a/acaciafork/decisions/routing/EntryScheduler.cpp
+++ b/acaciafork/decisions/routing/EntryScheduler.cpp
@@ -112,7 +112,7 @@
         return;
     switch (record->state) {
     case RequestState::Waiting:
-        m_admission.leaveQueue(record);
+        m_admission.leaveQueue(now, record);
         m_state.requests.remove(record);
         return;
     case RequestState::Forwarded:
--- /dev/null
+++ b/acaciafork/decisions/routing/OverloadDetector.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "acaciafork/core/Time.h"
+
+namespace acaciafork::routing {
+
+/// Tells lasting overload from a short crest, for one queue: overload is a queue that has not been
+/// empty for long, and it lasts until nothing has been refused for as long.
+class OverloadDetector
+{
+public:
+    /// The queue has become empty or has ceased to be.
+    void queueChanged(Timestamp now, bool empty);
+
+    /// A request was refused because the wait was too long.
+    void noteRefusal(Timestamp now, Duration standingTime);
+
+    /// True while the overload lasts.
+    /// @param[in] standingTime time without an empty queue that makes an overload
+    [[nodiscard]] bool overloaded(Timestamp now, Duration standingTime) const;
+
+private:
+    bool m_waiting = false;
+    Timestamp m_waitingSince;
+    Timestamp m_overloadedUntil;
+};
+
+} // namespace acaciafork::routing
--- a/acaciafork/decisions/routing/RequestQueue.cpp
+++ b/acaciafork/decisions/routing/RequestQueue.cpp
@@ -8,6 +8,7 @@
     queue.byOrder.insert(*record);
     queue.byArrival.push_back(*record);
     m_byLatestStart.insert(*record);
+    queue.work += record->expected;
     ++m_size;
 }
 
@@ -17,6 +18,7 @@
     queue.byOrder.erase(queue.byOrder.iterator_to(*record));
     queue.byArrival.erase(queue.byArrival.iterator_to(*record));
     m_byLatestStart.erase(m_byLatestStart.iterator_to(*record));
+    queue.work -= record->expected;
     --m_size;
 }
 
@@ -43,6 +45,19 @@
     return m_byLatestStart.empty() ? nullptr : &*m_byLatestStart.begin();
 }
 
+Duration RequestQueue::work(Lane which) const
+{
+    return m_lanes[static_cast<std::size_t>(which)].work;
+}
+
+Duration RequestQueue::work() const
+{
+    Duration sum {};
+    for (const LaneQueue &it : m_lanes)
+        sum += it.work;
+    return sum;
+}
+
 std::size_t RequestQueue::size(Lane which) const
 {
     return m_lanes[static_cast<std::size_t>(which)].byOrder.size();
--- a/acaciafork/decisions/routing/RequestQueue.h
+++ b/acaciafork/decisions/routing/RequestQueue.h
@@ -36,6 +36,10 @@
     [[nodiscard]] bool empty() const { return m_size == 0; }
     /// Number of records in a lane.
     [[nodiscard]] std::size_t size(Lane lane) const;
+    /// Service time expected of all records in a lane.
+    [[nodiscard]] Duration work(Lane lane) const;
+    /// Service time expected of all records.
+    [[nodiscard]] Duration work() const;
 
 private:
     struct ByOrder
@@ -69,6 +73,7 @@
     {
         OrderSet byOrder;
         ArrivalList byArrival;
+        Duration work {};
     };
 
     LaneQueue &lane(Lane lane) { return m_lanes[static_cast<std::size_t>(lane)]; }
--- a/acaciafork/decisions/routing/RoutingSettings.h
+++ b/acaciafork/decisions/routing/RoutingSettings.h
@@ -13,7 +13,7 @@
 {
     ServiceName service;
     /// Requests of the service that may wait at one entry.
-    std::uint32_t queueBound = 512;
+    std::uint32_t queueBound = 4096;
     /// Time allowed to a request that names no deadline.
     Duration defaultTimeout = std::chrono::seconds(30);
     /// Longest time that a caller can ask for.
@@ -38,8 +38,12 @@
     Duration slowStart = std::chrono::seconds(5);
     /// Endpoints of the service at which one entry holds credit at most; 0 for no bound.
     std::uint32_t aperture = 128;
-    /// Time that a standing queue lasts before the newest request is served first.
-    Duration standingQueue = std::chrono::milliseconds(500);
+    /// Time without an empty queue that tells lasting overload from a crest.
+    Duration standingTime = std::chrono::seconds(5);
+    /// Longest wait that a request is accepted for at a crest, unless it takes longer itself.
+    Duration crestWait = std::chrono::milliseconds(1500);
+    /// The same in lasting overload; the newest request is then served first.
+    Duration overloadWait = std::chrono::milliseconds(100);
     /// Time in the queue that the service of its route in the last seconds can cost a request.
     Duration maxAttainedDelay = std::chrono::seconds(2);
 };
--- a/acaciafork/decisions/routing/ServiceTable.cpp
+++ b/acaciafork/decisions/routing/ServiceTable.cpp
@@ -17,17 +17,29 @@
 {
     if (lane == Lane::Short)
         return true;
-
-    // Long work leaves the reserved slots alone, but an entry with one slot still serves it.
-    const std::uint32_t reserved = percentOf(heldSlots, settings.shortSlotsPercent);
-    const std::uint32_t open = std::max(heldSlots > reserved ? heldSlots - reserved : 0, 1U);
-    if (longInUse + streamsInUse >= open)
+    if (longInUse + streamsInUse >= laneSlots(lane))
         return false;
 
     const std::uint32_t streams = percentOf(heldSlots, settings.streamSlotsPercent);
     return lane != Lane::Stream || streamsInUse < std::max(streams, 1U);
 }
 
+std::uint32_t EntryService::laneSlots(Lane lane) const
+{
+    if (lane == Lane::Short) {
+        const std::uint32_t taken = longInUse + streamsInUse;
+        return std::max(heldSlots > taken ? heldSlots - taken : 0, 1U);
+    }
+    // Long work leaves the reserved slots alone, but an entry with one slot still serves it.
+    const std::uint32_t reserved = percentOf(heldSlots, settings.shortSlotsPercent);
+    return std::max(heldSlots > reserved ? heldSlots - reserved : 0, 1U);
+}
+
+Duration EntryService::expectedWait(Lane lane) const
+{
+    return queue.work(lane) / laneSlots(lane);
+}
+
 std::uint32_t EntryService::spareSlots() const
 {
     return heldSlots > inUse ? heldSlots - inUse : 0;
--- a/acaciafork/decisions/routing/ServiceTable.h
+++ b/acaciafork/decisions/routing/ServiceTable.h
@@ -9,6 +9,7 @@
 #include "acaciafork/decisions/routing/AttainedService.h"
 #include "acaciafork/decisions/routing/IndexPool.h"
 #include "acaciafork/decisions/routing/Messages.h"
+#include "acaciafork/decisions/routing/OverloadDetector.h"
 #include "acaciafork/decisions/routing/RequestQueue.h"
 #include "acaciafork/decisions/routing/RetryBudget.h"
 #include "acaciafork/decisions/routing/RoutingSettings.h"
@@ -48,8 +49,7 @@
     double wantedPeak = 0;
     /// Slots wanted in the last report.
     std::uint32_t wantedReported = 0;
-    /// Since when each lane has had requests waiting without a break; the epoch when none waits.
-    std::array<Timestamp, laneCount> waitingSince {};
+    std::array<OverloadDetector, laneCount> overload {};
     /// Attempts of short work in order of their start, to find those that have become long.
     std::deque<AttemptId> shortAttempts;
     AttainedService attained;
@@ -58,6 +58,10 @@
 
     /// True when a request of the lane may take a free slot now.
     [[nodiscard]] bool laneMayStart(Lane lane) const;
+    /// Slots that the lane can count on.
+    [[nodiscard]] std::uint32_t laneSlots(Lane lane) const;
+    /// Time that a request of the lane would wait now.
+    [[nodiscard]] Duration expectedWait(Lane lane) const;
     /// True when any endpoint has a free slot.
     [[nodiscard]] bool hasFreeSlot() const { return !localPool.empty() || !remotePool.empty(); }
     /// Slots held and not in use.
