--- a/acaciafork/control/PlatformRecords.cpp
+++ b/acaciafork/control/PlatformRecords.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 
+#include <boost/json.hpp>
+
 namespace acaciafork::control {
 namespace {
 
@@ -55,6 +57,20 @@
                 platform::WorkerCommand { .task = task, .action = action, .epoch = epoch });
     }
 
+    /// What the platform is told to run for one replica of a service.
+    [[nodiscard]] std::string servicePayload(const ServiceName &service) const
+    {
+        boost::json::object payload { { "kind", "service" }, { "service", service.value } };
+        for (const wire::ServiceSpec &it :
+             machine.configuration().current().document().services()) {
+            if (it.name() != service.value)
+                continue;
+            payload["slots"] = it.slots();
+            payload["connections"] = it.connections();
+        }
+        return boost::json::serialize(payload);
+    }
+
     static void setBasis(const batch::LeaseBasis &basis, platform::WorkerCommand *command)
     {
         command->leaseDuration = basis.leaseLength;
@@ -71,7 +87,7 @@
         if (const state::Task *task = machine.tasks().find(call.task.value)) {
             command.payload = task->payload;
             if (!task->service.value.empty())
-                command.payload = "service=" + task->service.value;
+                command.payload = servicePayload(task->service);
         }
     }
 
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -13,8 +13,12 @@
 constexpr Duration reportPeriod = std::chrono::seconds(1);
 constexpr Duration usagePeriod = std::chrono::seconds(2);
 constexpr Duration stepPeriod = std::chrono::milliseconds(20);
-// How long a task that has ended stands in the reports.
+// How long a task that has ended and was released is remembered, so that a late start of it is
+// refused.
 constexpr Duration keepEnded = std::chrono::seconds(60);
+// Reports whose time of sending is remembered; a lease that counts from an older one is over.
+constexpr std::size_t rememberedReports = 120;
+constexpr std::int64_t fullPerMille = 1'000;
 constexpr std::string_view taskPrefix = "/tasks/";
 constexpr std::int64_t mostRunMs = 24LL * 3'600 * 1'000;
 
@@ -118,7 +122,18 @@
         http.answerJson(409, platform::encodeTaskReport(it->second.report));
         return;
     }
+    // A lease counts from a report of this incarnation; a command from before a restart is void.
+    const bool givesLease = command.action == platform::WorkerAction::Start
+            || command.action == platform::WorkerAction::Renew;
+    if (givesLease && command.incarnation != m_report.incarnation) {
+        http.answerFailure(FailureKind::Conflict, "the lease is of another incarnation");
+        return;
+    }
     const bool isKnown = it != m_tasks.end() && it->second.report.epoch == command.epoch;
+    if (!isKnown && command.action == platform::WorkerAction::Stop) {
+        refuseEpoch(command, http);
+        return;
+    }
     if (!isKnown && command.action == platform::WorkerAction::Start) {
         begin(command, http);
         return;
@@ -132,6 +147,28 @@
     http.answerJson(200, platform::encodeTaskReport(it->second.report));
 }
 
+void StandinWorker::refuseEpoch(const platform::WorkerCommand &command, net::HttpExchange &http)
+{
+    // The epoch is listed as stopped, so that a start of it that comes late is refused.
+    Task &task = m_tasks[command.task.value];
+    if (task.report.epoch && !hasEnded(task.report.status))
+        stop(task, platform::TaskStatus::Stopped, "replaced");
+    task = Task {};
+    task.report = { .task = command.task,
+                    .epoch = command.epoch,
+                    .status = platform::TaskStatus::Stopped };
+    task.endedAt = net::Loop::now();
+    task.isReleased = command.release;
+    http.answerJson(200, platform::encodeTaskReport(task.report));
+}
+
+Timestamp StandinWorker::leaseEnd(const platform::WorkerCommand &command) const
+{
+    // A report that is not remembered any more is too old to give a lease.
+    const auto it = m_sentAt.find(command.reportSequence);
+    return it == m_sentAt.end() ? Timestamp {} : it->second + command.leaseDuration;
+}
+
 void StandinWorker::begin(const platform::WorkerCommand &command, net::HttpExchange &http)
 {
     leaf::try_handle_all(
@@ -146,7 +183,7 @@
                 task.payload = payload;
                 task.progress = progressOf(command.checkpoint);
                 task.steppedAt = now;
-                task.leaseEnd = now + command.leaseDuration;
+                task.leaseEnd = leaseEnd(command);
                 task.run = m_runs.size();
                 m_runs.push_back({ .task = command.task.value,
                                    .epoch = command.epoch.value,
@@ -154,8 +191,7 @@
                                    .startedAtUs = net::Loop::wallMicroseconds() });
                 if (payload.isService) {
                     StandinEndpointSettings settings = payload.endpoint;
-                    settings.announcement.endpoint = { command.task.value + "-"
-                                                       + std::to_string(command.epoch.value) };
+                    settings.announcement.endpoint = { command.task.value };
                     settings.announcement.zone = m_report.zone;
                     settings.announcement.rack = m_report.rack;
                     task.endpoint = std::make_unique<StandinEndpoint>(m_loop, m_reporter, settings);
@@ -173,16 +209,19 @@
 
 void StandinWorker::apply(const platform::WorkerCommand &command, Task &task)
 {
+    if (command.action == platform::WorkerAction::Stop)
+        task.isReleased = task.isReleased || command.release;
     if (hasEnded(task.report.status))
         return;
     switch (command.action) {
     case platform::WorkerAction::Start:
     case platform::WorkerAction::Renew:
-        task.leaseEnd = net::Loop::now() + command.leaseDuration;
+        task.leaseEnd = std::max(task.leaseEnd, leaseEnd(command));
         return;
     case platform::WorkerAction::Throttle:
-        task.isThrottled = true;
-        task.report.status = platform::TaskStatus::Throttled;
+        task.isThrottled = command.perMille < fullPerMille;
+        task.report.status =
+                task.isThrottled ? platform::TaskStatus::Throttled : platform::TaskStatus::Running;
         return;
     case platform::WorkerAction::Checkpoint:
         stepTask(task, net::Loop::now());
@@ -220,7 +259,7 @@
     }
     std::erase_if(m_tasks, [now](const auto &it) {
         const Task &task = it.second;
-        return hasEnded(task.report.status) && now - task.endedAt > keepEnded;
+        return hasEnded(task.report.status) && task.isReleased && now - task.endedAt > keepEnded;
     });
 }
 
@@ -241,9 +280,13 @@
 void StandinWorker::sendReport()
 {
     ++m_report.sequence;
+    m_sentAt[m_report.sequence] = net::Loop::now();
+    while (m_sentAt.size() > rememberedReports)
+        m_sentAt.erase(m_sentAt.begin());
     m_report.tasks.clear();
     for (const auto &[name, task] : m_tasks)
-        m_report.tasks.push_back(task.report);
+        if (!hasEnded(task.report.status) || !task.isReleased)
+            m_report.tasks.push_back(task.report);
     m_reporter.send("PUT", "/acaciafork/v1/workers/" + m_report.worker.value,
                     platform::encodeWorkerReport(m_report));
 }
@@ -252,7 +295,7 @@
 {
     platform::UsageReport usage { .worker = m_report.worker,
                                   .incarnation = m_report.incarnation,
-                                  .sequence = ++m_usageSequence,
+                                  .sequence = m_report.sequence,
                                   .lag = usagePeriod,
                                   .window = usagePeriod };
     for (const auto &[name, task] : m_tasks) {
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -73,6 +73,8 @@
         StandinPayload payload;
         Duration progress = Duration::zero();
         bool isThrottled = false;
+        /// Its end is recorded: it need not be reported any more.
+        bool isReleased = false;
         Timestamp steppedAt;
         Timestamp leaseEnd;
         Timestamp endedAt;
@@ -84,6 +86,8 @@
     void serveCommand(const std::shared_ptr<net::HttpExchange> &http, std::string_view task);
     void carryOut(const platform::WorkerCommand &command, net::HttpExchange &http);
     void begin(const platform::WorkerCommand &command, net::HttpExchange &http);
+    void refuseEpoch(const platform::WorkerCommand &command, net::HttpExchange &http);
+    [[nodiscard]] Timestamp leaseEnd(const platform::WorkerCommand &command) const;
     void apply(const platform::WorkerCommand &command, Task &task);
     void stop(Task &task, platform::TaskStatus status, std::string_view end);
     void step();
@@ -99,7 +103,8 @@
     std::vector<StandinRun> m_runs;
     std::vector<std::unique_ptr<StandinEndpoint>> m_leaving;
     std::vector<net::TimerId> m_timers;
-    std::uint64_t m_usageSequence = 0;
+    /// When each of the last reports was sent.
+    std::map<std::uint64_t, Timestamp> m_sentAt;
     std::uint64_t m_fenced = 0;
     bool m_isBroken = false;
 };
--- a/tests/consensus/schedules/Main.cpp
+++ b/tests/consensus/schedules/Main.cpp
@@ -15,8 +15,8 @@
     ScheduleSettings settings;
     std::uint64_t schedules = 1000;
     options::options_description described("Options");
-    described.add_options()("help", "shows this text")(
-            "seed", options::value(&settings.seed), "seed of the first schedule")(
+    described.add_options()("help", "shows this text")("seed", options::value(&settings.seed),
+                                                       "seed of the first schedule")(
             "schedules", options::value(&schedules), "how many seeds to run")(
             "trace", options::bool_switch(&settings.trace), "writes what happens")(
             "skip-sync", options::bool_switch(&settings.faults.skipSync),
