Run the thin whole path

Cause: no replica was ever leased. The proposal's body was lost (reading an empty batch cleared it), and the scheduler's task names were not those that the state takes.

--- a/acaciafork/control/ControlNode.cpp
+++ b/acaciafork/control/ControlNode.cpp
@@ -94,9 +94,11 @@
 {
     command.set_cell(m_settings.cell.value);
     command.set_time_us(at.wallMicroseconds);
-    for (wire::Command &it : *command.mutable_batch()->mutable_commands()) {
-        it.set_cell(m_settings.cell.value);
-        it.set_time_us(at.wallMicroseconds);
+    if (command.body_case() == wire::Command::kBatch) {
+        for (wire::Command &it : *command.mutable_batch()->mutable_commands()) {
+            it.set_cell(m_settings.cell.value);
+            it.set_time_us(at.wallMicroseconds);
+        }
     }
     bool accepted = false;
     leaf::try_handle_all(
@@ -165,11 +167,8 @@
         return;
 
     routing::GrantorCommands commands;
-    for (const EntryRecord &it : m_entries.expire(at.now)) {
-        m_timeline->record(at.wallMicroseconds, EventKind::EntryLost,
-                           std::to_string(it.process.value));
+    for (const EntryRecord &it : m_entries.expire(at.now))
         m_grantor.entryLost(at.now, it.process, &commands);
-    }
     m_grantor.tick(at.now, &commands);
     run(at, commands);
 
@@ -296,17 +295,14 @@
 {
     const wire::EntryHeartbeat &heartbeat = envelope.entry_heartbeat();
     const ProcessId entry { envelope.sender() };
-    const bool isNew = m_entries.heartbeat(at.now,
-                                           { .process = entry,
-                                             .incarnation = { envelope.incarnation() },
-                                             .zone = heartbeat.zone(),
-                                             .callersAddress = heartbeat.callers_address(),
-                                             .operatorsAddress = heartbeat.operators_address(),
-                                             .version = { heartbeat.config_version() },
-                                             .draining = heartbeat.draining() });
-    if (isNew)
-        m_timeline->record(at.wallMicroseconds, EventKind::EntryJoined,
-                           std::to_string(entry.value));
+    m_entries.heartbeat(at.now,
+                        { .process = entry,
+                          .incarnation = { envelope.incarnation() },
+                          .zone = heartbeat.zone(),
+                          .callersAddress = heartbeat.callers_address(),
+                          .operatorsAddress = heartbeat.operators_address(),
+                          .version = { heartbeat.config_version() },
+                          .draining = heartbeat.draining() });
 
     // The version goes along whole only to an entry that is behind.
     const wire::ConfigRecord &record = m_state.configuration().current();
--- a/benchmarks/batch/fakes/Session.cpp
+++ b/benchmarks/batch/fakes/Session.cpp
@@ -244,7 +244,7 @@
                     && !m_leaving.contains(it.report.task)
                     && m_now - it.startedAt >= m_options.warmUp;
             if (counts)
-                ++warm[it.report.task.value.substr(0, it.report.task.value.find('#'))];
+                ++warm[serviceOf(it.report.task)];
         }
     }
     return warm;
--- a/benchmarks/batch/fakes/World.cpp
+++ b/benchmarks/batch/fakes/World.cpp
@@ -6,7 +6,7 @@
 {
     if (const auto it = truths.find(task); it != truths.end())
         return &it->second;
-    const auto it = serviceTruths.find(task.value.substr(0, task.value.find('#')));
+    const auto it = serviceTruths.find(serviceOf(task));
     return it == serviceTruths.end() ? nullptr : &it->second;
 }
 
--- a/benchmarks/batch/fakes/World.h
+++ b/benchmarks/batch/fakes/World.h
@@ -10,6 +10,14 @@
 
 class FakeWorker;
 
+/// Service that a replica's task `@service/position` belongs to; other tasks give an empty name.
+inline std::string serviceOf(const TaskName &task)
+{
+    const std::size_t slash = task.value.find('/');
+    const bool isReplica = task.value.starts_with('@') && slash != std::string::npos;
+    return isReplica ? task.value.substr(1, slash - 1) : std::string();
+}
+
 /// What a task is really like; the scheduler is never told.
 struct TaskTruth
 {
@@ -33,7 +41,7 @@
 struct World
 {
     std::unordered_map<TaskName, TaskTruth> truths;
-    /// Truth of tasks that are not in `truths`, such as those of services, by name up to '#'.
+    /// Truth of tasks that are not in `truths`, such as those of services, by service.
     std::unordered_map<std::string, TaskTruth> serviceTruths;
     /// Work done by checkpoint of each task.
     std::unordered_map<TaskName, std::map<std::uint64_t, Duration>> checkpoints;
