--- a/benchmarks/batch/fakes/FakeWorker.cpp
+++ b/benchmarks/batch/fakes/FakeWorker.cpp
@@ -20,10 +20,12 @@
 
 void FakeWorker::advance(Timestamp now)
 {
+    m_usedMillicores = usedMillicores();
     for (Held &it : m_held) {
         if (it.runs())
             runTask(&it, now);
     }
+    m_usedMillicores = usedMillicores();
     m_at = now;
 }
 
@@ -54,6 +56,7 @@
         end(held, TaskStatus::Failed);
     } else if (held->done >= truth.work) {
         m_world->audit.onFinish(held->report.task);
+        m_world->finishedWork += static_cast<double>(truth.work.count()) * truth.used.millicores;
         end(held, TaskStatus::Finished);
     } else if (held->checkpointing && now >= held->checkpointDoneAt) {
         saveProgress(held);
@@ -268,13 +271,21 @@
 
 std::int32_t FakeWorker::slowdownPermille(const Held &held) const
 {
-    std::int64_t slowdown = permilleWhole;
+    // Disturbance shifts with the load of the worker.
+    constexpr std::int64_t highLoadPermille = 800;
+    constexpr std::int64_t lowFactor = 500;
+    constexpr std::int64_t highFactor = 1300;
+    const std::int64_t load =
+            permilleWhole * m_usedMillicores / std::max(m_options.identity.room.millicores, 1);
+    std::int64_t factor = load < permilleWhole / 2 ? lowFactor : permilleWhole;
+    factor = load > highLoadPermille ? highFactor : factor;
+    std::int64_t sum = 0;
     for (const Held &it : m_held) {
         if (&it != &held && it.runs())
-            slowdown += std::int64_t { m_world->disturbance(held.truth->kind, it.truth->kind) }
+            sum += std::int64_t { m_world->disturbance(held.truth->kind, it.truth->kind) }
                     * it.throttlePermille / permilleWhole;
     }
-    return static_cast<std::int32_t>(slowdown);
+    return static_cast<std::int32_t>(permilleWhole + sum * factor / permilleWhole);
 }
 
 } // namespace acaciafork::batch::fakes
--- a/benchmarks/batch/fakes/FakeWorker.h
+++ b/benchmarks/batch/fakes/FakeWorker.h
@@ -89,6 +89,8 @@
     std::unordered_map<TaskName, std::uint64_t> m_highestEpoch;
     std::size_t m_running = 0;
     Resources m_granted;
+    /// Processor time in use as of the latest advance.
+    std::int64_t m_usedMillicores = 0;
 };
 
 } // namespace acaciafork::batch::fakes
--- a/benchmarks/batch/fakes/Session.cpp
+++ b/benchmarks/batch/fakes/Session.cpp
@@ -2,6 +2,27 @@
 
 namespace acaciafork::batch::fakes {
 
+namespace {
+
+/// The real scheduler.
+class RealDecider final : public Decider
+{
+public:
+    explicit RealDecider(const SchedulerSettings &settings)
+        : m_scheduler(settings)
+    { }
+    void handle(Timestamp now, const Event &event, std::vector<Command> *commands) override
+    {
+        m_scheduler.handle(now, event, commands);
+    }
+    Scheduler *scheduler() override { return &m_scheduler; }
+
+private:
+    Scheduler m_scheduler;
+};
+
+} // namespace
+
 Session::Session(const Options &options)
     : m_options(options)
     , m_random(m_options.seed)
@@ -66,7 +87,8 @@
 void Session::startLeader()
 {
     m_leader = std::make_shared<Leader>();
-    m_leader->scheduler = std::make_unique<Scheduler>(m_options.settings);
+    m_leader->decider = m_options.makeDecider ? m_options.makeDecider()
+                                              : std::make_unique<RealDecider>(m_options.settings);
     handle(m_leader, StateRestored { .state = state.restored() });
     tick(m_leader);
 }
@@ -95,7 +117,7 @@
         return;
     std::vector<Command> commands;
     const auto begin = std::chrono::steady_clock::now();
-    leader->scheduler->handle(m_now, event, &commands);
+    leader->decider->handle(m_now, event, &commands);
     schedulerTime += std::chrono::steady_clock::now() - begin;
     ++schedulerEvents;
     if (tamper)
@@ -207,6 +229,7 @@
     });
     if (m_options.usageEvery > 0 && report->report.seq % m_options.usageEvery == 0) {
         const auto usage = std::make_shared<UsageReported>(UsageReported { it.usage() });
+        addNoise(&usage->report);
         const Duration lag(draw(0, m_options.usageLag.count()));
         at(m_now + lag,
            [this, worker, usage] { overNetwork(worker, [this, usage] { tell(*usage); }); });
@@ -215,6 +238,19 @@
     at(m_now + m_options.reportInterval, [this, worker] { reportFrom(worker); });
 }
 
+void Session::addNoise(UsageReport *usage)
+{
+    const std::int64_t most = m_options.usageNoisePermille;
+    if (most == 0)
+        return;
+    for (TaskUsage &it : usage->tasks) {
+        const auto off = static_cast<std::int32_t>(draw(-most, most));
+        it.slowdownPermille = std::max(it.slowdownPermille + off, 0);
+        if (it.latencyPermille > 0)
+            it.latencyPermille = std::max(it.latencyPermille + off, 1);
+    }
+}
+
 void Session::endpointSigns(std::size_t worker)
 {
     for (const FakeWorker::Held &it : workers[worker]->held()) {
--- a/benchmarks/batch/fakes/Session.h
+++ b/benchmarks/batch/fakes/Session.h
@@ -20,6 +20,17 @@
     Duration mostDelay = std::chrono::milliseconds(3);
 };
 
+/// Something that decides as Scheduler does: the real one, or a baseline.
+class Decider
+{
+public:
+    virtual ~Decider() = default;
+    /// Takes one event and appends commands.
+    virtual void handle(Timestamp now, const Event &event, std::vector<Command> *commands) = 0;
+    /// The real scheduler, or nullptr.
+    virtual Scheduler *scheduler() { return nullptr; }
+};
+
 /// One run in virtual time: schedulers that take turns as leader, the state, and workers.
 class Session
 {
@@ -35,9 +46,13 @@
         Duration usageLag = std::chrono::seconds(5);
         /// Every how many worker reports use is reported; 0 never.
         std::uint32_t usageEvery = 0;
+        /// Most by which one measured slowdown is off, in thousandths.
+        std::int64_t usageNoisePermille = 0;
         Duration warmUp = std::chrono::seconds(20);
         Duration endpointDrain = std::chrono::seconds(5);
         std::uint64_t seed = 1;
+        /// Makes another scheduler than the real one, for baselines.
+        std::function<std::unique_ptr<Decider>()> makeDecider;
     };
 
     explicit Session(const Options &options);
@@ -63,8 +78,11 @@
     /// Calls `action` every so often.
     void every(Duration interval, std::function<void()> action);
 
+    /// Measurements from now on are off by up to this.
+    void setUsageNoise(std::int64_t permille) { m_options.usageNoisePermille = permille; }
+
     [[nodiscard]] Timestamp now() const { return m_now; }
-    Scheduler &scheduler() { return *m_leader->scheduler; }
+    Scheduler &scheduler() { return *m_leader->decider->scheduler(); }
     /// Broken variants in tests bend the commands of every leader.
     std::function<void(std::vector<Command> *)> tamper;
     /// Called at each command that a leader gives, before it is carried out.
@@ -85,7 +103,7 @@
 private:
     struct Leader
     {
-        std::unique_ptr<Scheduler> scheduler;
+        std::unique_ptr<Decider> decider;
         /// Its proposals are committed.
         bool inOffice = true;
         /// After this moment it sends nothing.
@@ -112,6 +130,7 @@
     void startLeader();
     void tick(const std::shared_ptr<Leader> &leader);
     void reportFrom(std::size_t worker);
+    void addNoise(UsageReport *usage);
     void endpointSigns(std::size_t worker);
     void tell(const Event &event);
     [[nodiscard]] bool cutOff(std::size_t worker) const;
--- a/benchmarks/batch/fakes/World.h
+++ b/benchmarks/batch/fakes/World.h
@@ -39,6 +39,8 @@
     std::unordered_map<TaskName, std::map<std::uint64_t, Duration>> checkpoints;
     /// Slowdown in thousandths that one neighbour of kind `column` causes to kind `row`.
     std::vector<std::vector<std::int32_t>> disturbancePermille;
+    /// Work of batch tasks that came to their end, in microseconds of one millicore.
+    double finishedWork = 0;
     /// Worker that began to run each task last; brought up to date before the next start is judged.
     std::unordered_map<TaskName, FakeWorker *> runners;
     Audit audit;
--- /dev/null
+++ b/benchmarks/batch/measure_move.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- a/tests/decisions/batch/PolicyTest.cpp
+++ b/tests/decisions/batch/PolicyTest.cpp
@@ -212,9 +212,10 @@
         submitMany(&session, "small" + std::to_string(next++) + "-", 2, { .work = 60s });
     });
     session.run(1min);
-    submitJob(&session, { .task = "large",
-                          .declared = { .millicores = 32'000, .memoryMb = 100'000, .slots = 8 },
-                          .work = 1min });
+    submitJob(&session,
+              { .task = "large",
+                .declared = { .millicores = 32'000, .memoryMb = 100'000, .slots = 8 },
+                .work = 1min });
     session.run(20min);
     CHECK(session.state.task({ "large" }) == nullptr);
 }
