--- a/acaciafork/decisions/batch/UsageReports.cpp
+++ b/acaciafork/decisions/batch/UsageReports.cpp
@@ -22,7 +22,7 @@
         ++m_model->counters.staleUsage;
         return noIndex;
     }
-    learn(worker, report);
+    learn(index, report);
     return index;
 }
 
@@ -71,8 +71,9 @@
     }
 }
 
-void UsageReports::learn(const Worker &worker, const UsageReport &report)
+void UsageReports::learn(Index workerIndex, const UsageReport &report)
 {
+    const Worker &worker = m_model->fleet.worker(workerIndex);
     collectCoRunners(worker, report.seq);
     std::int64_t used = 0;
     for (const TaskUsage &it : report.tasks)
@@ -80,7 +81,13 @@
     const Index level = InterferenceModel::levelOf(used, worker.room.millicores);
     for (const TaskUsage &it : report.tasks) {
         const Index index = m_model->tasks.find(it.task);
-        if (index == noIndex || m_model->tasks[index].epoch != it.epoch)
+        if (index == noIndex)
+            continue;
+
+        // The news may be older than the end of the task's lease there.
+        const bool stillHere = m_model->tasks[index].worker == workerIndex
+                && m_model->tasks[index].epoch == it.epoch;
+        if (!stillHere)
             continue;
         Task &task = m_model->tasks[index];
         task.peak = largest(task.peak, it.used);
--- a/acaciafork/decisions/batch/UsageReports.h
+++ b/acaciafork/decisions/batch/UsageReports.h
@@ -22,7 +22,7 @@
     /// Families that ran at the worker when it sent report `seq`, with their counts.
     void collectCoRunners(const Worker &worker, std::uint64_t seq);
     void addCoRunner(Index family);
-    void learn(const Worker &worker, const UsageReport &report);
+    void learn(Index worker, const UsageReport &report);
     void learnSlowdown(const Task &victim, Index level, double slowdown);
 
     Model *m_model;
--- a/tests/decisions/batch/PolicyTest.cpp
+++ b/tests/decisions/batch/PolicyTest.cpp
@@ -76,6 +76,25 @@
     CHECK(session.state.failed == 0);
 }
 
+TEST_CASE("use that is reported after its task was evicted does no harm")
+{
+    Session::Options options;
+    options.usageEvery = 1;
+    options.usageLag = 30s;
+    Session session(options);
+    addRack(&session, "r1", "old", "a", 2);
+    session.run(2s);
+    submitMany(&session, "job", 8, { .work = 10min });
+    session.run(1min);
+    session.putRack({ .rack = { "r1" },
+                      .building = { "old" },
+                      .zone = { "a" },
+                      .state = RackState::Draining });
+    addRack(&session, "r2", "old", "a", 2);
+    session.run(20min);
+    CHECK(session.state.finished == 8);
+}
+
 TEST_CASE("a worker that fails everything is quarantined, its jobs finish elsewhere")
 {
     Session session(Session::Options {});
