--- a/acaciafork/net/HttpCall.cpp
+++ b/acaciafork/net/HttpCall.cpp
@@ -152,9 +152,16 @@
 
 bool HttpCall::handleConnected(const char *error)
 {
+    const bool isNew = static_cast<bool>(m_connectDeadline);
     m_owner->loop.cancel(std::exchange(m_connectDeadline, {}));
     if (m_sink == nullptr)
         return false;
+    // h2o reads all that the kernel holds at once, so that is bounded where the answer may have to
+    // wait for a slow caller.
+    if (isNew && error == nullptr) {
+        const auto most = static_cast<int>(m_owner->settings.receiveBufferBytes);
+        ::setsockopt(h2o_socket_get_fd(m_client->sock), SOL_SOCKET, SO_RCVBUF, &most, sizeof(most));
+    }
     if (error != nullptr) {
         m_client = nullptr;
         const auto self = shared_from_this();
--- a/acaciafork/net/HttpClient.h
+++ b/acaciafork/net/HttpClient.h
@@ -42,6 +42,8 @@
     Duration idleTimeout = std::chrono::seconds(30);
     /// Most idle connections kept to one address.
     std::int64_t mostIdlePerAddress = 1'000;
+    /// Bytes of an answer that the kernel may hold for a connection; a paused call reads no more.
+    std::int64_t receiveBufferBytes = 256LL * 1024;
     /// Most bytes of an answer that call() collects.
     std::int64_t mostCollectedBytes = 16LL * 1024 * 1024;
 };
--- a/acaciafork/net/Loop.cpp
+++ b/acaciafork/net/Loop.cpp
@@ -167,7 +167,11 @@
 {
     // Wait in whole milliseconds, rounded up, so that a timer is due when the wait ends.
     Duration wait = std::min(most, timeToNextTimer());
-    if (!m_posted.empty())
+    // What timers and posted functions have written or read is pending in h2o, which looks at it
+    // only after it has waited.
+    const bool isPending =
+            m_native->_pending_as_client != nullptr || m_native->_pending_as_server != nullptr;
+    if (isPending || !m_posted.empty())
         wait = Duration::zero();
     const auto ms = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
     h2o_evloop_run(m_native,
--- a/tests/net/LoopTest.cpp
+++ b/tests/net/LoopTest.cpp
@@ -28,6 +28,32 @@
     CHECK(repeats == 3);
 }
 
+TEST_CASE("what a posted function writes does not wait for the next event")
+{
+    Loop loop;
+    HttpClient client(loop, {});
+    RawServer server(loop, [](TcpStream &it, const std::string &) {
+        it.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    });
+    // Each call starts outside of h2o's own callbacks; the loop has nothing else to wake it up.
+    int left = 200;
+    std::function<void()> callNext = [&] {
+        client.call({ .address = server.address() }, [&](const HttpReply &) {
+            if (--left == 0)
+                loop.stop();
+            else
+                loop.post(callNext);
+        });
+    };
+    int turns = 0;
+    loop.onTurnEnd([&] { ++turns; });
+    const TimerId late = loop.after(30s, [&] { loop.stop(); });
+    loop.post(callNext);
+    loop.run();
+    loop.cancel(late);
+    CHECK(left == 0);
+}
+
 TEST_CASE("the end of a turn comes after what was posted for it")
 {
     Loop loop;
