--- a/acaciafork/endpoints/Attempt.h
+++ b/acaciafork/endpoints/Attempt.h
@@ -29,8 +29,10 @@
     std::string_view body;
     /// Protocol to switch to; empty for an ordinary request.
     std::string_view upgradeProtocol;
-    /// Longest time to the end of the answer; for a stream, to its begin. Zero is none.
+    /// Longest time to the head of the answer, or to the begin of a stream. Zero is none.
     Duration timeout = Duration::zero();
+    /// Longest time without a byte of the body while the attempt is not paused. Zero is none.
+    Duration stallTimeout = std::chrono::seconds(30);
 };
 
 /// Why an attempt did not give a whole answer.
--- a/acaciafork/endpoints/EndpointClient.cpp
+++ b/acaciafork/endpoints/EndpointClient.cpp
@@ -109,7 +109,9 @@
                                        .target = request.path,
                                        .headers = headers,
                                        .body = request.body,
-                                       .timeout = request.timeout },
+                                       .timeout = Duration::zero(),
+                                       .headTimeout = request.timeout,
+                                       .stallTimeout = request.stallTimeout },
                                      *this);
 }
 
--- a/acaciafork/net/HttpCall.cpp
+++ b/acaciafork/net/HttpCall.cpp
@@ -122,6 +122,12 @@
             failWith(FailureKind::Timeout, "no whole answer in time");
         });
     }
+    if (request.headTimeout != Duration::zero()) {
+        m_headDeadline = loop.after(request.headTimeout, [this] {
+            failWith(FailureKind::Timeout, "no head of an answer in time");
+        });
+    }
+    m_stallTimeout = request.stallTimeout;
 
     // A kept connection is used at once; a new one has its own bound until it stands.
     m_isInCallback = true;
@@ -186,6 +192,7 @@
         return false;
     }
     m_phase = CallPhase::Headers;
+    m_owner->loop.cancel(std::exchange(m_headDeadline, {}));
     std::vector<Header> list;
     list.reserve(count);
     for (std::size_t i = 0; i != count; ++i)
@@ -234,11 +241,21 @@
     return true;
 }
 
+// Looks from time to time, in place of a timer that each piece of the body sets anew.
+void HttpCall::watchStall()
+{
+    if (!m_hasMoved && !m_isPaused)
+        failWith(FailureKind::Timeout, "no byte of the answer in time");
+    m_hasMoved = false;
+}
+
 // Runs at the end of the turn of the head: before the next bytes are read.
 void HttpCall::watchReads()
 {
     if (m_client == nullptr || m_client->sock == nullptr)
         return;
+    if (m_stallTimeout != Duration::zero())
+        m_stallTimer = m_owner->loop.every(m_stallTimeout, [this] { watchStall(); });
     auto &current = h2o_socket_is_reading(m_client->sock) ? m_client->sock->_cb.read : m_pausedRead;
     m_bodyRead = std::exchange(current, Callbacks::read);
 }
@@ -285,6 +302,7 @@
     if (n == 0)
         return;
     m_phase = CallPhase::Body;
+    m_hasMoved = true;
     const bool wasInCallback = std::exchange(m_isInCallback, true);
     m_sink->onBody({ socket->input->bytes, n });
     m_isInCallback = wasInCallback;
@@ -322,6 +340,7 @@
         return;
     const auto self = shared_from_this();
     m_isPaused = false;
+    m_hasMoved = true;
     if (m_isEndHeld) {
         m_phase = CallPhase::Complete;
         if (!m_held.empty())
@@ -370,8 +389,8 @@
 // Drops the client's hold, which may be the last one; callers keep their own.
 void HttpCall::forget()
 {
-    m_owner->loop.cancel(std::exchange(m_deadline, {}));
-    m_owner->loop.cancel(std::exchange(m_connectDeadline, {}));
+    for (auto *it : { &m_deadline, &m_headDeadline, &m_stallTimer, &m_connectDeadline })
+        m_owner->loop.cancel(std::exchange(*it, {}));
     m_owner->calls.erase(this);
 }
 
--- a/acaciafork/net/HttpCall.h
+++ b/acaciafork/net/HttpCall.h
@@ -55,6 +55,7 @@
     bool handleBody(const char *error);
     void deliverInput();
     void watchReads();
+    void watchStall();
     void endByError(const char *error);
 
     HttpCallSink *m_sink;
@@ -75,7 +76,11 @@
     /// True when h2o is being told that reading has failed or ended.
     bool m_hasReadFailed = false;
     bool m_isChunked = false;
+    Duration m_stallTimeout = Duration::zero();
+    bool m_hasMoved = false;
     TimerId m_deadline;
+    TimerId m_headDeadline;
+    TimerId m_stallTimer;
     TimerId m_connectDeadline;
     std::string m_request;
 };
--- a/acaciafork/net/HttpClient.h
+++ b/acaciafork/net/HttpClient.h
@@ -59,6 +59,10 @@
     std::string_view body;
     /// Longest time to the end of the answer; zero is none.
     Duration timeout = std::chrono::seconds(30);
+    /// Longest time to the head of the answer; zero is none.
+    Duration headTimeout = Duration::zero();
+    /// Longest time without a byte of the body while the call is not paused; zero is none.
+    Duration stallTimeout = Duration::zero();
 };
 
 /// Head of an answer; its views are valid during the call that shows it.
--- a/acaciafork/net/HttpExchange.cpp
+++ b/acaciafork/net/HttpExchange.cpp
@@ -214,6 +214,7 @@
         return;
 
     m_isSending = true;
+    m_sendingSince = Timestamp();
     m_isSent = isLast;
     h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
     if (isLast)
--- a/acaciafork/net/HttpExchange.h
+++ b/acaciafork/net/HttpExchange.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "acaciafork/core/Time.h"
 #include "acaciafork/net/Address.h"
 #include "acaciafork/net/HttpTypes.h"
 
@@ -107,6 +108,7 @@
     bool m_isSent = false;
     bool m_isGone = false;
     bool m_isUpgraded = false;
+    Timestamp m_sendingSince;
     std::string m_inFlight;
     std::string m_pending;
     std::function<void()> m_onDrained;
--- a/acaciafork/net/HttpServer.h
+++ b/acaciafork/net/HttpServer.h
@@ -27,6 +27,8 @@
     std::int64_t mostConnections = 10'000;
     /// Longest time from the first byte of a request to its last; past it 408.
     Duration requestTimeout = std::chrono::seconds(10);
+    /// Longest time for a written piece of an answer to leave; past it the connection is reset.
+    Duration stallTimeout = std::chrono::minutes(5);
     /// Longest time that a connection stays open without a request.
     Duration idleTimeout = std::chrono::seconds(60);
 };
--- a/acaciafork/net/HttpServerGuard.cpp
+++ b/acaciafork/net/HttpServerGuard.cpp
@@ -21,8 +21,10 @@
     m_lingering.tick(now);
     watchArrivals(now);
     enforceBudget();
-    if (++m_ticks % ticksPerPeerLook == 0)
+    if (++m_ticks % ticksPerPeerLook == 0) {
         watchPeers();
+        watchSending(now);
+    }
     closeIdle(now);
     finishDrain();
 }
@@ -92,6 +94,24 @@
     }
 }
 
+// A peer that stops reading would hold its request, and what serves it, for ever.
+void HttpServer::Impl::watchSending(Timestamp now)
+{
+    std::vector<h2o_socket_t *> stalled;
+    for (const auto &[socket, connection] : connections) {
+        HttpExchange *exchange = connection->current;
+        if (exchange == nullptr || !exchange->m_isSending)
+            continue;
+        if (exchange->m_sendingSince == Timestamp())
+            exchange->m_sendingSince = now;
+        else if (now - exchange->m_sendingSince > settings.stallTimeout)
+            stalled.push_back(socket);
+    }
+    // The broken connection fails the write, by which h2o lets go of it.
+    for (auto *it : stalled)
+        ::shutdown(h2o_socket_get_fd(it), SHUT_RDWR);
+}
+
 void HttpServer::Impl::handleClosed(ServerConnection *connection)
 {
     release(*connection);
--- a/acaciafork/net/HttpServerImpl.h
+++ b/acaciafork/net/HttpServerImpl.h
@@ -81,6 +81,7 @@
     void watchArrivals(Timestamp now);
     void enforceBudget();
     void watchPeers();
+    void watchSending(Timestamp now);
     void closeIdle(Timestamp now);
     void refuse(ServerConnection &connection, int status, FailureKind kind,
                 std::string_view detail);
--- a/standins/StandinReporter.cpp
+++ b/standins/StandinReporter.cpp
@@ -15,14 +15,15 @@
     , m_entries(std::move(entries))
 { }
 
-void StandinReporter::send(std::string_view method, const std::string &target, std::string body)
+void StandinReporter::send(std::string_view method, const std::string &target,
+                           const std::string &body)
 {
     if (!m_entries.empty())
-        sendTo(m_entries.size(), std::string(method), target, std::move(body));
+        sendTo(m_entries.size(), std::string(method), target, body);
 }
 
-void StandinReporter::sendTo(std::size_t triesLeft, std::string method, std::string target,
-                             std::string body)
+void StandinReporter::sendTo(std::size_t triesLeft, const std::string &method,
+                             const std::string &target, const std::string &body)
 {
     const net::Header type { .name = "content-type", .value = "application/json" };
     const std::size_t entry = m_current % m_entries.size();
--- a/standins/StandinReporter.h
+++ b/standins/StandinReporter.h
@@ -15,7 +15,7 @@
     StandinReporter(net::HttpClient &client, std::vector<net::Address> entries);
 
     /// Sends one report.
-    void send(std::string_view method, const std::string &target, std::string body);
+    void send(std::string_view method, const std::string &target, const std::string &body);
 
     /// Sends a report to every entry.
     void sendToAll(std::string_view method, const std::string &target, const std::string &body);
@@ -27,7 +27,8 @@
     [[nodiscard]] std::uint64_t lost() const { return m_lost; }
 
 private:
-    void sendTo(std::size_t triesLeft, std::string method, std::string target, std::string body);
+    void sendTo(std::size_t triesLeft, const std::string &method, const std::string &target,
+                const std::string &body);
 
     net::HttpClient &m_client;
     std::vector<net::Address> m_entries;
