Add the questionnaire and acaciaforkctl configure

Cause: settings are generated from a team's answers and never written by hand; nothing generated them. Change: typed questions with explanation, default and check; an interview that does no input or output itself; an answers file; INI for each process and for acaciaforkctl, the documents to hand in, and a page that says which value follows from which answer. Answers of both deployments and what follows from them are committed. Conclusion: the services' settings go into the replicated configuration, the rest into INI.

--- a/acaciafork/operators/client/CtlCommand.cpp
+++ b/acaciafork/operators/client/CtlCommand.cpp
@@ -7,6 +7,7 @@
 
 #include "acaciafork/operators/JsonFields.h"
 #include "acaciafork/operators/Route.h"
+#include "acaciafork/operators/Tokens.h"
 #include "acaciafork/operators/client/TextView.h"
 #include "acaciafork/operators/client/TimelineMerge.h"
 
@@ -23,6 +24,12 @@
     (*body)["zone"] = arguments.zone;
 }
 
+void addTeam(const CtlArguments &arguments, json::object *body)
+{
+    if (!arguments.teamToken.empty())
+        (*body)["tokenDigest"] = hexFromDigest(tokenDigest(arguments.teamToken));
+}
+
 void addMove(const CtlArguments &arguments, json::object *body)
 {
     (*body)["id"] = arguments.words.back();
@@ -71,8 +78,8 @@
         { "placements remove", "SERVICE", "DELETE", "placements/*", placementVersion, nullptr,
           "remove a placement" },
         { "teams list", "", "GET", "teams", noVersion, nullptr, "teams, quotas and use" },
-        { "teams put", "TEAM", "PUT", "teams/*", teamVersion, addNothing,
-          "set the team of --file" },
+        { "teams put", "TEAM", "PUT", "teams/*", teamVersion, addTeam,
+          "set the team of --file, with the token of --team-token-file" },
         { "racks list", "", "GET", "racks", noVersion, nullptr, "racks and their states" },
         { "racks put", "RACK", "PUT", "racks/*", rackVersion, addRack,
           "make a rack known (--building, --zone)" },
--- a/acaciafork/operators/client/CtlCommand.h
+++ b/acaciafork/operators/client/CtlCommand.h
@@ -35,6 +35,8 @@
     std::uint32_t member = 0;
     std::uint32_t replaced = 0;
     std::string memberAddress;
+    /// Bearer token of a team; only its digest is sent.
+    std::string teamToken;
     /// Fields of the query, such as `limit=10`.
     std::vector<std::string> query;
     /// Chrome trace-event JSON in place of text, for the time line.
--- a/daemons/ctl/main.cpp
+++ b/daemons/ctl/main.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/program_options.hpp>
 
+#include "Configure.h"
+#include "CtlSettings.h"
 #include "acaciafork/core/Core.h"
 #include "acaciafork/operators/client/BeastTransport.h"
 #include "acaciafork/operators/client/ControlClient.h"
@@ -20,10 +22,15 @@
 /// Options of the command line as they were written.
 struct CtlOptions
 {
-    std::string addresses = "127.0.0.1:8401";
+    std::string settingsFile;
+    bool checkSettings = false;
+    /// Empty takes what the settings file says; so do the two below.
+    std::string addresses;
     std::string tokenFile;
-    std::string output = "text";
+    std::string output;
     std::string file;
+    std::string teamTokenFile;
+    ctl::ConfigureOptions configure { .folder = "acaciafork-settings" };
     std::int64_t timeoutMs = 5000;
     std::uint64_t expectedVersion = 0;
     bool hasExpectedVersion = false;
@@ -38,10 +45,13 @@
     auto add = description.add_options();
     add("help", "show this help");
     add("version", "show the version");
-    add("address", po::value(&options->addresses)->default_value(options->addresses),
-        "operators' addresses, host:port with commas between, tried in turn");
+    add("settings", po::value(&options->settingsFile), "settings file (INI, section [ctl])");
+    add("check-settings", po::bool_switch(&options->checkSettings),
+        "check the settings file and stop");
+    add("address", po::value(&options->addresses),
+        "operators' addresses, host:port with commas between, tried in turn (127.0.0.1:8401)");
     add("token-file", po::value(&options->tokenFile), "file that holds the bearer token");
-    add("output", po::value(&options->output)->default_value(options->output), "text or json");
+    add("output", po::value(&options->output), "text or json");
     add("timeout-ms", po::value(&options->timeoutMs)->default_value(options->timeoutMs),
         "longest wait for one answer");
     add("request-id", po::value(&arguments.requestId),
@@ -49,6 +59,14 @@
     add("expected-version", po::value(&options->expectedVersion),
         "version that the change replaces (default: the one in force)");
     add("file", po::value(&options->file), "JSON document of the change");
+    add("team-token-file", po::value(&options->teamTokenFile),
+        "file that holds a team's token; only its digest is sent");
+    add("answers", po::value(&options->configure.answersFile),
+        "configure: answers file, in place of asking at the terminal");
+    add("folder", po::value(&options->configure.folder)->default_value(options->configure.folder),
+        "configure: folder for the files written");
+    add("explain", po::bool_switch(&options->configure.explain),
+        "configure: print why each value is what it is");
     add("building", po::value(&arguments.building), "building of a rack");
     add("zone", po::value(&arguments.zone), "availability zone of a rack or member");
     add("from", po::value(&arguments.fromBuilding), "building that a move leaves");
@@ -70,7 +88,8 @@
         line.resize(std::max<std::size_t>(line.size(), 28), ' ');
         std::cout << line << it.meaning << '\n';
     }
-    std::cout << "  timeline                  events of all processes, in order of cause\n\n"
+    std::cout << "  timeline                  events of all processes, in order of cause\n"
+              << "  configure                 the questionnaire; writes settings for every role\n\n"
               << description;
 }
 
@@ -84,7 +103,7 @@
     return id;
 }
 
-/// Takes in the files that the options name.
+/// Reads a token from its file, without the line's end; empty without a file.
 Result<std::string> readToken(const std::string &path)
 {
     if (path.empty())
@@ -94,17 +113,39 @@
     return token;
 }
 
-Result<int> run(CtlOptions options)
+/// Fills in from the settings file what the command line left open.
+Result<void> applySettings(CtlOptions *options)
+{
+    ctl::CtlSettings settings { .addresses = { "127.0.0.1:8401" } };
+    if (!options->settingsFile.empty()) {
+        BOOST_LEAF_AUTO(read, ctl::readCtlSettings(options->settingsFile));
+        settings = std::move(read);
+    }
+    if (options->addresses.empty()) {
+        for (const std::string &it : settings.addresses)
+            options->addresses += it + ',';
+    }
+    if (options->tokenFile.empty())
+        options->tokenFile = settings.tokenFile;
+    if (options->output.empty())
+        options->output = settings.output;
+    if (options->output != "text" && options->output != "json")
+        return fail(FailureKind::InvalidArgument, "output: must be text or json");
+    return {};
+}
+
+/// Runs a command against the control group.
+Result<void> runRemote(CtlOptions options)
 {
     constexpr std::int64_t microsecondsPerSecond = 1'000'000;
     operators::CtlArguments &arguments = options.arguments;
-    if (options.output != "text" && options.output != "json")
-        return fail(FailureKind::InvalidArgument, "--output: must be text or json");
     arguments.json = options.output == "json";
     arguments.deadlineMicroseconds = options.deadlineSeconds * microsecondsPerSecond;
     if (options.hasExpectedVersion)
         arguments.expectedVersion = options.expectedVersion;
     BOOST_LEAF_AUTO(token, readToken(options.tokenFile));
+    BOOST_LEAF_AUTO(teamToken, readToken(options.teamTokenFile));
+    arguments.teamToken = teamToken;
     if (!options.file.empty()) {
         BOOST_LEAF_AUTO(document, readFile(options.file));
         arguments.document = std::move(document);
@@ -116,6 +157,22 @@
                                     [](Duration pause) { std::this_thread::sleep_for(pause); });
     BOOST_LEAF_AUTO(text, operators::runCtl(arguments, &client, drawRequestId));
     std::cout << text;
+    return {};
+}
+
+Result<int> run(CtlOptions options)
+{
+    if (options.arguments.words == std::vector<std::string> { "configure" }) {
+        if (auto written = ctl::configure(options.configure); !written)
+            return written.error();
+        return 0;
+    }
+    if (auto settled = applySettings(&options); !settled)
+        return settled.error();
+    if (options.checkSettings)
+        return 0;
+    if (auto done = runRemote(std::move(options)); !done)
+        return done.error();
     return 0;
 }
 
@@ -151,7 +208,7 @@
         std::cout << "acaciaforkctl " << ACACIAFORK_VERSION << '\n';
         return 0;
     }
-    if (values.count("help") > 0 || options.arguments.words.empty()) {
+    if (values.count("help") > 0 || (options.arguments.words.empty() && !options.checkSettings)) {
         printHelp(visible);
         return 0;
     }
@@ -160,5 +217,9 @@
             [&] { return run(options); },
             [](const operators::Refusal &refusal) { return report(refusal.failure, refusal.body); },
             [](const Failure &failure) { return report(failure, {}); },
+            [](const SettingsProblems &problems) {
+                return report({ .kind = FailureKind::InvalidArgument, .detail = "wrong settings" },
+                              describe(problems));
+            },
             [] { return report({ .detail = "unknown failure" }, {}); });
 }
--- a/tests/operators/CtlTest.cpp
+++ b/tests/operators/CtlTest.cpp
@@ -146,6 +146,27 @@
     checkGolden("operators/session.txt", session.text);
 }
 
+TEST_CASE("what the questionnaire wrote for both deployments is accepted")
+{
+    const std::string folder = std::string(ACACIAFORK_GOLDEN_DIR) + "/questionnaire/";
+    const auto hand = [&folder](Session *session, std::vector<std::string> words,
+                                const std::string &file) {
+        const Result<std::string> document = readFile(folder + file);
+        REQUIRE_MESSAGE(document, file);
+        session->text.clear();
+        session->run({ .words = std::move(words), .document = *document, .teamToken = "secret" });
+        CHECK_MESSAGE(session->text.find("applied") != std::string::npos, session->text);
+    };
+    Session warm;
+    hand(&warm, { "config", "propose" }, "warm-floors/configuration.json");
+    hand(&warm, { "placements", "put", "loopdraw" }, "warm-floors/placement-loopdraw.json");
+    hand(&warm, { "teams", "put", "volunteers" }, "warm-floors/team-volunteers.json");
+    Session furiko;
+    hand(&furiko, { "config", "propose" }, "furiko/configuration.json");
+    hand(&furiko, { "placements", "put", "furiko-record" }, "furiko/placement-furiko-record.json");
+    hand(&furiko, { "teams", "put", "calibrations" }, "furiko/team-calibrations.json");
+}
+
 TEST_CASE("a change whose answer is lost goes to the next address and is done once")
 {
     Session session;
