--- a/tests/state/LeaseModelTest.cpp
+++ b/tests/state/LeaseModelTest.cpp
@@ -27,7 +27,7 @@
         : m_random(seed)
         , m_fault(std::move(fault))
     {
-        m_driver.apply(team("warm", tasks * 1000));
+        m_driver.apply(team("warm", std::uint64_t(tasks) * 1000));
         for (int i = 0; i < tasks; ++i)
             m_driver.apply(job(idOf(i), "warm"));
     }
