--- /dev/null
+++ b/acaciafork/peers/Peers.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Public header of the peers library: links between entries and control members.
+
+#include "acaciafork/peers/CallTable.h"
+#include "acaciafork/peers/ConfigCodec.h"
+#include "acaciafork/peers/CreditCodec.h"
+#include "acaciafork/peers/LeaderTracker.h"
+#include "acaciafork/peers/PeerLink.h"
+#include "acaciafork/peers/ProcessSettings.h"
+#include "acaciafork/peers/TimelineJson.h"
