Learn how many slots short work needs

Cause: a fixed quarter of the slots was too little for checks beside stragglers at 95% load. Change: long work leaves free 1.1 times the slots that short work has used over the last 10 s, between the set share and three quarters.

--- a/acaciafork/decisions/routing/EntryScheduler.cpp
+++ b/acaciafork/decisions/routing/EntryScheduler.cpp
@@ -255,6 +255,7 @@
     m_state.tombstones.expire(now);
     for (TableIndex it = 0; it < m_state.services.size(); ++it) {
         measureDemand(it);
+        m_state.services[it].learnShortNeed();
         m_attempts.countLongRunning(now, it);
         if (m_state.draining)
             m_credits.returnSurplus(it);
--- a/acaciafork/decisions/routing/ServiceTable.cpp
+++ b/acaciafork/decisions/routing/ServiceTable.cpp
@@ -1,10 +1,18 @@
 #include "acaciafork/decisions/routing/ServiceTable.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acaciafork::routing {
 namespace {
 
+/// Most slots that are kept free of long work, however much short work there is.
+constexpr std::uint32_t mostReservedPercent = 75;
+/// Times its mean that short work is reserved.
+constexpr double shortNeedFactor = 1.1;
+/// Weight of one tick in the mean: about ten seconds are averaged.
+constexpr double shortNeedWeight = 0.001;
+
 /// Share of `slots`, rounded up.
 std::uint32_t percentOf(std::uint32_t slots, std::uint32_t percent)
 {
@@ -31,10 +39,25 @@
         return std::max(heldSlots > taken ? heldSlots - taken : 0, 1U);
     }
     // Long work leaves the reserved slots alone, but an entry with one slot still serves it.
-    const std::uint32_t reserved = percentOf(heldSlots, settings.shortSlotsPercent);
+    const std::uint32_t reserved = reservedSlots();
     return std::max(heldSlots > reserved ? heldSlots - reserved : 0, 1U);
 }
 
+std::uint32_t EntryService::reservedSlots() const
+{
+    const std::uint32_t least = percentOf(heldSlots, settings.shortSlotsPercent);
+    const std::uint32_t most = percentOf(heldSlots, mostReservedPercent);
+    const auto learned = static_cast<std::uint32_t>(std::lround(shortNeed * shortNeedFactor));
+    return std::clamp(learned, least, std::max(least, most));
+}
+
+void EntryService::learnShortNeed()
+{
+    const std::uint32_t taken = longInUse + streamsInUse;
+    const auto need = static_cast<double>(inUse - taken);
+    shortNeed += (need - shortNeed) * shortNeedWeight;
+}
+
 Duration EntryService::expectedWait(Lane lane) const
 {
     return queue.work(lane) / laneSlots(lane);
--- a/acaciafork/decisions/routing/ServiceTable.h
+++ b/acaciafork/decisions/routing/ServiceTable.h
@@ -43,6 +43,8 @@
     /// Endpoints known and ejected.
     std::uint32_t endpoints = 0;
     std::uint32_t ejected = 0;
+    /// Slots that short work has needed lately, on average.
+    double shortNeed = 0;
     /// Slots that the control leader wants this entry to hold at most.
     std::uint32_t targetSlots = UINT32_MAX;
     /// Peak of the slots needed, decaying.
@@ -64,6 +66,10 @@
     [[nodiscard]] Duration expectedWait(Lane lane) const;
     /// True when any endpoint has a free slot.
     [[nodiscard]] bool hasFreeSlot() const { return !localPool.empty() || !remotePool.empty(); }
+    /// Slots kept free of long work.
+    [[nodiscard]] std::uint32_t reservedSlots() const;
+    /// Learns from what short work needs now; to be called at each tick.
+    void learnShortNeed();
     /// Slots held and not in use.
     [[nodiscard]] std::uint32_t spareSlots() const;
     /// Adds an attempt of the lane to the counts, or takes it off again.
