Try the work of an unreachable endpoint elsewhere

Cause: when a rack goes, its attempts have no end, and their callers waited for their deadline. Change: an endpoint that is ejected because connects fail gives up its idempotent attempts, which are tried again within the budget; a failed connect counts as two failures.

--- a/acaciafork/decisions/routing/AttemptFlow.cpp
+++ b/acaciafork/decisions/routing/AttemptFlow.cpp
@@ -1,6 +1,7 @@
 #include "acaciafork/decisions/routing/AttemptFlow.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "acaciafork/core/Assert.h"
 #include "acaciafork/decisions/routing/RetryPolicy.h"
@@ -13,6 +14,8 @@
 /// Bounds of an endpoint's slowness, so that one answer does not decide.
 constexpr float leastSlowness = 0.5F;
 constexpr float mostSlowness = 4;
+/// Failures that a failed connect counts as.
+constexpr std::uint32_t connectFailureWeight = 2;
 /// A timeout speaks against the endpoint once it took this many times as long as expected.
 constexpr int blamedTimeoutFactor = 4;
 
@@ -172,12 +175,11 @@
     out->push_back(ForwardAnswer { .request = record->request, .attempt = id });
 }
 
-RequestRecord *AttemptFlow::ended(Timestamp now, AttemptId id, const AttemptEnd &reported,
-                                  EntryCommands *out)
+void AttemptFlow::ended(Timestamp now, AttemptId id, const AttemptEnd &reported, EntryCommands *out)
 {
     AttemptRecord *attempt = m_state->attempts.find(id);
     if (!attempt)
-        return nullptr;
+        return;
     RequestRecord *record = attempt->request;
     AttemptEnd end = reported;
     if (record && record->answerStarted)
@@ -194,11 +196,17 @@
         }
         linger(now, attempt);
     }
-    return record ? decide(now, record, end, out) : nullptr;
+    if (record)
+        decide(now, record, end, out);
+}
+
+std::vector<RequestRecord *> AttemptFlow::takeRetries()
+{
+    return std::exchange(m_retries, {});
 }
 
-RequestRecord *AttemptFlow::decide(Timestamp now, RequestRecord *record, const AttemptEnd &end,
-                                   EntryCommands *out)
+void AttemptFlow::decide(Timestamp now, RequestRecord *record, const AttemptEnd &end,
+                         EntryCommands *out)
 {
     const RetryRule &rule = retryRule(end.phase, end.outcome);
     record->mayHaveRun |= !rule.surelyNotRun;
@@ -211,11 +219,12 @@
             out->push_back(ForwardAnswer { .request = record->request });
         }
         finish(record, LedgerEnd::Answered, out);
-        return nullptr;
+        return;
     case RetryDecision::Retry:
         if (record->retryTaken || mayRetry(now, *record)) {
             record->retryTaken = false;
-            return record;
+            m_retries.push_back(record);
+            return;
         }
         break;
     case RetryDecision::NotRun:
@@ -223,7 +232,6 @@
         break;
     }
     m_admission->refuse(record, failureOf(end.outcome), RefusalReason::AttemptsFailed, out);
-    return nullptr;
 }
 
 bool AttemptFlow::mayRetry(Timestamp now, const RequestRecord &record)
@@ -330,8 +338,32 @@
     }
     const bool impatient =
             end.outcome == AttemptOutcome::Timeout && elapsed < expected * blamedTimeoutFactor;
-    if (!impatient && endpoint.health.noteFailure(service.settings))
-        eject(now, attempt.endpoint, out);
+    const bool unreachable = end.outcome == AttemptOutcome::ConnectFailed;
+    const std::uint32_t weight = unreachable ? connectFailureWeight : 1;
+    if (impatient || !endpoint.health.noteFailure(service.settings, weight))
+        return;
+    eject(now, attempt.endpoint, out);
+    if (unreachable && !endpoint.health.serving())
+        evacuate(now, attempt.endpoint, out);
+}
+
+void AttemptFlow::evacuate(Timestamp now, TableIndex index, EntryCommands *out)
+{
+    // An instance that is gone leaves its attempts without an end: what may run twice is tried
+    // elsewhere now, and the slots stay taken until they are known to be free.
+    for (const AttemptId it : m_state->attempts.at(index)) {
+        AttemptRecord *attempt = m_state->attempts.find(it);
+        RequestRecord *record = attempt->request;
+        if (!record || !record->idempotent || record->answerStarted
+            || record->state != RequestState::Started || !mayRetry(now, *record))
+            continue;
+        attempt->request = nullptr;
+        linger(now, attempt);
+        out->push_back(AbandonAttempt { .attempt = it });
+        record->mayHaveRun = true;
+        record->attempt = AttemptId();
+        m_retries.push_back(record);
+    }
 }
 
 void AttemptFlow::eject(Timestamp now, TableIndex index, EntryCommands *out)
--- a/acaciafork/decisions/routing/AttemptFlow.h
+++ b/acaciafork/decisions/routing/AttemptFlow.h
@@ -28,9 +28,10 @@
     void headers(Timestamp now, AttemptId attempt, bool endpointError, EntryCommands *out);
 
     /// The port reports an end.
-    /// @return request to be tried again, or nullptr
-    RequestRecord *ended(Timestamp now, AttemptId attempt, const AttemptEnd &end,
-                         EntryCommands *out);
+    void ended(Timestamp now, AttemptId attempt, const AttemptEnd &end, EntryCommands *out);
+
+    /// Hands over the requests that are to be tried again, already paid for.
+    std::vector<RequestRecord *> takeRetries();
 
     /// The caller of a started request has gone.
     void abandon(Timestamp now, RequestRecord *record, EntryCommands *out);
@@ -55,14 +56,15 @@
     void judge(Timestamp now, const AttemptRecord &attempt, const AttemptEnd &end,
                EntryCommands *out);
     void eject(Timestamp now, TableIndex endpoint, EntryCommands *out);
-    RequestRecord *decide(Timestamp now, RequestRecord *record, const AttemptEnd &end,
-                          EntryCommands *out);
+    void decide(Timestamp now, RequestRecord *record, const AttemptEnd &end, EntryCommands *out);
+    void evacuate(Timestamp now, TableIndex endpoint, EntryCommands *out);
     bool mayRetry(Timestamp now, const RequestRecord &record);
 
     EntryState *m_state;
     Admission *m_admission;
     CreditHolder *m_credits;
     Router m_router;
+    std::vector<RequestRecord *> m_retries;
     /// Rows of the ejected endpoints.
     std::vector<TableIndex> m_ejected;
 };
--- a/acaciafork/decisions/routing/AttemptTable.cpp
+++ b/acaciafork/decisions/routing/AttemptTable.cpp
@@ -1,5 +1,7 @@
 #include "acaciafork/decisions/routing/AttemptTable.h"
 
+#include <algorithm>
+
 #include "acaciafork/core/Assert.h"
 
 namespace acaciafork::routing {
@@ -44,6 +46,17 @@
     return it == m_records.end() ? nullptr : &it->second;
 }
 
+std::vector<AttemptId> AttemptTable::at(TableIndex endpoint) const
+{
+    std::vector<AttemptId> found;
+    for (const auto &[id, record] : m_records) {
+        if (record.endpoint == endpoint)
+            found.push_back(record.attempt);
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
 void AttemptTable::remove(AttemptId attempt)
 {
     m_records.erase(attempt.value);
--- a/acaciafork/decisions/routing/AttemptTable.h
+++ b/acaciafork/decisions/routing/AttemptTable.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include "acaciafork/core/Ids.h"
@@ -49,6 +51,9 @@
     /// Record of an attempt, or nullptr; valid until the next change of the table.
     [[nodiscard]] AttemptRecord *find(AttemptId attempt);
 
+    /// Attempts at an endpoint, in order of their ids; looks at all attempts.
+    [[nodiscard]] std::vector<AttemptId> at(TableIndex endpoint) const;
+
     /// Removes an attempt.
     void remove(AttemptId attempt);
 
--- a/acaciafork/decisions/routing/EndpointHealth.cpp
+++ b/acaciafork/decisions/routing/EndpointHealth.cpp
@@ -16,9 +16,9 @@
     m_ejections = 0;
 }
 
-bool EndpointHealth::noteFailure(const ServiceSettings &settings)
+bool EndpointHealth::noteFailure(const ServiceSettings &settings, std::uint32_t weight)
 {
-    ++m_failuresInRow;
+    m_failuresInRow += weight;
     return m_state == State::Serving && m_failuresInRow >= settings.ejectionFailures;
 }
 
--- a/acaciafork/decisions/routing/EndpointHealth.h
+++ b/acaciafork/decisions/routing/EndpointHealth.h
@@ -21,10 +21,10 @@
     /// Notes a good answer.
     void noteSuccess();
 
-    /// Notes a failure.
+    /// Notes a failure, which counts as `weight` failures.
     /// @return true when failures in a row have reached the bound and the endpoint should be
     /// ejected
-    bool noteFailure(const ServiceSettings &settings);
+    bool noteFailure(const ServiceSettings &settings, std::uint32_t weight);
 
     /// Takes the endpoint out until its ejection time is over.
     void eject(Timestamp now, const ServiceSettings &settings);
--- a/acaciafork/decisions/routing/EntryScheduler.cpp
+++ b/acaciafork/decisions/routing/EntryScheduler.cpp
@@ -100,8 +100,9 @@
     if (!record)
         return;
     const TableIndex service = record->service;
-    if (RequestRecord *again = m_attempts.ended(now, attempt, end, out))
-        startOrWait(now, again, out);
+    m_attempts.ended(now, attempt, end, out);
+    for (RequestRecord *it : m_attempts.takeRetries())
+        startOrWait(now, it, out);
     pump(now, service, out);
 }
 
