--- a/acaciafork/decisions/routing/AttemptFlow.cpp
+++ b/acaciafork/decisions/routing/AttemptFlow.cpp
@@ -14,6 +14,13 @@
 /// Bounds of an endpoint's slowness, so that one answer does not decide.
 constexpr float leastSlowness = 0.5F;
 constexpr float mostSlowness = 4;
+/// Time without an answer from which on an endpoint is probed: at least this, and this many times
+/// what nine of ten requests of the route stay under.
+constexpr Duration leastSuspicion = std::chrono::seconds(1);
+constexpr int suspicionFactor = 3;
+/// Time between two looks at all attempts, and between two probes of one endpoint.
+constexpr Duration suspectInterval = std::chrono::milliseconds(250);
+constexpr Duration probeInterval = std::chrono::seconds(2);
 /// Failures that a failed connect counts as.
 constexpr std::uint32_t connectFailureWeight = 2;
 /// A timeout speaks against the endpoint once it took this many times as long as expected.
@@ -382,24 +389,66 @@
             RecordEvent { .kind = EventKind::EndpointEjected, .subject = endpoint.name.value });
 }
 
+bool AttemptFlow::sendProbe(Timestamp now, TableIndex index, EntryCommands *out)
+{
+    EntryEndpoint &endpoint = m_state->endpoints[index];
+    if (endpoint.probing || endpoint.openConnections >= endpoint.connections)
+        return false;
+    endpoint.probing = true;
+    endpoint.probedAt = now;
+    ++endpoint.openConnections;
+    m_state->endpoints.refresh(index);
+    out->push_back(ProbeEndpoint { .endpoint = endpoint.name.view(), .address = endpoint.address });
+    return true;
+}
+
 void AttemptFlow::probe(Timestamp now, EntryCommands *out)
 {
     for (const TableIndex it : m_ejected) {
         EntryEndpoint &endpoint = m_state->endpoints[it];
-        if (!endpoint.health.probeDue(now))
-            continue;
-        endpoint.health.probeSent();
-        out->push_back(
-                ProbeEndpoint { .endpoint = endpoint.name.view(), .address = endpoint.address });
+        if (endpoint.health.probeDue(now) && sendProbe(now, it, out))
+            endpoint.health.probeSent();
     }
+    if (now - m_suspectedAt >= suspectInterval) {
+        m_suspectedAt = now;
+        probeSuspects(now, out);
+    }
+}
+
+void AttemptFlow::probeSuspects(Timestamp now, EntryCommands *out)
+{
+    // An instance that is gone says nothing. When all slots held there are taken by attempts that
+    // never end, only a probe finds out.
+    std::vector<TableIndex> suspects;
+    m_state->attempts.forEach([&](const AttemptRecord &it) {
+        if (!it.request || it.request->answerStarted || it.lane == Lane::Stream)
+            return;
+        const EntryEndpoint &endpoint = m_state->endpoints[it.endpoint];
+        const Duration high = m_state->services[it.service].estimator.high(it.routeHash);
+        const bool late = now - it.startedAt > std::max(leastSuspicion, suspicionFactor * high);
+        if (late && endpoint.health.serving() && now - endpoint.probedAt >= probeInterval)
+            suspects.push_back(it.endpoint);
+    });
+    std::sort(suspects.begin(), suspects.end());
+    for (const TableIndex it : suspects)
+        sendProbe(now, it, out);
 }
 
 void AttemptFlow::probeEnded(Timestamp now, TableIndex index, bool reached, EntryCommands *out)
 {
     EntryEndpoint &endpoint = m_state->endpoints[index];
     EntryService &service = m_state->services[endpoint.service];
-    if (endpoint.health.state() != EndpointHealth::State::Probing)
+    if (!endpoint.probing)
+        return;
+    endpoint.probing = false;
+    m_state->endpoints.connectionDone(index, false);
+    if (endpoint.health.serving()) {
+        if (reached)
+            return;
+        eject(now, index, out);
+        evacuate(now, index, out);
         return;
+    }
     endpoint.health.probeEnded(now, reached, service.settings);
     if (!reached)
         return;
--- a/acaciafork/decisions/routing/AttemptFlow.h
+++ b/acaciafork/decisions/routing/AttemptFlow.h
@@ -45,7 +45,8 @@
     /// A probe of an ejected endpoint has ended.
     void probeEnded(Timestamp now, TableIndex endpoint, bool reached, EntryCommands *out);
 
-    /// Sends the probes that are due.
+    /// Sends the probes that are due: to ejected endpoints whose time is over, and to those that
+    /// leave a request without an answer for much longer than its route takes.
     void probe(Timestamp now, EntryCommands *out);
 
 private:
@@ -57,6 +58,8 @@
                EntryCommands *out);
     void eject(Timestamp now, TableIndex endpoint, EntryCommands *out);
     void decide(Timestamp now, RequestRecord *record, const AttemptEnd &end, EntryCommands *out);
+    void probeSuspects(Timestamp now, EntryCommands *out);
+    bool sendProbe(Timestamp now, TableIndex endpoint, EntryCommands *out);
     void evacuate(Timestamp now, TableIndex endpoint, EntryCommands *out);
     bool mayRetry(Timestamp now, const RequestRecord &record);
 
@@ -65,6 +68,7 @@
     CreditHolder *m_credits;
     Router m_router;
     std::vector<RequestRecord *> m_retries;
+    Timestamp m_suspectedAt;
     /// Rows of the ejected endpoints.
     std::vector<TableIndex> m_ejected;
 };
--- a/acaciafork/decisions/routing/AttemptTable.h
+++ b/acaciafork/decisions/routing/AttemptTable.h
@@ -54,6 +54,14 @@
     /// Attempts at an endpoint, in order of their ids; looks at all attempts.
     [[nodiscard]] std::vector<AttemptId> at(TableIndex endpoint) const;
 
+    /// Calls `visit` with each attempt, in no order.
+    template <typename Visit>
+    void forEach(Visit visit) const
+    {
+        for (const auto &[id, record] : m_records)
+            visit(record);
+    }
+
     /// Removes an attempt.
     void remove(AttemptId attempt);
 
--- a/acaciafork/decisions/routing/EntryEndpoint.h
+++ b/acaciafork/decisions/routing/EntryEndpoint.h
@@ -34,6 +34,8 @@
     TableIndex rackIndex = noIndex;
     bool local = false;
     bool leaving = false;
+    /// True while a probe is under way; it holds a connection.
+    bool probing = false;
     EndpointHealth health;
 
     EndpointName name;
@@ -41,6 +43,8 @@
     Incarnation incarnation;
     /// When credit was first held under this incarnation.
     Timestamp firstCredit;
+    /// When it was last probed.
+    Timestamp probedAt;
     /// Newest grant taken in.
     std::uint64_t grantNumber = 0;
     /// First report that must carry the holding as it is now; 0 when the leader has it.
--- a/acaciafork/decisions/routing/EntryScheduler.cpp
+++ b/acaciafork/decisions/routing/EntryScheduler.cpp
@@ -192,6 +192,8 @@
     if (index == noIndex)
         return;
     m_attempts.probeEnded(now, index, reached, out);
+    for (RequestRecord *it : m_attempts.takeRetries())
+        startOrWait(now, it, out);
     pump(now, m_state.endpoints[index].service, out);
 }
 
--- a/tests/decisions/routing/FakeWorld.cpp
+++ b/tests/decisions/routing/FakeWorld.cpp
@@ -389,12 +389,25 @@
     } else if (const auto *probe = std::get_if<ProbeEndpoint>(&command)) {
         const EndpointName name { std::string(probe->endpoint) };
         const int index = std::stoi(name.value.substr(name.value.find('-') + 1));
-        at(m_now + 2 * m_options.hop.count(), [this, entry, name, index] {
-            const Endpoint &endpoint = *m_endpoints[index];
-            tell(entry, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
-                scheduler->probeEnded(now, name, endpoint.up && !endpoint.dead, out);
-            });
-        });
+        const bool dead = m_endpoints[index]->dead;
+        const std::int64_t wait = dead ? connectTimeout : 2 * m_options.hop.count();
+        const std::pair owner(entry, m_entries[entry]->incarnation);
+        const bool counted = m_endpoints[index]->up && !dead;
+        if (counted) {
+            ++m_endpoints[index]->connections[owner];
+            countConnections(index);
+        }
+        at(m_now + wait,
+           [this, entry, name, index, owner, restarts = m_endpoints[index]->restarts] {
+               if (m_entries[entry]->incarnation != owner.second)
+                   return;
+               if (m_endpoints[index]->up && m_endpoints[index]->restarts == restarts)
+                   --m_endpoints[index]->connections[owner];
+               const Endpoint &endpoint = *m_endpoints[index];
+               tell(entry, [&](EntryScheduler *scheduler, Timestamp now, EntryCommands *out) {
+                   scheduler->probeEnded(now, name, endpoint.up && !endpoint.dead, out);
+               });
+           });
     }
 }
 
@@ -491,8 +504,13 @@
     if (m_entries[attempt.entry]->scheduler
         && m_entries[attempt.entry]->incarnation == attempt.entryIncarnation)
         ++endpoint.connections[std::pair(attempt.entry, attempt.entryIncarnation)];
+    countConnections(attempt.endpoint);
+}
+
+void FakeWorld::countConnections(int index)
+{
     int open = 0;
-    for (const auto &[owner, count] : endpoint.connections)
+    for (const auto &[owner, count] : m_endpoints[index]->connections)
         open += count;
     m_connectionOvershoots += open > static_cast<int>(m_options.connections) ? 1 : 0;
 }
--- a/tests/decisions/routing/FakeWorld.h
+++ b/tests/decisions/routing/FakeWorld.h
@@ -146,6 +146,7 @@
     void control(int entry, std::function<void()> deliver, Duration mostLate = Duration::max());
     void start(int entry, const StartAttempt &command);
     void openConnection(std::uint64_t attempt);
+    void countConnections(int endpoint);
     bool hasConnection(std::uint64_t attempt);
     void closeConnection(const Attempt &attempt);
     void arrive(std::uint64_t attempt);
