Keep credit through a change of leader, and pass on what leaves

Word of leaving endpoints was lost with the leader or a restarted entry. Change: no targets until all endpoints have had time to announce themselves; slots at endpoints that stay silent are taken back afterwards; full reports and their answers carry the latest tombstones; the grantor does not try again what the aperture forbids.

--- a/acaciafork/decisions/routing/CreditGrantor.cpp
+++ b/acaciafork/decisions/routing/CreditGrantor.cpp
@@ -28,6 +28,7 @@
     m_unreported.assign(knownEntries.begin(), knownEntries.end());
     m_complete = complete;
     m_settledAt = now + surelyOver(m_settings.lease);
+    m_learningUntil = now + m_settings.announcementTimeout;
     m_sweptAt = now;
     if (m_complete && m_unreported.empty())
         m_settledAt = now;
@@ -94,8 +95,11 @@
     session.zone = report.zone;
     session.live = true;
     session.draining = report.draining;
+    session.greet = report.full;
     if (report.full)
         takeFull(index, report);
+    for (const LeavingNotice &it : report.leaving)
+        endpointLeaving(now, it, out);
     for (const CreditHolding &it : report.holdings)
         takeHolding(now, index, it);
     session.adopted = true;
@@ -258,6 +262,12 @@
                         .reportNumber = session.reportNumber,
                         .lease = m_settings.lease };
     m_allocator.fill(now, index, &grant);
+    // Nothing is taken back on the word of a leader that does not know all endpoints yet.
+    if (now >= m_learningUntil)
+        m_allocator.addTargets(index, &grant);
+    if (session.greet)
+        grant.leaving = m_tombstones.latest();
+    session.greet = false;
     session.grantedAt = now;
     out->push_back(SendGrant { .grant = std::move(grant) });
 }
@@ -295,10 +305,12 @@
         const Duration silence = now - endpoint.announcedAt;
         if (endpoint.usable && silence >= m_settings.announcementTimeout) {
             m_tables.changeEndpoint(index, [](GrantorEndpoint *it) { it->usable = false; });
-            changed.push_back(index);
             out->push_back(
                     RecordEvent { .kind = EventKind::EndpointForgotten, .subject = name.value });
         }
+        // Slots of endpoints that have gone are taken back from whoever still holds them.
+        if (!endpoint.usable && !endpoint.holders.empty() && now >= m_learningUntil)
+            changed.push_back(index);
         if (endpoint.limit.limited()) {
             m_tables.changeEndpoint(
                     index, [&](GrantorEndpoint *it) { it->limit.recover(now, it->slots); });
--- a/acaciafork/decisions/routing/CreditGrantor.h
+++ b/acaciafork/decisions/routing/CreditGrantor.h
@@ -77,6 +77,8 @@
     bool m_complete = false;
     /// From when on nobody can start anything under an earlier leadership.
     Timestamp m_settledAt;
+    /// Until when endpoints may yet be unknown that have been announced to the leader before.
+    Timestamp m_learningUntil;
     GrantorTables m_tables;
     RoomEvidence m_evidence;
     GrantAllocator m_allocator;
--- a/acaciafork/decisions/routing/CreditHolder.cpp
+++ b/acaciafork/decisions/routing/CreditHolder.cpp
@@ -255,6 +255,7 @@
     if (report.full) {
         for (TableIndex it = 0; it < m_options.endpoints->size(); ++it)
             addHolding(it, &report);
+        report.leaving = m_options.tombstones->latest();
         return report;
     }
     for (const TableIndex it : m_changed)
--- a/acaciafork/decisions/routing/EntryScheduler.cpp
+++ b/acaciafork/decisions/routing/EntryScheduler.cpp
@@ -151,6 +151,8 @@
 void EntryScheduler::grantReceived(Timestamp now, const CreditGrant &grant, EntryCommands *out)
 {
     m_credits.trimConnections(out);
+    for (const LeavingNotice &it : grant.leaving)
+        endpointLeaving(now, it, out);
     std::vector<AttemptId> ended;
     m_credits.takeGrant(now, grant, &ended);
     for (const AttemptId it : ended)
--- a/acaciafork/decisions/routing/GrantAllocator.cpp
+++ b/acaciafork/decisions/routing/GrantAllocator.cpp
@@ -74,14 +74,15 @@
         allocate(now, session, it, grant);
         addHints(session, it, grant);
     }
-    addTargets(session, grant);
 }
 
 bool GrantAllocator::canGrantMore(TableIndex session)
 {
     for (TableIndex it = 0; it < m_tables->serviceCount(); ++it) {
         const SessionDemand &demand = m_tables->demand(session, it);
-        if (demand.granted < demand.target && m_tables->service(it).hasFree())
+        if (demand.granted >= demand.target || !m_tables->service(it).hasFree())
+            continue;
+        if (demand.endpoints < apertureOf(it) || pickHeld(session, it) != noIndex)
             return true;
     }
     return false;
--- a/acaciafork/decisions/routing/GrantAllocator.h
+++ b/acaciafork/decisions/routing/GrantAllocator.h
@@ -23,9 +23,12 @@
     void setTargets(TableIndex service);
 
     /// Adds to `grant` what the session should be told: new slots up to its targets, grants that
-    /// may have been lost, evidence for lingering attempts, targets, and peers with spare credit.
+    /// may have been lost, evidence for lingering attempts, and peers with spare credit.
     void fill(Timestamp now, TableIndex session, CreditGrant *grant);
 
+    /// Adds the slots that the session should hold at most, for each service.
+    void addTargets(TableIndex session, CreditGrant *grant);
+
     /// True when a session lacks slots and some are free.
     [[nodiscard]] bool canGrantMore(TableIndex session);
 
@@ -40,7 +43,6 @@
     void setGrant(Timestamp now, TableIndex session, TableIndex endpoint, std::uint32_t slots);
     void addLine(Timestamp now, TableIndex session, TableIndex endpoint, CreditGrant *grant);
     void addWatched(Timestamp now, TableIndex session, CreditGrant *grant);
-    void addTargets(TableIndex session, CreditGrant *grant);
     void addHints(TableIndex session, TableIndex service, CreditGrant *grant);
     [[nodiscard]] std::uint32_t apertureOf(TableIndex service);
 
--- a/acaciafork/decisions/routing/GrantorTables.h
+++ b/acaciafork/decisions/routing/GrantorTables.h
@@ -111,6 +111,8 @@
     /// True when the slot in the table is in use.
     bool used = true;
     bool draining = false;
+    /// True until the entry has been told what leaves.
+    bool greet = false;
     /// True once a full report has come.
     bool adopted = false;
     std::uint64_t lastGrantNumber = 0;
--- a/acaciafork/decisions/routing/Messages.h
+++ b/acaciafork/decisions/routing/Messages.h
@@ -90,6 +90,8 @@
     bool draining = false;
     std::vector<ServiceDemand> demands;
     std::vector<CreditHolding> holdings;
+    /// In full reports: endpoints known to leave or to have left, the latest of them.
+    std::vector<LeavingNotice> leaving;
 };
 
 /// What the newest announcement of an endpoint proves about attempts that were given up on.
@@ -150,6 +152,8 @@
     std::vector<EndpointGrant> grants;
     std::vector<ServiceTarget> targets;
     std::vector<SpareHint> spares;
+    /// In answers to full reports: endpoints known to leave or to have left, the latest of them.
+    std::vector<LeavingNotice> leaving;
 };
 
 } // namespace acaciafork::routing
--- a/acaciafork/decisions/routing/TombstoneTable.cpp
+++ b/acaciafork/decisions/routing/TombstoneTable.cpp
@@ -1,6 +1,14 @@
 #include "acaciafork/decisions/routing/TombstoneTable.h"
 
+#include <algorithm>
+
 namespace acaciafork::routing {
+namespace {
+
+/// Most tombstones named in one message.
+constexpr std::size_t maxInMessage = 256;
+
+} // namespace
 
 TombstoneTable::TombstoneTable(Duration keepTime)
     : m_keepTime(keepTime)
@@ -23,6 +31,18 @@
     return it != m_incarnations.end() && incarnation <= it->second;
 }
 
+std::vector<LeavingNotice> TombstoneTable::latest() const
+{
+    const std::size_t count = std::min(m_expiries.size(), maxInMessage);
+    std::vector<LeavingNotice> notices;
+    notices.reserve(count);
+    for (std::size_t it = m_expiries.size() - count; it < m_expiries.size(); ++it) {
+        notices.push_back(LeavingNotice { .endpoint = m_expiries[it].endpoint,
+                                          .incarnation = m_expiries[it].incarnation });
+    }
+    return notices;
+}
+
 void TombstoneTable::expire(Timestamp now)
 {
     while (!m_expiries.empty() && m_expiries.front().at <= now) {
--- a/acaciafork/decisions/routing/TombstoneTable.h
+++ b/acaciafork/decisions/routing/TombstoneTable.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <unordered_map>
+#include <vector>
 
 #include "acaciafork/core/Ids.h"
 #include "acaciafork/core/Time.h"
@@ -23,6 +24,9 @@
     /// True when this incarnation of the endpoint has left or is leaving.
     [[nodiscard]] bool covers(const EndpointName &endpoint, Incarnation incarnation) const;
 
+    /// The latest tombstones, at most as many as fit one message.
+    [[nodiscard]] std::vector<LeavingNotice> latest() const;
+
     /// Drops the tombstones whose time is over.
     void expire(Timestamp now);
 
