--- a/acaciafork/decisions/routing/EntryScheduler.cpp
+++ b/acaciafork/decisions/routing/EntryScheduler.cpp
@@ -100,8 +100,9 @@
     if (!record)
         return;
     const TableIndex service = record->service;
-    if (RequestRecord *again = m_attempts.ended(now, attempt, end, out))
-        startOrWait(now, again, out);
+    m_attempts.ended(now, attempt, end, out);
+    for (RequestRecord *it : m_attempts.takeRetries())
+        startOrWait(now, it, out);
     pump(now, service, out);
 }
 
@@ -150,6 +151,8 @@
 void EntryScheduler::grantReceived(Timestamp now, const CreditGrant &grant, EntryCommands *out)
 {
     m_credits.trimConnections(out);
+    for (const LeavingNotice &it : grant.leaving)
+        endpointLeaving(now, it, out);
     std::vector<AttemptId> ended;
     m_credits.takeGrant(now, grant, &ended);
     for (const AttemptId it : ended)
@@ -191,6 +194,8 @@
     if (index == noIndex)
         return;
     m_attempts.probeEnded(now, index, reached, out);
+    for (RequestRecord *it : m_attempts.takeRetries())
+        startOrWait(now, it, out);
     pump(now, m_state.endpoints[index].service, out);
 }
 
@@ -255,6 +260,7 @@
     m_state.tombstones.expire(now);
     for (TableIndex it = 0; it < m_state.services.size(); ++it) {
         measureDemand(it);
+        m_state.services[it].learnShortNeed();
         m_attempts.countLongRunning(now, it);
         if (m_state.draining)
             m_credits.returnSurplus(it);
