Run seeded schedules of faults against the group

Cause: the agreement must hold under crashes, lost folders, partitions, full disks and membership changes, in any order.

--- a/acaciafork/consensus/Node.cpp
+++ b/acaciafork/consensus/Node.cpp
@@ -61,6 +61,10 @@
     }
     if (isForeign(message))
         return;
+    if (membership().isRetired(message.from)) {
+        showGroup(message.from);
+        return;
+    }
     if (std::holds_alternative<SnapshotFetch>(message.body)) {
         m_output.fetches.push_back(std::move(message));
         return;
@@ -99,6 +103,9 @@
 {
     if (m_role == Role::Leader)
         replicate(now);
+    // A disk without room is tried again from time to time.
+    if (m_full && now >= m_fullRetryAt)
+        m_full = false;
     // Entries about to be synced are acknowledged together, after the sync.
     if (m_owesReply && (m_full || m_handed == m_log.lastIndex()))
         sendAcknowledgement();
@@ -122,7 +129,6 @@
 void Node::synced(Timestamp now)
 {
     m_hardStateDirty = false;
-    m_full = false;
     std::ranges::move(m_held, std::back_inserter(m_output.messages));
     m_held.clear();
     if (m_durable != m_handed) {
@@ -137,12 +143,15 @@
         advanceCommit(now);
 }
 
-void Node::writeFailed(bool full)
+void Node::writeFailed(Timestamp now, bool full)
 {
     // Messages that wait for the sync are lost, as any message may be.
     m_held.clear();
     m_handed = m_durable;
+    if (full && !m_full && now - m_fullRetryAt > m_settings.fullRetry)
+        m_fullSince = now;
     m_full = full;
+    m_fullRetryAt = now + m_settings.fullRetry;
 }
 
 void Node::send(ProcessId to, Term term, Message::Body body)
@@ -157,16 +166,19 @@
 
 SnapshotMeta Node::describeSnapshot() const
 {
-    SnapshotMeta meta { .index = m_applied,
-                        .term = m_log.termAt(m_applied).value_or(0),
-                        .membership = {},
-                        .size = 0,
-                        .checksum = 0 };
-    for (const MembershipAt &it : m_memberships) {
-        if (it.index <= m_applied)
-            meta.membership = it.membership;
-    }
-    return meta;
+    return { .index = m_applied,
+             .term = m_log.termAt(m_applied).value_or(0),
+             .membership = membershipAt(m_applied),
+             .size = 0,
+             .checksum = 0 };
+}
+
+const Membership &Node::membershipAt(LogIndex index) const
+{
+    auto it = m_memberships.rbegin();
+    while (it->index > index && std::next(it) != m_memberships.rend())
+        ++it;
+    return it->membership;
 }
 
 void Node::snapshotStored(const SnapshotMeta &meta)
@@ -196,6 +208,7 @@
                         .snapshot = m_snapshotIndex,
                         .displaced = m_displaced,
                         .membership = membership(),
+                        .committedMembership = membershipAt(m_commit),
                         .members = {},
                         .spares = {} };
     if (m_role != Role::Leader)
--- a/acaciafork/consensus/Node.h
+++ b/acaciafork/consensus/Node.h
@@ -90,7 +90,7 @@
     /// The writes of the last output are synced.
     void synced(Timestamp now);
     /// The writes of the last output failed and left nothing behind; they will be handed out again.
-    void writeFailed(bool full);
+    void writeFailed(Timestamp now, bool full);
     /// A fetched snapshot is complete, synced and loaded.
     void snapshotInstalled(Timestamp now, const SnapshotMeta &meta);
     /// A fetched snapshot turned out broken; it is fetched from the start.
@@ -106,6 +106,8 @@
 
     /// Description of a snapshot of the state applied so far; size and checksum are the driver's.
     [[nodiscard]] SnapshotMeta describeSnapshot() const;
+    /// True while a member that answers needs a snapshot: the log must not be compacted further.
+    [[nodiscard]] bool feedsSnapshot(Timestamp now) const;
     /// Last entry that compaction keeps out of memory and disk.
     [[nodiscard]] LogIndex baseIndex() const { return m_log.baseIndex(); }
     /// Identity of the data folder.
@@ -195,6 +197,7 @@
     void resolveReads(Timestamp now);
     void failReads();
 
+    [[nodiscard]] const Membership &membershipAt(LogIndex index) const;
     void pushMembership(const Entry &entry);
     void truncateFrom(LogIndex index);
     Result<LogPosition> proposeMembership(Timestamp now, const Membership &changed);
@@ -202,6 +205,7 @@
     void advanceMembership(Timestamp now);
     void leaveIfRemoved(Timestamp now);
     [[nodiscard]] ProcessId mostAdvancedVoter() const;
+    void makeWayIfFull(Timestamp now);
     void greet(Timestamp now);
     void formGroup(Timestamp now);
 
@@ -222,6 +226,9 @@
     LogIndex m_durable = 0;
     LogIndex m_snapshotIndex = 0;
     bool m_full = false;
+    /// When the disk ran out of room, and when it is tried again.
+    Timestamp m_fullSince = longAgo;
+    Timestamp m_fullRetryAt = longAgo;
 
     Role m_role = Role::Follower;
     ProcessId m_leader;
--- a/acaciafork/consensus/NodeElection.cpp
+++ b/acaciafork/consensus/NodeElection.cpp
@@ -145,10 +145,6 @@
 
 void Node::onVoteRequest(Timestamp now, const Message &message, const VoteRequest &request)
 {
-    if (membership().isRetired(message.from)) {
-        showGroup(message.from);
-        return;
-    }
     if (request.preVote) {
         // A granted answer carries the term asked for, a refusal the own.
         const bool granted = message.term > m_hardState.term && isUpToDate(request);
--- a/acaciafork/consensus/NodeMembership.cpp
+++ b/acaciafork/consensus/NodeMembership.cpp
@@ -139,6 +139,20 @@
     return best;
 }
 
+void Node::makeWayIfFull(Timestamp now)
+{
+    // A leader that can't write hands over to a voter that can.
+    if (!m_full || m_transfer || now - m_fullSince < m_settings.electionTimeoutMost)
+        return;
+    for (const auto &[id, progress] : m_progress) {
+        const bool live = now - progress.heardAt < m_settings.electionTimeoutLeast;
+        if (!live || progress.full || progress.match + 1 < m_log.lastIndex())
+            continue;
+        if (transferLeadership(now, id))
+            return;
+    }
+}
+
 void Node::leaveIfRemoved(Timestamp now)
 {
     const bool removed = membership().find(m_identity.self) == nullptr;
--- a/acaciafork/consensus/NodeReplication.cpp
+++ b/acaciafork/consensus/NodeReplication.cpp
@@ -277,6 +277,7 @@
             send(m_transfer->to, m_hardState.term, TimeoutNow {});
         }
     }
+    makeWayIfFull(now);
     advanceMembership(now);
 }
 
--- a/acaciafork/consensus/NodeSettings.h
+++ b/acaciafork/consensus/NodeSettings.h
@@ -29,6 +29,13 @@
     std::int64_t promoteLag = 100;
     /// Entries applied since the last snapshot that cause the next one.
     std::int64_t snapshotEntries = 10'000;
+    /// Entries applied since the last snapshot that cause the next one even while a member still
+    /// fetches that one.
+    std::int64_t deferredSnapshotEntries = 100'000;
+    /// How long after its last piece a snapshot counts as still being fetched.
+    Duration snapshotFetchPatience = std::chrono::seconds(2);
+    /// Pause before a disk without room is tried again.
+    Duration fullRetry = std::chrono::milliseconds(500);
     /// Entries kept behind a snapshot for followers that lag.
     std::int64_t trailingEntries = 2'000;
     /// Bytes of one piece of a snapshot, and how long a fetch waits before it asks again.
--- a/acaciafork/consensus/NodeSnapshot.cpp
+++ b/acaciafork/consensus/NodeSnapshot.cpp
@@ -20,6 +20,14 @@
     return m_identity.self;
 }
 
+bool Node::feedsSnapshot(Timestamp now) const
+{
+    return std::ranges::any_of(m_progress, [&](const auto &it) {
+        return it.second.state == ProgressState::Snapshot
+                && now - it.second.heardAt < m_settings.snapshotFetchPatience;
+    });
+}
+
 void Node::offerSnapshot(Timestamp now, ProcessId id, Progress &progress)
 {
     if (progress.state != ProgressState::Snapshot) {
@@ -85,11 +93,11 @@
     if (chunk.meta.index <= m_commit || chunk.offset + chunk.data.size() > chunk.meta.size)
         return;
 
-    // The source has another snapshot by now: start over with that one.
+    // The source has another snapshot than the one begun: start over with that one.
     const bool same = chunk.meta.index == m_fetch->meta.index
             && chunk.meta.checksum == m_fetch->meta.checksum;
     if (!same) {
-        if (chunk.meta.index < m_fetch->meta.index)
+        if (chunk.offset != 0)
             return;
         m_fetch->meta = chunk.meta;
         m_fetch->received = 0;
--- a/acaciafork/consensus/NodeStatus.cpp
+++ b/acaciafork/consensus/NodeStatus.cpp
@@ -19,22 +19,39 @@
     return "unknown";
 }
 
-Redundancy redundancy(const NodeStatus &status)
+namespace {
+
+/// Takes into `result` what holds if `membership` is the one that counts.
+void weigh(const NodeStatus &status, const Membership &membership, Redundancy *result)
 {
-    Redundancy result;
+    std::map<ZoneName, std::size_t> zones;
     std::size_t synced = 0;
     for (const MemberStatus &it : status.members) {
-        if (!it.member.voter || !it.live || it.match < status.commit)
+        if (!membership.isVoter(it.member.id) || !it.live || it.match < status.commit)
             continue;
-        ++result.syncedVoters[it.member.zone];
+        ++zones[it.member.zone];
         ++synced;
     }
+    const std::size_t quorum = membership.quorum();
+    const bool zoneLoss = !zones.empty() && std::ranges::all_of(zones, [&](const auto &it) {
+        return synced - it.second >= quorum;
+    });
+    result->faultsTolerated
+            = std::min(result->faultsTolerated, synced > quorum ? synced - quorum : 0);
+    result->survivesZoneLoss = result->survivesZoneLoss && zoneLoss;
+    result->syncedVoters = std::move(zones);
+}
 
-    const std::size_t quorum = status.membership.quorum();
-    result.faultsTolerated = synced > quorum ? synced - quorum : 0;
-    result.survivesZoneLoss = !result.syncedVoters.empty()
-            && std::ranges::all_of(result.syncedVoters,
-                                   [&](const auto &it) { return synced - it.second >= quorum; });
+} // namespace
+
+Redundancy redundancy(const NodeStatus &status)
+{
+    if (status.role != Role::Leader)
+        return {};
+    // A change of membership in progress may still be undone by the next leader: both must hold.
+    Redundancy result { .syncedVoters = {}, .faultsTolerated = SIZE_MAX, .survivesZoneLoss = true };
+    weigh(status, status.committedMembership, &result);
+    weigh(status, status.membership, &result);
     return result;
 }
 
--- a/acaciafork/consensus/NodeStatus.h
+++ b/acaciafork/consensus/NodeStatus.h
@@ -47,7 +47,9 @@
     LogIndex snapshot = 0;
     /// The group does not know this member's folder: it must come back under a new id.
     bool displaced = false;
+    /// Members by the latest entry, and by the latest committed one.
     Membership membership;
+    Membership committedMembership;
     /// Filled on the leader only.
     std::vector<MemberStatus> members;
     /// Processes that could become members; filled on the leader only.
--- a/acaciafork/consensus/Replica.cpp
+++ b/acaciafork/consensus/Replica.cpp
@@ -91,7 +91,7 @@
             break;
         // What needs no sync leaves first, so that followers write while this member does.
         sendAll(output.messages);
-        answerFetches(output.fetches);
+        answerFetches(now, output.fetches);
         if (output.hasWrites())
             write(now, output);
         takePieces(now, output.pieces);
@@ -101,7 +101,7 @@
         reportRole();
     }
     if (!m_folder->broken())
-        storeSnapshot();
+        storeSnapshot(now);
     reportRole();
 }
 
@@ -113,7 +113,7 @@
     if (outcome == Outcome::Done)
         m_node.synced(now);
     else
-        m_node.writeFailed(m_full);
+        m_node.writeFailed(now, m_full);
 }
 
 void Replica::sendAll(const std::vector<Message> &messages)
@@ -122,13 +122,14 @@
         m_handler->send(it.to, encodeMessage(it));
 }
 
-void Replica::answerFetches(const std::vector<Message> &fetches)
+void Replica::answerFetches(Timestamp now, const std::vector<Message> &fetches)
 {
     const SnapshotMeta &meta = m_folder->snapshot();
     if (meta.index == 0)
         return;
     for (const Message &it : fetches) {
         const auto &fetch = std::get<SnapshotFetch>(it.body);
+        m_fetchedAt = now;
         // Another snapshot than the one asked for begins at its start.
         const bool same = fetch.index == meta.index && fetch.checksum == meta.checksum;
         const std::uint64_t offset = same ? std::min(fetch.offset, meta.size) : 0;
@@ -179,12 +180,18 @@
     }
 }
 
-void Replica::storeSnapshot()
+void Replica::storeSnapshot(Timestamp now)
 {
     const auto every = static_cast<LogIndex>(m_settings.node.snapshotEntries);
     if (m_node.appliedIndex() < m_folder->snapshot().index + every
         || m_node.appliedIndex() > m_node.durableIndex())
         return;
+    // A snapshot that is being fetched stays, else a slow fetch would never come to an end.
+    const bool fetched = now - m_fetchedAt < m_settings.node.snapshotFetchPatience;
+    const auto deferred = static_cast<LogIndex>(m_settings.node.deferredSnapshotEntries);
+    if ((fetched || m_node.feedsSnapshot(now))
+        && m_node.appliedIndex() < m_folder->snapshot().index + deferred)
+        return;
     SnapshotMeta meta = m_node.describeSnapshot();
     const std::string bytes = m_handler->makeSnapshot();
     if (outcomeOf([&] { return m_folder->storeSnapshot(&meta, bytes); }) != Outcome::Done)
--- a/acaciafork/consensus/Replica.h
+++ b/acaciafork/consensus/Replica.h
@@ -106,11 +106,11 @@
 
     void write(Timestamp now, const NodeOutput &output);
     void sendAll(const std::vector<Message> &messages);
-    void answerFetches(const std::vector<Message> &fetches);
+    void answerFetches(Timestamp now, const std::vector<Message> &fetches);
     void takePieces(Timestamp now, const std::vector<SnapshotChunk> &pieces);
     void installSnapshot(Timestamp now, const SnapshotMeta &meta);
     void applyAll(const std::vector<Entry> &committed);
-    void storeSnapshot();
+    void storeSnapshot(Timestamp now);
     void reportRole();
 
     ReplicaSettings m_settings;
@@ -118,6 +118,8 @@
     Node m_node;
     ReplicaHandler *m_handler;
     bool m_full = false;
+    /// When a piece of the stored snapshot was last asked for.
+    Timestamp m_fetchedAt = longAgo;
     Role m_role = Role::Follower;
     ProcessId m_leader;
 };
--- /dev/null
+++ b/tests/consensus/Schedule.cpp
@@ -0,0 +1,387 @@
+#include "Schedule.h"
+
+#include <cstdio>
+
+namespace acaciafork::consensus {
+
+namespace {
+
+constexpr std::size_t clientCount = 3;
+constexpr Duration clientPatience = std::chrono::milliseconds(1500);
+/// How long clients go on once all faults have ended.
+constexpr Duration clientsAfterChaos = std::chrono::seconds(1);
+constexpr Duration settleLimit = std::chrono::seconds(30);
+
+/// Small sizes, so that snapshots, segments and pieces are met in a short schedule.
+GroupSettings groupSettings(const ScheduleSettings &settings)
+{
+    GroupSettings group { .members = settings.members,
+                          .spares = 1,
+                          .seed = settings.seed,
+                          .node = {},
+                          .folder = { .segmentBytes = 2000 },
+                          .link = { .lossRate = 0.03, .repeatRate = 0.03 },
+                          .faults = settings.faults,
+                          .clockRateSpread = settings.clockRateSpread };
+    group.link.delayMost = std::chrono::milliseconds(settings.seed % 3 == 0 ? 40 : 4);
+    group.node.snapshotEntries = 30;
+    group.node.trailingEntries = 10;
+    group.node.snapshotChunkBytes = 4000;
+    group.node.promoteLag = 5;
+    group.node.deferredSnapshotEntries = 5000;
+    group.node.snapshotFromFollower = settings.seed % 2 == 0;
+    group.node.followerSnapshotPatience = std::chrono::seconds(1);
+    return group;
+}
+
+} // namespace
+
+Schedule::Schedule(const ScheduleSettings &settings)
+    : m_settings(settings)
+    , m_group(groupSettings(settings))
+    , m_clients(clientCount)
+{
+}
+
+std::uint64_t Schedule::draw(std::uint64_t most)
+{
+    return m_group.random()() % most;
+}
+
+void Schedule::trace(const std::string &text)
+{
+    if (m_settings.trace)
+        std::fprintf(stderr, "%lld %s\n",
+                     static_cast<long long>(toMicroseconds(m_group.now()) / 1000), text.c_str());
+}
+
+ScheduleResult Schedule::run()
+{
+    m_group.awaitLeader();
+    const Timestamp end = m_group.now() + m_settings.chaos;
+    while (m_group.now() < end && m_group.violation().empty()) {
+        turn();
+        if (draw(120) == 0)
+            disturb();
+        if (draw(500) == 0)
+            m_group.checkLogs();
+    }
+    if (m_group.violation().empty())
+        settle();
+    m_result.violation = m_group.violation();
+    m_result.acknowledged = m_acknowledged.size();
+    return m_result;
+}
+
+void Schedule::turn()
+{
+    m_group.step();
+    for (auto &it : m_clients)
+        advanceClient(&it);
+    for (auto &[id, member] : m_group.members()) {
+        if (member->running())
+            continue;
+        // A crash at a sync is met inside Group::step(); every member comes back after a while.
+        const auto [found, added] = m_down.emplace(
+                id, m_group.now() + std::chrono::milliseconds(20 + draw(1500)));
+        if (!added && m_group.now() >= found->second) {
+            m_down.erase(found);
+            trace("start " + std::to_string(id.value));
+            if (!member->start())
+                member->crash();
+        }
+    }
+}
+
+void Schedule::crash(GroupMember *member)
+{
+    trace("crash " + std::to_string(member->id.value));
+    member->crash();
+    ++m_result.crashes;
+}
+
+void Schedule::disturb()
+{
+    GroupMember *member = anyMember();
+    switch (draw(11)) {
+    case 0:
+    case 1:
+        if (member->running())
+            crash(member);
+        break;
+    case 2:
+    case 3:
+        member->disk.crashAtSync(1 + draw(12));
+        ++m_result.crashes;
+        break;
+    case 4:
+        trace("isolate " + std::to_string(member->id.value));
+        m_group.isolate(member->id);
+        break;
+    case 5:
+        cutSome();
+        break;
+    case 6:
+        trace("heal");
+        m_group.heal();
+        break;
+    case 7:
+        trace("full or not " + std::to_string(member->id.value));
+        member->disk.setFull(draw(2) == 0);
+        break;
+    case 8:
+        if (GroupMember *leader = m_group.leader()) {
+            trace("transfer to " + std::to_string(member->id.value));
+            (void)leader->replica->transferLeadership(leader->clock(), member->id);
+        }
+        break;
+    case 9:
+        changeMembers();
+        break;
+    default:
+        if (draw(3) == 0)
+            loseFolder();
+        break;
+    }
+}
+
+void Schedule::cutSome()
+{
+    for (auto &[from, left] : m_group.members()) {
+        for (auto &[to, right] : m_group.members()) {
+            if (draw(4) == 0)
+                m_group.cut(from, to);
+        }
+    }
+    trace("cut some");
+}
+
+void Schedule::changeMembers()
+{
+    GroupMember *leader = m_group.leader();
+    if (leader == nullptr)
+        return;
+    const NodeStatus status = leader->replica->status(leader->clock()).node;
+    const ProcessId spare = status.spares.empty() ? ProcessId {} : status.spares.front().id;
+    const auto &members = status.membership.members;
+    const ProcessId old = members[draw(members.size())].id;
+    bool accepted = false;
+    if (spare && members.size() < m_settings.members)
+        accepted = static_cast<bool>(leader->replica->addLearner(leader->clock(), spare));
+    else if (spare)
+        accepted = static_cast<bool>(
+                leader->replica->replaceMember(leader->clock(), old, spare));
+    else if (members.size() + 1 > m_settings.members && draw(3) == 0)
+        accepted = static_cast<bool>(leader->replica->removeMember(leader->clock(), old));
+    if (!accepted)
+        return;
+    trace("change members: spare " + std::to_string(spare.value) + ", old "
+          + std::to_string(old.value));
+    ++m_result.membershipChanges;
+    if (m_group.members().size() < m_settings.members + 4)
+        m_group.addProcess();
+}
+
+void Schedule::loseFolder()
+{
+    // Only what the leader says can be lost is lost: so its word is checked too.
+    GroupMember *leader = m_group.leader();
+    GroupMember *member = anyMember();
+    if (leader == nullptr || member == leader || !leader->replica->canReadNow(leader->clock()))
+        return;
+    const ReplicaStatus status = leader->replica->status(leader->clock());
+    const bool spare = status.redundancy.faultsTolerated > 0;
+    const bool belongs = status.node.membership.find(member->id) != nullptr
+            || status.node.committedMembership.find(member->id) != nullptr;
+    if (!belongs || !spare || m_lost.contains(member->id) || m_lost.size() >= 2)
+        return;
+    trace("lose folder " + std::to_string(member->id.value));
+    m_lost.insert(member->id);
+    member->crash();
+    member->disk.wipe();
+    m_group.addProcess();
+}
+
+GroupMember *Schedule::anyMember()
+{
+    auto it = m_group.members().begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(draw(m_group.members().size())));
+    return it->second.get();
+}
+
+GroupMember *Schedule::anyLeader()
+{
+    // Also one that has been replaced and does not know it yet.
+    std::vector<GroupMember *> leaders;
+    for (auto &[id, member] : m_group.members()) {
+        if (member->running() && member->replica->isLeader())
+            leaders.push_back(member.get());
+    }
+    return leaders.empty() ? nullptr : leaders[draw(leaders.size())];
+}
+
+void Schedule::advanceClient(std::optional<Operation> *client)
+{
+    if (!client->has_value()) {
+        if (m_group.now() < m_clientsEnd && draw(8) == 0)
+            *client = begin();
+        return;
+    }
+    Operation &operation = **client;
+    if (finish(operation)) {
+        client->reset();
+    } else if (m_group.now() - operation.began > clientPatience) {
+        // The outcome is unknown: the client resends the same operation, or gives up.
+        if (operation.ticket || draw(2) == 0)
+            client->reset();
+        else
+            resend(&operation);
+    }
+}
+
+std::optional<Schedule::Operation> Schedule::begin()
+{
+    GroupMember *leader = anyLeader();
+    if (leader == nullptr)
+        return std::nullopt;
+    Operation operation { .id = ++m_lastOperation,
+                          .member = leader->id,
+                          .start = leader->starts,
+                          .ticket = {},
+                          .command = {},
+                          .floor = m_seenVersion,
+                          .began = m_group.now() };
+    const std::uint64_t kind = draw(10);
+    if (kind < 2) {
+        // A read under the lease is answered at once.
+        if (leader->replica->canReadNow(leader->clock()))
+            seen(operation, leader->state.version(), leader->state.value(), false);
+        return std::nullopt;
+    }
+    if (kind < 4) {
+        auto ticket = leader->replica->readBarrier(leader->clock());
+        if (!ticket)
+            return std::nullopt;
+        operation.ticket = *ticket;
+        return operation;
+    }
+    const std::uint64_t expected = kind < 7 ? 0 : m_lastValue;
+    operation.command = Register::command(operation.id, expected, operation.id);
+    if (!leader->replica->propose(leader->clock(), operation.command))
+        return std::nullopt;
+    return operation;
+}
+
+void Schedule::resend(Operation *operation)
+{
+    GroupMember *leader = anyLeader();
+    operation->began = m_group.now();
+    if (leader == nullptr || !leader->replica->propose(leader->clock(), operation->command))
+        return;
+    operation->member = leader->id;
+    operation->start = leader->starts;
+}
+
+bool Schedule::finish(const Operation &operation)
+{
+    GroupMember &member = *m_group.members().at(operation.member);
+    if (!member.running() || member.starts != operation.start)
+        return false;
+    if (!operation.ticket) {
+        const RegisterOutcome *outcome = member.state.find(operation.id);
+        if (outcome == nullptr)
+            return false;
+        m_acknowledged[operation.id] = *outcome;
+        seen(operation, outcome->version, outcome->value, outcome->changed);
+        return true;
+    }
+    for (const ReadResult &it : member.reads) {
+        if (it.ticket != operation.ticket)
+            continue;
+        if (it.ready)
+            seen(operation, member.state.version(), member.state.value(), false);
+        return true;
+    }
+    return false;
+}
+
+void Schedule::seen(const Operation &operation, std::uint64_t version, std::uint64_t value,
+                    bool changed)
+{
+    // The versions order all operations; that order must agree with real time.
+    if (version < operation.floor || (changed && version == operation.floor))
+        m_group.report("operation " + std::to_string(operation.id) + " saw version "
+                       + std::to_string(version) + " after a client had seen "
+                       + std::to_string(operation.floor));
+    const auto [found, added] = m_values.emplace(version, value);
+    if (!added && found->second != value)
+        m_group.report("two values of version " + std::to_string(version));
+    if (!changed)
+        ++m_result.reads;
+    if (version > m_seenVersion) {
+        m_seenVersion = version;
+        m_lastValue = value;
+    }
+}
+
+void Schedule::settle()
+{
+    trace("settle");
+    m_group.heal();
+    m_group.link().lossRate = 0;
+    for (auto &[id, member] : m_group.members()) {
+        member->disk.setFull(false);
+        member->disk.crashAtSync(0);
+    }
+    const Timestamp end = m_group.now() + settleLimit;
+    m_clientsEnd = m_group.now() + clientsAfterChaos;
+    while (m_group.now() < end && m_group.violation().empty()) {
+        turn();
+        GroupMember *leader = m_group.leader();
+        if (leader == nullptr || !leader->replica->canReadNow(leader->clock()))
+            continue;
+        // Done once all members that still have their folder hold the same state.
+        bool equal = true;
+        for (const Member &it : leader->replica->node().membership().members) {
+            const GroupMember &member = *m_group.members().at(it.id);
+            equal = equal
+                    && (m_lost.contains(it.id)
+                        || (member.running() && member.state.version() == leader->state.version()));
+        }
+        if (equal && m_group.now() > m_clientsEnd) {
+            m_group.checkLogs();
+            checkAcknowledged(*leader);
+            return;
+        }
+    }
+    for (auto &[id, member] : m_group.members()) {
+        if (!member->running())
+            continue;
+        const NodeStatus status = member->replica->status(member->clock()).node;
+        std::string members;
+        for (const Member &it : status.membership.members)
+            members += (it.voter ? " voter " : " learner ") + std::to_string(it.id.value);
+        trace("member " + std::to_string(id.value) + " " + std::string(roleName(status.role))
+              + " term " + std::to_string(status.term) + " commit " + std::to_string(status.commit)
+              + " last " + std::to_string(status.last) + " durable "
+              + std::to_string(status.durable) + " snapshot " + std::to_string(status.snapshot)
+              + " version " + std::to_string(member->state.version())
+              + (status.displaced ? " displaced" : "")
+              + (member->replica->status(member->clock()).broken ? " broken" : "")
+              + (member->replica->status(member->clock()).full ? " full" : "") + members);
+    }
+    m_group.report("the group did not recover");
+}
+
+void Schedule::checkAcknowledged(const GroupMember &leader)
+{
+    for (const auto &[id, outcome] : m_acknowledged) {
+        const RegisterOutcome *kept = leader.state.find(id);
+        if (kept == nullptr || !(*kept == outcome))
+            m_group.report("acknowledged operation " + std::to_string(id) + " is lost");
+    }
+    if (leader.state.version() < m_seenVersion)
+        m_group.report("the version went back");
+}
+
+} // namespace acaciafork::consensus
