--- a/acaciafork/consensus/LogRecovery.cpp
+++ b/acaciafork/consensus/LogRecovery.cpp
@@ -101,6 +101,9 @@
     m_recovered.baseTerm = replay.baseTerm;
     m_lastIndex = replay.entries.empty() ? replay.baseIndex : replay.entries.back().index;
     m_lastTerm = replay.entries.empty() ? replay.baseTerm : replay.entries.back().term;
+    if (m_lastTerm > m_hardState.term)
+        return failCorrupt(segmentName(m_segments.back().sequence), 0,
+                           "the term is lower than that of the last entry");
     m_recovered.entries = std::move(replay.entries);
     return {};
 }
--- a/acaciafork/consensus/NodeMembership.cpp
+++ b/acaciafork/consensus/NodeMembership.cpp
@@ -173,7 +173,6 @@
     if (!membership().isVoter(to))
         return fail(FailureKind::NotFound, "no voter " + std::to_string(to.value));
     m_transfer = Transfer { .to = to, .deadline = now + m_settings.transferTimeout, .askAt = now };
-    m_leaseGivenUp = true;
     return {};
 }
 
--- a/acaciafork/consensus/NodeReplication.cpp
+++ b/acaciafork/consensus/NodeReplication.cpp
@@ -274,6 +274,7 @@
             m_transfer.reset();
         } else if (target->second.match == m_log.lastIndex() && now >= m_transfer->askAt) {
             m_transfer->askAt = now + m_settings.heartbeatInterval;
+            m_leaseGivenUp = true;
             send(m_transfer->to, m_hardState.term, TimeoutNow {});
         }
     }
--- a/tests/consensus/Group.h
+++ b/tests/consensus/Group.h
@@ -18,6 +18,9 @@
 {
     double lossRate = 0;
     double repeatRate = 0;
+    /// Share of messages that come much later than all others, and how late.
+    double lateRate = 0;
+    Duration lateMost = std::chrono::seconds(2);
     Duration delayLeast = std::chrono::microseconds(200);
     Duration delayMost = std::chrono::milliseconds(2);
 };
