--- a/standins/StandinEndpoint.cpp
+++ b/standins/StandinEndpoint.cpp
@@ -198,7 +198,9 @@
 
 boost::json::object StandinEndpoint::countsJson() const
 {
-    return { { "endpoint", m_settings.announcement.endpoint.value },
+    boost::json::array keys(m_keys.begin(), m_keys.end());
+    return { { "keys", std::move(keys) },
+             { "endpoint", m_settings.announcement.endpoint.value },
              { "slots", m_settings.announcement.slots },
              { "requests", m_counts.requests },
              { "answered", m_counts.answered },
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -62,6 +62,9 @@
     /// Adds what was counted to the arrays.
     void addCounts(boost::json::array *runs, boost::json::array *endpoints) const;
 
+    /// What it last reported; leases count from it.
+    [[nodiscard]] const platform::WorkerReport &lastReport() const { return m_report; }
+
     /// Tasks that run now.
     [[nodiscard]] std::size_t running() const;
 
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -164,6 +164,7 @@
             leaf::try_handle_all([&]() -> Result<std::uint16_t> { return worker.start(address); },
                                  [] { return std::uint16_t(0); });
     WorkerClient client(loop, {});
+    Incarnation incarnation;
     const auto send = [&](WorkerAction action, std::uint64_t epoch, Duration lease = 60s,
                           std::string payload = R"({"kind":"batch","runMs":600000})",
                           std::string checkpoint = {}) {
@@ -173,12 +174,19 @@
                       .action = action,
                       .epoch = { epoch },
                       .leaseDuration = lease,
+                      .incarnation = incarnation,
+                      .reportSequence = worker.lastReport().sequence,
                       .payload = std::move(payload),
                       .checkpoint = std::move(checkpoint) },
                     [&](const CommandReply &got) { reply = got; });
         runUntil(loop, [&] { return reply.has_value(); });
         return *reply;
     };
+
+    // A lease of another incarnation, from before a restart, gives nothing.
+    incarnation = { worker.lastReport().incarnation.value - 1 };
+    CHECK(send(WorkerAction::Start, 1).outcome != CommandOutcome::Done);
+    incarnation = worker.lastReport().incarnation;
     CHECK(send(WorkerAction::Renew, 1).outcome == CommandOutcome::NotKnown);
     CHECK(send(WorkerAction::Start, 1, 60s, R"({"kind":"dance"})").outcome
           == CommandOutcome::Refused);
@@ -198,6 +206,11 @@
           == CommandOutcome::Done);
     runUntil(loop, [&] { return worker.running() == 0; });
 
+    // An epoch that was stopped before it came is refused when it comes after all.
+    CHECK(send(WorkerAction::Stop, 5).outcome == CommandOutcome::Done);
+    CHECK(send(WorkerAction::Start, 5).report->status == TaskStatus::Stopped);
+    CHECK(worker.running() == 0);
+
     boost::json::array runs;
     boost::json::array endpoints;
     worker.addCounts(&runs, &endpoints);
