--- a/acaciafork/net/HttpExchange.cpp
+++ b/acaciafork/net/HttpExchange.cpp
@@ -3,6 +3,8 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 #include "acaciafork/net/H2o.h"
 #include "acaciafork/net/TcpStream.h"
@@ -25,28 +27,43 @@
     return copy;
 }
 
-std::string_view reasonOf(int status)
+/// Reason phrases of the statuses in use; the phrase carries no meaning.
+constexpr std::array<std::pair<int, const char *>, 28> reasons { {
+        { 101, "Switching Protocols" },
+        { 200, "OK" },
+        { 201, "Created" },
+        { 202, "Accepted" },
+        { 204, "No Content" },
+        { 206, "Partial Content" },
+        { 301, "Moved Permanently" },
+        { 302, "Found" },
+        { 303, "See Other" },
+        { 304, "Not Modified" },
+        { 307, "Temporary Redirect" },
+        { 308, "Permanent Redirect" },
+        { 400, "Bad Request" },
+        { 401, "Unauthorized" },
+        { 403, "Forbidden" },
+        { 404, "Not Found" },
+        { 405, "Method Not Allowed" },
+        { 409, "Conflict" },
+        { 410, "Gone" },
+        { 412, "Precondition Failed" },
+        { 413, "Payload Too Large" },
+        { 422, "Unprocessable Content" },
+        { 429, "Too Many Requests" },
+        { 500, "Internal Server Error" },
+        { 501, "Not Implemented" },
+        { 502, "Bad Gateway" },
+        { 503, "Service Unavailable" },
+        { 504, "Gateway Timeout" },
+} };
+
+const char *reasonOf(int status)
 {
-    switch (status) {
-    case 101:
-        return "Switching Protocols";
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 404:
-        return "Not Found";
-    case 429:
-        return "Too Many Requests";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
+    const auto *it = std::lower_bound(reasons.begin(), reasons.end(), status,
+                                      [](const auto &entry, int n) { return entry.first < n; });
+    return it != reasons.end() && it->first == status ? it->second : "Other";
 }
 
 } // namespace
@@ -154,7 +171,7 @@
 {
     m_isBegun = true;
     m_req->res.status = status;
-    m_req->res.reason = reasonOf(status).data();
+    m_req->res.reason = reasonOf(status);
     addHeaders(headers);
     h2o_start_response(m_req, &m_generator->super);
 }
@@ -248,7 +265,7 @@
     m_isSent = true;
     m_isUpgraded = true;
     m_req->res.status = 101;
-    m_req->res.reason = reasonOf(101).data();
+    m_req->res.reason = reasonOf(101);
     addHeaders(headers);
     using Function = std::function<void(std::unique_ptr<TcpStream>)>;
     h2o_http1_upgrade(
--- a/acaciafork/net/HttpServer.cpp
+++ b/acaciafork/net/HttpServer.cpp
@@ -56,7 +56,7 @@
     h2o_context_t context;
     h2o_accept_ctx_t acceptContext;
     NativeHandler *handler;
-    NativeFilter *filter;
+    std::vector<NativeFilter *> filters;
 };
 
 HttpServer::Impl::Impl(Loop &aLoop, HttpServerSettings aSettings, Handler aHandler)
@@ -86,7 +86,7 @@
                 reinterpret_cast<NativeFilter *>(h2o_create_filter(it, sizeof(NativeFilter)));
         filter->server = this;
         filter->super.on_setup_ostream = handleErrorAnswer;
-        m_native->filter = filter;
+        m_native->filters.push_back(filter);
     }
 
     h2o_context_init(&m_native->context, loop.native(), &config);
@@ -105,8 +105,14 @@
     if (m_listener != nullptr)
         h2o_socket_close(m_listener);
     m_native->handler->server = nullptr;
+    for (auto *it : m_native->filters)
+        it->server = nullptr;
     for (const auto &[socket, connection] : connections) {
+        // h2o may still read what the kernel holds; nothing of ours is to be called then.
         socket->on_close.cb = nullptr;
+        socket->on_close.data = nullptr;
+        if (connection->gatedRead != nullptr)
+            socket->_cb.read = connection->gatedRead;
         if (connection->current != nullptr)
             connection->current->m_onClosed = nullptr;
         ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
@@ -128,6 +134,16 @@
     return port;
 }
 
+// Connections that wait to be accepted would be reset with the listener; they are served.
+void HttpServer::Impl::stopListening()
+{
+    if (m_listener == nullptr)
+        return;
+    while (h2o_socket_t *socket = h2o_evloop_socket_accept(m_listener))
+        accept(socket);
+    h2o_socket_close(std::exchange(m_listener, nullptr));
+}
+
 void HttpServer::Impl::handleReadable(h2o_socket_t *listener, const char *error)
 {
     if (error != nullptr)
--- a/acaciafork/net/HttpServerGuard.cpp
+++ b/acaciafork/net/HttpServerGuard.cpp
@@ -123,8 +123,7 @@
 {
     m_isDraining = true;
     m_drained = std::move(done);
-    if (m_listener != nullptr)
-        h2o_socket_close(std::exchange(m_listener, nullptr));
+    stopListening();
     requestShutdown();
     loop.post([this] { finishDrain(); });
 }
--- a/benchmarks/net/measure_proxying.cpp
+++ b/benchmarks/net/measure_proxying.cpp
@@ -1,21 +1,21 @@
 /// Measures what passing a request through an entry adds: one endpoint called directly and through
 /// the path callers -> endpoints on one thread, in one run.
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <atomic>
 #include <cstdlib>
-#include <future>
 #include <iostream>
 #include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "ServingThread.h"
 #include "standins/StandinRouter.h"
 
 using namespace acaciafork;
+using benchmarks::listenOnLoopback;
+using benchmarks::ServingThread;
 
 namespace {
 
@@ -24,67 +24,6 @@
 constexpr std::size_t bodyBytes = 128;
 constexpr Duration warmUp = 500ms;
 
-/// Processor time of the calling thread.
-Duration threadTime()
-{
-    rusage usage {};
-    ::getrusage(RUSAGE_THREAD, &usage);
-    const auto of = [](const timeval &it) {
-        return std::chrono::seconds(it.tv_sec) + Duration(it.tv_usec);
-    };
-    return of(usage.ru_utime) + of(usage.ru_stime);
-}
-
-std::uint16_t
-listenOnLoopback(const std::function<Result<std::uint16_t>(const net::Address &)> &listen)
-{
-    return leaf::try_handle_all(
-            [&]() -> Result<std::uint16_t> { return listen({ .host = "127.0.0.1", .port = 0 }); },
-            [] {
-                std::cerr << "cannot listen\n";
-                std::exit(1);
-                return std::uint16_t(0);
-            });
-}
-
-/// A loop on a thread of its own that serves until it is destroyed, and knows what it has used.
-class ServingThread
-{
-public:
-    /// @param[in] serve runs on the thread: sets up, tells its port, and keeps its objects until
-    /// the loop has ended
-    explicit ServingThread(std::function<void(net::Loop &, std::promise<std::uint16_t> &)> serve)
-        : m_thread([this, serve = std::move(serve)] {
-            net::Loop loop;
-            loop.every(1ms, [this, &loop] {
-                used = threadTime().count();
-                if (m_isEnding)
-                    loop.stop();
-            });
-            serve(loop, m_port);
-        })
-        , m_address { .host = "127.0.0.1", .port = m_port.get_future().get() }
-    { }
-
-    ~ServingThread()
-    {
-        m_isEnding = true;
-        m_thread.join();
-    }
-
-    /// Where it listens.
-    [[nodiscard]] const net::Address &address() const { return m_address; }
-
-    /// Processor time that the thread has used, in microseconds.
-    std::atomic<std::int64_t> used = 0;
-
-private:
-    std::atomic<bool> m_isEnding = false;
-    std::promise<std::uint16_t> m_port;
-    std::thread m_thread;
-    net::Address m_address;
-};
-
 void serveEndpoint(net::Loop &loop, std::promise<std::uint16_t> &port)
 {
     const std::string body(bodyBytes, 'b');
@@ -98,11 +37,14 @@
 }
 
 /// Callers on one thread: each connection sends its next request when the last one is answered.
-class Callers : net::HttpCallSink
+class Callers
 {
 public:
-    Callers(net::Loop &loop, const net::Address &target)
+    /// @param[in] pace time from one request of a connection to its next; zero is as soon as
+    /// answered
+    Callers(net::Loop &loop, const net::Address &target, Duration pace)
         : m_loop(loop)
+        , m_pace(pace)
         , m_client(loop, {})
         , m_target(target)
     { }
@@ -111,8 +53,26 @@
     {
         for (int i = 0; i != connections; ++i)
             m_lanes.push_back(std::make_unique<Lane>(*this));
-        for (const auto &it : m_lanes)
-            it->send();
+        if (m_pace == Duration::zero()) {
+            for (const auto &it : m_lanes)
+                it->send();
+        }
+    }
+
+    /// Turns the loop until `end`, without sleeping, since its timers are coarser than the pace.
+    void runUntil(Timestamp end)
+    {
+        Timestamp next = net::Loop::now();
+        for (Timestamp now = next; now < end; now = net::Loop::now()) {
+            m_loop.runOnce(Duration::zero());
+            if (m_pace == Duration::zero() || now < next)
+                continue;
+            next += m_pace;
+            const auto lane = std::find_if(m_lanes.begin(), m_lanes.end(),
+                                           [](const auto &it) { return !it->isWaiting; });
+            if (lane != m_lanes.end())
+                (*lane)->send();
+        }
     }
 
     void reset() { latencies.clear(); }
@@ -129,6 +89,7 @@
         void send()
         {
             sentAt = net::Loop::now();
+            isWaiting = true;
             callers.m_client.start(
                     { .address = callers.m_target, .target = "/svc/work", .timeout = 10s }, *this);
         }
@@ -143,18 +104,18 @@
             callers.latencies.push_back((net::Loop::now() - sentAt).count());
             if (end.failure || !isGood)
                 ++callers.failures;
-            callers.m_loop.post([this] { send(); });
+            isWaiting = false;
+            if (callers.m_pace == Duration::zero())
+                callers.m_loop.post([this] { send(); });
         }
         Callers &callers;
         Timestamp sentAt;
         bool isGood = false;
+        bool isWaiting = false;
     };
 
-    bool onHead(const net::HttpHead &) override { return true; }
-    void onBody(std::string_view) override { }
-    void onEnd(const net::CallEnd &) override { }
-
     net::Loop &m_loop;
+    Duration m_pace;
     net::HttpClient m_client;
     net::Address m_target;
     std::vector<std::unique_ptr<Lane>> m_lanes;
@@ -171,22 +132,32 @@
     double perCore = 0;
 };
 
-Outcome load(const net::Address &target, int threads, int connections, Duration time,
-             const ServingThread &watched)
+/// Load on one path.
+struct Load
 {
-    std::vector<std::vector<std::int64_t>> latencies(static_cast<std::size_t>(threads));
+    std::string_view name;
+    int threads = 1;
+    int connections = 1;
+    Duration pace = Duration::zero();
+};
+
+Outcome run(const Load &load, const net::Address &target, Duration time,
+            const ServingThread &watched)
+{
+    std::vector<std::vector<std::int64_t>> latencies(static_cast<std::size_t>(load.threads));
     std::atomic<std::uint64_t> failures = 0;
     std::vector<std::thread> callers;
     std::int64_t usedBefore = 0;
-    for (std::size_t i = 0; i != latencies.size(); ++i) {
-        callers.emplace_back([&, i] {
+    for (auto &mineLatencies : latencies) {
+        callers.emplace_back([&] {
             net::Loop loop;
-            Callers mine(loop, target);
-            mine.start(connections / threads);
-            loop.after(warmUp, [&] { mine.reset(); });
-            loop.after(warmUp + time, [&] { loop.stop(); });
-            loop.run();
-            latencies[i] = mine.latencies;
+            Callers mine(loop, target, load.pace);
+            mine.start(load.connections / load.threads);
+            const Timestamp begin = net::Loop::now();
+            mine.runUntil(begin + warmUp);
+            mine.reset();
+            mine.runUntil(begin + warmUp + time);
+            mineLatencies = mine.latencies;
             failures += mine.failures;
         });
     }
@@ -209,11 +180,12 @@
              .perCore = used == 0 ? 0 : n * 1e6 / static_cast<double>(used) };
 }
 
-void print(std::string_view name, int connections, const Outcome &it)
+void print(const Load &load, std::string_view name, const Outcome &it)
 {
-    std::cout << name << " | " << connections << " | " << static_cast<std::int64_t>(it.perSecond)
-              << " | " << static_cast<std::int64_t>(it.perCore) << " | " << it.medianUs << " | "
-              << it.p99Us << " | " << it.failures << "\n";
+    std::cout << load.name << " | " << name << " | " << load.connections << " | "
+              << static_cast<std::int64_t>(it.perSecond) << " | "
+              << static_cast<std::int64_t>(it.perCore) << " | " << it.medianUs << " | " << it.p99Us
+              << " | " << it.failures << "\n";
 }
 
 } // namespace
@@ -221,23 +193,27 @@
 int main(int argc, char **argv)
 {
     const auto seconds = std::chrono::seconds(argc > 1 ? std::atoi(argv[1]) : 3);
-    ServingThread endpoint(serveEndpoint);
-    ServingThread entry([&](net::Loop &loop, std::promise<std::uint16_t> &port) {
+    ServingThread endpoint("endpoint", serveEndpoint);
+    ServingThread entry("entry", [&](net::Loop &loop, std::promise<std::uint16_t> &port) {
         standins::StandinRouter router(loop, endpoint.address());
         port.set_value(listenOnLoopback(
                 [&](const net::Address &it) { return router.server().listen(it); }));
         loop.run();
     });
 
-    std::cout << "path | connections | requests/s | requests/s per core | median us | p99 us | "
-                 "failures\n";
-    for (const int connections : { 1, 64 }) {
-        const int threads = connections == 1 ? 1 : 4;
-        const Outcome direct = load(endpoint.address(), threads, connections, seconds, endpoint);
-        print("direct", connections, direct);
-        const Outcome proxied = load(entry.address(), threads, connections, seconds, entry);
-        print("through an entry", connections, proxied);
-        std::cout << "added median " << proxied.medianUs - direct.medianUs
+    const Load loads[] = {
+        { .name = "one at a time" },
+        { .name = "10,000/s", .connections = 32, .pace = 100us },
+        { .name = "as many as go", .threads = 4, .connections = 64 },
+    };
+    std::cout << "load | path | connections | requests/s | requests/s per core | median us | p99 "
+                 "us | failures\n";
+    for (const auto &load : loads) {
+        const Outcome direct = run(load, endpoint.address(), seconds, endpoint);
+        print(load, "direct", direct);
+        const Outcome proxied = run(load, entry.address(), seconds, entry);
+        print(load, "through an entry", proxied);
+        std::cout << "  added median " << proxied.medianUs - direct.medianUs
                   << " us, ratio to direct " << proxied.perSecond / direct.perSecond << "\n";
     }
     return 0;
--- a/tests/endpoints/ProxyingTest.cpp
+++ b/tests/endpoints/ProxyingTest.cpp
@@ -8,9 +8,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using net::TcpStream;
 using net::test::RawPeer;
-using net::test::RawServer;
 using net::test::runUntil;
 using standins::StandinEndpoint;
 using standins::StandinEndpointSettings;
@@ -28,7 +26,7 @@
 /// Whole path from a caller to a stand-in endpoint.
 struct Path
 {
-    explicit Path(StandinEndpointSettings settings)
+    explicit Path(const StandinEndpointSettings &settings)
         : client(loop, {})
         , reporter(client, {})
         , endpoint(loop, reporter, settings)
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -285,6 +285,21 @@
     CHECK(arriving.received.find("three") != std::string::npos);
 }
 
+TEST_CASE("a server that goes away leaves its loop sound")
+{
+    Loop loop;
+    auto server = std::make_unique<HttpServer>(loop, HttpServerSettings {},
+                                               [](const auto &it) { it->answer(200, {}, "ok"); });
+    const std::uint16_t port = listenOnLoopback(*server);
+    RawPeer idle(loop, port);
+    RawPeer half(loop, port);
+    half.stream->write("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbo");
+    runUntil(loop, [&] { return server->bufferedBytes() > 0 && server->connections() == 2; });
+    idle.stream->write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    server.reset();
+    runUntil(loop, [&] { return idle.isEnded && half.isEnded; });
+}
+
 TEST_CASE("an upgrade hands over the connection in both directions")
 {
     Fixture fixture;
