--- a/acaciafork/net/HttpCall.cpp
+++ b/acaciafork/net/HttpCall.cpp
@@ -2,49 +2,16 @@
 
 #include <sys/socket.h>
 
-#include <charconv>
 #include <utility>
 #include <vector>
 
 #include "acaciafork/core/Assert.h"
 #include "acaciafork/net/HttpClientImpl.h"
+#include "acaciafork/net/HttpFraming.h"
 #include "acaciafork/net/TcpStream.h"
 
 namespace acaciafork::net {
 
-namespace {
-
-/// What the head of an answer says about where its body ends.
-struct Framing
-{
-    std::optional<std::uint64_t> contentLength;
-    bool isChunked = false;
-};
-
-Framing framingOf(std::span<const Header> headers)
-{
-    Framing framing;
-    const std::string_view length = findHeader(headers, "content-length");
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(length.data(), length.data() + length.size(), n);
-    if (!length.empty() && ec == std::errc() && end == length.data() + length.size())
-        framing.contentLength = n;
-    framing.isChunked = sameHeaderName(findHeader(headers, "transfer-encoding"), "chunked");
-    return framing;
-}
-
-bool hasNoBody(int status)
-{
-    return status == 204 || status == 304 || status < 200;
-}
-
-bool takesBody(std::string_view method)
-{
-    return method == "POST" || method == "PUT" || method == "PATCH";
-}
-
-} // namespace
-
 /// The functions that h2o calls, as it wants them. Each returns what makes h2o close the connection
 /// when the call does not go on.
 struct HttpCall::Callbacks
@@ -199,9 +166,8 @@
         list.push_back({ .name = view(*headers[i].name), .value = view(headers[i].value) });
 
     // Only a length or a last chunk tells a whole body from one that was cut short.
-    const Framing framing = framingOf(list);
-    const bool isFramed = isEnd || m_isHeadMethod || hasNoBody(status) || framing.isChunked
-            || framing.contentLength;
+    const HttpFraming framing = framingOf(list);
+    const bool isFramed = isEnd || m_isHeadMethod || hasNoBody(status) || framing.tellsEnd();
     if (!isFramed) {
         retire();
         end({ .phase = m_phase,
