Let a call own the sink that collects its answer

Cause: HttpClient::call() left its collector behind when the client went before the answer. Change: the call owns it; the words on onSent() say what may be done within it. Conclusion: nothing is left behind.

--- a/acaciafork/endpoints/Attempt.h
+++ b/acaciafork/endpoints/Attempt.h
@@ -66,7 +66,8 @@
 public:
     virtual ~AttemptSink() = default;
 
-    /// The request leaves now: from here on the endpoint may begin the work.
+    /// The request leaves now: from here on the endpoint may begin the work. It may come before
+    /// startAttempt() returns, and must not cancel the attempt.
     virtual void onSent() { }
     /// The head of the answer that belongs to this attempt.
     virtual void onHead(const net::HttpHead &head) = 0;
--- a/acaciafork/endpoints/EndpointClient.cpp
+++ b/acaciafork/endpoints/EndpointClient.cpp
@@ -70,7 +70,11 @@
     void start(const AttemptRequest &request);
     void pause() { m_call->pause(); }
     void resume() { m_call->resume(); }
-    void cancel() { m_call->cancel(); }
+    void cancel()
+    {
+        ACACIAFORK_ASSERT(m_call != nullptr);
+        m_call->cancel();
+    }
 
     void onSent() override { m_sink.onSent(); }
     bool onHead(const net::HttpHead &head) override;
--- a/acaciafork/net/HttpCall.cpp
+++ b/acaciafork/net/HttpCall.cpp
@@ -337,6 +337,7 @@
 {
     m_phase = end.phase;
     HttpCallSink *sink = std::exchange(m_sink, nullptr);
+    const auto ownSink = std::exchange(m_ownSink, nullptr);
     forget();
     sink->onEnd(end);
 }
--- a/acaciafork/net/HttpCall.h
+++ b/acaciafork/net/HttpCall.h
@@ -59,6 +59,8 @@
     void endByError(const char *error);
 
     HttpCallSink *m_sink;
+    /// The sink, where it belongs to the call; it goes with the call's end.
+    std::shared_ptr<HttpCallSink> m_ownSink;
     HttpClient::Impl *m_owner = nullptr;
     st_h2o_http1client_t *m_client = nullptr;
     CallPhase m_phase = CallPhase::NotConnected;
--- a/acaciafork/net/HttpClient.cpp
+++ b/acaciafork/net/HttpClient.cpp
@@ -39,7 +39,6 @@
 
     void onEnd(const CallEnd &end) override
     {
-        const std::unique_ptr<Collector> self(this);
         m_reply.end = end;
         if (m_isOver && !end.failure)
             m_reply.end.failure = Failure { FailureKind::TooLarge, "answer over the bound" };
@@ -153,8 +152,15 @@
 HttpClient::~HttpClient() = default;
 
 std::shared_ptr<HttpCall> HttpClient::start(const HttpRequest &request, HttpCallSink &sink)
+{
+    return start(request, sink, nullptr);
+}
+
+std::shared_ptr<HttpCall> HttpClient::start(const HttpRequest &request, HttpCallSink &sink,
+                                            std::shared_ptr<HttpCallSink> ownSink)
 {
     auto call = std::shared_ptr<HttpCall>(new HttpCall(&sink));
+    call->m_ownSink = std::move(ownSink);
     call->m_owner = m_impl.get();
     m_impl->calls.emplace(call.get(), call);
     call->begin(request, m_impl->poolFor(request.address));
@@ -164,7 +170,8 @@
 void HttpClient::call(const HttpRequest &request, std::function<void(const HttpReply &)> fn)
 {
     const auto most = static_cast<std::size_t>(m_impl->settings.mostCollectedBytes);
-    start(request, *new Collector(most, std::move(fn)));
+    const auto collector = std::make_shared<Collector>(most, std::move(fn));
+    start(request, *collector, collector);
 }
 
 void HttpClient::forget(const Address &address)
--- a/acaciafork/net/HttpClient.h
+++ b/acaciafork/net/HttpClient.h
@@ -116,7 +116,8 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Starts a call and shows it to `sink`, from the next turn on at the earliest.
+    /// Starts a call and shows it to `sink`. On a kept connection onSent() comes before this
+    /// returns; all else comes from the next turn on.
     /// @return the call, to pause or cancel; the client keeps it until its end
     std::shared_ptr<HttpCall> start(const HttpRequest &request, HttpCallSink &sink);
 
@@ -132,6 +133,10 @@
 private:
     friend class HttpCall;
     class Impl;
+
+    std::shared_ptr<HttpCall> start(const HttpRequest &request, HttpCallSink &sink,
+                                    std::shared_ptr<HttpCallSink> ownSink);
+
     std::unique_ptr<Impl> m_impl;
 };
 
