Take replicas by the id that the batch policy gives them

Cause: the batch policy names a replica service#position; the state refused all but @service/replica, so no replica of a placement could have been leased. Change: the id of a replica is service#replica without a slash, that of a job team/job; a test shows that neither can take the other's. Conclusion: placements and jobs share the table of leases without crossing ids.

--- a/acaciafork/state/TaskRecords.cpp
+++ b/acaciafork/state/TaskRecords.cpp
@@ -4,6 +4,19 @@
 #include "acaciafork/state/StateLimits.h"
 
 namespace acaciafork::state {
+namespace {
+
+/// True for "team/job" and "service#replica". Names hold no slash, so that no team's job can take
+/// the id of another team's, or of a replica.
+bool namesItsOwner(const wire::SubmitTask &command)
+{
+    const std::string_view id = command.task();
+    if (command.team().empty())
+        return isName(id) && id.starts_with(command.service() + '#');
+    return id.starts_with(command.team() + '/');
+}
+
+} // namespace
 
 std::string problemOf(const wire::SubmitTask &command, std::size_t payloadBytes)
 {
@@ -11,9 +24,8 @@
         return "a task needs an id";
     if (command.team().empty() == command.service().empty())
         return "a task belongs to a team or to a service";
-    const std::string owner = command.team().empty() ? '@' + command.service() : command.team();
-    if (!command.task().starts_with(owner + '/'))
-        return "the id must begin with team/ or @service/";
+    if (!namesItsOwner(command))
+        return "the id must be team/job or service#replica";
     if (command.family().size() > longestName || command.service().size() > longestName)
         return "a name is too long";
     if (!isBounded(command.size()))
--- a/benchmarks/state/measure_state.cpp
+++ b/benchmarks/state/measure_state.cpp
@@ -167,19 +167,20 @@
     start = SteadyClock::now();
     const bool isRestored = static_cast<bool>(copy.restore(state::bytesOf(snapshot)));
     const double readSeconds = secondsSince(start);
-    std::printf("| %zu | %zu | %.1f | %.0f | %zu | %.1f | %zu | %.3f | %.3f |\n", tasks, held / tasks,
-                static_cast<double>(held) / bytesPerMb, perSecond, bytes / commandsMeasured,
-                static_cast<double>(snapshot.size()) / bytesPerMb, snapshot.size() / tasks,
-                writeSeconds, isRestored ? readSeconds : -1.0);
+    std::printf("| %zu | %zu | %.1f | %.0f | %zu | %.1f | %zu | %.3f | %.3f |\n", tasks,
+                held / tasks, static_cast<double>(held) / bytesPerMb, perSecond,
+                bytes / commandsMeasured, static_cast<double>(snapshot.size()) / bytesPerMb,
+                snapshot.size() / tasks, writeSeconds, isRestored ? readSeconds : -1.0);
 }
 
 } // namespace
 
 int main()
 {
-    std::printf("| tasks running | bytes a task | MB in all | commands/s | bytes a command in the log "
-                "| snapshot MB | snapshot bytes a task | write s | restore s |\n"
-                "|---|---|---|---|---|---|---|---|---|\n");
+    std::printf(
+            "| tasks running | bytes a task | MB in all | commands/s | bytes a command in the log "
+            "| snapshot MB | snapshot bytes a task | write s | restore s |\n"
+            "|---|---|---|---|---|---|---|---|---|\n");
     for (const std::size_t tasks : { 10'000U, 50'000U, 277'000U, 500'000U })
         measure(tasks);
     return 0;
--- a/tests/state/TasksTest.cpp
+++ b/tests/state/TasksTest.cpp
@@ -73,6 +73,21 @@
     CHECK(driver.apply(job("other/j1", "other")).outcome() == wire::OUTCOME_NOT_FOUND);
 }
 
+TEST_CASE("an id names its owner, so that no team takes another's id or a replica's")
+{
+    Driver driver;
+    driver.apply(team("warm", 100'000));
+    CHECK(driver.apply(job("furiko/j1", "warm")).outcome() == wire::OUTCOME_INVALID);
+    CHECK(driver.apply(job("loopdraw#1", "warm")).outcome() == wire::OUTCOME_INVALID);
+    wire::Command replica = job("loopdraw#1", "");
+    replica.mutable_submit_task()->set_service("loopdraw");
+    CHECK(driver.apply(replica).outcome() == wire::OUTCOME_APPLIED);
+    replica.mutable_submit_task()->set_task("loopdraw#1/x");
+    CHECK(driver.apply(replica).outcome() == wire::OUTCOME_INVALID);
+    replica.mutable_submit_task()->set_task("warm/j1");
+    CHECK(driver.apply(replica).outcome() == wire::OUTCOME_INVALID);
+}
+
 TEST_CASE("ended tasks are forgotten after their window")
 {
     Driver driver({ .endedTaskWindow = std::chrono::seconds(10) });
