Write the settings that the daemons read

Cause: the questionnaire wrote keys of its own ([process] role, [limits] body-memory-mb and cut-off-ms) that the daemons refuse. Change: keys follow the daemons' tables; each control member has a folder of its own. Conclusion: what the questionnaire writes can be loaded as it is.

--- a/acaciafork/questionnaire/Answers.h
+++ b/acaciafork/questionnaire/Answers.h
@@ -24,7 +24,7 @@
     std::string dataFolder = "/var/lib/acaciafork";
     std::string tokenFile = "/etc/acaciafork/operator-token";
     std::int64_t entryMemoryMb = 2048;
-    std::int64_t cutOffMinutes = 10;
+    bool serveWithoutControl = true;
     std::string logFormat = "text";
 };
 
--- a/acaciafork/questionnaire/Generator.cpp
+++ b/acaciafork/questionnaire/Generator.cpp
@@ -1,5 +1,7 @@
 #include "acaciafork/questionnaire/Generator.h"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 #include "acaciafork/questionnaire/ServiceDerivation.h"
@@ -10,7 +12,8 @@
 
 namespace json = boost::json;
 
-constexpr std::int64_t msPerMinute = 60'000;
+constexpr std::int64_t bytesPerMb = 1'048'576;
+constexpr std::int64_t bytesPerKb = 1024;
 constexpr std::int64_t bodyShareOfMemory = 4;
 /// Ids of control members begin at 1, those of entries here.
 constexpr std::size_t firstEntryId = 101;
@@ -76,18 +79,33 @@
     return text;
 }
 
-/// List of the entries but one, as id@host:port.
-std::string otherEntries(const SiteAnswers &site, std::size_t self)
+/// List of the entries, as id@host:port, but for the one given.
+std::string entryList(const SiteAnswers &site, std::size_t except)
 {
     std::string text;
     for (std::size_t i = 0; i < site.entries.size(); ++i) {
-        if (i != self)
+        if (i != except)
             text += (text.empty() ? "" : ", ") + std::to_string(firstEntryId + i) + '@'
                     + peersAddress(site, site.entries[i], true);
     }
     return text;
 }
 
+/// Largest request body of all services; an entry takes none larger.
+std::int64_t largestBodyBytes(const std::vector<ServiceAnswers> &services)
+{
+    std::int64_t kb = 1;
+    for (const ServiceAnswers &it : services)
+        kb = std::max(kb, it.largestRequestKb);
+    return kb * bytesPerKb;
+}
+
+/// Memory for the request bodies that an entry holds at one time.
+std::int64_t bufferedBytes(const SiteAnswers &site)
+{
+    return site.entryMemoryMb / bodyShareOfMemory * bytesPerMb;
+}
+
 /// Sections that every process has.
 void addCommon(const SiteAnswers &site, bool isEntry, std::size_t id, const std::string &text,
                IniText *ini)
@@ -96,7 +114,6 @@
     const Ports ports = portsOf(site, instance, isEntry);
     ini->section("process");
     ini->set("id", std::to_string(id));
-    ini->set("role", isEntry ? "entry" : "control");
     ini->set("cluster", site.cluster);
     ini->set("zone", instance.zone);
     ini->section("listen");
@@ -107,7 +124,7 @@
     ini->section("control");
     ini->set("members", memberList(site));
     if (!isEntry)
-        ini->set("data-folder", site.dataFolder);
+        ini->set("data-folder", site.dataFolder + "/control-" + std::to_string(id));
     ini->section("operators");
     ini->set("token-file", site.tokenFile);
     ini->section("log");
@@ -115,15 +132,18 @@
     ini->set("level", "info");
 }
 
-std::string entryIni(const SiteAnswers &site, std::size_t index)
+std::string entryIni(const Answers &answers, std::size_t index)
 {
+    const SiteAnswers &site = answers.site;
     IniText ini;
     addCommon(site, true, firstEntryId + index, site.entries[index], &ini);
     ini.section("peers");
-    ini.set("list", otherEntries(site, index));
+    ini.set("list", entryList(site, index));
     ini.section("limits");
-    ini.set("body-memory-mb", std::to_string(site.entryMemoryMb / bodyShareOfMemory));
-    ini.set("cut-off-ms", std::to_string(site.cutOffMinutes * msPerMinute));
+    ini.set("body-bytes", std::to_string(largestBodyBytes(answers.services)));
+    ini.set("buffered-bytes", std::to_string(bufferedBytes(site)));
+    ini.section("config");
+    ini.set("serve-without-control", site.serveWithoutControl ? "true" : "false");
     return ini.text();
 }
 
@@ -131,6 +151,8 @@
 {
     IniText ini;
     addCommon(site, false, index + 1, site.control[index], &ini);
+    ini.section("peers");
+    ini.set("list", entryList(site, site.entries.size()));
     return ini.text();
 }
 
@@ -178,8 +200,9 @@
                     { "weight", team.share } });
 }
 
-void explainSite(const SiteAnswers &site, std::vector<Explanation> *explanations)
+void explainSite(const Answers &answers, std::vector<Explanation> *explanations)
 {
+    const SiteAnswers &site = answers.site;
     explanations->insert(
             explanations->end(),
             { { "control-*.ini", "[process] id", "1 to " + std::to_string(site.control.size()),
@@ -196,12 +219,16 @@
                 "can share an instance; an instance with a port of its own counts from that" },
               { "all", "[control] members", memberList(site), "control, and peers-port" },
               { "entry-*.ini", "[peers] list", "the other entries", "entries, and peers-port" },
-              { "entry-*.ini", "[limits] body-memory-mb",
-                std::to_string(site.entryMemoryMb / bodyShareOfMemory),
+              { "control-*.ini", "[peers] list", "all entries", "entries, and peers-port" },
+              { "entry-*.ini", "[limits] body-bytes",
+                std::to_string(largestBodyBytes(answers.services)),
+                "the largest largest-request-kb of all services" },
+              { "entry-*.ini", "[limits] buffered-bytes", std::to_string(bufferedBytes(site)),
                 "a quarter of entry-memory-mb" },
-              { "entry-*.ini", "[limits] cut-off-ms",
-                std::to_string(site.cutOffMinutes * msPerMinute), "cut-off-minutes" },
-              { "control-*.ini", "[control] data-folder", site.dataFolder, "data-folder" },
+              { "entry-*.ini", "[config] serve-without-control",
+                site.serveWithoutControl ? "true" : "false", "serve-without-control" },
+              { "control-*.ini", "[control] data-folder", site.dataFolder + "/control-ID",
+                "data-folder, with one folder below it for each member" },
               { "all", "[operators] token-file", site.tokenFile, "token-file" },
               { "all", "[log] format", site.logFormat, "log-format" } });
 }
@@ -212,13 +239,13 @@
 {
     Generated generated;
     const SiteAnswers &site = answers.site;
-    explainSite(site, &generated.explanations);
+    explainSite(answers, &generated.explanations);
     for (std::size_t i = 0; i < site.control.size(); ++i)
         generated.files.push_back(
                 { "control-" + std::to_string(i + 1) + ".ini", controlIni(site, i) });
     for (std::size_t i = 0; i < site.entries.size(); ++i)
         generated.files.push_back(
-                { "entry-" + std::to_string(firstEntryId + i) + ".ini", entryIni(site, i) });
+                { "entry-" + std::to_string(firstEntryId + i) + ".ini", entryIni(answers, i) });
     generated.files.push_back({ "ctl.ini", ctlIni(site) });
 
     // What goes into the replicated state rather than into each process's file.
--- a/acaciafork/questionnaire/Questions.cpp
+++ b/acaciafork/questionnaire/Questions.cpp
@@ -11,8 +11,8 @@
 constexpr std::int64_t mostWorkers = 10'000;
 constexpr std::int64_t mostPercent = 100;
 constexpr std::int64_t mostAmount = 100'000;
-constexpr std::int64_t mostEntryMemoryMb = 1'000'000;
-constexpr std::int64_t mostCutOffMinutes = 1440;
+constexpr std::int64_t mostEntryMemoryMb = 65'536;
+constexpr std::int64_t mostRequestKb = 1'048'576;
 
 using Site = SiteAnswers;
 using Service = ServiceAnswers;
@@ -42,17 +42,17 @@
           "Only the instances named above need to reach it." },
         { { "site", "data-folder", &Site::dataFolder, 0, 0, false,
             "Where on the disk shall control members keep their state?" },
-          "One folder holds all of it; nothing else may be stored there." },
+          "Each member has one folder below it; nothing else may be stored there." },
         { { "site", "token-file", &Site::tokenFile, 0, 0, false,
             "Which file holds the operators' secret token?" },
           "Whoever has the token may change everything; the file should be readable by few." },
         { { "site", "entry-memory-mb", &Site::entryMemoryMb, 256, mostEntryMemoryMb, false,
             "How much memory, in MB, does an entry instance have?" },
           "Request bodies wait in memory; past a quarter of it new ones are told not-run." },
-        { { "site", "cut-off-minutes", &Site::cutOffMinutes, 0, mostCutOffMinutes, false,
-            "For how many minutes may an entry go on alone when it reaches no control member?" },
-          "It serves under the last accepted configuration; after that it tells the balancer to "
-          "leave it out." },
+        { { "site", "serve-without-control", &Site::serveWithoutControl, 0, 0, false,
+            "May an entry go on answering while it reaches no control member? (true or false)" },
+          "If so, it answers under the last accepted configuration; if not, it tells the balancer "
+          "to leave it out." },
         { { "site", "log-format", &Site::logFormat, 0, 0, false,
             "How shall log lines be written, as text or as json?" },
           "Choose json when a program reads them.",
@@ -101,7 +101,7 @@
         { { "service", "warm-up-s", &Service::warmUpSeconds, 0, 3600, false,
             "How many seconds does a new copy need to get up to speed?" },
           "Over that time its share of requests grows from little to full." },
-        { { "service", "largest-request-kb", &Service::largestRequestKb, 1, 4'000'000, false,
+        { { "service", "largest-request-kb", &Service::largestRequestKb, 1, mostRequestKb, false,
             "How large is the largest request body, in KB?" },
           "Larger ones are refused before they are read whole." },
 } };
