Hold an endpoint off after a failed connect, and forget unused endpoints

Cause: a retry went straight back to the endpoint that had just refused the connect when the entry held no other credit; rows of endpoints that are gone were kept for ever. Change: 200 ms without new work after a failed connect; slots at ejected endpoints count as needed elsewhere; work that surely has not run may still pass to a peer; rows unused for 60 s are forgotten.

--- a/acaciafork/decisions/routing/AttemptFlow.cpp
+++ b/acaciafork/decisions/routing/AttemptFlow.cpp
@@ -1,7 +1,6 @@
 #include "acaciafork/decisions/routing/AttemptFlow.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "acaciafork/core/Assert.h"
 #include "acaciafork/decisions/routing/RetryPolicy.h"
@@ -21,6 +20,8 @@
 /// Time between two looks at all attempts, and between two probes of one endpoint.
 constexpr Duration suspectInterval = std::chrono::milliseconds(250);
 constexpr Duration probeInterval = std::chrono::seconds(2);
+/// Time for which an endpoint gets nothing after a failed connect.
+constexpr Duration holdOffTime = std::chrono::milliseconds(200);
 /// Failures that a failed connect counts as.
 constexpr std::uint32_t connectFailureWeight = 2;
 /// A timeout speaks against the endpoint once it took this many times as long as expected.
@@ -347,6 +348,11 @@
             end.outcome == AttemptOutcome::Timeout && elapsed < expected * blamedTimeoutFactor;
     const bool unreachable = end.outcome == AttemptOutcome::ConnectFailed;
     const std::uint32_t weight = unreachable ? connectFailureWeight : 1;
+    if (unreachable && !endpoint.heldOff) {
+        endpoint.heldOff = true;
+        m_heldOff.emplace_back(now + holdOffTime, attempt.endpoint);
+        m_state->endpoints.refresh(attempt.endpoint);
+    }
     if (impatient || !endpoint.health.noteFailure(service.settings, weight))
         return;
     eject(now, attempt.endpoint, out);
@@ -354,6 +360,22 @@
         evacuate(now, attempt.endpoint, out);
 }
 
+void AttemptFlow::endHoldOffs(Timestamp now)
+{
+    while (!m_heldOff.empty() && m_heldOff.front().first <= now) {
+        const TableIndex index = m_heldOff.front().second;
+        m_heldOff.pop_front();
+        m_state->endpoints[index].heldOff = false;
+        m_state->endpoints.refresh(index);
+    }
+}
+
+void AttemptFlow::forget(TableIndex index)
+{
+    std::erase(m_ejected, index);
+    std::erase_if(m_heldOff, [&](const auto &it) { return it.second == index; });
+}
+
 void AttemptFlow::evacuate(Timestamp now, TableIndex index, EntryCommands *out)
 {
     // An instance that is gone leaves its attempts without an end: what may run twice is tried
--- a/acaciafork/decisions/routing/AttemptFlow.h
+++ b/acaciafork/decisions/routing/AttemptFlow.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <deque>
+#include <utility>
+#include <vector>
+
 #include "acaciafork/decisions/routing/Admission.h"
 #include "acaciafork/decisions/routing/CreditHolder.h"
 #include "acaciafork/decisions/routing/EntryCommands.h"
@@ -42,6 +46,12 @@
     /// Counts short work that has run for long as long work.
     void countLongRunning(Timestamp now, TableIndex service);
 
+    /// Puts endpoints back into service that were held off after a failed connect.
+    void endHoldOffs(Timestamp now);
+
+    /// Forgets an endpoint that is about to leave the table.
+    void forget(TableIndex endpoint);
+
     /// A probe of an ejected endpoint has ended.
     void probeEnded(Timestamp now, TableIndex endpoint, bool reached, EntryCommands *out);
 
@@ -69,6 +79,8 @@
     Router m_router;
     std::vector<RequestRecord *> m_retries;
     Timestamp m_suspectedAt;
+    /// Rows held off after a failed connect, with the time of their end, in order of time.
+    std::deque<std::pair<Timestamp, TableIndex>> m_heldOff;
     /// Rows of the ejected endpoints.
     std::vector<TableIndex> m_ejected;
 };
--- a/acaciafork/decisions/routing/CreditHolder.cpp
+++ b/acaciafork/decisions/routing/CreditHolder.cpp
@@ -155,7 +155,7 @@
     EntryService &service = (*m_options.services)[index];
     const std::uint32_t target = m_draining ? 0 : service.targetSlots;
     for (const IndexPool *pool : { &service.remotePool, &service.localPool }) {
-        while (service.heldSlots > target && !pool->empty()) {
+        while (service.heldSlots + service.ejectedSlots > target && !pool->empty()) {
             const TableIndex endpoint = pool->at(pool->size() - 1);
             shrink(endpoint, (*m_options.endpoints)[endpoint].slots - 1);
         }
@@ -221,7 +221,7 @@
         const EntryService &service = (*m_options.services)[it];
         const auto wanted = static_cast<std::uint32_t>(service.wantedPeak);
         const std::uint32_t last = service.wantedReported;
-        if (wanted > last && wanted > service.heldSlots)
+        if (wanted > last && wanted > service.heldSlots + service.ejectedSlots)
             return true;
         const std::uint32_t difference = wanted > last ? wanted - last : last - wanted;
         changed |= difference > 1 + last / demandChangePart;
@@ -271,7 +271,7 @@
         const std::uint32_t wanted = m_draining ? 0 : service.wantedReported;
         report->demands.push_back(ServiceDemand { .service = service.settings.service,
                                                   .wanted = wanted,
-                                                  .held = service.heldSlots,
+                                                  .held = service.heldSlots + service.ejectedSlots,
                                                   .spare = service.spareSlots() });
     }
 }
--- a/acaciafork/decisions/routing/EndpointTable.cpp
+++ b/acaciafork/decisions/routing/EndpointTable.cpp
@@ -28,7 +28,6 @@
     } else {
         it->second = m_unused.back();
         m_unused.pop_back();
-        m_endpoints[it->second] = EntryEndpoint {};
     }
     EntryEndpoint &endpoint = m_endpoints[it->second];
     endpoint.name = name;
@@ -45,28 +44,27 @@
 
 void EndpointTable::setSlots(TableIndex index, std::uint32_t slots)
 {
-    EntryEndpoint &endpoint = m_endpoints[index];
-    if (!endpoint.leaving)
-        (*m_services)[endpoint.service].heldSlots += slots - endpoint.slots;
-    endpoint.slots = slots;
+    m_endpoints[index].slots = slots;
     refresh(index);
 }
 
 void EndpointTable::setLeaving(TableIndex index, bool leaving)
 {
-    EntryEndpoint &endpoint = m_endpoints[index];
-    if (endpoint.leaving == leaving)
-        return;
-    EntryService &service = (*m_services)[endpoint.service];
-    service.heldSlots += leaving ? -endpoint.slots : endpoint.slots;
-    endpoint.leaving = leaving;
+    m_endpoints[index].leaving = leaving;
     refresh(index);
 }
 
 void EndpointTable::refresh(TableIndex index)
 {
-    const EntryEndpoint &endpoint = m_endpoints[index];
+    EntryEndpoint &endpoint = m_endpoints[index];
     EntryService &service = (*m_services)[endpoint.service];
+    const std::uint32_t slots = endpoint.leaving ? 0 : endpoint.slots;
+    const std::uint32_t held = endpoint.health.serving() ? slots : 0;
+    service.heldSlots += held - endpoint.countedHeld;
+    service.ejectedSlots += slots - held - endpoint.countedEjected;
+    endpoint.countedHeld = held;
+    endpoint.countedEjected = slots - held;
+
     IndexPool &pool = endpoint.local ? service.localPool : service.remotePool;
     if (endpoint.available())
         pool.add(index, &m_endpoints);
@@ -130,6 +128,23 @@
         it.grantNumber = 0;
 }
 
+std::vector<TableIndex> EndpointTable::unusedSince(Timestamp since, Timestamp now)
+{
+    std::vector<TableIndex> found;
+    for (TableIndex it = 0; it < size(); ++it) {
+        EntryEndpoint &endpoint = m_endpoints[it];
+        if (endpoint.name.value.empty())
+            continue;
+        const bool unused = endpoint.slots == 0 && endpoint.inUse == 0
+                && endpoint.openConnections == 0 && endpoint.unreportedSince == 0;
+        if (!unused)
+            endpoint.usedAt = now;
+        else if (endpoint.usedAt < since)
+            found.push_back(it);
+    }
+    return found;
+}
+
 void EndpointTable::remove(TableIndex index)
 {
     EntryEndpoint &endpoint = m_endpoints[index];
@@ -140,6 +155,7 @@
         --service.ejected;
     m_grantFloor = std::max(m_grantFloor, endpoint.grantNumber);
     m_byName.erase(endpoint.name);
+    endpoint = EntryEndpoint {};
     m_unused.push_back(index);
 }
 
--- a/acaciafork/decisions/routing/EndpointTable.h
+++ b/acaciafork/decisions/routing/EndpointTable.h
@@ -51,6 +51,9 @@
     /// Notes that a connection which no attempt held is closed.
     void idleClosed(TableIndex index);
 
+    /// Rows of which nothing has been held, open or unreported since `since`; looks at all rows.
+    std::vector<TableIndex> unusedSince(Timestamp since, Timestamp now);
+
     /// Forgets an endpoint of which nothing is held or in use.
     void remove(TableIndex index);
 
--- a/acaciafork/decisions/routing/EntryEndpoint.h
+++ b/acaciafork/decisions/routing/EntryEndpoint.h
@@ -34,6 +34,11 @@
     TableIndex rackIndex = noIndex;
     bool local = false;
     bool leaving = false;
+    /// True for a moment after a failed connect.
+    bool heldOff = false;
+    /// Slots as counted in its service.
+    std::uint32_t countedHeld = 0;
+    std::uint32_t countedEjected = 0;
     /// True while a probe is under way; it holds a connection.
     bool probing = false;
     EndpointHealth health;
@@ -43,6 +48,8 @@
     Incarnation incarnation;
     /// When credit was first held under this incarnation.
     Timestamp firstCredit;
+    /// When something of it was last seen held or open.
+    Timestamp usedAt;
     /// When it was last probed.
     Timestamp probedAt;
     /// Newest grant taken in.
@@ -57,7 +64,7 @@
     /// True when a request can be started here now.
     [[nodiscard]] bool available() const
     {
-        return inUse < slots && !leaving && health.serving()
+        return inUse < slots && !leaving && !heldOff && health.serving()
                 && (idleConnections > 0 || openConnections < connections);
     }
 };
--- a/acaciafork/decisions/routing/EntryScheduler.cpp
+++ b/acaciafork/decisions/routing/EntryScheduler.cpp
@@ -7,6 +7,10 @@
 
 /// Share of the peak of demand that is kept from one tick to the next.
 constexpr double demandKept = 0.995;
+/// Time after which an endpoint is forgotten of which nothing is held or open.
+constexpr Duration forgetTime = std::chrono::seconds(60);
+/// Time between two looks for such endpoints.
+constexpr Duration forgetInterval = std::chrono::seconds(10);
 /// Hint below which a peer has too little spare credit to be worth the way.
 constexpr std::uint32_t leastPeerSpare = 1;
 
@@ -52,7 +56,8 @@
 bool EntryScheduler::forwardToPeer(RequestRecord *record, EntryCommands *out)
 {
     EntryService &service = m_state.services[record->service];
-    if (record->forwarded || record->attempts > 0 || service.hasFreeSlot())
+    const bool fresh = !record->forwarded && !record->mayHaveRun && !record->inLedger;
+    if (!fresh || service.hasFreeSlot())
         return false;
     const auto it =
             std::find_if(service.spares.begin(), service.spares.end(),
@@ -250,14 +255,28 @@
 void EntryScheduler::measureDemand(TableIndex index)
 {
     EntryService &service = m_state.services[index];
-    const auto needed = static_cast<double>(service.inUse + service.queue.size());
+    // Slots at ejected endpoints are of no use: others are wanted in their place.
+    const auto needed =
+            static_cast<double>(service.inUse + service.queue.size() + service.ejectedSlots);
     service.wantedPeak = std::max(needed, service.wantedPeak * demandKept);
 }
 
+void EntryScheduler::forgetEndpoints(Timestamp now)
+{
+    if (now - m_forgotAt < forgetInterval)
+        return;
+    m_forgotAt = now;
+    for (const TableIndex it : m_state.endpoints.unusedSince(now - forgetTime, now)) {
+        m_attempts.forget(it);
+        m_state.endpoints.remove(it);
+    }
+}
+
 void EntryScheduler::tick(Timestamp now, EntryCommands *out)
 {
     m_credits.checkLease(now);
     m_state.tombstones.expire(now);
+    m_attempts.endHoldOffs(now);
     for (TableIndex it = 0; it < m_state.services.size(); ++it) {
         measureDemand(it);
         m_state.services[it].learnShortNeed();
@@ -267,6 +286,7 @@
         pump(now, it, out);
     }
     m_attempts.probe(now, out);
+    forgetEndpoints(now);
     m_credits.trimConnections(out);
     m_credits.report(now, out);
 }
--- a/acaciafork/decisions/routing/EntryScheduler.h
+++ b/acaciafork/decisions/routing/EntryScheduler.h
@@ -96,11 +96,13 @@
     void pumpAll(Timestamp now, EntryCommands *out);
     void startOrWait(Timestamp now, RequestRecord *record, EntryCommands *out);
     void measureDemand(TableIndex service);
+    void forgetEndpoints(Timestamp now);
 
     EntryState m_state;
     CreditHolder m_credits;
     Admission m_admission;
     AttemptFlow m_attempts;
+    Timestamp m_forgotAt;
 };
 
 } // namespace acaciafork::routing
--- a/acaciafork/decisions/routing/ServiceTable.h
+++ b/acaciafork/decisions/routing/ServiceTable.h
@@ -32,8 +32,9 @@
     IndexPool localPool;
     IndexPool remotePool;
 
-    /// Slots held at endpoints that are not leaving.
+    /// Slots held at endpoints in service, and at ejected ones.
     std::uint32_t heldSlots = 0;
+    std::uint32_t ejectedSlots = 0;
     /// Attempts not known to have ended.
     std::uint32_t inUse = 0;
     /// Of those: long and batch work.
