--- a/acaciafork/consensus/Consensus.h
+++ b/acaciafork/consensus/Consensus.h
@@ -9,5 +9,6 @@
 #include "acaciafork/consensus/Node.h"
 #include "acaciafork/consensus/NodeSettings.h"
 #include "acaciafork/consensus/PosixFolder.h"
+#include "acaciafork/consensus/ReplacementPolicy.h"
 #include "acaciafork/consensus/Replica.h"
 #include "acaciafork/consensus/StorageFolder.h"
--- a/acaciafork/consensus/Node.cpp
+++ b/acaciafork/consensus/Node.cpp
@@ -61,7 +61,8 @@
     }
     if (isForeign(message))
         return;
-    if (membership().isRetired(message.from)) {
+    // A member that missed its removal calls for votes in vain until it is told.
+    if (std::holds_alternative<VoteRequest>(message.body) && membership().isRetired(message.from)) {
         showGroup(message.from);
         return;
     }
--- a/acaciafork/consensus/NodeSnapshot.cpp
+++ b/acaciafork/consensus/NodeSnapshot.cpp
@@ -93,6 +93,11 @@
     if (chunk.meta.index <= m_commit || chunk.offset + chunk.data.size() > chunk.meta.size)
         return;
 
+    // A follower that feeds may be ahead of the leader that named it. The term must be synced
+    // before entries of it are taken.
+    if (chunk.meta.term > m_hardState.term)
+        becomeFollower(now, chunk.meta.term, {});
+
     // The source has another snapshot than the one begun: start over with that one.
     const bool same = chunk.meta.index == m_fetch->meta.index
             && chunk.meta.checksum == m_fetch->meta.checksum;
--- /dev/null
+++ b/acaciafork/consensus/ReplacementPolicy.cpp
@@ -0,0 +1,64 @@
+#include "acaciafork/consensus/ReplacementPolicy.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace acaciafork::consensus {
+
+std::optional<ReplacementCommand> ReplacementPolicy::decide(Timestamp now, const NodeStatus &status)
+{
+    if (status.role != Role::Leader || !m_settings.automatic) {
+        m_silentSince.clear();
+        return std::nullopt;
+    }
+    std::erase_if(m_silentSince,
+                  [&](const auto &it) { return status.membership.find(it.first) == nullptr; });
+
+    const Member *lost = nullptr;
+    for (const MemberStatus &it : status.members) {
+        if (it.live) {
+            m_silentSince.erase(it.member.id);
+            continue;
+        }
+        const auto [since, added] = m_silentSince.emplace(it.member.id, now);
+        if (now - since->second < m_settings.lostAfter)
+            continue;
+        // A learner that got lost on its way makes room for the next spare.
+        if (!it.member.voter)
+            return ReplacementCommand { .lost = it.member.id, .spare = {} };
+        const bool handled =
+                std::ranges::any_of(status.membership.members, [&](const Member &other) {
+                    return other.replaces == it.member.id;
+                });
+        if (!handled && lost == nullptr)
+            lost = status.membership.find(it.member.id);
+    }
+    if (lost == nullptr)
+        return std::nullopt;
+    const ProcessId spare = chooseSpare(now, status, *lost);
+    if (!spare)
+        return std::nullopt;
+    return ReplacementCommand { .lost = lost->id, .spare = spare };
+}
+
+ProcessId ReplacementPolicy::chooseSpare(Timestamp now, const NodeStatus &status,
+                                         const Member &lost) const
+{
+    // The lost member's zone first, then the zone with the fewest voters.
+    const auto rank = [&](const Spare &spare) {
+        const auto voters = std::ranges::count_if(status.membership.members, [&](const Member &it) {
+            return it.voter && it.id != lost.id && it.zone == spare.zone;
+        });
+        return std::tuple(spare.zone != lost.zone, voters, spare.id);
+    };
+    const Spare *best = nullptr;
+    for (const Spare &it : status.spares) {
+        if (now - it.heardAt > m_settings.spareFresh)
+            continue;
+        if (best == nullptr || rank(it) < rank(*best))
+            best = &it;
+    }
+    return best == nullptr ? ProcessId {} : best->id;
+}
+
+} // namespace acaciafork::consensus
--- a/acaciafork/consensus/Replica.cpp
+++ b/acaciafork/consensus/Replica.cpp
@@ -10,6 +10,9 @@
 /// Most rounds of output in one turn; what is left waits for the next turn.
 constexpr int roundsPerFlush = 8;
 
+/// Pause between two looks for lost members.
+constexpr Duration replacementCheckInterval = std::chrono::milliseconds(500);
+
 /// Outcome of a call on the data folder.
 enum class Outcome : std::uint8_t { Done, Full, Corrupt, Failed };
 
@@ -57,12 +60,28 @@
     , m_folder(std::move(folder))
     , m_node(m_settings.node, m_settings.identity, std::move(recovered), now, m_settings.seed)
     , m_handler(handler)
+    , m_replacement(m_settings.replacement)
 { }
 
 void Replica::tick(Timestamp now)
 {
-    if (!m_folder->broken())
-        m_node.tick(now);
+    if (m_folder->broken())
+        return;
+    m_node.tick(now);
+    replaceLost(now);
+}
+
+void Replica::replaceLost(Timestamp now)
+{
+    if (now < m_nextReplacementCheck)
+        return;
+    m_nextReplacementCheck = now + replacementCheckInterval;
+    const auto command = m_replacement.decide(now, m_node.status(now));
+    // A change that can't be made now is asked for again.
+    if (command && command->spare)
+        (void)m_node.addLearner(now, command->spare, command->lost);
+    else if (command)
+        (void)m_node.removeMember(now, command->lost);
 }
 
 Result<void> Replica::receive(Timestamp now, std::string_view bytes)
@@ -92,9 +111,11 @@
         // What needs no sync leaves first, so that followers write while this member does.
         sendAll(output.messages);
         answerFetches(now, output.fetches);
-        if (output.hasWrites())
-            write(now, output);
-        takePieces(now, output.pieces);
+        // A snapshot of a term that is not synced yet must not be taken.
+        if (!output.hasWrites() || write(now, output))
+            takePieces(now, output.pieces);
+        else if (!output.pieces.empty())
+            m_node.snapshotRejected(now);
         applyAll(output.committed);
         for (const ReadResult &read : output.reads)
             m_handler->readReady(read.ticket, read.ready);
@@ -105,7 +126,7 @@
     reportRole();
 }
 
-void Replica::write(Timestamp now, const NodeOutput &output)
+bool Replica::write(Timestamp now, const NodeOutput &output)
 {
     const Outcome outcome =
             outcomeOf([&] { return m_folder->write(output.hardState, output.entries); });
@@ -114,6 +135,7 @@
         m_node.synced(now);
     else
         m_node.writeFailed(now, m_full);
+    return outcome == Outcome::Done;
 }
 
 void Replica::sendAll(const std::vector<Message> &messages)
--- a/acaciafork/consensus/Replica.h
+++ b/acaciafork/consensus/Replica.h
@@ -6,6 +6,7 @@
 
 #include "acaciafork/consensus/LogFolder.h"
 #include "acaciafork/consensus/Node.h"
+#include "acaciafork/consensus/ReplacementPolicy.h"
 
 namespace acaciafork::consensus {
 
@@ -40,6 +41,7 @@
     NodeIdentity identity;
     NodeSettings node;
     LogFolderSettings folder;
+    ReplacementSettings replacement;
     /// Seed of election timeouts and of a new folder's identity; different on each start.
     std::uint64_t seed = 0;
 };
@@ -104,7 +106,7 @@
     Replica(ReplicaSettings settings, std::unique_ptr<LogFolder> folder, RecoveredState recovered,
             ReplicaHandler *handler, Timestamp now);
 
-    void write(Timestamp now, const NodeOutput &output);
+    bool write(Timestamp now, const NodeOutput &output);
     void sendAll(const std::vector<Message> &messages);
     void answerFetches(Timestamp now, const std::vector<Message> &fetches);
     void takePieces(Timestamp now, const std::vector<SnapshotChunk> &pieces);
@@ -112,11 +114,14 @@
     void applyAll(const std::vector<Entry> &committed);
     void storeSnapshot(Timestamp now);
     void reportRole();
+    void replaceLost(Timestamp now);
 
     ReplicaSettings m_settings;
     std::unique_ptr<LogFolder> m_folder;
     Node m_node;
     ReplicaHandler *m_handler;
+    ReplacementPolicy m_replacement;
+    Timestamp m_nextReplacementCheck = longAgo;
     bool m_full = false;
     /// When a piece of the stored snapshot was last asked for.
     Timestamp m_fetchedAt = longAgo;
--- a/tests/consensus/Group.cpp
+++ b/tests/consensus/Group.cpp
@@ -44,6 +44,7 @@
                     .identity = { .self = id, .zone = zone, .initialMembers = m_group->m_initial },
                     .node = m_group->settings().node,
                     .folder = m_group->settings().folder,
+                    .replacement = m_group->settings().replacement,
                     .seed = m_group->random()()
                 };
                 BOOST_LEAF_ASSIGN(replica,
@@ -105,8 +106,8 @@
 }
 
 Group::Group(GroupSettings settings)
-    : m_settings(settings)
-    , m_random(settings.seed)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
     , m_now(timestampFromMicroseconds(1'000'000))
 {
     for (std::uint32_t it = 1; it <= m_settings.members; ++it)
--- a/tests/consensus/Group.h
+++ b/tests/consensus/Group.h
@@ -34,6 +34,7 @@
     std::uint64_t seed = 1;
     NodeSettings node;
     LogFolderSettings folder;
+    ReplacementSettings replacement { .automatic = false };
     LinkSettings link;
     DiskFaults faults;
     /// Clocks run faster or slower by up to this many parts in a thousand.
--- a/tests/consensus/Schedule.cpp
+++ b/tests/consensus/Schedule.cpp
@@ -31,6 +31,8 @@
     group.node.deferredSnapshotEntries = 5000;
     group.node.snapshotFromFollower = settings.seed % 2 == 0;
     group.node.followerSnapshotPatience = std::chrono::seconds(1);
+    group.replacement = { .automatic = settings.seed % 3 == 0,
+                          .lostAfter = std::chrono::seconds(1) };
     return group;
 }
 
