Fuzz the decoders of the consensus library

Cause: everything read from a network or a disk must survive any bytes. Messages with numbers out of range, malformed memberships or terms that fall are refused. Conclusion: decoders fail with typed errors.

--- a/acaciafork/consensus/MessageCodec.cpp
+++ b/acaciafork/consensus/MessageCodec.cpp
@@ -83,6 +83,29 @@
     }
 };
 
+/// Largest index, term and size taken from another member; arithmetic on them can't overflow.
+constexpr std::uint64_t numberLimit = 1ULL << 62;
+
+/// True when an entry is of a known kind, and a membership can be read.
+bool isWellFormed(const wire::consensus::Entry &entry)
+{
+    if (entry.kind() > static_cast<unsigned>(EntryKind::Membership))
+        return false;
+    return entry.kind() != static_cast<unsigned>(EntryKind::Membership)
+            || decodeMembership(entry.payload()).has_value();
+}
+
+/// True when no number of a message is out of range.
+bool inRange(const wire::consensus::Message &message)
+{
+    const auto &meta = message.snapshot_chunk().meta();
+    return message.term() < numberLimit && message.append_request().prev_index() < numberLimit
+            && message.append_reply().match() < numberLimit
+            && message.snapshot_offer().index() < numberLimit && meta.index() < numberLimit
+            && meta.term() < numberLimit && meta.size() < numberLimit
+            && message.snapshot_chunk().offset() <= meta.size();
+}
+
 /// Reads the entries of an append; false when one of them is malformed or out of order.
 bool readEntries(wire::consensus::AppendRequest *from, AppendRequest *to)
 {
@@ -90,7 +113,7 @@
     to->entries.reserve(static_cast<std::size_t>(from->entries_size()));
     for (auto &it : *from->mutable_entries()) {
         const auto kind = it.kind();
-        if (it.index() != expected || kind > static_cast<unsigned>(EntryKind::Membership))
+        if (it.index() != expected || !isWellFormed(it))
             return false;
         ++expected;
         to->entries.push_back({ .index = it.index(),
@@ -115,8 +138,8 @@
 
 Result<Entry> fromWire(wire::consensus::Entry &&entry)
 {
-    if (entry.kind() > static_cast<unsigned>(EntryKind::Membership))
-        return fail(FailureKind::Corrupt, "entry of unknown kind " + std::to_string(entry.kind()));
+    if (!isWellFormed(entry))
+        return fail(FailureKind::Corrupt, "malformed entry " + std::to_string(entry.index()));
     return Entry { .index = entry.index(),
                    .term = entry.term(),
                    .kind = static_cast<EntryKind>(entry.kind()),
@@ -159,6 +182,8 @@
     wire::consensus::Message in;
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return fail(FailureKind::Protocol, "consensus message is not well formed");
+    if (!inRange(in))
+        return fail(FailureKind::Protocol, "consensus message with a number out of range");
     if (in.schema() != messageSchema)
         return fail(FailureKind::Protocol,
                     "consensus message of schema " + std::to_string(in.schema()));
--- a/acaciafork/consensus/NodeReplication.cpp
+++ b/acaciafork/consensus/NodeReplication.cpp
@@ -56,7 +56,7 @@
         const LogIndex index = it.index;
         const bool known = index <= m_commit || m_log.termAt(index) == it.term;
         if (!known) {
-            if (m_full)
+            if (m_full || it.term < m_log.termAt(index - 1).value_or(0))
                 break;
             if (index <= m_log.lastIndex())
                 truncateFrom(index);
@@ -126,7 +126,7 @@
 
     if (progress.state == ProgressState::Snapshot) {
         if (reply.match >= m_log.baseIndex())
-            progress.probeFrom(reply.match + 1);
+            progress.probeFrom(std::min(reply.match, m_log.lastIndex()) + 1);
         return;
     }
     if (reply.accepted) {
@@ -141,7 +141,8 @@
             ? reply.rejectedPrev <= progress.match
             : reply.rejectedPrev != progress.next - 1;
     if (!stale)
-        progress.probeFrom(std::min(reply.rejectedPrev, reply.match + 1));
+        progress.probeFrom(
+                std::min({ reply.rejectedPrev, reply.match + 1, m_log.lastIndex() + 1 }));
 }
 
 LogPosition Node::appendOwn(EntryKind kind, std::string payload)
--- /dev/null
+++ b/fuzz/CorpusRunner.cpp
@@ -0,0 +1,80 @@
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <string>
+#include <vector>
+
+// Stands in for libFuzzer where the compiler has none: runs each file of a corpus, then seeded
+// mutations of them. Usage: PROGRAM CORPUS RUNS
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size);
+
+namespace {
+
+constexpr std::uint64_t mutationSeed = 1;
+constexpr std::size_t mutationsMost = 4;
+
+/// Runs one input.
+void run(const std::string &input)
+{
+    LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t *>(input.data()), input.size());
+}
+
+/// Changes an input in one place: a bit, a byte, a cut, a repeated part.
+void mutate(std::mt19937_64 *random, std::string *input)
+{
+    if (input->empty())
+        input->push_back('\0');
+    const std::size_t at = (*random)() % input->size();
+    switch ((*random)() % 4) {
+    case 0:
+        (*input)[at] = static_cast<char>((*input)[at] ^ (1 << (*random)() % 8));
+        break;
+    case 1:
+        (*input)[at] = static_cast<char>((*random)());
+        break;
+    case 2:
+        input->resize(at);
+        break;
+    default:
+        input->insert(at, input->substr((*random)() % input->size(), 8));
+        break;
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 3) {
+        std::fprintf(stderr, "usage: %s CORPUS RUNS\n", argv[0]);
+        return 2;
+    }
+    std::vector<std::string> corpus;
+    for (const auto &it : std::filesystem::directory_iterator(argv[1])) {
+        std::ifstream file(it.path(), std::ios::binary);
+        corpus.emplace_back(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+    }
+    if (corpus.empty()) {
+        std::fprintf(stderr, "no corpus in %s\n", argv[1]);
+        return 2;
+    }
+    for (const std::string &it : corpus)
+        run(it);
+
+    std::mt19937_64 random(mutationSeed);
+    const unsigned long runs = std::strtoul(argv[2], nullptr, 10);
+    for (unsigned long it = 0; it < runs; ++it) {
+        std::string input = corpus[random() % corpus.size()];
+        const std::size_t mutations = 1 + random() % mutationsMost;
+        for (std::size_t n = 0; n < mutations; ++n)
+            mutate(&random, &input);
+        run(input);
+    }
+    std::printf("%zu inputs and %lu mutations\n", corpus.size(), runs);
+    return 0;
+}
--- /dev/null
+++ b/fuzz/consensus/Folder.cpp
@@ -0,0 +1,91 @@
+#include "acaciafork/consensus/Consensus.h"
+#include "tests/consensus/MemoryDisk.h"
+
+// Files of a data folder. The first byte of the input picks the file and whether the rest stands in
+// it as it is or as the bodies of valid records.
+
+namespace {
+
+using namespace acaciafork;
+using namespace acaciafork::consensus;
+
+/// Files that an input can take the place of.
+enum class Target : std::uint8_t { Log, Snapshot, Format, Partial };
+
+constexpr std::uint8_t framedBit = 4;
+
+/// Frames the input as records: a byte for the kind, one for the length, the body, and so on.
+std::string frame(std::string_view input, std::uint64_t seed)
+{
+    std::string bytes;
+    while (input.size() >= 2) {
+        const auto kind = static_cast<RecordKind>(1 + static_cast<std::uint8_t>(input[0]) % 5);
+        const std::size_t length = static_cast<std::uint8_t>(input[1]);
+        input.remove_prefix(2);
+        const std::string_view body = input.substr(0, length);
+        input.remove_prefix(body.size());
+        appendRecord(kind, bytes.size(), seed, body, &bytes);
+    }
+    return bytes;
+}
+
+/// Name of the file that a target stands for.
+std::string nameOf(Target target)
+{
+    switch (target) {
+    case Target::Log:
+        return "log-0000000000000001";
+    case Target::Snapshot:
+        return "snapshot-0000000000000001-0000000000000001";
+    case Target::Format:
+        return "format";
+    case Target::Partial:
+        return "partial-snapshot";
+    }
+    return {};
+}
+
+/// Opens the folder; any failure is fine, a crash is not.
+void open(MemoryFolder *files)
+{
+    const FolderOwner owner { "test", ProcessId { 1 }, FolderId { 1 } };
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(folder, LogFolder::open(files, owner));
+                const Node node({}, { .self = ProcessId { 1 } }, folder->takeRecovered(), {}, 1);
+                const Entry entry { .index = node.lastIndex() + 1,
+                                    .term = node.term() + 1,
+                                    .kind = EntryKind::NoOperation,
+                                    .payload = {} };
+                return folder->write(HardState { entry.term, {} }, std::span(&entry, 1));
+            },
+            [] {});
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    if (size == 0)
+        return 0;
+    const auto target = static_cast<Target>(data[0] % 4);
+    const bool framed = (data[0] & framedBit) != 0;
+    const std::string_view input(reinterpret_cast<const char *>(data + 1), size - 1);
+
+    MemoryDisk disk(1);
+    {
+        MemoryFolder files(&disk);
+        open(&files);
+        const std::string name = nameOf(target);
+        (void)files.remove(name);
+        auto file = files.openFile(name);
+        const std::uint64_t seed = target == Target::Log ? 1 : 0;
+        (void)(*file)->append(framed ? frame(input, seed) : std::string(input));
+    }
+    // Twice: what the first opening mended must be found whole by the second.
+    for (int it = 0; it < 2; ++it) {
+        MemoryFolder files(&disk);
+        open(&files);
+    }
+    return 0;
+}
