--- a/acaciafork/decisions/batch/Fleet.h
+++ b/acaciafork/decisions/batch/Fleet.h
@@ -33,8 +33,10 @@
     std::vector<PastRun> pastRuns;
     /// Numbers of the latest usage reports taken, so that repeats are dropped.
     std::vector<std::uint64_t> usageSeen;
-    /// Smoothed worst latency of its services over that of running alone, less one.
+    /// Smoothed worst latency of its services over that of running alone, less one, and the
+    /// smoothed square of what single measurements are off from it.
     float pressure = 0;
+    float pressureVariance = 0;
     /// Usage reports in a row above the upper and below the lower bound of pressure.
     std::uint16_t pressedReports = 0;
     std::uint16_t calmReports = 0;
--- a/acaciafork/decisions/batch/PressureControl.cpp
+++ b/acaciafork/decisions/batch/PressureControl.cpp
@@ -1,5 +1,7 @@
 #include "acaciafork/decisions/batch/PressureControl.h"
 
+#include <cmath>
+
 namespace acaciafork::batch {
 
 namespace {
@@ -21,7 +23,10 @@
 {
     const PressureSettings &settings = m_model->settings.pressure;
     Worker &worker = m_model->fleet.worker(index);
-    updatePressure(&worker, worstPressure(report));
+    double measured = 0;
+    if (!worstPressure(report, &measured))
+        return;
+    updatePressure(&worker, measured);
 
     // Measurements are late: after a step, what arrives still tells of the time before it.
     if (m_model->now - worker.pressureActedAt < settings.stepInterval)
@@ -32,22 +37,35 @@
         letGo(index);
 }
 
-double PressureControl::worstPressure(const UsageReport &report) const
+bool PressureControl::worstPressure(const UsageReport &report, double *worst)
 {
-    double worst = 0;
-    for (const TaskUsage &it : report.tasks)
-        worst = std::max(worst, (it.latencyPermille - permilleWhole) / permilleWhole);
-    return worst;
+    bool measured = false;
+    for (const TaskUsage &it : report.tasks) {
+        if (it.latencyPermille <= 0)
+            continue;
+        const double pressure = (it.latencyPermille - permilleWhole) / permilleWhole;
+        *worst = measured ? std::max(*worst, pressure) : pressure;
+        measured = true;
+    }
+    return measured;
 }
 
-void PressureControl::updatePressure(Worker *worker, double pressure) const
+void PressureControl::updatePressure(Worker *worker, double measured) const
 {
-    constexpr float weight = 0.4F;
-    worker->pressure += weight * (static_cast<float>(pressure) - worker->pressure);
+    constexpr float weight = 0.25F;
+    const float off = static_cast<float>(measured) - worker->pressure;
+    worker->pressure += weight * off;
+    worker->pressureVariance += weight * (off * off - worker->pressureVariance);
+
+    // What counts is pressure beyond the noise that the smoothed value still has.
+    constexpr double smoothing = weight / (2 - weight);
+    constexpr double deviations = 2;
+    const double noise = deviations * std::sqrt(worker->pressureVariance * smoothing);
     const PressureSettings &settings = m_model->settings.pressure;
-    const double smoothed = worker->pressure * permilleWhole;
-    const bool pressed = smoothed > static_cast<double>(settings.upperPermille);
-    const bool calm = smoothed < static_cast<double>(settings.lowerPermille);
+    const double smoothed = worker->pressure;
+    const bool pressed =
+            (smoothed - noise) * permilleWhole > static_cast<double>(settings.upperPermille);
+    const bool calm = smoothed * permilleWhole < static_cast<double>(settings.lowerPermille);
     constexpr std::uint16_t most = 1000;
     worker->pressedReports =
             pressed ? std::min<std::uint16_t>(worker->pressedReports + 1, most) : 0;
--- a/acaciafork/decisions/batch/PressureControl.h
+++ b/acaciafork/decisions/batch/PressureControl.h
@@ -16,8 +16,9 @@
     void onUsage(Index worker, const UsageReport &report);
 
 private:
-    /// Worst latency of the worker's services over that of running alone, less one.
-    [[nodiscard]] double worstPressure(const UsageReport &report) const;
+    /// Worst latency of the reported services over that of running alone, less one.
+    /// @return false when the report tells of no service
+    static bool worstPressure(const UsageReport &report, double *worst);
     void updatePressure(Worker *worker, double pressure) const;
     void holdBack(Index worker);
     void letGo(Index worker);
--- a/acaciafork/decisions/batch/QuantileSketch.cpp
+++ b/acaciafork/decisions/batch/QuantileSketch.cpp
@@ -11,10 +11,13 @@
         for (float &it : m_counts)
             it /= 2;
         m_total /= 2;
+        m_largestBefore = m_largest;
+        m_largest = 0;
     }
     const double position = (std::log2(std::max(ratio, 1e-9)) + lowestOctave) * bucketsPerOctave;
     ++m_counts[static_cast<std::size_t>(std::clamp(position, 0.0, bucketCount - 1.0))];
     ++m_total;
+    m_largest = std::max(m_largest, ratio);
 }
 
 double QuantileSketch::quantile(double q) const
@@ -28,7 +31,9 @@
         if (seen >= q * m_total)
             break;
     }
-    return std::exp2(static_cast<double>(bucket + 1) / bucketsPerOctave - lowestOctave);
+    const double edge =
+            std::exp2(static_cast<double>(bucket + 1) / bucketsPerOctave - lowestOctave);
+    return std::min(edge, std::max(m_largest, m_largestBefore));
 }
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/QuantileSketch.h
+++ b/acaciafork/decisions/batch/QuantileSketch.h
@@ -5,20 +5,21 @@
 
 namespace acaciafork::batch {
 
-/// Quantiles of a positive ratio, in logarithmic buckets of a quarter octave; older observations
+/// Quantiles of a positive ratio, in logarithmic buckets of an eighth octave; older observations
 /// fade, so that a change of habit shows.
 class QuantileSketch
 {
 public:
     /// Adds one observation.
     void add(double ratio);
-    /// Upper edge of the bucket that holds the quantile; 0 without observations.
+    /// Upper edge of the bucket that holds the quantile, but not more than the largest of late; 0
+    /// without observations.
     [[nodiscard]] double quantile(double q) const;
     /// Weight of what was seen and has not faded.
     [[nodiscard]] double weight() const { return m_total; }
 
 private:
-    static constexpr int bucketsPerOctave = 4;
+    static constexpr int bucketsPerOctave = 8;
     static constexpr int octaves = 16;
     static constexpr int bucketCount = bucketsPerOctave * octaves;
     /// Ratio of the lowest edge: 2^-lowestOctave.
@@ -28,6 +29,9 @@
 
     std::array<float, bucketCount> m_counts {};
     float m_total = 0;
+    /// Largest since the latest fading, and in the period before.
+    double m_largest = 0;
+    double m_largestBefore = 0;
 };
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/SizeEstimator.cpp
+++ b/acaciafork/decisions/batch/SizeEstimator.cpp
@@ -45,7 +45,7 @@
                              const Resources &peak)
 {
     // Use that fills the grant may have been held back by it: the need is taken to be larger.
-    constexpr std::int64_t heldBackPermille = 950;
+    constexpr std::int64_t heldBackPermille = 990;
     constexpr std::int64_t growthPermille = 1500;
     const bool heldBack = peak.millicores * permilleWhole
             >= std::int64_t { granted.millicores } * heldBackPermille;
@@ -75,8 +75,10 @@
         const double least = ratio(m_settings.leastGrantPermille, permilleWhole);
         return std::max(static_cast<std::int32_t>(amount * std::max(factor, least)), 1);
     };
+    const double coresMargin = ratio(m_settings.coresMarginPermille, permilleWhole);
     const double margin = ratio(m_settings.memoryMarginPermille, permilleWhole);
-    size.millicores = grant(declared.millicores, it->cores.quantile(m_settings.coresQuantile));
+    size.millicores =
+            grant(declared.millicores, it->cores.quantile(m_settings.coresQuantile) * coresMargin);
     size.memoryMb =
             grant(declared.memoryMb, it->memory.quantile(m_settings.memoryQuantile) * margin);
     return size;
--- a/acaciafork/decisions/batch/SizeEstimator.h
+++ b/acaciafork/decisions/batch/SizeEstimator.h
@@ -16,6 +16,9 @@
     /// Quantiles of use that a job is granted.
     double coresQuantile = 0.9;
     double memoryQuantile = 0.98;
+    /// Granted cores over that quantile, in thousandths: what uses less than the grant by this much
+    /// was not held back by it.
+    std::int64_t coresMarginPermille = 1030;
     /// Granted memory over that quantile, in thousandths.
     std::int64_t memoryMarginPermille = 1100;
     /// Least grant over the declared size, in thousandths, however little a family uses.
