Hold room for the move, bound its projection by room, and survive the leader's loss

Cause: new jobs took the room that the move waited for; the projection knew only rack times; after a change of leader racks became known after the move's record, and a rack could look empty before the leases of its workers were placed; evicted jobs in the queue were not counted against the destination. Change: new jobs keep to racks that leave later while the move wants room; the projection is bounded by run times and room; racks are marked again as they become known; no rack is empty while leased workers have no known rack; waiting evicted jobs count against the room.

--- a/acaciafork/decisions/batch/Fleet.cpp
+++ b/acaciafork/decisions/batch/Fleet.cpp
@@ -31,6 +31,8 @@
     if (it.rack != noIndex) {
         std::erase(m_racks[it.rack].workers, worker);
         m_racks[it.rack].tasks -= taskCount;
+    } else {
+        m_tasksWithoutRack -= taskCount;
     }
     it.rack = rack;
     m_racks[rack].workers.push_back(worker);
@@ -42,8 +44,7 @@
     Worker &it = m_workers[worker];
     it.granted += granted;
     it.tasks.push_back(task);
-    if (it.rack != noIndex)
-        ++m_racks[it.rack].tasks;
+    ++(it.rack != noIndex ? m_racks[it.rack].tasks : m_tasksWithoutRack);
     return static_cast<Index>(it.tasks.size() - 1);
 }
 
@@ -51,8 +52,7 @@
 {
     Worker &it = m_workers[worker];
     it.granted -= granted;
-    if (it.rack != noIndex)
-        --m_racks[it.rack].tasks;
+    --(it.rack != noIndex ? m_racks[it.rack].tasks : m_tasksWithoutRack);
     const Index last = it.tasks.back();
     it.tasks[position] = last;
     it.tasks.pop_back();
--- a/acaciafork/decisions/batch/Fleet.h
+++ b/acaciafork/decisions/batch/Fleet.h
@@ -133,6 +133,8 @@
 
     /// Why no worker that stays could ever hold `size`; None when one could, or none is known yet.
     [[nodiscard]] UnschedulableReason whyNeverFits(const Resources &size) const;
+    /// Tasks at workers whose rack is not known yet, as after a change of leader.
+    [[nodiscard]] std::uint32_t tasksWithoutRack() const { return m_tasksWithoutRack; }
     /// True when the worker may be given new work.
     [[nodiscard]] bool eligible(Index worker) const;
 
@@ -143,6 +145,7 @@
     NameIndex<ZoneName> m_zones;
     std::vector<Worker> m_workers;
     std::vector<Rack> m_racks;
+    std::uint32_t m_tasksWithoutRack = 0;
 };
 
 } // namespace acaciafork::batch
--- a/acaciafork/decisions/batch/Model.h
+++ b/acaciafork/decisions/batch/Model.h
@@ -42,6 +42,8 @@
     Timestamp now {};
     /// When the next rack that the move will empty is expected to be; max() without a move.
     Timestamp leavingFrom = Timestamp::max();
+    /// The move has work to bring over that finds no room; new jobs leave what there is to it.
+    bool moveWantsRoom = false;
     /// Number of the worker report in progress, over all workers.
     std::uint64_t reportStamp = 0;
     TaskTable tasks;
--- a/acaciafork/decisions/batch/MoveReporter.cpp
+++ b/acaciafork/decisions/batch/MoveReporter.cpp
@@ -37,11 +37,74 @@
     }
     const auto atOnce = static_cast<std::size_t>(m_model->settings.drain.racksAtOnce);
     view.finish = projection.project(m_model->now, view.racksLeft, atOnce, elapsed);
+    boundByRoom(&view);
     view.mayMissDeadline = move.state != MoveState::Finished && move.deadline != Timestamp {}
             && view.finish.late > move.deadline;
     return view;
 }
 
+void MoveReporter::boundByRoom(MoveView *view) const
+{
+    // What the room that stays can't take has to run out, however fast racks were emptied so far.
+    constexpr double expectedQuantile = 0.5;
+    const Duration expected = roomTime(expectedQuantile);
+    if (view->racksLeft == 0 || m_model->now + expected <= view->finish.expected)
+        return;
+    constexpr double earlyQuantile = 0.25;
+    constexpr double lateQuantile = 0.9;
+    constexpr std::int64_t whole = 1000;
+    constexpr std::int64_t earlyPermille = 850;
+    constexpr std::int64_t latePermille = 1150;
+    view->finish.expected = m_model->now + expected;
+    view->finish.early = m_model->now + roomTime(earlyQuantile) * earlyPermille / whole;
+    view->finish.late = m_model->now + roomTime(lateQuantile) * latePermille / whole
+            + m_model->settings.drain.evictionCost;
+}
+
+Duration MoveReporter::roomTime(double q) const
+{
+    // Jobs on the racks to be emptied and on workers that stay, by how long they run on: each that
+    // ends leaves one fewer to move, or room for one.
+    const Fleet &fleet = m_model->fleet;
+    std::vector<std::pair<Duration, std::int64_t>> jobs;
+    std::int64_t room = 0;
+    std::int64_t toMove = 0;
+    for (Index index = 0; index < fleet.workerCount(); ++index) {
+        const Worker &worker = fleet.worker(index);
+        if (worker.rack == noIndex)
+            continue;
+        const Rack &rack = fleet.rack(worker.rack);
+        const bool leaves = rack.leavingSoon || rack.moveDraining;
+        if (!leaves && !fleet.eligible(index))
+            continue;
+        if (leaves)
+            toMove += worker.granted.millicores;
+        else
+            room += worker.freeRoom().millicores;
+        for (const Index task : worker.tasks) {
+            const Task &it = m_model->tasks[task];
+            if (!it.isService())
+                jobs.emplace_back(timeLeft(it, q), it.granted.millicores);
+        }
+    }
+    std::sort(jobs.begin(), jobs.end());
+    Duration time {};
+    for (const auto &[left, cores] : jobs) {
+        if (toMove <= room)
+            break;
+        toMove -= cores;
+        time = left;
+    }
+    return time;
+}
+
+Duration MoveReporter::timeLeft(const Task &task, double q) const
+{
+    const Duration runTime = m_model->sizes.runTime(task.family, task.declaredRunTime, q);
+    const Duration spent = task.attained + (m_model->now - task.startedAt);
+    return std::max(runTime - spent, Duration::zero());
+}
+
 void MoveReporter::addHindrances(const Rack &rack, MoveView *view) const
 {
     for (const Index worker : rack.workers) {
--- a/acaciafork/decisions/batch/MoveReporter.h
+++ b/acaciafork/decisions/batch/MoveReporter.h
@@ -15,6 +15,13 @@
     [[nodiscard]] MoveView view(const MoveRecord &move, const MoveProjection &projection) const;
 
 private:
+    /// Sets the projection to what the room that stays allows, where that is later.
+    void boundByRoom(MoveView *view) const;
+    /// Time until what does not fit into the room that stays has run out, by the run times that the
+    /// fraction `q` of each family stays within.
+    [[nodiscard]] Duration roomTime(double q) const;
+    /// How long a job runs on, by the run time that the fraction `q` of its family stays within.
+    [[nodiscard]] Duration timeLeft(const Task &task, double q) const;
     void addHindrances(const Rack &rack, MoveView *view) const;
     [[nodiscard]] HindranceKind kindOf(const Task &task) const;
 
--- a/acaciafork/decisions/batch/PlacementIndex.h
+++ b/acaciafork/decisions/batch/PlacementIndex.h
@@ -11,6 +11,7 @@
 enum class SearchOrder : std::uint8_t {
     StayingOnly, ///< racks that the move will not empty
     StayingFirst, ///< those, then the others
+    LeavingOnly, ///< racks that the move will empty later
     LeavingFirst, ///< racks that the move will empty later, then the others
 };
 
@@ -59,10 +60,11 @@
 {
     constexpr Index staying = 0;
     constexpr Index leaving = classesPerGroup * bucketsPerClass;
-    const bool leavingFirst = order == SearchOrder::LeavingFirst;
+    const bool leavingFirst =
+            order == SearchOrder::LeavingFirst || order == SearchOrder::LeavingOnly;
     if (!visitGroup(leavingFirst ? leaving : staying, size, visit))
         return;
-    if (order != SearchOrder::StayingOnly)
+    if (order != SearchOrder::StayingOnly && order != SearchOrder::LeavingOnly)
         visitGroup(leavingFirst ? staying : leaving, size, visit);
 }
 
--- a/acaciafork/decisions/batch/Placer.cpp
+++ b/acaciafork/decisions/batch/Placer.cpp
@@ -70,7 +70,8 @@
 
 SearchOrder Placer::orderFor(const Task &task) const
 {
-    if (m_model->leavingFrom == Timestamp::max())
+    const bool idle = m_model->leavingFrom == Timestamp::max() && !m_model->moveWantsRoom;
+    if (idle)
         return SearchOrder::StayingFirst;
 
     // While a move is on, what was moved once is not to be moved again; what ends before the racks
@@ -79,6 +80,8 @@
         return SearchOrder::StayingOnly;
     constexpr double quantile = 0.9;
     const Duration runTime = m_model->sizes.runTime(task.family, task.declaredRunTime, quantile);
+    if (m_model->moveWantsRoom && !task.urgent)
+        return SearchOrder::LeavingOnly;
     const bool endsBefore =
             runTime > Duration::zero() && m_model->now + runTime < m_model->leavingFrom;
     return endsBefore ? SearchOrder::LeavingFirst : SearchOrder::StayingFirst;
--- a/acaciafork/decisions/batch/RackDrainer.cpp
+++ b/acaciafork/decisions/batch/RackDrainer.cpp
@@ -96,7 +96,13 @@
 
 void RackDrainer::tick()
 {
+    // Racks become known by the reports of their workers, also after the move's record.
+    if (m_knownRacks != m_model->fleet.rackCount()) {
+        m_knownRacks = m_model->fleet.rackCount();
+        markMoveRacks();
+    }
     bool counted = false;
+    m_model->moveWantsRoom = false;
     for (Index rack = 0; rack < m_model->fleet.rackCount(); ++rack) {
         const Rack &it = m_model->fleet.rack(rack);
         if (!it.draining())
@@ -121,6 +127,7 @@
         if (m_model->fleet.eligible(index) && !m_model->fleet.rack(worker.rack).leavingSoon)
             m_room += worker.freeRoom();
     }
+    m_room -= m_model->queue.total(QueueClass::Evicted);
     m_evicting = static_cast<std::int32_t>(m_model->queue.size(QueueClass::Evicted));
     for (Index rack = 0; rack < m_model->fleet.rackCount(); ++rack) {
         if (!m_model->fleet.rack(rack).draining())
@@ -155,8 +162,12 @@
 
         // Only so much is under way at once that the rest of the fleet takes it in.
         const Resources size = m_model->sizeFor(task);
-        if (m_evicting >= m_model->settings.drain.evictionsInProgress || !roomElsewhere(size))
+        if (m_evicting >= m_model->settings.drain.evictionsInProgress)
             continue;
+        if (!roomElsewhere(size)) {
+            m_model->moveWantsRoom = m_move.state == MoveState::Running;
+            continue;
+        }
         ++m_evicting;
         m_room -= size;
         m_lifecycle->evict(index, m_model->settings.lease.checkpointTimeout);
@@ -189,8 +200,9 @@
 
 void RackDrainer::proposeEmpty(Index index)
 {
+    // A new leader learns where leased workers stand from their reports, or waits for the leases.
     Rack &rack = m_model->fleet.rack(index);
-    if (rack.proposed)
+    if (rack.proposed || m_model->fleet.tasksWithoutRack() > 0)
         return;
     const bool retire = rack.record.state == RackState::Retiring
             || (rack.moveDraining && rack.record.state != RackState::Retired);
--- a/acaciafork/decisions/batch/RackDrainer.h
+++ b/acaciafork/decisions/batch/RackDrainer.h
@@ -51,6 +51,8 @@
     Resources m_room;
     /// Jobs between eviction and their next lease.
     std::int32_t m_evicting = 0;
+    /// Racks that were known when the move's racks were marked.
+    Index m_knownRacks = 0;
     bool m_stepProposed = false;
 };
 
--- a/acaciafork/decisions/batch/WaitingQueue.cpp
+++ b/acaciafork/decisions/batch/WaitingQueue.cpp
@@ -36,7 +36,7 @@
     ACACIAFORK_ASSERT(!contains(task));
     if (task >= m_tickets.size())
         m_tickets.resize(m_tasks->places());
-    m_tickets[task] = { ++m_lastTicket, queueClass };
+    m_tickets[task] = { .number = ++m_lastTicket, .size = size, .queueClass = queueClass };
     auto &line = lines(queueClass, team)[lineKey(size)].tasks;
     if (atFront)
         line.emplace_front(task, m_lastTicket);
@@ -44,20 +44,23 @@
         line.emplace_back(task, m_lastTicket);
     ++m_size;
     ++m_classSizes[static_cast<std::size_t>(queueClass)];
+    m_classTotals[static_cast<std::size_t>(queueClass)] += size;
 }
 
 void WaitingQueue::remove(Index task)
 {
     if (!contains(task))
         return;
-    --m_classSizes[static_cast<std::size_t>(m_tickets[task].second)];
-    m_tickets[task].first = 0;
+    const auto queueClass = static_cast<std::size_t>(m_tickets[task].queueClass);
+    --m_classSizes[queueClass];
+    m_classTotals[queueClass] -= m_tickets[task].size;
+    m_tickets[task].number = 0;
     --m_size;
 }
 
 bool WaitingQueue::contains(Index task) const
 {
-    return task < m_tickets.size() && m_tickets[task].first != 0;
+    return task < m_tickets.size() && m_tickets[task].number != 0;
 }
 
 WaitingQueue::Lines &WaitingQueue::lines(QueueClass queueClass, Index team)
@@ -72,7 +75,7 @@
 bool WaitingQueue::pruneHead(Line *line) const
 {
     auto &tasks = line->tasks;
-    while (!tasks.empty() && m_tickets[tasks.front().first].first != tasks.front().second)
+    while (!tasks.empty() && m_tickets[tasks.front().first].number != tasks.front().second)
         tasks.pop_front();
     return !tasks.empty();
 }
--- a/acaciafork/decisions/batch/WaitingQueue.h
+++ b/acaciafork/decisions/batch/WaitingQueue.h
@@ -56,12 +56,27 @@
         return m_classSizes[static_cast<std::size_t>(queueClass)];
     }
 
+    /// Sizes of the tasks of one class that wait, all together.
+    [[nodiscard]] const Resources &total(QueueClass queueClass) const
+    {
+        return m_classTotals[static_cast<std::size_t>(queueClass)];
+    }
+
 private:
     const TaskTable *m_tasks;
     /// Lines by class and team.
     std::vector<Lines> m_lines[queueClassCount];
-    /// Ticket and class of each task; ticket 0 when it does not wait.
-    std::vector<std::pair<std::uint64_t, QueueClass>> m_tickets;
+    /// Where a task waits; ticket 0 when it does not.
+    struct Ticket
+    {
+        std::uint64_t number = 0;
+        Resources size;
+        QueueClass queueClass = QueueClass::Normal;
+    };
+
+    /// Tickets by task.
+    std::vector<Ticket> m_tickets;
+    Resources m_classTotals[queueClassCount];
     std::size_t m_classSizes[queueClassCount] {};
     std::uint64_t m_lastTicket = 0;
     std::size_t m_size = 0;
--- a/benchmarks/batch/MoveRun.cpp
+++ b/benchmarks/batch/MoveRun.cpp
@@ -30,6 +30,7 @@
     void submitOne();
     void watch();
     void fault();
+    void watchStandstill(const Command &command);
     [[nodiscard]] Duration roomBound() const;
     void startMove(int racks);
     [[nodiscard]] bool moved() const;
@@ -42,6 +43,7 @@
     MoveFigures m_figures;
     std::vector<std::pair<Timestamp, Timestamp>> m_projected;
     bool m_moving = false;
+    std::unordered_map<TaskName, Timestamp> m_stoppedAt;
 };
 
 MoveRun::MoveRun(const MoveOptions &options)
@@ -143,6 +145,21 @@
     m_projected.emplace_back(view.finish.early, view.finish.late);
 }
 
+void MoveRun::watchStandstill(const Command &command)
+{
+    if (const auto *proposal = std::get_if<Propose>(&command)) {
+        if (const auto *stopped = std::get_if<RecordStopped>(&proposal->change))
+            m_stoppedAt[stopped->task] = m_session.now();
+    } else if (const auto *start = std::get_if<StartTask>(&command)) {
+        if (const auto it = m_stoppedAt.find(start->task); it != m_stoppedAt.end()) {
+            const Duration stood = m_session.now() - it->second;
+            m_figures.standstillHours +=
+                    std::chrono::duration<double, std::ratio<3600>>(stood).count();
+            m_stoppedAt.erase(it);
+        }
+    }
+}
+
 void MoveRun::fault()
 {
     MoveRecord move = m_session.state.move();
@@ -189,6 +206,7 @@
     m_figures.boundMinutes = std::chrono::duration<double, std::ratio<60>>(roomBound()).count();
     m_session.onCommand = [this](const Command &it) {
         const auto *proposal = std::get_if<Propose>(&it);
+        watchStandstill(it);
         const auto *retired = proposal ? std::get_if<RackRetired>(&proposal->change) : nullptr;
         if (retired == nullptr)
             return;
--- a/benchmarks/batch/MoveRun.h
+++ b/benchmarks/batch/MoveRun.h
@@ -12,6 +12,8 @@
     /// Least time that the destination's room and the checkpoints allow, in minutes.
     double boundMinutes = 0;
     std::uint64_t evictions = 0;
+    /// Time that moved jobs stood still between two leases, all together, in hours.
+    double standstillHours = 0;
     /// Fewest warm replicas of a service at any moment, of those wanted.
     std::uint32_t leastWarm = 0;
     std::uint32_t wanted = 0;
--- a/benchmarks/batch/measure_move.cpp
+++ b/benchmarks/batch/measure_move.cpp
@@ -11,12 +11,14 @@
 
 void print(const char *name, std::uint64_t seed, const MoveFigures &it)
 {
-    std::printf("%-22s seed %llu  %.1f min, bound %.1f min (%.2fx)  evictions %llu  warm replicas "
+    std::printf("%-22s seed %llu  %.1f min, bound %.1f min (%.2fx)  evictions %llu  standstill "
+                "%.1f h  warm replicas "
                 "at least %u of %u  violations %llu  retired in use %llu  finished %llu  "
                 "projection held in %d of %d\n",
                 name, static_cast<unsigned long long>(seed), it.minutes, it.boundMinutes,
                 it.minutes / it.boundMinutes, static_cast<unsigned long long>(it.evictions),
-                it.leastWarm, it.wanted, static_cast<unsigned long long>(it.violations),
+                it.standstillHours, it.leastWarm, it.wanted,
+                static_cast<unsigned long long>(it.violations),
                 static_cast<unsigned long long>(it.retiredInUse),
                 static_cast<unsigned long long>(it.finished), it.projectionsHeld, it.projections);
     std::fflush(stdout);
