Mend what lint found in benchmarks/net

Cause: clang-tidy refuses a function in a header that is not inline, and a vector grown in a loop. Change: inline; reserve.

--- a/benchmarks/net/ServingThread.h
+++ b/benchmarks/net/ServingThread.h
@@ -26,7 +26,7 @@
     return of(usage.ru_utime) + of(usage.ru_stime);
 }
 
-std::uint16_t
+inline std::uint16_t
 listenOnLoopback(const std::function<Result<std::uint16_t>(const net::Address &)> &listen)
 {
     return leaf::try_handle_all(
--- a/benchmarks/net/measure_proxying.cpp
+++ b/benchmarks/net/measure_proxying.cpp
@@ -148,6 +148,7 @@
     std::atomic<std::uint64_t> failures = 0;
     std::vector<std::thread> callers;
     std::int64_t usedBefore = 0;
+    callers.reserve(latencies.size());
     for (auto &mineLatencies : latencies) {
         callers.emplace_back([&] {
             net::Loop loop;
