Test pipelining, and show that the check of the attempt can fail

Change: a pipelined pair cut at every byte of its second request; a client without the check gets the other's answer and is caught by the number. Conclusion: the fault is produced for real, and the check sees it.

--- a/tests/endpoints/ProxyingTest.cpp
+++ b/tests/endpoints/ProxyingTest.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include "../net/NetFixtures.h"
 
 #include "standins/StandinEndpoint.h"
@@ -30,9 +32,9 @@
         : client(loop, {})
         , reporter(client, {})
         , endpoint(loop, reporter, settings)
-        , router(loop, { .host = "127.0.0.1", .port = listen([this](const auto &it) {
-                                                  return endpoint.start(it);
-                                              }) })
+        , endpointAddress { .host = "127.0.0.1",
+                            .port = listen([this](const auto &it) { return endpoint.start(it); }) }
+        , router(loop, endpointAddress)
         , port(listen([this](const auto &it) { return router.server().listen(it); }))
     { }
 
@@ -40,6 +42,7 @@
     net::HttpClient client;
     standins::StandinReporter reporter;
     StandinEndpoint endpoint;
+    net::Address endpointAddress;
     StandinRouter router;
     std::uint16_t port;
 };
@@ -107,6 +110,23 @@
     }
 }
 
+// The broken variant: without the check of the attempt, callers get each other's answers.
+TEST_CASE("a client that does not check the attempt is caught by the request's number")
+{
+    Path path({ .meanServiceTime = 1ms, .cross = 1 });
+    net::HttpClient trusting(path.loop, {});
+    std::map<int, std::string> bodies;
+    for (int number = 0; number != 2; ++number) {
+        const std::string text = std::to_string(number);
+        const net::Header header { .name = "x-standin-request", .value = text };
+        trusting.call({ .address = path.endpointAddress, .headers = { &header, 1 } },
+                      [&bodies, number](const net::HttpReply &it) { bodies[number] = it.body; });
+    }
+    runUntil(path.loop, [&] { return bodies.size() == 2; });
+    CHECK(bodies[0].find(R"("request":"1")") != std::string::npos);
+    CHECK(bodies[1].find(R"("request":"0")") != std::string::npos);
+}
+
 TEST_CASE("a large answer to a slow caller passes with flat memory")
 {
     constexpr std::size_t whole = 64UL * 1024 * 1024;
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -57,6 +57,30 @@
     }
 }
 
+TEST_CASE("pipelined requests are answered in order, also where the last one is split")
+{
+    const std::string first = "GET /1 HTTP/1.1\r\nhost: x\r\n\r\n";
+    const std::string second = "POST /2 HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbody";
+    const std::string both = first + second;
+    for (std::size_t cut = first.size() - 2; cut != both.size(); ++cut) {
+        Fixture fixture;
+        RawPeer peer(fixture.loop, fixture.port);
+        peer.stream->write(std::string_view(both).substr(0, cut));
+        if (cut < first.size())
+            peer.stream->write(std::string_view(both).substr(cut));
+        fixture.next()->answer(200, {}, "one");
+        peer.exchange("", "one");
+        if (cut >= first.size())
+            peer.stream->write(std::string_view(both).substr(cut));
+        const auto exchange = fixture.next();
+        CHECK(exchange->target() == "/2");
+        CHECK(exchange->body() == "body");
+        exchange->answer(200, {}, "two");
+        peer.exchange("", "two");
+        CHECK(peer.received.find("one") < peer.received.find("two"));
+    }
+}
+
 TEST_CASE("a malformed head is refused with a typed error")
 {
     Fixture fixture;
