Test that a link finds a restarted peer again

Cause: processes die and come back at the same address; links must carry on without being told. Change: one test; the peer listens, goes, and listens again.

--- a/tests/net/LoopTest.cpp
+++ b/tests/net/LoopTest.cpp
@@ -142,4 +142,26 @@
     CHECK_FALSE(send(one, "gone"));
 }
 
+TEST_CASE("a link finds a peer again that has started anew")
+{
+    Loop loop;
+    MessageLink sender(loop, { .sendQueue = 2 });
+    std::uint16_t port = 0;
+    for (int start = 0; start != 2; ++start) {
+        MessageLink peer(loop, {});
+        int received = 0;
+        peer.onMessage([&](std::span<const std::byte>) { ++received; });
+        leaf::try_handle_all(
+                [&]() -> Result<void> {
+                    BOOST_LEAF_ASSIGN(port, peer.listen({ .host = "127.0.0.1", .port = port }));
+                    return sender.addPeer(ProcessId { 2 }, { .host = "127.0.0.1", .port = port });
+                },
+                [] { FAIL("cannot listen"); });
+        runUntil(loop, [&] {
+            sender.send(ProcessId { 2 }, std::as_bytes(std::span("hello", 5)));
+            return received > 0;
+        });
+    }
+}
+
 } // namespace acaciafork::net::test
