Carry out waiting calls when the member that holds them is elected

Cause: a call that a follower had passed to the dead leader waited for its 5 s timeout when that same follower was elected: it sent to nobody and did not carry the call out itself. Change: the new leader carries out what it holds.

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -292,8 +292,26 @@
     sendRelays();
 }
 
+void ControlProcess::carryOutRelays()
+{
+    // This member was elected while calls waited for the leader before it. Answers may come at
+    // once and end a call, so the calls are copied first.
+    std::vector<std::pair<std::uint64_t, peers::ApiCall>> calls;
+    for (const auto &[number, call] : m_relays.due(net::Loop::now()))
+        calls.emplace_back(number, *call);
+    for (const auto &[number, call] : calls) {
+        callApiAsLeader(call, [this, number = number](const peers::ApiAnswer &answer) {
+            m_relays.end(number, answer);
+        });
+    }
+}
+
 void ControlProcess::sendRelays()
 {
+    if (m_node->leading() && canActAsLeader(net::Loop::now())) {
+        carryOutRelays();
+        return;
+    }
     const ProcessId target = leader();
     if (!target || target == self())
         return;
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -61,6 +61,7 @@
     void proposeFor(wire::Command command, const Reply &reply);
     void changeMembers(const operators::MemberChange &change, const Reply &reply);
     void sendRelays();
+    void carryOutRelays();
 
     net::Loop *m_loop;
     ControlSettings m_settings;
