Free what leaving endpoints hold, and carry every field of the credit messages

Announcements of an endpoint that the system had told to leave were dropped, so nothing ever proved that it worked on nothing (quarantined 8 of 8 for ever); and the codec left out the service of a holding and the leaving notices, so a new leader could not take such credit back (granted 8 at endpoints that leave). Change: announcements of leaving endpoints stay evidence without making them usable; the codec carries the fields; a replica counts as warm only when entries can be given credit at it.

--- a/acaciafork/control/BatchDriver.cpp
+++ b/acaciafork/control/BatchDriver.cpp
@@ -25,13 +25,15 @@
 
 BatchDriver::BatchDriver(const batch::SchedulerSettings &settings,
                          const state::StateMachine *machine, ControlPorts *ports, ProposeFn propose,
-                         LeaveFn leave, IdleFn isIdle, CounterRegistry *counters)
+                         LeaveFn leave, IdleFn isIdle, ServableFn isServable,
+                         CounterRegistry *counters)
     : m_settings(settings)
     , m_machine(machine)
     , m_ports(ports)
     , m_propose(std::move(propose))
     , m_leave(std::move(leave))
     , m_isIdle(std::move(isIdle))
+    , m_isServable(std::move(isServable))
     , m_proposals(&counters->counter("control_batch_proposals_total"))
     , m_workerCalls(&counters->counter("control_worker_calls_total"))
 { }
@@ -157,7 +159,10 @@
     if (m_leaving.contains(announcement.endpoint))
         return;
     Incarnation &warm = m_warm[announcement.endpoint];
-    if (!announcement.leaving && warm != announcement.incarnation) {
+    const bool isNew = !announcement.leaving && warm != announcement.incarnation;
+
+    // Nothing is taken away for an endpoint that can't be given any work yet.
+    if (isNew && m_isServable(announcement.endpoint)) {
         warm = announcement.incarnation;
         handle(at, batch::EndpointWarm { .task = { announcement.endpoint.value } });
     }
--- a/acaciafork/control/BatchDriver.h
+++ b/acaciafork/control/BatchDriver.h
@@ -28,10 +28,12 @@
     using LeaveFn = std::function<void(Moment, const EndpointName &)>;
     /// True when no entry holds credit at the endpoint and it works on nothing.
     using IdleFn = std::function<bool(const EndpointName &)>;
+    /// True when entries can be given credit at the endpoint now.
+    using ServableFn = std::function<bool(const EndpointName &)>;
 
     BatchDriver(const batch::SchedulerSettings &settings, const state::StateMachine *machine,
                 ControlPorts *ports, ProposeFn propose, LeaveFn leave, IdleFn isIdle,
-                CounterRegistry *counters);
+                ServableFn isServable, CounterRegistry *counters);
 
     /// This member leads: starts a scheduler from the applied state.
     void start(Moment at);
@@ -77,6 +79,7 @@
     ProposeFn m_propose;
     LeaveFn m_leave;
     IdleFn m_isIdle;
+    ServableFn m_isServable;
     std::unique_ptr<batch::Scheduler> m_scheduler;
     std::map<WorkerName, batch::WorkerReport> m_workers;
     std::map<WorkerName, std::string> m_addresses;
--- a/acaciafork/control/ControlNode.cpp
+++ b/acaciafork/control/ControlNode.cpp
@@ -49,7 +49,8 @@
                   return propose(at, std::move(command), std::move(handler));
               },
               [this](Moment at, const EndpointName &endpoint) { leaveEndpoint(at, endpoint); },
-              [this](const EndpointName &endpoint) { return isIdle(endpoint); }, counters)
+              [this](const EndpointName &endpoint) { return isIdle(endpoint); },
+              [this](const EndpointName &endpoint) { return isServable(endpoint); }, counters)
     , m_applied(&counters->counter("control_commands_applied_total"))
     , m_ledgerAsks(&counters->counter("control_ledger_asks_total"))
 { }
@@ -436,6 +437,16 @@
     return row.chargedSlots == 0 && row.unknownSlots == 0 && row.requestsInProgress == 0;
 }
 
+bool ControlNode::isServable(const EndpointName &endpoint) const
+{
+    const auto &rows = m_grantor.tables().endpointRows();
+    const auto it = rows.find(endpoint);
+    if (it == rows.end())
+        return false;
+    const routing::GrantorEndpoint &row = m_grantor.tables().endpoint(it->second);
+    return row.usable && row.unknownSlots == 0;
+}
+
 bool ControlNode::holderLives(const std::string &service, const std::string &key) const
 {
     const state::LedgerEntry *ledgerEntry = m_state.ledger().find(service, key);
--- a/acaciafork/control/ControlNode.h
+++ b/acaciafork/control/ControlNode.h
@@ -100,6 +100,7 @@
     void leaveEndpoint(Moment at, const EndpointName &endpoint);
     [[nodiscard]] bool isKnownEntry(ProcessId process) const;
     [[nodiscard]] bool isIdle(const EndpointName &endpoint) const;
+    [[nodiscard]] bool isServable(const EndpointName &endpoint) const;
     [[nodiscard]] bool holderLives(const std::string &service, const std::string &key) const;
 
     ControlNodeSettings m_settings;
--- a/acaciafork/decisions/batch/ServicePlanner.cpp
+++ b/acaciafork/decisions/batch/ServicePlanner.cpp
@@ -7,7 +7,7 @@
 /// Name of a service's task: stable by position, so that its epochs keep fencing.
 TaskName replicaName(const ServiceName &service, std::size_t position)
 {
-    return TaskName { service.value + "#" + std::to_string(position) };
+    return TaskName { "@" + service.value + "/" + std::to_string(position) };
 }
 
 } // namespace
--- a/acaciafork/decisions/routing/CreditGrantor.cpp
+++ b/acaciafork/decisions/routing/CreditGrantor.cpp
@@ -179,17 +179,20 @@
 void CreditGrantor::endpointAnnounced(Timestamp now, const EndpointAnnouncement &announcement,
                                       GrantorCommands *out)
 {
-    if (!leading() || m_tombstones.covers(announcement.endpoint, announcement.incarnation))
+    if (!leading())
         return;
     if (announcement.leaving) {
         endpointLeaving(now,
                         LeavingNotice { .endpoint = announcement.endpoint,
                                         .incarnation = announcement.incarnation },
                         out);
-        return;
     }
 
+    // One that leaves is not taken up again, but what it says still proves what it has ended.
+    const bool leaving = m_tombstones.covers(announcement.endpoint, announcement.incarnation);
     TableIndex index = m_tables.findEndpoint(announcement.endpoint);
+    if (index == noIndex && leaving)
+        return;
     if (index == noIndex)
         index = m_tables.addEndpoint(announcement.endpoint, announcement.service);
     const GrantorEndpoint &endpoint = m_tables.endpoint(index);
@@ -201,6 +204,7 @@
     m_tables.describe(index, announcement);
     m_tables.changeEndpoint(index, [&](GrantorEndpoint *it) {
         it->announcedAt = now;
+        it->usable = !leaving;
         if (!first)
             return;
         // Whatever has not been reported to this leader may be held by someone.
@@ -208,7 +212,7 @@
         it->unknownConnections =
                 it->connections - std::min(it->connections, it->chargedConnections);
     });
-    if (first) {
+    if (first && !leaving) {
         out->push_back(RecordEvent { .kind = EventKind::EndpointJoined,
                                      .subject = announcement.endpoint.value });
     }
--- a/acaciafork/peers/CreditCodec.cpp
+++ b/acaciafork/peers/CreditCodec.cpp
@@ -54,6 +54,26 @@
     return grant;
 }
 
+/// Adds notices to a repeated field.
+template <typename List>
+void encodeNotices(const std::vector<routing::LeavingNotice> &notices, List *list)
+{
+    for (const routing::LeavingNotice &it : notices) {
+        wire::LeavingNotice *message = list->Add();
+        message->set_endpoint(it.endpoint.value);
+        message->set_incarnation(it.incarnation.value);
+    }
+}
+
+template <typename List>
+std::vector<routing::LeavingNotice> decodeNotices(const List &list)
+{
+    std::vector<routing::LeavingNotice> notices;
+    for (const wire::LeavingNotice &it : list)
+        notices.push_back({ .endpoint = { it.endpoint() }, .incarnation = { it.incarnation() } });
+    return notices;
+}
+
 } // namespace
 
 void encodeReport(const routing::CreditReport &report, wire::CreditReport *message)
@@ -73,6 +93,7 @@
     for (const routing::CreditHolding &it : report.holdings) {
         wire::CreditHolding *holding = message->add_holdings();
         holding->set_endpoint(it.endpoint.value);
+        holding->set_service(it.service.value);
         holding->set_grant_number(it.grantNumber);
         holding->set_slots(it.slots);
         holding->set_in_use(it.inUse);
@@ -80,6 +101,7 @@
         holding->set_connections(it.connections);
         holding->set_refusals(it.refusals);
     }
+    encodeNotices(report.leaving, message->mutable_leaving());
 }
 
 routing::CreditReport decodeReport(const wire::Envelope &envelope)
@@ -100,6 +122,7 @@
     }
     for (const wire::CreditHolding &it : message.holdings()) {
         report.holdings.push_back({ .endpoint = { it.endpoint() },
+                                    .service = { it.service() },
                                     .grantNumber = it.grant_number(),
                                     .slots = it.slots(),
                                     .inUse = it.in_use(),
@@ -107,6 +130,7 @@
                                     .connections = it.connections(),
                                     .refusals = it.refusals() });
     }
+    report.leaving = decodeNotices(message.leaving());
     return report;
 }
 
@@ -131,6 +155,7 @@
         hint->set_zone(it.zone.value);
         hint->set_slots(it.slots);
     }
+    encodeNotices(grant.leaving, message->mutable_leaving());
 }
 
 routing::CreditGrant decodeGrant(const wire::CreditGrant &message, ProcessId self)
@@ -151,6 +176,7 @@
                                  .zone = { it.zone() },
                                  .slots = it.slots() });
     }
+    grant.leaving = decodeNotices(message.leaving());
     return grant;
 }
 
--- a/benchmarks/batch/fakes/World.h
+++ b/benchmarks/batch/fakes/World.h
@@ -10,11 +10,12 @@
 
 class FakeWorker;
 
-/// Service that a replica's task `service#position` belongs to; other tasks give an empty name.
+/// Service that a replica's task `@service/position` belongs to; other tasks give an empty name.
 inline std::string serviceOf(const TaskName &task)
 {
-    const std::size_t mark = task.value.find('#');
-    return mark == std::string::npos ? std::string() : task.value.substr(0, mark);
+    const std::size_t slash = task.value.find('/');
+    const bool isReplica = task.value.starts_with('@') && slash != std::string::npos;
+    return isReplica ? task.value.substr(1, slash - 1) : std::string();
 }
 
 /// What a task is really like; the scheduler is never told.
--- a/tests/control/BatchRecordsTest.cpp
+++ b/tests/control/BatchRecordsTest.cpp
@@ -39,7 +39,7 @@
 
 batch::LeaseTask serviceLease(std::uint64_t epoch)
 {
-    return { .task = { "loopdraw#0" },
+    return { .task = { "@loopdraw/0" },
              .service = { "loopdraw" },
              .worker = { "old-1-1" },
              .epoch = { epoch },
@@ -52,9 +52,9 @@
 {
     Applied applied;
     CHECK(applied.outcomes(serviceLease(1)) == "applied ;applied ;");
-    CHECK(applied.outcomes(batch::RecordStarted { .task = { "loopdraw#0" }, .epoch = { 1 } })
+    CHECK(applied.outcomes(batch::RecordStarted { .task = { "@loopdraw/0" }, .epoch = { 1 } })
           == "applied ;");
-    CHECK(applied.outcomes(batch::RecordStopped { .task = { "loopdraw#0" }, .epoch = { 1 } })
+    CHECK(applied.outcomes(batch::RecordStopped { .task = { "@loopdraw/0" }, .epoch = { 1 } })
           == "applied ;");
     CHECK(applied.outcomes(serviceLease(2)) == "applied ;");
 
@@ -112,9 +112,9 @@
     Applied applied;
     applied.outcomes(serviceLease(1));
     applied.outcomes(
-            batch::RecordFailed { .task = { "loopdraw#0" }, .epoch = { 1 }, .counted = false });
-    CHECK(applied.machine.tasks().find("loopdraw#0")->failures == 0);
+            batch::RecordFailed { .task = { "@loopdraw/0" }, .epoch = { 1 }, .counted = false });
+    CHECK(applied.machine.tasks().find("@loopdraw/0")->failures == 0);
     applied.outcomes(serviceLease(2));
-    applied.outcomes(batch::RecordFailed { .task = { "loopdraw#0" }, .epoch = { 2 } });
-    CHECK(applied.machine.tasks().find("loopdraw#0")->failures == 1);
+    applied.outcomes(batch::RecordFailed { .task = { "@loopdraw/0" }, .epoch = { 2 } });
+    CHECK(applied.machine.tasks().find("@loopdraw/0")->failures == 1);
 }
--- a/tests/decisions/routing/GrantorTest.cpp
+++ b/tests/decisions/routing/GrantorTest.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <array>
+
 #include "tests/decisions/routing/FakeWorld.h"
 
 namespace acaciafork::routing::fake {
@@ -108,6 +110,37 @@
     CHECK(world.overshoots() == 0);
 }
 
+TEST_CASE("room of a leaving endpoint that an unknown entry may hold is freed by its announcements")
+{
+    // The entry that may hold credit of the last leadership is lost and never reports.
+    CreditGrantor grantor({});
+    GrantorCommands commands;
+    const std::array known { ProcessId { 1 } };
+    grantor.becameLeader(Timestamp(), 2, known, true, &commands);
+    EndpointAnnouncement announcement { .endpoint = { "e" },
+                                        .service = { "s" },
+                                        .address = "127.0.0.1:1",
+                                        .incarnation = { 5 },
+                                        .slots = 8,
+                                        .connections = 64 };
+    for (std::int64_t it = 0; it < 200; ++it) {
+        const Timestamp now = timestampFromMicroseconds(it * second);
+        announcement.sequence = static_cast<std::uint64_t>(it + 1);
+        grantor.endpointAnnounced(now, announcement, &commands);
+        if (it == 1)
+            grantor.endpointLeaving(now, { .endpoint = { "e" }, .incarnation = { 5 } }, &commands);
+        grantor.tick(now, &commands);
+        const auto &rows = grantor.tables().endpointRows();
+        REQUIRE(rows.size() == 1);
+        const GrantorEndpoint &endpoint = grantor.tables().endpoint(rows.begin()->second);
+        CHECK(endpoint.usable == (it == 0));
+        if (it < 2)
+            CHECK(endpoint.unknownSlots == 8);
+        if (it >= 30)
+            CHECK(endpoint.unknownSlots == 0);
+    }
+}
+
 TEST_CASE("grants follow demand")
 {
     WorldOptions options { .entries = 4, .endpoints = 4, .slots = 8, .connections = 64 };
--- a/tests/peers/PeerLinkTest.cpp
+++ b/tests/peers/PeerLinkTest.cpp
@@ -93,12 +93,14 @@
         .full = true,
         .demands = { { .service = { "s" }, .wanted = 5, .held = 4, .spare = 1 } },
         .holdings = { { .endpoint = { "e" },
+                        .service = { "s" },
                         .grantNumber = 8,
                         .slots = 4,
                         .inUse = 3,
                         .lingering = 1,
                         .connections = 6,
-                        .refusals = 2 } }
+                        .refusals = 2 } },
+        .leaving = { { .endpoint = { "gone" }, .incarnation = { 6 } } }
     };
     wire::Envelope envelope;
     envelope.set_sender(4);
@@ -112,6 +114,9 @@
     CHECK(back.holdings[0].refusals == 2);
     CHECK(back.holdings[0].lingering == 1);
     CHECK(back.demands.at(0).spare == 1);
+    CHECK(back.holdings[0].service.value == "s");
+    REQUIRE(back.leaving.size() == 1);
+    CHECK(back.leaving[0].incarnation.value == 6);
 
     routing::CreditGrant grant { .entry = { 4 },
                                  .entryIncarnation = { 77 },
@@ -132,10 +137,12 @@
                                            .requestsInProgress = 2,
                                            .listsAttempts = true,
                                            .attemptsInProgress = { AttemptId { 11 } } } });
+    grant.leaving.push_back({ .endpoint = { "gone" }, .incarnation = { 6 } });
     wire::CreditGrant message;
     encodeGrant(grant, &message);
     const routing::CreditGrant grantBack = decodeGrant(message, ProcessId { 4 });
     CHECK(grantBack.lease == Duration(6'000'000));
+    CHECK(grantBack.leaving.size() == 1);
     REQUIRE(grantBack.grants.size() == 1);
     CHECK(grantBack.grants[0].hasEvidence);
     CHECK(grantBack.grants[0].evidence.attemptsInProgress == std::vector { AttemptId { 11 } });
