Hold texts that tasks share once

Cause: at 277,000 running tasks the tables took 171.2 MB, 618 bytes a task, of a budget of 256 MB for the whole process. Change: team, family, worker and reason are handles on a pool that holds each text once for as long as a task uses it.

--- a/acaciafork/operators/StateJson.cpp
+++ b/acaciafork/operators/StateJson.cpp
@@ -196,7 +196,7 @@
 json::object toJson(std::string_view id, const state::Task &task)
 {
     json::object body { { "id", id },
-                        { "family", task.family },
+                        { "family", task.family.view() },
                         { "state", state::taskStateName(task.state) },
                         { "epoch", task.epoch.value },
                         { "millicores", task.size.millicores },
@@ -216,7 +216,7 @@
         { "service", task.service.view() },
         { "worker", task.worker.view() },
         { "checkpoint", task.checkpoint },
-        { "reason", task.reason }
+        { "reason", task.reason.view() }
     };
     for (const auto &[key, value] : texts) {
         if (!value.empty())
--- a/acaciafork/state/Task.h
+++ b/acaciafork/state/Task.h
@@ -5,6 +5,7 @@
 
 #include "acaciafork/core/Ids.h"
 #include "acaciafork/core/Time.h"
+#include "acaciafork/state/TextPool.h"
 #include "wire/state.pb.h"
 
 namespace acaciafork::state {
@@ -23,19 +24,19 @@
 struct Task
 {
     /// Team that owns it; empty for a replica of a service.
-    TeamName team;
+    Shared<TeamName> team;
     /// Placement that it is a replica of; empty for a batch job.
     ServiceName service;
     /// Jobs of one family resemble each other in size and run time.
-    std::string family;
+    Shared<std::string> family;
     /// What the worker is handed; opaque here.
     std::string payload;
     /// Worker of the live lease, or of the last one.
-    WorkerName worker;
+    Shared<WorkerName> worker;
     /// Last checkpoint recorded; the next lease resumes from it.
     std::string checkpoint;
     /// Why it failed or can't run.
-    std::string reason;
+    Shared<std::string> reason;
     /// Number of the live lease, or of the last one; 0 before the first.
     LeaseEpoch epoch;
     /// Run time that the team declared.
--- a/acaciafork/state/TaskRecords.cpp
+++ b/acaciafork/state/TaskRecords.cpp
@@ -16,6 +16,13 @@
     return id.starts_with(command.team() + '/');
 }
 
+TaskSize sizeOf(const wire::Resources &amounts)
+{
+    return { .millicores = static_cast<std::uint32_t>(amounts.millicores()),
+             .memoryMb = static_cast<std::uint32_t>(amounts.memory_mb()),
+             .accelerators = static_cast<std::uint32_t>(amounts.accelerators()) };
+}
+
 } // namespace
 
 std::string problemOf(const wire::SubmitTask &command, std::size_t payloadBytes)
@@ -37,17 +44,15 @@
     return {};
 }
 
-Task taskOf(const wire::SubmitTask &command)
+Task taskOf(const wire::SubmitTask &command, TextPool *pool)
 {
     return Task {
-        .team = { command.team() },
+        .team = { pool, command.team() },
         .service = { command.service() },
-        .family = command.family(),
+        .family = { pool, command.family() },
         .payload = command.payload(),
         .declaredRunMs = command.declared_run_ms(),
-        .size = { .millicores = static_cast<std::uint32_t>(command.size().millicores()),
-                  .memoryMb = static_cast<std::uint32_t>(command.size().memory_mb()),
-                  .accelerators = static_cast<std::uint32_t>(command.size().accelerators()) },
+        .size = sizeOf(command.size()),
         .urgent = command.urgent(),
     };
 }
@@ -55,9 +60,9 @@
 void submissionOf(std::string_view id, const Task &task, wire::SubmitTask *command)
 {
     command->set_task(std::string(id));
-    command->set_team(task.team.value);
+    command->set_team(std::string(task.team.view()));
     command->set_service(task.service.value);
-    command->set_family(task.family);
+    command->set_family(std::string(task.family.view()));
     command->set_payload(task.payload);
     command->set_declared_run_ms(task.declaredRunMs);
     command->set_urgent(task.urgent);
@@ -72,38 +77,38 @@
     submissionOf(id, task, record->mutable_submitted());
     record->set_state(task.state);
     record->set_epoch(task.epoch.value);
-    record->set_worker(task.worker.value);
+    record->set_worker(std::string(task.worker.view()));
     record->set_checkpoint(task.checkpoint);
     record->set_failures(task.failures);
     record->set_evictions(task.evictions);
     record->set_cancel_requested(task.cancelRequested);
     record->set_submitted_us(task.submittedMicroseconds);
     record->set_changed_us(task.changedMicroseconds);
-    record->set_reason(task.reason);
+    record->set_reason(std::string(task.reason.view()));
 }
 
-Task taskOf(const wire::TaskRecord &record)
+Task taskOf(const wire::TaskRecord &record, TextPool *pool)
 {
-    Task task = taskOf(record.submitted());
+    Task task = taskOf(record.submitted(), pool);
     task.state = record.state();
     task.epoch = { record.epoch() };
-    task.worker = { record.worker() };
+    task.worker = { pool, record.worker() };
     task.checkpoint = record.checkpoint();
     task.failures = record.failures();
     task.evictions = record.evictions();
     task.cancelRequested = record.cancel_requested();
     task.submittedMicroseconds = record.submitted_us();
     task.changedMicroseconds = record.changed_us();
-    task.reason = record.reason();
+    task.reason = { pool, record.reason() };
     return task;
 }
 
 bool isSameSubmission(const wire::SubmitTask &command, const Task &task)
 {
-    const Task other = taskOf(command);
-    return other.team == task.team && other.service == task.service && other.family == task.family
-            && other.payload == task.payload && other.declaredRunMs == task.declaredRunMs
-            && other.size == task.size && other.urgent == task.urgent;
+    return command.team() == task.team.view() && command.service() == task.service.value
+            && command.family() == task.family.view() && command.payload() == task.payload
+            && command.declared_run_ms() == task.declaredRunMs
+            && sizeOf(command.size()) == task.size && command.urgent() == task.urgent;
 }
 
 } // namespace acaciafork::state
--- a/acaciafork/state/TaskRecords.h
+++ b/acaciafork/state/TaskRecords.h
@@ -10,8 +10,8 @@
 /// What is wrong with a submission, apart from its team; empty when nothing is.
 std::string problemOf(const wire::SubmitTask &command, std::size_t payloadBytes);
 
-/// Task as it stands right after its submission.
-Task taskOf(const wire::SubmitTask &command);
+/// Task as it stands right after its submission, its texts in `pool`.
+Task taskOf(const wire::SubmitTask &command, TextPool *pool);
 
 /// Submission that made a task.
 void submissionOf(std::string_view id, const Task &task, wire::SubmitTask *command);
@@ -19,8 +19,8 @@
 /// Record of a task in a snapshot.
 void recordOf(std::string_view id, const Task &task, wire::TaskRecord *record);
 
-/// Task of a record.
-Task taskOf(const wire::TaskRecord &record);
+/// Task of a record, its texts in `pool`.
+Task taskOf(const wire::TaskRecord &record, TextPool *pool);
 
 /// True when a submission has the content that a task was made from.
 bool isSameSubmission(const wire::SubmitTask &command, const Task &task);
--- a/acaciafork/state/Tasks.cpp
+++ b/acaciafork/state/Tasks.cpp
@@ -71,7 +71,7 @@
             return makeResult(wire::OUTCOME_OVER_QUOTA, 0, "larger than the team's whole quota");
     }
 
-    Task task = taskOf(command);
+    Task task = taskOf(command, &m_texts);
     task.submittedMicroseconds = nowMicroseconds;
     task.changedMicroseconds = nowMicroseconds;
     m_tasks.emplace(command.task(), std::move(task));
@@ -90,7 +90,7 @@
 
     // The same lease once more changes nothing; any other while one is live is refused.
     if (task.hasLiveLease()) {
-        if (command.epoch() == task.epoch.value && command.worker() == task.worker.value)
+        if (command.epoch() == task.epoch.value && command.worker() == task.worker.view())
             return makeResult(wire::OUTCOME_ALREADY_APPLIED, task.epoch.value);
         return wrongState(task);
     }
@@ -105,7 +105,7 @@
         return makeResult(wire::OUTCOME_OVER_QUOTA, task.epoch.value, "the team's quota is in use");
 
     task.epoch = { command.epoch() };
-    task.worker = { command.worker() };
+    task.worker = { &m_texts, command.worker() };
     setState(it, wire::TASK_STATE_LEASED, nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED, task.epoch.value);
 }
@@ -167,7 +167,7 @@
         return makeResult(wire::OUTCOME_INVALID, command.epoch(), "the reason is too long");
     Task &task = target.it->second;
     ++task.failures;
-    task.reason = command.reason();
+    task.reason = { &m_texts, command.reason() };
     return release(target.it, command.final() ? wire::TASK_STATE_FAILED : wire::TASK_STATE_QUEUED,
                    nowMicroseconds);
 }
@@ -204,7 +204,7 @@
         return makeResult(wire::OUTCOME_ALREADY_APPLIED, task.epoch.value);
     if (task.hasLiveLease() || task.isEnded())
         return wrongState(task);
-    task.reason = unschedulableReasonName(command.reason());
+    task.reason = { &m_texts, unschedulableReasonName(command.reason()) };
     setState(it, wire::TASK_STATE_UNSCHEDULABLE, nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED, task.epoch.value);
 }
@@ -244,7 +244,8 @@
     if (!problemOf(record.submitted(), m_limits.taskPayloadBytes).empty()
         || !wire::TaskState_IsValid(record.state()))
         return false;
-    const auto [it, isNew] = m_tasks.try_emplace(record.submitted().task(), taskOf(record));
+    const auto [it, isNew] =
+            m_tasks.try_emplace(record.submitted().task(), taskOf(record, &m_texts));
     if (!isNew)
         return false;
     const Task &task = it->second;
@@ -273,11 +274,11 @@
 
 bool Tasks::fitsQuota(const Task &task) const
 {
-    if (task.team.value.empty())
+    if (task.team.empty())
         return true;
-    const wire::Team *team = m_teams.find(task.team.value);
+    const wire::Team *team = m_teams.find(task.team.view());
     ACACIAFORK_ASSERT(team != nullptr);
-    const Usage usage = usageOf(task.team.value);
+    const Usage usage = usageOf(task.team.view());
     return usage.millicores + task.size.millicores <= team->quota().millicores()
             && usage.memoryMb + task.size.memoryMb <= team->quota().memory_mb()
             && usage.accelerators + task.size.accelerators <= team->quota().accelerators();
@@ -309,9 +310,9 @@
 
 void Tasks::addUsage(const Task &task)
 {
-    if (task.team.value.empty())
+    if (task.team.empty())
         return;
-    Usage &usage = m_usage[task.team.value];
+    Usage &usage = m_usage[std::string(task.team.view())];
     usage.millicores += task.size.millicores;
     usage.memoryMb += task.size.memoryMb;
     usage.accelerators += task.size.accelerators;
@@ -319,9 +320,9 @@
 
 void Tasks::removeUsage(const Task &task)
 {
-    if (task.team.value.empty())
+    if (task.team.empty())
         return;
-    Usage &usage = m_usage[task.team.value];
+    Usage &usage = m_usage[std::string(task.team.view())];
     ACACIAFORK_ASSERT(usage.millicores >= task.size.millicores);
     usage.millicores -= task.size.millicores;
     usage.memoryMb -= task.size.memoryMb;
--- a/acaciafork/state/Tasks.h
+++ b/acaciafork/state/Tasks.h
@@ -96,6 +96,8 @@
 
     const StateLimits &m_limits;
     const Teams &m_teams;
+    /// Texts that tasks share; declared before the tasks, which let go of them at their end.
+    TextPool m_texts;
     Map m_tasks;
     std::map<std::string, Usage, std::less<>> m_usage;
     std::set<std::pair<std::int64_t, std::string>> m_ended;
