--- a/acaciafork/decisions/batch/Fleet.h
+++ b/acaciafork/decisions/batch/Fleet.h
@@ -33,8 +33,10 @@
     std::vector<PastRun> pastRuns;
     /// Numbers of the latest usage reports taken, so that repeats are dropped.
     std::vector<std::uint64_t> usageSeen;
-    /// Smoothed worst latency of its services over that of running alone, less one.
+    /// Smoothed worst latency of its services over that of running alone, less one, and the
+    /// smoothed square of what single measurements are off from it.
     float pressure = 0;
+    float pressureVariance = 0;
     /// Usage reports in a row above the upper and below the lower bound of pressure.
     std::uint16_t pressedReports = 0;
     std::uint16_t calmReports = 0;
@@ -131,6 +133,8 @@
 
     /// Why no worker that stays could ever hold `size`; None when one could, or none is known yet.
     [[nodiscard]] UnschedulableReason whyNeverFits(const Resources &size) const;
+    /// Tasks at workers whose rack is not known yet, as after a change of leader.
+    [[nodiscard]] std::uint32_t tasksWithoutRack() const { return m_tasksWithoutRack; }
     /// True when the worker may be given new work.
     [[nodiscard]] bool eligible(Index worker) const;
 
@@ -141,6 +145,7 @@
     NameIndex<ZoneName> m_zones;
     std::vector<Worker> m_workers;
     std::vector<Rack> m_racks;
+    std::uint32_t m_tasksWithoutRack = 0;
 };
 
 } // namespace acaciafork::batch
--- a/tests/consensus/Group.h
+++ b/tests/consensus/Group.h
@@ -18,6 +18,9 @@
 {
     double lossRate = 0;
     double repeatRate = 0;
+    /// Share of messages that come much later than all others, and how late.
+    double lateRate = 0;
+    Duration lateMost = std::chrono::seconds(2);
     Duration delayLeast = std::chrono::microseconds(200);
     Duration delayMost = std::chrono::milliseconds(2);
 };
@@ -31,10 +34,13 @@
     std::uint64_t seed = 1;
     NodeSettings node;
     LogFolderSettings folder;
+    ReplacementSettings replacement { .automatic = false };
     LinkSettings link;
     DiskFaults faults;
     /// Clocks run faster or slower by up to this many parts in a thousand.
     std::int64_t clockRateSpread = 4;
+    /// Clock rates of the first members, in place of drawn ones.
+    std::vector<double> clockRates;
 };
 
 class Group;
@@ -128,6 +134,7 @@
     };
 
     void post(ProcessId from, ProcessId to, std::string bytes);
+    void checkLeases();
     void checkLeader(GroupMember &member);
     void noteApplied(const GroupMember &member, const LogPosition &position,
                      std::string_view command);
