Name replicas @service/replica again

Cause: the batch policy had meanwhile taken up @service/position, and service#replica broke its tests. Change: ids of replicas are @service/replica and names of teams do not begin with @. Conclusion: state, batch policy and control agree on the ids.

--- a/acaciafork/state/TaskRecords.cpp
+++ b/acaciafork/state/TaskRecords.cpp
@@ -6,14 +6,12 @@
 namespace acaciafork::state {
 namespace {
 
-/// True for "team/job" and "service#replica". Names hold no slash, so that no team's job can take
-/// the id of another team's, or of a replica.
+/// True for "team/job" and "@service/replica". No team's name begins with @ or holds a slash, so
+/// that no team's job can take the id of another team's, or of a replica.
 bool namesItsOwner(const wire::SubmitTask &command)
 {
-    const std::string_view id = command.task();
-    if (command.team().empty())
-        return isName(id) && id.starts_with(command.service() + '#');
-    return id.starts_with(command.team() + '/');
+    const std::string owner = command.team().empty() ? '@' + command.service() : command.team();
+    return command.task().starts_with(owner + '/');
 }
 
 TaskSize sizeOf(const wire::Resources &amounts)
@@ -32,7 +30,7 @@
     if (command.team().empty() == command.service().empty())
         return "a task belongs to a team or to a service";
     if (!namesItsOwner(command))
-        return "the id must be team/job or service#replica";
+        return "the id must be team/job or @service/replica";
     if (command.family().size() > longestName || command.service().size() > longestName)
         return "a name is too long";
     if (!isBounded(command.size()))
--- a/acaciafork/state/Teams.cpp
+++ b/acaciafork/state/Teams.cpp
@@ -11,8 +11,8 @@
 /// What is wrong with a team; empty when nothing is.
 std::string problemOf(const wire::Team &team)
 {
-    if (!isName(team.name()))
-        return "a team needs a name";
+    if (!isName(team.name()) || team.name().front() == '@')
+        return "a team needs a name that does not begin with @";
     if (team.token_digest().size() != tokenDigestBytes)
         return "a team needs the SHA-256 digest of its token";
     if (!isBounded(team.quota()))
