--- a/acaciafork/operators/client/CtlCommand.cpp
+++ b/acaciafork/operators/client/CtlCommand.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 #include <boost/json.hpp>
 
@@ -218,6 +219,24 @@
     return json::serialize(body);
 }
 
+/// Makes a call; nothing when it failed.
+/// @param[out] refusal why it failed
+std::optional<json::value> callOrKeep(const std::string &method, const std::string &path,
+                                      const std::string &body, ControlClient *client,
+                                      Refusal *refusal)
+{
+    std::optional<json::value> answer;
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(value, client->call(method, path, body));
+                answer = std::move(value);
+                return {};
+            },
+            [&](const Refusal &it) { *refusal = it; },
+            [&](const Failure &it) { refusal->failure = it; }, [] {});
+    return answer;
+}
+
 } // namespace
 
 std::span<const CtlCommand> ctlCommands()
@@ -257,11 +276,18 @@
     for (std::size_t i = 0; i < query.size(); ++i)
         path += (i == 0 ? '?' : '&') + query[i];
 
-    BOOST_LEAF_AUTO(answer, client->call(std::string(command->method), path, body));
+    Refusal refusal;
+    const auto answer = callOrKeep(std::string(command->method), path, body, client, &refusal);
+    if (!answer) {
+        if (refusal.failure.kind == FailureKind::Timeout && !command->version.path.empty())
+            refusal.failure.detail += "; to be sure, run it again with --request-id " + requestId
+                    + " --expected-version " + std::to_string(version);
+        return leaf::new_error(std::move(refusal));
+    }
     if (arguments.json)
-        return json::serialize(answer) + '\n';
+        return json::serialize(*answer) + '\n';
     const bool isCounters = command->path == "counters";
-    return textView(isCounters ? answer.at("counters") : answer);
+    return textView(isCounters ? answer->at("counters") : *answer);
 }
 
 } // namespace acaciafork::operators
--- a/tests/operators/CtlTest.cpp
+++ b/tests/operators/CtlTest.cpp
@@ -188,6 +188,20 @@
     CHECK(session.transport.asked.size() == 4);
     session.transport.lostAnswers = 100;
     CHECK(session.run({ .words = { "status" } }) == FailureKind::Timeout);
+
+    // A change says how to repeat it, and the repeat gets the first answer.
+    CtlArguments put { .words = { "racks", "put", "r1" },
+                       .requestId = "mine",
+                       .expectedVersion = 0,
+                       .building = "old",
+                       .zone = "a" };
+    CHECK(session.run(put) == FailureKind::Timeout);
+    CHECK(session.text.find("--request-id mine --expected-version 0") != std::string::npos);
+    session.transport.lostAnswers = 0;
+    session.text.clear();
+    session.run(put);
+    CHECK(session.text.find("applied") != std::string::npos);
+    CHECK(session.fixture.machine.racks().find("r1")->version() == 1);
 }
 
 TEST_CASE("time lines merge so that a cause stands before its effects")
