Let a replica of a service be leased again after any end

Cause: a replica that finished or failed for good was ended in the state: its name could not be leased for an hour, and after that its epochs began anew, so that a late report of an old lease could have ended a new one. Change: a replica goes back to queued after any end, keeps its epochs, and cannot be cancelled by itself. Conclusion: fencing holds for as long as a placement does.

--- a/acaciafork/state/Task.h
+++ b/acaciafork/state/Task.h
@@ -57,6 +57,9 @@
     {
         return state == wire::TASK_STATE_LEASED || state == wire::TASK_STATE_RUNNING;
     }
+    /// True for a replica of a service. It has no end of its own: its epochs go on, so that late
+    /// reports of one lease never touch a later one.
+    [[nodiscard]] bool isReplica() const { return !service.value.empty(); }
     /// True once nothing more happens to it.
     [[nodiscard]] bool isEnded() const { return state >= wire::TASK_STATE_FINISHED; }
 };
--- a/acaciafork/state/Tasks.cpp
+++ b/acaciafork/state/Tasks.cpp
@@ -154,7 +154,9 @@
     const Target target = targetOf(command.task(), command.epoch());
     if (target.refused)
         return target.refusal;
-    setState(target.it, wire::TASK_STATE_FINISHED, nowMicroseconds);
+    setState(target.it,
+             target.it->second.isReplica() ? wire::TASK_STATE_QUEUED : wire::TASK_STATE_FINISHED,
+             nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED, command.epoch());
 }
 
@@ -168,7 +170,8 @@
     Task &task = target.it->second;
     ++task.failures;
     task.reason = { &m_texts, command.reason() };
-    return release(target.it, command.final() ? wire::TASK_STATE_FAILED : wire::TASK_STATE_QUEUED,
+    const bool isLast = command.final() && !task.isReplica();
+    return release(target.it, isLast ? wire::TASK_STATE_FAILED : wire::TASK_STATE_QUEUED,
                    nowMicroseconds);
 }
 
@@ -178,6 +181,9 @@
     if (it == m_tasks.end())
         return noSuchTask(command.task());
     Task &task = it->second;
+    if (task.isReplica())
+        return makeResult(wire::OUTCOME_WRONG_STATE, task.epoch.value,
+                          "a replica goes with its placement");
     if (task.state == wire::TASK_STATE_CANCELLED || (task.cancelRequested && !task.isEnded()))
         return makeResult(wire::OUTCOME_ALREADY_APPLIED, task.epoch.value);
     if (task.isEnded())
@@ -205,7 +211,8 @@
     if (task.hasLiveLease() || task.isEnded())
         return wrongState(task);
     task.reason = { &m_texts, unschedulableReasonName(command.reason()) };
-    setState(it, wire::TASK_STATE_UNSCHEDULABLE, nowMicroseconds);
+    if (!task.isReplica())
+        setState(it, wire::TASK_STATE_UNSCHEDULABLE, nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED, task.epoch.value);
 }
 
--- a/tests/state/TasksTest.cpp
+++ b/tests/state/TasksTest.cpp
@@ -89,6 +89,30 @@
     CHECK(driver.apply(replica).outcome() == wire::OUTCOME_INVALID);
 }
 
+TEST_CASE("a replica that ends is leased again under the next epoch, also much later")
+{
+    Driver driver({ .endedTaskWindow = std::chrono::seconds(10) });
+    wire::Command replica = job("@loopdraw/0", "");
+    replica.mutable_submit_task()->set_service("loopdraw");
+    driver.apply(replica);
+    driver.apply(lease("@loopdraw/0", "w1", 1));
+    CHECK(driver.apply(finished("@loopdraw/0", 1)).outcome() == wire::OUTCOME_APPLIED);
+    driver.now += 60'000'000;
+    CHECK(driver.apply(lease("@loopdraw/0", "w2", 2)).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(finished("@loopdraw/0", 1)).outcome() == wire::OUTCOME_STALE_EPOCH);
+
+    wire::Command failure;
+    failure.mutable_task_failed()->set_task("@loopdraw/0");
+    failure.mutable_task_failed()->set_epoch(2);
+    failure.mutable_task_failed()->set_final(true);
+    CHECK(driver.apply(failure).outcome() == wire::OUTCOME_APPLIED);
+    wire::Command never;
+    never.mutable_task_unschedulable()->set_task("@loopdraw/0");
+    CHECK(driver.apply(never).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(lease("@loopdraw/0", "w1", 3)).outcome() == wire::OUTCOME_APPLIED);
+    CHECK(driver.apply(cancel("@loopdraw/0")).outcome() == wire::OUTCOME_WRONG_STATE);
+}
+
 TEST_CASE("ended tasks are forgotten after their window")
 {
     Driver driver({ .endedTaskWindow = std::chrono::seconds(10) });
