--- a/acaciafork/state/Tasks.cpp
+++ b/acaciafork/state/Tasks.cpp
@@ -71,7 +71,7 @@
             return makeResult(wire::OUTCOME_OVER_QUOTA, 0, "larger than the team's whole quota");
     }
 
-    Task task = taskOf(command);
+    Task task = taskOf(command, &m_texts);
     task.submittedMicroseconds = nowMicroseconds;
     task.changedMicroseconds = nowMicroseconds;
     m_tasks.emplace(command.task(), std::move(task));
@@ -90,7 +90,7 @@
 
     // The same lease once more changes nothing; any other while one is live is refused.
     if (task.hasLiveLease()) {
-        if (command.epoch() == task.epoch.value && command.worker() == task.worker.value)
+        if (command.epoch() == task.epoch.value && command.worker() == task.worker.view())
             return makeResult(wire::OUTCOME_ALREADY_APPLIED, task.epoch.value);
         return wrongState(task);
     }
@@ -105,7 +105,7 @@
         return makeResult(wire::OUTCOME_OVER_QUOTA, task.epoch.value, "the team's quota is in use");
 
     task.epoch = { command.epoch() };
-    task.worker = { command.worker() };
+    task.worker = { &m_texts, command.worker() };
     setState(it, wire::TASK_STATE_LEASED, nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED, task.epoch.value);
 }
@@ -154,7 +154,9 @@
     const Target target = targetOf(command.task(), command.epoch());
     if (target.refused)
         return target.refusal;
-    setState(target.it, wire::TASK_STATE_FINISHED, nowMicroseconds);
+    setState(target.it,
+             target.it->second.isReplica() ? wire::TASK_STATE_QUEUED : wire::TASK_STATE_FINISHED,
+             nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED, command.epoch());
 }
 
@@ -167,8 +169,9 @@
         return makeResult(wire::OUTCOME_INVALID, command.epoch(), "the reason is too long");
     Task &task = target.it->second;
     ++task.failures;
-    task.reason = command.reason();
-    return release(target.it, command.final() ? wire::TASK_STATE_FAILED : wire::TASK_STATE_QUEUED,
+    task.reason = { &m_texts, command.reason() };
+    const bool isLast = command.final() && !task.isReplica();
+    return release(target.it, isLast ? wire::TASK_STATE_FAILED : wire::TASK_STATE_QUEUED,
                    nowMicroseconds);
 }
 
@@ -178,6 +181,9 @@
     if (it == m_tasks.end())
         return noSuchTask(command.task());
     Task &task = it->second;
+    if (task.isReplica())
+        return makeResult(wire::OUTCOME_WRONG_STATE, task.epoch.value,
+                          "a replica goes with its placement");
     if (task.state == wire::TASK_STATE_CANCELLED || (task.cancelRequested && !task.isEnded()))
         return makeResult(wire::OUTCOME_ALREADY_APPLIED, task.epoch.value);
     if (task.isEnded())
@@ -204,8 +210,9 @@
         return makeResult(wire::OUTCOME_ALREADY_APPLIED, task.epoch.value);
     if (task.hasLiveLease() || task.isEnded())
         return wrongState(task);
-    task.reason = unschedulableReasonName(command.reason());
-    setState(it, wire::TASK_STATE_UNSCHEDULABLE, nowMicroseconds);
+    task.reason = { &m_texts, unschedulableReasonName(command.reason()) };
+    if (!task.isReplica())
+        setState(it, wire::TASK_STATE_UNSCHEDULABLE, nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED, task.epoch.value);
 }
 
@@ -244,7 +251,8 @@
     if (!problemOf(record.submitted(), m_limits.taskPayloadBytes).empty()
         || !wire::TaskState_IsValid(record.state()))
         return false;
-    const auto [it, isNew] = m_tasks.try_emplace(record.submitted().task(), taskOf(record));
+    const auto [it, isNew] =
+            m_tasks.try_emplace(record.submitted().task(), taskOf(record, &m_texts));
     if (!isNew)
         return false;
     const Task &task = it->second;
@@ -273,11 +281,11 @@
 
 bool Tasks::fitsQuota(const Task &task) const
 {
-    if (task.team.value.empty())
+    if (task.team.empty())
         return true;
-    const wire::Team *team = m_teams.find(task.team.value);
+    const wire::Team *team = m_teams.find(task.team.view());
     ACACIAFORK_ASSERT(team != nullptr);
-    const Usage usage = usageOf(task.team.value);
+    const Usage usage = usageOf(task.team.view());
     return usage.millicores + task.size.millicores <= team->quota().millicores()
             && usage.memoryMb + task.size.memoryMb <= team->quota().memory_mb()
             && usage.accelerators + task.size.accelerators <= team->quota().accelerators();
@@ -309,9 +317,9 @@
 
 void Tasks::addUsage(const Task &task)
 {
-    if (task.team.value.empty())
+    if (task.team.empty())
         return;
-    Usage &usage = m_usage[task.team.value];
+    Usage &usage = m_usage[std::string(task.team.view())];
     usage.millicores += task.size.millicores;
     usage.memoryMb += task.size.memoryMb;
     usage.accelerators += task.size.accelerators;
@@ -319,9 +327,9 @@
 
 void Tasks::removeUsage(const Task &task)
 {
-    if (task.team.value.empty())
+    if (task.team.empty())
         return;
-    Usage &usage = m_usage[task.team.value];
+    Usage &usage = m_usage[std::string(task.team.view())];
     ACACIAFORK_ASSERT(usage.millicores >= task.size.millicores);
     usage.millicores -= task.size.millicores;
     usage.memoryMb -= task.size.memoryMb;
