--- a/fuzz/CorpusRunner.cpp
+++ b/fuzz/CorpusRunner.cpp
@@ -11,6 +11,8 @@
 // Stands in for libFuzzer where the compiler has none: runs each file of a corpus, then seeded
 // mutations of them. Usage: PROGRAM CORPUS RUNS
 
+// The name that libFuzzer looks for.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size);
 
 namespace {
--- a/fuzz/consensus/Folder.cpp
+++ b/fuzz/consensus/Folder.cpp
@@ -64,6 +64,8 @@
 
 } // namespace
 
+// The name that libFuzzer looks for.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     if (size == 0)
--- a/fuzz/consensus/Message.cpp
+++ b/fuzz/consensus/Message.cpp
@@ -42,6 +42,8 @@
 
 } // namespace
 
+// The name that libFuzzer looks for.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view bytes(reinterpret_cast<const char *>(data), size);
--- a/tests/consensus/MembershipTest.cpp
+++ b/tests/consensus/MembershipTest.cpp
@@ -88,7 +88,7 @@
     group.run(seconds(3));
     CHECK(group.member(4).state.version() == 1000);
     // Starting over would send more than all of it again.
-    const std::uint64_t heartbeats = 3000 / 60 * 4 * 2 * 60;
+    const std::uint64_t heartbeats = 3000ULL / 60 * 4 * 2 * 60;
     CHECK(group.bytesSent() - before < whole - sent + whole / 4 + heartbeats);
     CHECK(group.violation() == "");
 }
