--- a/acaciafork/consensus/Consensus.h
+++ b/acaciafork/consensus/Consensus.h
@@ -2,6 +2,7 @@
 
 /// Public header of the consensus library: the pure node, its storage, and the replica over both.
 
+#include "acaciafork/consensus/AgreementSettings.h"
 #include "acaciafork/consensus/LogFolder.h"
 #include "acaciafork/consensus/Membership.h"
 #include "acaciafork/consensus/Message.h"
--- a/tests/consensus/ElectionTest.cpp
+++ b/tests/consensus/ElectionTest.cpp
@@ -142,3 +142,12 @@
     CHECK(group.leader()->id == to);
     CHECK(group.violation() == "");
 }
+
+TEST_CASE("settings that contradict each other are refused")
+{
+    CHECK(checkNodeSettings({}));
+    CHECK_FALSE(checkNodeSettings({ .electionTimeoutLeast = milliseconds(700) }));
+    CHECK_FALSE(checkNodeSettings({ .heartbeatInterval = milliseconds(200) }));
+    CHECK(nodeSettingFields().size() > 3);
+    CHECK(replacementSettingFields().size() == 2);
+}
--- a/tests/consensus/ReplicaTest.cpp
+++ b/tests/consensus/ReplicaTest.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "FailureText.h"
 #include "Group.h"
 
 using namespace acaciafork;
@@ -58,3 +59,70 @@
     CHECK(group.leader()->state.version() == 11);
     CHECK(group.violation() == "");
 }
+
+TEST_CASE("without room on any disk nothing is accepted, reads go on, and it recovers by itself")
+{
+    Group group({ .members = 3, .seed = 9 });
+    REQUIRE(group.awaitLeader());
+    REQUIRE(writeThrough(&group, 1));
+    for (auto &[id, member] : group.members())
+        member->disk.setFull(true);
+    GroupMember *leader = group.leader();
+    CHECK_FALSE(writeThrough(&group, 2));
+    CHECK(leader->replica->status(leader->clock()).full);
+    const Seen refused = seen(
+            [&] { return leader->replica->propose(leader->clock(), Register::command(3, 0, 3)); });
+    CHECK(refused.kind == FailureKind::Full);
+    group.run(std::chrono::seconds(5));
+    CHECK(group.leader() == leader);
+    CHECK(leader->replica->canReadNow(leader->clock()));
+    CHECK(leader->state.version() == 1);
+
+    for (auto &[id, member] : group.members())
+        member->disk.setFull(false);
+    group.run(std::chrono::seconds(1));
+    REQUIRE(writeThrough(&group, 4));
+    CHECK(group.violation() == "");
+}
+
+TEST_CASE("a leader without room hands over to a member that has some")
+{
+    Group group({ .members = 3, .seed = 10 });
+    REQUIRE(group.awaitLeader());
+    GroupMember *full = group.leader();
+    full->disk.setFull(true);
+    CHECK(writeThrough(&group, 1));
+    group.run(std::chrono::seconds(2));
+    REQUIRE(group.leader() != nullptr);
+    CHECK(group.leader() != full);
+    REQUIRE(writeThrough(&group, 2));
+    CHECK(group.violation() == "");
+}
+
+TEST_CASE("a slow follower is not flooded")
+{
+    GroupSettings settings { .members = 3, .seed = 12 };
+    settings.node.inflightMessages = 4;
+    settings.node.appendBytes = 100;
+    Group group(settings);
+    REQUIRE(group.awaitLeader());
+    GroupMember *leader = group.leader();
+    const ProcessId slow { leader->id.value % 3 + 1 };
+    group.run(std::chrono::milliseconds(200));
+    // It hears everything, and its answers are lost.
+    group.cut(slow, leader->id);
+    const std::uint64_t before = group.bytesSent();
+    for (std::uint64_t it = 1; it <= 2000; ++it) {
+        (void)leader->replica->propose(leader->clock(), Register::command(it, 0, it));
+        if (it % 20 == 0)
+            group.step();
+    }
+    group.run(std::chrono::seconds(1));
+    CHECK(leader->state.version() == 2000);
+    CHECK(group.member(slow.value).state.version() < 100);
+    CHECK(group.bytesSent() > before);
+    group.heal();
+    group.run(std::chrono::seconds(2));
+    CHECK(group.member(slow.value).state.version() == 2000);
+    CHECK(group.violation() == "");
+}
