--- a/acaciafork/consensus/MessageCodec.cpp
+++ b/acaciafork/consensus/MessageCodec.cpp
@@ -112,15 +112,11 @@
     LogIndex expected = from->prev_index() + 1;
     to->entries.reserve(static_cast<std::size_t>(from->entries_size()));
     for (auto &it : *from->mutable_entries()) {
-        const auto kind = it.kind();
-        if (it.index() != expected || !isWellFormed(it))
+        auto entry = fromWire(std::move(it));
+        if (!entry || entry->index != expected)
             return false;
         ++expected;
-        to->entries.push_back({ .index = it.index(),
-                                .term = it.term(),
-                                .kind = static_cast<EntryKind>(kind),
-                                .payload = std::make_shared<const std::string>(
-                                        std::move(*it.mutable_payload())) });
+        to->entries.push_back(std::move(*entry));
     }
     return true;
 }
--- a/benchmarks/consensus/measure_consensus.cpp
+++ b/benchmarks/consensus/measure_consensus.cpp
@@ -48,7 +48,7 @@
 /// Empty folder for one run.
 std::string freshFolder(const Arguments &arguments)
 {
-    const std::string path = arguments.path + "/acaciafork-measure";
+    std::string path = arguments.path + "/acaciafork-measure";
     std::filesystem::remove_all(path);
     std::filesystem::create_directories(path);
     return path;
@@ -60,58 +60,50 @@
         std::this_thread::sleep_for(milliseconds(10));
 }
 
+/// Runs one load on a fresh group and prints a row of its latencies.
+void runLoad(const Arguments &arguments, std::size_t members, const LoadSettings &load)
+{
+    ThreadedGroup group({ .members = members,
+                          .path = freshFolder(arguments),
+                          .syncDelay = Duration(arguments.syncDelayUs) });
+    awaitLeader(group);
+    group.load(load);
+    std::this_thread::sleep_for(milliseconds(500));
+    (void)group.take();
+    const auto start = Clock::now();
+    std::this_thread::sleep_for(seconds(arguments.runSeconds));
+    LoadResult result = group.take();
+    const double elapsed = std::chrono::duration<double>(Clock::now() - start).count();
+    const auto count = static_cast<double>(result.latenciesUs.size());
+    std::printf("| %zu | %zu | %.0f | %.2f | %.2f | %.0f |\n", members,
+                load.rate != 0 ? load.rate : load.window, count / elapsed,
+                quantileMs(result.latenciesUs, 0.5), quantileMs(result.latenciesUs, 0.99),
+                static_cast<double>(result.bytesToFollowers) / count
+                        / static_cast<double>(members - 1));
+    std::fflush(stdout);
+}
+
+void printLoadHeader(const char *load)
+{
+    std::printf("| members | %s | commits/s | p50 ms | p99 ms | bytes a command a follower |\n"
+                "|---|---|---|---|---|---|\n",
+                load);
+}
+
 void measureCommit(const Arguments &arguments)
 {
-    std::printf("| members | window | commits/s | p50 ms | p99 ms | bytes a command a follower |\n"
-                "|---|---|---|---|---|---|\n");
+    printLoadHeader("window");
     for (const std::size_t members : { 3, 5 }) {
-        for (const std::size_t window : { 1, 8, 64, 256, 1024, 4096 }) {
-            ThreadedGroup group({ .members = members,
-                                  .path = freshFolder(arguments),
-                                  .syncDelay = Duration(arguments.syncDelayUs) });
-            awaitLeader(group);
-            group.load({ .window = window });
-            std::this_thread::sleep_for(milliseconds(500));
-            (void)group.take();
-            const auto start = Clock::now();
-            std::this_thread::sleep_for(seconds(arguments.runSeconds));
-            LoadResult result = group.take();
-            const double elapsed = std::chrono::duration<double>(Clock::now() - start).count();
-            const auto count = static_cast<double>(result.latenciesUs.size());
-            std::printf("| %zu | %zu | %.0f | %.2f | %.2f | %.0f |\n", members, window,
-                        count / elapsed, quantileMs(result.latenciesUs, 0.5),
-                        quantileMs(result.latenciesUs, 0.99),
-                        static_cast<double>(result.bytesToFollowers) / count
-                                / static_cast<double>(members - 1));
-            std::fflush(stdout);
-        }
+        for (const std::size_t window : { 1, 8, 64, 256, 1024, 4096 })
+            runLoad(arguments, members, { .window = window });
     }
 }
 
 void measureRate(const Arguments &arguments)
 {
-    std::printf(
-            "| members | offered/s | commits/s | p50 ms | p99 ms | bytes a command a follower |\n"
-            "|---|---|---|---|---|---|\n");
-    for (const std::size_t members : { 3, 5 }) {
-        ThreadedGroup group({ .members = members,
-                              .path = freshFolder(arguments),
-                              .syncDelay = Duration(arguments.syncDelayUs) });
-        awaitLeader(group);
-        group.load({ .rate = arguments.rate });
-        std::this_thread::sleep_for(milliseconds(500));
-        (void)group.take();
-        const auto start = Clock::now();
-        std::this_thread::sleep_for(seconds(arguments.runSeconds));
-        LoadResult result = group.take();
-        const double elapsed = std::chrono::duration<double>(Clock::now() - start).count();
-        const auto count = static_cast<double>(result.latenciesUs.size());
-        std::printf("| %zu | %zu | %.0f | %.2f | %.2f | %.0f |\n", members, arguments.rate,
-                    count / elapsed, quantileMs(result.latenciesUs, 0.5),
-                    quantileMs(result.latenciesUs, 0.99),
-                    static_cast<double>(result.bytesToFollowers) / count
-                            / static_cast<double>(members - 1));
-    }
+    printLoadHeader("offered/s");
+    for (const std::size_t members : { 3, 5 })
+        runLoad(arguments, members, { .rate = arguments.rate });
 }
 
 /// Time from the loss of the leader to the first commit under the next one, in virtual time.
@@ -146,6 +138,7 @@
     std::printf("| members | kills | p50 ms | p99 ms | longest ms |\n|---|---|---|---|---|\n");
     for (const std::size_t members : { 3, 5 }) {
         std::vector<std::int64_t> times;
+        times.reserve(kills);
         for (std::uint64_t it = 0; it < kills; ++it)
             times.push_back(failoverUs(members, arguments.seed + it));
         std::printf("| %zu | %llu | %.0f | %.0f | %.0f |\n", members,
@@ -214,6 +207,7 @@
         const std::string path = freshFolder(arguments);
         openAndApplyMs(path, count);
         std::vector<std::int64_t> times;
+        times.reserve(5);
         for (int it = 0; it < 5; ++it)
             times.push_back(static_cast<std::int64_t>(openAndApplyMs(path, 0) * 1000));
         std::printf("| %llu | %.1f |\n", static_cast<unsigned long long>(count),
@@ -282,6 +276,7 @@
     auto file = (*folder)->openFile("log");
     ACACIAFORK_ASSERT(file.has_value());
     std::vector<std::int64_t> times;
+    times.reserve(writes);
     for (int it = 0; it < writes; ++it) {
         const auto start = Clock::now();
         ACACIAFORK_ASSERT(static_cast<bool>((*file)->append(std::string(256, 'x'))));
