Count what a replica does

Cause: operators see a process through its counters first. Change: ReplicaCounters, registered in the process's registry when one is given.

--- a/acaciafork/consensus/Replica.cpp
+++ b/acaciafork/consensus/Replica.cpp
@@ -57,6 +57,7 @@
 Replica::Replica(ReplicaSettings settings, std::unique_ptr<LogFolder> folder,
                  RecoveredState recovered, ReplicaHandler *handler, Timestamp now)
     : m_settings(std::move(settings))
+    , m_counters(m_settings.counters != nullptr ? m_settings.counters : &m_ownRegistry)
     , m_folder(std::move(folder))
     , m_node(m_settings.node, m_settings.identity, std::move(recovered), now, m_settings.seed)
     , m_handler(handler)
@@ -76,7 +77,9 @@
     if (now < m_nextReplacementCheck)
         return;
     m_nextReplacementCheck = now + replacementCheckInterval;
-    const auto command = m_replacement.decide(now, m_node.status(now));
+    const NodeStatus status = m_node.status(now);
+    m_counters.faultsTolerated.set(static_cast<std::int64_t>(redundancy(status).faultsTolerated));
+    const auto command = m_replacement.decide(now, status);
     // A change that can't be made now is asked for again.
     if (command && command->spare)
         (void)m_node.addLearner(now, command->spare, command->lost);
@@ -86,9 +89,13 @@
 
 Result<void> Replica::receive(Timestamp now, std::string_view bytes)
 {
-    BOOST_LEAF_AUTO(message, decodeMessage(bytes));
+    auto message = decodeMessage(bytes);
+    if (!message) {
+        m_counters.messagesRefused.add();
+        return message.error();
+    }
     if (!m_folder->broken())
-        m_node.receive(now, std::move(message));
+        m_node.receive(now, std::move(*message));
     return {};
 }
 
@@ -124,6 +131,15 @@
     if (!m_folder->broken())
         storeSnapshot(now);
     reportRole();
+    showGauges();
+}
+
+void Replica::showGauges()
+{
+    m_counters.term.set(static_cast<std::int64_t>(m_node.term()));
+    m_counters.commitIndex.set(static_cast<std::int64_t>(m_node.commitIndex()));
+    m_counters.full.set(m_full ? 1 : 0);
+    m_counters.broken.set(m_folder->broken() ? 1 : 0);
 }
 
 bool Replica::write(Timestamp now, const NodeOutput &output)
@@ -131,6 +147,12 @@
     const Outcome outcome =
             outcomeOf([&] { return m_folder->write(output.hardState, output.entries); });
     m_full = outcome == Outcome::Full;
+    if (outcome == Outcome::Done) {
+        m_counters.groupCommits.add();
+        m_counters.entriesWritten.add(static_cast<std::int64_t>(output.entries.size()));
+    } else {
+        m_counters.writesFailed.add();
+    }
     if (outcome == Outcome::Done)
         m_node.synced(now);
     else
@@ -141,7 +163,14 @@
 void Replica::sendAll(const std::vector<Message> &messages)
 {
     for (const Message &it : messages)
-        m_handler->send(it.to, encodeMessage(it));
+        sendOne(it);
+}
+
+void Replica::sendOne(const Message &message)
+{
+    std::string bytes = encodeMessage(message);
+    m_counters.bytesSent.add(static_cast<std::int64_t>(bytes.size()));
+    m_handler->send(message.to, std::move(bytes));
 }
 
 void Replica::answerFetches(Timestamp now, const std::vector<Message> &fetches)
@@ -165,7 +194,7 @@
                          .term = 0,
                          .body = SnapshotChunk {
                                  .meta = meta, .offset = offset, .data = std::move(*bytes) } };
-        m_handler->send(answer.to, encodeMessage(answer));
+        sendOne(answer);
     }
 }
 
@@ -191,14 +220,17 @@
         m_node.snapshotRejected(now);
         return;
     }
+    m_counters.snapshotsFetched.add();
     m_node.snapshotInstalled(now, meta);
 }
 
 void Replica::applyAll(const std::vector<Entry> &committed)
 {
     for (const Entry &it : committed) {
-        if (it.kind == EntryKind::Command)
-            m_handler->apply({ .index = it.index, .term = it.term }, *it.payload);
+        if (it.kind != EntryKind::Command)
+            continue;
+        m_counters.commandsApplied.add();
+        m_handler->apply({ .index = it.index, .term = it.term }, *it.payload);
     }
 }
 
@@ -218,6 +250,7 @@
     const std::string bytes = m_handler->makeSnapshot();
     if (outcomeOf([&] { return m_folder->storeSnapshot(&meta, bytes); }) != Outcome::Done)
         return;
+    m_counters.snapshotsStored.add();
     m_node.snapshotStored(meta);
     // Segments that could not be removed are removed with the next snapshot.
     (void)outcomeOf([&] { return m_folder->compactTo(m_node.baseIndex()); });
@@ -227,6 +260,8 @@
 {
     if (m_role == m_node.role() && m_leader == m_node.leader())
         return;
+    if (m_node.role() == Role::Leader && m_role != Role::Leader)
+        m_counters.leaderships.add();
     m_role = m_node.role();
     m_leader = m_node.leader();
     m_handler->roleChanged(m_role, m_leader);
--- a/acaciafork/consensus/Replica.h
+++ b/acaciafork/consensus/Replica.h
@@ -7,6 +7,7 @@
 #include "acaciafork/consensus/LogFolder.h"
 #include "acaciafork/consensus/Node.h"
 #include "acaciafork/consensus/ReplacementPolicy.h"
+#include "acaciafork/consensus/ReplicaCounters.h"
 
 namespace acaciafork::consensus {
 
@@ -44,6 +45,8 @@
     ReplacementSettings replacement;
     /// Seed of election timeouts and of a new folder's identity; different on each start.
     std::uint64_t seed = 0;
+    /// Where the replica counts; must outlive it. Null counts for itself.
+    CounterRegistry *counters = nullptr;
 };
 
 /// State of a replica for operators.
@@ -107,6 +110,7 @@
             ReplicaHandler *handler, Timestamp now);
 
     bool write(Timestamp now, const NodeOutput &output);
+    void sendOne(const Message &message);
     void sendAll(const std::vector<Message> &messages);
     void answerFetches(Timestamp now, const std::vector<Message> &fetches);
     void takePieces(Timestamp now, const std::vector<SnapshotChunk> &pieces);
@@ -114,9 +118,12 @@
     void applyAll(const std::vector<Entry> &committed);
     void storeSnapshot(Timestamp now);
     void reportRole();
+    void showGauges();
     void replaceLost(Timestamp now);
 
     ReplicaSettings m_settings;
+    CounterRegistry m_ownRegistry;
+    ReplicaCounters m_counters;
     std::unique_ptr<LogFolder> m_folder;
     Node m_node;
     ReplicaHandler *m_handler;
--- /dev/null
+++ b/acaciafork/consensus/ReplicaCounters.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "acaciafork/core/Counters.h"
+
+namespace acaciafork::consensus {
+
+/// Numbers that a replica keeps at /metrics.
+struct ReplicaCounters
+{
+    /// Registers all of them.
+    explicit ReplicaCounters(CounterRegistry *registry)
+        : groupCommits(registry->counter("consensus_group_commits_total"))
+        , entriesWritten(registry->counter("consensus_entries_written_total"))
+        , writesFailed(registry->counter("consensus_writes_failed_total"))
+        , commandsApplied(registry->counter("consensus_commands_applied_total"))
+        , snapshotsStored(registry->counter("consensus_snapshots_stored_total"))
+        , snapshotsFetched(registry->counter("consensus_snapshots_fetched_total"))
+        , leaderships(registry->counter("consensus_leaderships_total"))
+        , messagesRefused(registry->counter("consensus_messages_refused_total"))
+        , bytesSent(registry->counter("consensus_bytes_sent_total"))
+        , term(registry->counter("consensus_term", MetricKind::Gauge))
+        , commitIndex(registry->counter("consensus_commit_index", MetricKind::Gauge))
+        , full(registry->counter("consensus_disk_full", MetricKind::Gauge))
+        , broken(registry->counter("consensus_disk_broken", MetricKind::Gauge))
+        , faultsTolerated(registry->counter("consensus_faults_tolerated", MetricKind::Gauge))
+    { }
+
+    Counter &groupCommits;
+    Counter &entriesWritten;
+    Counter &writesFailed;
+    Counter &commandsApplied;
+    Counter &snapshotsStored;
+    Counter &snapshotsFetched;
+    /// How often this member became the leader.
+    Counter &leaderships;
+    /// Messages that could not be read.
+    Counter &messagesRefused;
+    Counter &bytesSent;
+    Counter &term;
+    Counter &commitIndex;
+    Counter &full;
+    Counter &broken;
+    /// Known on the leader only; 0 elsewhere.
+    Counter &faultsTolerated;
+};
+
+} // namespace acaciafork::consensus
--- a/tests/consensus/Group.cpp
+++ b/tests/consensus/Group.cpp
@@ -45,7 +45,8 @@
                     .node = m_group->settings().node,
                     .folder = m_group->settings().folder,
                     .replacement = m_group->settings().replacement,
-                    .seed = m_group->random()()
+                    .seed = m_group->random()(),
+                    .counters = &counters
                 };
                 BOOST_LEAF_ASSIGN(replica,
                                   Replica::open(clock(), std::move(settings), folder.get(), this));
--- a/tests/consensus/Group.h
+++ b/tests/consensus/Group.h
@@ -69,6 +69,7 @@
     ProcessId id;
     ZoneName zone;
     MemoryDisk disk;
+    CounterRegistry counters;
     std::unique_ptr<MemoryFolder> folder;
     std::unique_ptr<Replica> replica;
     Register state;
--- a/tests/consensus/ReplicaTest.cpp
+++ b/tests/consensus/ReplicaTest.cpp
@@ -37,6 +37,8 @@
     }
     group.checkLogs();
     CHECK(group.violation() == "");
+    CHECK(group.leader()->counters.counter("consensus_commands_applied_total").value == 50);
+    CHECK(group.leader()->counters.counter("consensus_faults_tolerated").value == 1);
 }
 
 TEST_CASE("a group survives the loss of its leader and restarts of all")
