--- a/acaciafork/decisions/batch/Settings.h
+++ b/acaciafork/decisions/batch/Settings.h
@@ -66,7 +66,7 @@
     std::int64_t upperPermille = 150;
     std::int64_t lowerPermille = 80;
     /// Usage reports in a row that it takes to act, and to let go.
-    std::int64_t reportsToAct = 5;
+    std::int64_t reportsToAct = 3;
     std::int64_t reportsToRelease = 6;
     /// Least time between two steps at one worker; longer than use is reported late.
     Duration stepInterval = std::chrono::seconds(10);
--- a/acaciafork/decisions/batch/SizeEstimator.cpp
+++ b/acaciafork/decisions/batch/SizeEstimator.cpp
@@ -45,7 +45,7 @@
                              const Resources &peak)
 {
     // Use that fills the grant may have been held back by it: the need is taken to be larger.
-    constexpr std::int64_t heldBackPermille = 990;
+    constexpr std::int64_t heldBackPermille = 995;
     constexpr std::int64_t growthPermille = 1500;
     const bool heldBack = peak.millicores * permilleWhole
             >= std::int64_t { granted.millicores } * heldBackPermille;
--- a/acaciafork/decisions/batch/SizeEstimator.h
+++ b/acaciafork/decisions/batch/SizeEstimator.h
@@ -18,7 +18,7 @@
     double memoryQuantile = 0.98;
     /// Granted cores over that quantile, in thousandths: what uses less than the grant by this much
     /// was not held back by it.
-    std::int64_t coresMarginPermille = 1030;
+    std::int64_t coresMarginPermille = 1010;
     /// Granted memory over that quantile, in thousandths.
     std::int64_t memoryMarginPermille = 1100;
     /// Least grant over the declared size, in thousandths, however little a family uses.
