Keep stragglers from services, learn run times only where all runs were seen

Cause: a straggler holds its place for hours; a job restored from another leader looked shorter than it is.

--- a/acaciafork/decisions/batch/Placer.cpp
+++ b/acaciafork/decisions/batch/Placer.cpp
@@ -99,10 +99,12 @@
             static_cast<double>(m_model->settings.pressure.placementLimitPermille) / permilleWhole;
     if (added.toServices > limit)
         return unacceptable;
+    const bool misplaced = isStraggler(task) && hostsService(m_model->fleet.worker(worker));
+    constexpr double stragglerCost = 3;
     constexpr double serviceWeight = 10;
     constexpr double jobWeight = 2;
     return leftover(m_model->fleet.worker(worker), size) + serviceWeight * added.toServices
-            + jobWeight * added.toJobs;
+            + jobWeight * added.toJobs + (misplaced ? stragglerCost : 0);
 }
 
 Placer::Harm Placer::harm(const Task &task, const Resources &size, Index index) const
@@ -144,6 +146,20 @@
     return worst;
 }
 
+bool Placer::isStraggler(const Task &task) const
+{
+    constexpr double quantile = 0.9;
+    constexpr int factor = 2;
+    const Duration usual = m_model->sizes.runTime(task.family, task.declaredRunTime, quantile);
+    return usual > Duration::zero() && task.attained > usual * factor;
+}
+
+bool Placer::hostsService(const Worker &worker) const
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                       [&](Index it) { return m_model->tasks[it].isService(); });
+}
+
 bool Placer::failedAt(const Task &task, Index worker)
 {
     return std::find(task.failedWorkers.begin(), task.failedWorkers.end(), worker)
--- a/acaciafork/decisions/batch/Placer.h
+++ b/acaciafork/decisions/batch/Placer.h
@@ -36,6 +36,9 @@
     };
     [[nodiscard]] Harm harm(const Task &task, const Resources &size, Index worker) const;
     [[nodiscard]] double worstService(const Task &task, const Worker &worker, Index level) const;
+    /// It has run far longer than its family does, so it will hold its place for long.
+    [[nodiscard]] bool isStraggler(const Task &task) const;
+    [[nodiscard]] bool hostsService(const Worker &worker) const;
     [[nodiscard]] static bool failedAt(const Task &task, Index worker);
     /// Room left over and how unevenly, from 0 (full) to 1.
     [[nodiscard]] static double leftover(const Worker &worker, const Resources &size);
--- a/acaciafork/decisions/batch/TaskLifecycle.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycle.cpp
@@ -53,6 +53,7 @@
     task.declared = job.declared;
     task.declaredRunTime = job.declaredRunTime;
     task.urgent = job.urgent;
+    task.historyKnown = true;
 
     // What can be seen to be impossible is refused at once.
     const Resources &size = job.declared;
--- a/acaciafork/decisions/batch/TaskLifecycleCommits.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycleCommits.cpp
@@ -174,6 +174,8 @@
 {
     if (task.peak.millicores > 0)
         m_model->sizes.learnUse(task.family, task.declared, task.granted, task.peak);
+    if (!task.historyKnown)
+        return;
     const Duration runTime = task.attained + (m_model->now - task.startedAt);
     m_model->sizes.learnRunTime(task.family, task.declaredRunTime, runTime);
 }
--- a/acaciafork/decisions/batch/TaskTable.h
+++ b/acaciafork/decisions/batch/TaskTable.h
@@ -80,6 +80,8 @@
     TaskIntent intent = TaskIntent::Run;
     bool urgent = false;
     bool cancelRequested = false;
+    /// This leader saw all of its runs, so that its run time is known.
+    bool historyKnown = false;
     /// Its endpoint was told to leave.
     bool leaving = false;
     /// Its rack drains, and it ends sooner than it could be moved.
--- a/tests/decisions/batch/PolicyTest.cpp
+++ b/tests/decisions/batch/PolicyTest.cpp
@@ -239,6 +239,30 @@
     CHECK(session.state.task({ "large" }) == nullptr);
 }
 
+TEST_CASE("an evicted straggler is not put beside a service")
+{
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 1);
+    session.run(2s);
+    submitJob(&session, { .task = "straggler", .work = 5h, .declaredRunTime = 10min });
+    session.run(1h);
+
+    // The worker beside the service would be the tighter place.
+    addRack(&session, "r2", "old", "b", 1,
+            { .millicores = 16'000, .memoryMb = 60'000, .slots = 8 });
+    session.run(2s);
+    putService(&session, "loopdraw", 1);
+    session.run(2s);
+    session.putRack({ .rack = { "r1" },
+                      .building = { "old" },
+                      .zone = { "a" },
+                      .state = RackState::Draining });
+    addRack(&session, "r3", "old", "c", 1);
+    session.run(1min);
+    REQUIRE(session.state.task({ "straggler" }) != nullptr);
+    CHECK(session.state.task({ "straggler" })->lease.worker.value == "r3-w0");
+}
+
 TEST_CASE("accelerators are kept for the work that needs them")
 {
     Session session(Session::Options {});
