--- a/acaciafork/decisions/batch/TaskLifecycle.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycle.cpp
@@ -38,7 +38,7 @@
         return;
     }
     if (record.service.value.empty() && !task.cancelRequested)
-        m.enqueue(index, task.checkpoint.value != 0);
+        m.enqueue(index, static_cast<bool>(task.epoch));
 }
 
 void TaskLifecycle::submit(const JobRecord &job)
--- a/tests/decisions/batch/BatchTest.cpp
+++ b/tests/decisions/batch/BatchTest.cpp
@@ -85,6 +85,28 @@
     CHECK(session.world.audit.violations() == 0);
 }
 
+TEST_CASE("the wait for a lease covers the slowest clock allowed")
+{
+    // A clock that runs slower by a fifth keeps a lease for a quarter longer, not for a fifth.
+    Session::Options options;
+    options.settings.lease.clockMarginPermille = 200;
+    Session session(options);
+    session.addWorker({ .identity = { .worker = { "slow" },
+                                      .rack = { "r1" },
+                                      .building = { "old" },
+                                      .zone = { "a" },
+                                      .room = workerRoom },
+                        .clockPermille = 800 });
+    session.run(2s);
+    submitJob(&session, { .task = "job", .work = 10min });
+    session.run(1min);
+    addRack(&session, "r2", "old", "a", 1);
+    session.partition(0, session.now() + 10min);
+    session.run(2min);
+    CHECK(session.world.audit.starts == 2);
+    CHECK(session.world.audit.runsInTwoPlaces == 0);
+}
+
 TEST_CASE("a cancelled job ends, wherever it stands")
 {
     Session session(Session::Options {});
