Keep retired racks retired under a later leader

Change: steps that the move has done are retired where the state has no record; a record without a building is completed from reports; the fake keeps the name. Conclusion: retired racks take no work.

--- a/acaciafork/decisions/batch/Fleet.h
+++ b/acaciafork/decisions/batch/Fleet.h
@@ -88,6 +88,9 @@
     /// RackDrained or RackRetired waits for its commit.
     bool proposed = false;
 
+    /// The state told its record; else it is known by its workers' reports alone.
+    bool recorded = false;
+
     /// Work leaves this rack.
     [[nodiscard]] bool draining() const
     {
--- a/acaciafork/decisions/batch/RackDrainer.cpp
+++ b/acaciafork/decisions/batch/RackDrainer.cpp
@@ -12,6 +12,7 @@
     const Index known = m_model->fleet.findRack(rack.rack);
     const bool wasDraining = known != noIndex && m_model->fleet.rack(known).draining();
     const Index index = m_model->fleet.putRack(rack);
+    m_model->fleet.rack(index).recorded = true;
     if (!wasDraining)
         m_model->fleet.rack(index).drainStartedAt = m_model->now;
     markMoveRacks();
@@ -57,21 +58,33 @@
 {
     for (Index rack = 0; rack < m_model->fleet.rackCount(); ++rack) {
         Rack &it = m_model->fleet.rack(rack);
-        it.wasDraining = it.moveDraining;
+        it.wasDraining = it.draining();
         it.wasLeaving = it.leavingSoon;
         it.moveDraining = false;
         it.leavingSoon = false;
     }
     m_model->leavingFrom = Timestamp::max();
+    if (m_move.state != MoveState::Planned && m_move.state != MoveState::RollingBack)
+        retireDone();
     if (m_move.state == MoveState::Running)
         markSteps();
     for (Index rack = 0; rack < m_model->fleet.rackCount(); ++rack) {
         const Rack &it = m_model->fleet.rack(rack);
-        if (it.wasDraining != it.moveDraining || it.wasLeaving != it.leavingSoon)
+        if (it.wasDraining != it.draining() || it.wasLeaving != it.leavingSoon)
             m_model->refreshRack(rack);
     }
 }
 
+void RackDrainer::retireDone()
+{
+    // The move's record alone says that these are retired, where the state holds no record of them.
+    for (std::size_t i = 0; i < m_move.stepsDone && i < m_move.steps.size(); ++i) {
+        const Index rack = m_model->fleet.findRack(m_move.steps[i]);
+        if (rack != noIndex && !m_model->fleet.rack(rack).recorded)
+            m_model->fleet.rack(rack).record.state = RackState::Retired;
+    }
+}
+
 void RackDrainer::markSteps()
 {
     // The first racks that are not empty are emptied, as many as may be at once; the later ones are
--- a/acaciafork/decisions/batch/RackDrainer.h
+++ b/acaciafork/decisions/batch/RackDrainer.h
@@ -31,6 +31,7 @@
 private:
     /// Marks the racks that the move empties now.
     void markMoveRacks();
+    void retireDone();
     void markSteps();
     void drain(Index rack);
     void evictFrom(Index worker, Timestamp drainStartedAt);
--- a/acaciafork/decisions/batch/WorkerReports.cpp
+++ b/acaciafork/decisions/batch/WorkerReports.cpp
@@ -29,6 +29,12 @@
     if (rack == noIndex)
         rack = m.fleet.putRack(
                 { .rack = report.rack, .building = report.building, .zone = report.zone });
+    RackRecord known = m.fleet.rack(rack).record;
+    if (known.building.value.empty()) {
+        known.building = report.building;
+        known.zone = report.zone;
+        m.fleet.putRack(known);
+    }
     m.fleet.setRack(index, rack);
 
     Worker &worker = m.fleet.worker(index);
--- a/benchmarks/batch/MoveRun.cpp
+++ b/benchmarks/batch/MoveRun.cpp
@@ -29,6 +29,7 @@
     int addBuilding(const std::string &name, int workers);
     void submitOne();
     void watch();
+    [[nodiscard]] RackName rackOf(const std::string &worker) const;
     void fault();
     void watchStandstill(const Command &command);
     [[nodiscard]] Duration roomBound() const;
@@ -46,6 +47,15 @@
     std::unordered_map<TaskName, Timestamp> m_stoppedAt;
 };
 
+RackName MoveRun::rackOf(const std::string &worker) const
+{
+    for (const auto &it : m_session.workers) {
+        if (it->identity().worker.value == worker)
+            return it->identity().rack;
+    }
+    return {};
+}
+
 MoveRun::MoveRun(const MoveOptions &options)
     : m_options(options)
     , m_session(sessionOptions(options, &m_baseline))
@@ -207,6 +217,13 @@
     m_session.onCommand = [this](const Command &it) {
         const auto *proposal = std::get_if<Propose>(&it);
         watchStandstill(it);
+        if (const auto *start = std::get_if<StartTask>(&it)) {
+            const std::string &worker = start->worker.value;
+            const auto known = m_session.state.racks().find(rackOf(worker));
+            const bool gone = known != m_session.state.racks().end()
+                    && known->second.state == RackState::Retired;
+            m_figures.retiredInUse += gone ? 1 : 0;
+        }
         const auto *retired = proposal ? std::get_if<RackRetired>(&proposal->change) : nullptr;
         if (retired == nullptr)
             return;
--- a/benchmarks/batch/fakes/FakeState.cpp
+++ b/benchmarks/batch/fakes/FakeState.cpp
@@ -129,12 +129,14 @@
 
 bool FakeState::on(const RackDrained &it)
 {
+    m_racks.try_emplace(it.rack, RackRecord { .rack = it.rack });
     m_racks[it.rack].state = RackState::Drained;
     return true;
 }
 
 bool FakeState::on(const RackRetired &it)
 {
+    m_racks.try_emplace(it.rack, RackRecord { .rack = it.rack });
     m_racks[it.rack].state = RackState::Retired;
     return true;
 }
--- a/tests/decisions/batch/MoveTest.cpp
+++ b/tests/decisions/batch/MoveTest.cpp
@@ -37,10 +37,17 @@
              .steps = plan.steps };
 }
 
-/// Counts racks that retire while something runs there.
+/// Counts racks that retire while something runs there, and starts at racks that were retired.
 void watchRetired(Session *session, int *inUse)
 {
     session->onCommand = [session, inUse](const Command &it) {
+        if (const auto *start = std::get_if<StartTask>(&it)) {
+            const RackName rack { start->worker.value.substr(0, 2) };
+            const auto known = session->state.racks().find(rack);
+            const bool retired = known != session->state.racks().end()
+                    && known->second.state == RackState::Retired;
+            *inUse += retired ? 1 : 0;
+        }
         const auto *proposal = std::get_if<Propose>(&it);
         const auto *retired = proposal ? std::get_if<RackRetired>(&proposal->change) : nullptr;
         if (retired == nullptr)
@@ -110,6 +117,27 @@
     }
 }
 
+TEST_CASE("a retired rack takes no work under a later leader")
+{
+    Session session(Session::Options {});
+    addRack(&session, "o1", "old", "1", 1);
+    addRack(&session, "o2", "old", "2", 1);
+    addRack(&session, "n1", "new", "1", 1);
+    session.run(2s);
+    int inUse = 0;
+    watchRetired(&session, &inUse);
+    session.putMove(plannedMove(&session));
+    session.run(30s);
+    REQUIRE(session.state.move().stepsDone == 2);
+    session.changeLeader(3s);
+    session.run(5s);
+    for (int i = 0; i < 20; ++i)
+        submitJob(&session, { .task = "job" + std::to_string(i), .work = 30min });
+    session.run(1min);
+    CHECK(session.workers[2]->runningCount() == 8);
+    CHECK(inUse == 0);
+}
+
 TEST_CASE("a paused move evicts no more and goes on when resumed")
 {
     Session session(Session::Options {});
