--- a/acaciafork/decisions/batch/Fleet.h
+++ b/acaciafork/decisions/batch/Fleet.h
@@ -111,8 +111,6 @@
     }
     /// Rack of that name, or noIndex.
     [[nodiscard]] Index findRack(const RackName &name) const { return m_rackNames.find(name); }
-    /// Building of that name, new when it was not seen before.
-    Index internBuilding(const BuildingName &name) { return m_buildings.intern(name); }
 
     /// Adds or replaces the record of a rack.
     Index putRack(const RackRecord &record);
