--- a/acaciafork/decisions/batch/TaskLifecycle.cpp
+++ b/acaciafork/decisions/batch/TaskLifecycle.cpp
@@ -38,7 +38,7 @@
         return;
     }
     if (record.service.value.empty() && !task.cancelRequested)
-        m.enqueue(index, task.checkpoint.value != 0);
+        m.enqueue(index, static_cast<bool>(task.epoch));
 }
 
 void TaskLifecycle::submit(const JobRecord &job)
@@ -53,6 +53,7 @@
     task.declared = job.declared;
     task.declaredRunTime = job.declaredRunTime;
     task.urgent = job.urgent;
+    task.historyKnown = true;
 
     // What can be seen to be impossible is refused at once.
     const Resources &size = job.declared;
