--- a/benchmarks/routing/Workload.cpp
+++ b/benchmarks/routing/Workload.cpp
@@ -88,6 +88,8 @@
     std::vector<std::int64_t> all;
     std::vector<std::int64_t> checks;
     std::vector<std::int64_t> waits;
+    int attempted = 0;
+    int attempts = 0;
     double usefulWork = 0;
     double arrivedWork = 0;
     for (const Ended &it : ended) {
@@ -96,6 +98,8 @@
             continue;
         ++outcome.arrivals;
         arrivedWork += static_cast<double>(it.arrival->work.count()) / secondUs;
+        attempted += it.attempts > 0 ? 1 : 0;
+        attempts += it.attempts;
         if (it.latency < 0) {
             ++(it.refused ? outcome.refused : outcome.unknown);
             continue;
@@ -116,6 +120,7 @@
     outcome.usefulShare = usefulWork / capacity;
     const double carried = outcome.arrivals * std::min(capacity / arrivedWork, 1.0);
     outcome.usefulCountShare = outcome.useful / carried;
+    outcome.extraAttemptsPercent = attempted > 0 ? 100.0 * (attempts - attempted) / attempted : 0;
     outcome.waitP99Ms = quantileMs(&waits, 0.99);
     outcome.p50Ms = quantileMs(&all, 0.5);
     outcome.p99Ms = quantileMs(&all, 0.99);
--- a/benchmarks/routing/Workload.h
+++ b/benchmarks/routing/Workload.h
@@ -80,7 +80,7 @@
     double p99Ms = 0;
     double checkP99Ms = 0;
     int overshoots = 0;
-    /// Attempts made for each request, beyond the first, in percent.
+    /// Attempts beyond the first, of the requests that had one, in percent.
     double extraAttemptsPercent = 0;
     double controlMessagesPerSecond = 0;
 };
@@ -92,6 +92,7 @@
     /// Microseconds from arrival to answer; below zero when there was none.
     std::int64_t latency = -1;
     bool refused = false;
+    int attempts = 1;
 };
 
 /// Sums up the arrivals of [from, to) seconds.
--- a/tests/decisions/routing/EntryFixture.h
+++ b/tests/decisions/routing/EntryFixture.h
@@ -20,6 +20,8 @@
     void end(AttemptId attempt, AttemptPhase phase, AttemptOutcome outcome);
     /// A grant of slots at an endpoint.
     void grant(const std::string &endpoint, std::uint32_t slots, std::uint64_t incarnation = 1);
+    /// A grant of nothing that renews the lease.
+    [[nodiscard]] CreditGrant emptyGrant() const;
     void advance(Duration time);
 
     /// The first command of a kind since the last event, or nullptr.
