--- a/acaciafork/decisions/routing/AttemptFlow.cpp
+++ b/acaciafork/decisions/routing/AttemptFlow.cpp
@@ -13,20 +13,6 @@
 /// Bounds of an endpoint's slowness, so that one answer does not decide.
 constexpr float leastSlowness = 0.5F;
 constexpr float mostSlowness = 4;
-/// Time without an answer from which on an endpoint is probed: at least this, and this many times
-/// what nine of ten requests of the route stay under.
-constexpr Duration leastSuspicion = std::chrono::seconds(1);
-constexpr int suspicionFactor = 3;
-/// Time between two looks at all attempts, and between two probes of one endpoint.
-constexpr Duration suspectInterval = std::chrono::milliseconds(250);
-constexpr Duration probeInterval = std::chrono::seconds(2);
-/// Time for which an endpoint gets nothing after a failed connect.
-constexpr Duration holdOffTime = std::chrono::milliseconds(200);
-/// Failures that a failed connect counts as.
-constexpr std::uint32_t connectFailureWeight = 2;
-/// A timeout speaks against the endpoint once it took this many times as long as expected.
-constexpr int blamedTimeoutFactor = 4;
-
 /// True when the end shows that the endpoint no longer works on the attempt.
 bool provesEnded(const AttemptEnd &end)
 {
@@ -58,10 +44,12 @@
 
 } // namespace
 
-AttemptFlow::AttemptFlow(EntryState *state, Admission *admission, CreditHolder *credits)
+AttemptFlow::AttemptFlow(EntryState *state, Admission *admission, CreditHolder *credits,
+                         EndpointWatch *watch)
     : m_state(state)
     , m_admission(admission)
     , m_credits(credits)
+    , m_watch(watch)
     , m_router(&state->generator)
 { }
 
@@ -344,38 +332,10 @@
         m_credits->markChanged(attempt.endpoint);
         return;
     }
-    const bool impatient =
-            end.outcome == AttemptOutcome::Timeout && elapsed < expected * blamedTimeoutFactor;
-    const bool unreachable = end.outcome == AttemptOutcome::ConnectFailed;
-    const std::uint32_t weight = unreachable ? connectFailureWeight : 1;
-    if (unreachable && !endpoint.heldOff) {
-        endpoint.heldOff = true;
-        m_heldOff.emplace_back(now + holdOffTime, attempt.endpoint);
-        m_state->endpoints.refresh(attempt.endpoint);
-    }
-    if (impatient || !endpoint.health.noteFailure(service.settings, weight))
-        return;
-    eject(now, attempt.endpoint, out);
-    if (unreachable && !endpoint.health.serving())
+    if (m_watch->noteFailure(now, attempt, end.outcome, out))
         evacuate(now, attempt.endpoint, out);
 }
 
-void AttemptFlow::endHoldOffs(Timestamp now)
-{
-    while (!m_heldOff.empty() && m_heldOff.front().first <= now) {
-        const TableIndex index = m_heldOff.front().second;
-        m_heldOff.pop_front();
-        m_state->endpoints[index].heldOff = false;
-        m_state->endpoints.refresh(index);
-    }
-}
-
-void AttemptFlow::forget(TableIndex index)
-{
-    std::erase(m_ejected, index);
-    std::erase_if(m_heldOff, [&](const auto &it) { return it.second == index; });
-}
-
 void AttemptFlow::evacuate(Timestamp now, TableIndex index, EntryCommands *out)
 {
     // An instance that is gone leaves its attempts without an end: what may run twice is tried
@@ -395,92 +355,6 @@
     }
 }
 
-void AttemptFlow::eject(Timestamp now, TableIndex index, EntryCommands *out)
-{
-    EntryEndpoint &endpoint = m_state->endpoints[index];
-    EntryService &service = m_state->services[endpoint.service];
-    const std::uint32_t mayBeOut =
-            service.endpoints * (100 - service.settings.ejectionFloorPercent) / 100;
-    if (service.ejected >= mayBeOut)
-        return;
-    ++service.ejected;
-    m_ejected.push_back(index);
-    endpoint.health.eject(now, service.settings);
-    m_state->endpoints.refresh(index);
-    out->push_back(
-            RecordEvent { .kind = EventKind::EndpointEjected, .subject = endpoint.name.value });
-}
-
-bool AttemptFlow::sendProbe(Timestamp now, TableIndex index, EntryCommands *out)
-{
-    EntryEndpoint &endpoint = m_state->endpoints[index];
-    if (endpoint.probing || endpoint.openConnections >= endpoint.connections)
-        return false;
-    endpoint.probing = true;
-    endpoint.probedAt = now;
-    ++endpoint.openConnections;
-    m_state->endpoints.refresh(index);
-    out->push_back(ProbeEndpoint { .endpoint = endpoint.name.view(), .address = endpoint.address });
-    return true;
-}
-
-void AttemptFlow::probe(Timestamp now, EntryCommands *out)
-{
-    for (const TableIndex it : m_ejected) {
-        EntryEndpoint &endpoint = m_state->endpoints[it];
-        if (endpoint.health.probeDue(now) && sendProbe(now, it, out))
-            endpoint.health.probeSent();
-    }
-    if (now - m_suspectedAt >= suspectInterval) {
-        m_suspectedAt = now;
-        probeSuspects(now, out);
-    }
-}
-
-void AttemptFlow::probeSuspects(Timestamp now, EntryCommands *out)
-{
-    // An instance that is gone says nothing. When all slots held there are taken by attempts that
-    // never end, only a probe finds out.
-    std::vector<TableIndex> suspects;
-    m_state->attempts.forEach([&](const AttemptRecord &it) {
-        if (!it.request || it.request->answerStarted || it.lane == Lane::Stream)
-            return;
-        const EntryEndpoint &endpoint = m_state->endpoints[it.endpoint];
-        const Duration high = m_state->services[it.service].estimator.high(it.routeHash);
-        const bool late = now - it.startedAt > std::max(leastSuspicion, suspicionFactor * high);
-        if (late && endpoint.health.serving() && now - endpoint.probedAt >= probeInterval)
-            suspects.push_back(it.endpoint);
-    });
-    std::sort(suspects.begin(), suspects.end());
-    for (const TableIndex it : suspects)
-        sendProbe(now, it, out);
-}
-
-void AttemptFlow::probeEnded(Timestamp now, TableIndex index, bool reached, EntryCommands *out)
-{
-    EntryEndpoint &endpoint = m_state->endpoints[index];
-    EntryService &service = m_state->services[endpoint.service];
-    if (!endpoint.probing)
-        return;
-    endpoint.probing = false;
-    m_state->endpoints.connectionDone(index, false);
-    if (endpoint.health.serving()) {
-        if (reached)
-            return;
-        eject(now, index, out);
-        evacuate(now, index, out);
-        return;
-    }
-    endpoint.health.probeEnded(now, reached, service.settings);
-    if (!reached)
-        return;
-    --service.ejected;
-    std::erase(m_ejected, index);
-    m_state->endpoints.refresh(index);
-    out->push_back(
-            RecordEvent { .kind = EventKind::EndpointRestored, .subject = endpoint.name.value });
-}
-
 void AttemptFlow::countLongRunning(Timestamp now, TableIndex index)
 {
     EntryService &service = m_state->services[index];
--- a/acaciafork/decisions/routing/AttemptFlow.h
+++ b/acaciafork/decisions/routing/AttemptFlow.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <deque>
-#include <utility>
 #include <vector>
 
 #include "acaciafork/decisions/routing/Admission.h"
 #include "acaciafork/decisions/routing/CreditHolder.h"
+#include "acaciafork/decisions/routing/EndpointWatch.h"
 #include "acaciafork/decisions/routing/EntryCommands.h"
 #include "acaciafork/decisions/routing/EntryState.h"
 #include "acaciafork/decisions/routing/Router.h"
@@ -17,8 +16,9 @@
 class AttemptFlow
 {
 public:
-    /// @param[in] state, admission, credits outlive the flow
-    AttemptFlow(EntryState *state, Admission *admission, CreditHolder *credits);
+    /// @param[in] state, admission, credits, watch outlive the flow
+    AttemptFlow(EntryState *state, Admission *admission, CreditHolder *credits,
+                EndpointWatch *watch);
 
     /// Gives the request a slot and starts it, by way of the ledger if it must run at most once.
     /// @return false when no slot is free; nothing has changed then
@@ -46,18 +46,8 @@
     /// Counts short work that has run for long as long work.
     void countLongRunning(Timestamp now, TableIndex service);
 
-    /// Puts endpoints back into service that were held off after a failed connect.
-    void endHoldOffs(Timestamp now);
-
-    /// Forgets an endpoint that is about to leave the table.
-    void forget(TableIndex endpoint);
-
-    /// A probe of an ejected endpoint has ended.
-    void probeEnded(Timestamp now, TableIndex endpoint, bool reached, EntryCommands *out);
-
-    /// Sends the probes that are due: to ejected endpoints whose time is over, and to those that
-    /// leave a request without an answer for much longer than its route takes.
-    void probe(Timestamp now, EntryCommands *out);
+    /// Tries the idempotent attempts at an endpoint that can't be reached elsewhere.
+    void evacuate(Timestamp now, TableIndex endpoint, EntryCommands *out);
 
 private:
     void send(const AttemptRecord &attempt, EntryCommands *out);
@@ -66,23 +56,15 @@
     void free(AttemptRecord *attempt, bool connectionKept);
     void judge(Timestamp now, const AttemptRecord &attempt, const AttemptEnd &end,
                EntryCommands *out);
-    void eject(Timestamp now, TableIndex endpoint, EntryCommands *out);
     void decide(Timestamp now, RequestRecord *record, const AttemptEnd &end, EntryCommands *out);
-    void probeSuspects(Timestamp now, EntryCommands *out);
-    bool sendProbe(Timestamp now, TableIndex endpoint, EntryCommands *out);
-    void evacuate(Timestamp now, TableIndex endpoint, EntryCommands *out);
     bool mayRetry(Timestamp now, const RequestRecord &record);
 
     EntryState *m_state;
     Admission *m_admission;
     CreditHolder *m_credits;
+    EndpointWatch *m_watch;
     Router m_router;
     std::vector<RequestRecord *> m_retries;
-    Timestamp m_suspectedAt;
-    /// Rows held off after a failed connect, with the time of their end, in order of time.
-    std::deque<std::pair<Timestamp, TableIndex>> m_heldOff;
-    /// Rows of the ejected endpoints.
-    std::vector<TableIndex> m_ejected;
 };
 
 } // namespace acaciafork::routing
--- a/acaciafork/decisions/routing/EntryScheduler.cpp
+++ b/acaciafork/decisions/routing/EntryScheduler.cpp
@@ -27,7 +27,8 @@
                                         .attempts = &m_state.attempts,
                                         .tombstones = &m_state.tombstones })
     , m_admission(&m_state)
-    , m_attempts(&m_state, &m_admission, &m_credits)
+    , m_watch(&m_state)
+    , m_attempts(&m_state, &m_admission, &m_credits, &m_watch)
 { }
 
 void EntryScheduler::requestArrived(Timestamp now, const RequestInfo &info, EntryCommands *out)
@@ -198,7 +199,8 @@
     const TableIndex index = m_state.endpoints.find(endpoint);
     if (index == noIndex)
         return;
-    m_attempts.probeEnded(now, index, reached, out);
+    if (m_watch.probeEnded(now, index, reached, out))
+        m_attempts.evacuate(now, index, out);
     for (RequestRecord *it : m_attempts.takeRetries())
         startOrWait(now, it, out);
     pump(now, m_state.endpoints[index].service, out);
@@ -267,7 +269,7 @@
         return;
     m_forgotAt = now;
     for (const TableIndex it : m_state.endpoints.unusedSince(now - forgetTime, now)) {
-        m_attempts.forget(it);
+        m_watch.forget(it);
         m_state.endpoints.remove(it);
     }
 }
@@ -276,7 +278,7 @@
 {
     m_credits.checkLease(now);
     m_state.tombstones.expire(now);
-    m_attempts.endHoldOffs(now);
+    m_watch.endHoldOffs(now);
     const Duration elapsed = now - m_tickedAt;
     m_tickedAt = now;
     for (TableIndex it = 0; it < m_state.services.size(); ++it) {
@@ -287,7 +289,7 @@
             m_credits.returnSurplus(it);
         pump(now, it, out);
     }
-    m_attempts.probe(now, out);
+    m_watch.probe(now, out);
     forgetEndpoints(now);
     m_credits.trimConnections(out);
     m_credits.report(now, out);
--- a/acaciafork/decisions/routing/EntryScheduler.h
+++ b/acaciafork/decisions/routing/EntryScheduler.h
@@ -35,7 +35,7 @@
     void requestArrived(Timestamp now, const RequestInfo &info, EntryCommands *out);
 
     /// The status and headers of an attempt's answer have come; the port holds them back until
-    /// ForwardAnswer.
+    /// ForwardAnswer. Not to be called for an answer which says that the work did not begin.
     /// @param[in] endpointError true for a status of 500 or above
     void attemptHeaders(Timestamp now, AttemptId attempt, bool endpointError, EntryCommands *out);
 
@@ -101,6 +101,7 @@
     EntryState m_state;
     CreditHolder m_credits;
     Admission m_admission;
+    EndpointWatch m_watch;
     AttemptFlow m_attempts;
     Timestamp m_tickedAt;
     Timestamp m_forgotAt;
--- a/tests/decisions/routing/PolicyTest.cpp
+++ b/tests/decisions/routing/PolicyTest.cpp
@@ -68,6 +68,7 @@
     teach(&entry, busyRoute, milliseconds(200), 100);
 
     std::vector<StartAttempt> running;
+    running.reserve(4);
     for (int it = 0; it < 4; ++it)
         running.push_back(*entry.arrive(requestOf(&entry, busyRoute)));
     const RequestInfo busy = requestOf(&entry, busyRoute);
