Let the aperture grow with what an entry should hold

Cause: at 8,200 endpoints of one service an aperture of 128 would have capped an entry at 1,024 slots, a third of its part. Change: an entry may always reach twice the endpoints that its target needs; slots at the aperture are given round the endpoints held instead of to the first one.

--- a/acaciafork/decisions/routing/GrantAllocator.cpp
+++ b/acaciafork/decisions/routing/GrantAllocator.cpp
@@ -9,6 +9,8 @@
 constexpr Duration resendInterval = std::chrono::milliseconds(300);
 /// Part of its target by which an entry may be above it before it gives slots back.
 constexpr std::uint32_t targetSlackPart = 16;
+/// Times the endpoints that its target needs at least which an entry may always reach.
+constexpr std::uint32_t apertureReserve = 2;
 /// Most peers named to an entry for one service.
 constexpr std::size_t maxHints = 3;
 /// Spare slots below which a peer is not named.
@@ -82,7 +84,7 @@
         const SessionDemand &demand = m_tables->demand(session, it);
         if (demand.granted >= demand.target || !m_tables->service(it).hasFree())
             continue;
-        if (demand.endpoints < apertureOf(it) || pickHeld(session, it) != noIndex)
+        if (!atAperture(session, it) || !heldWithFree(session, it).empty())
             return true;
     }
     return false;
@@ -92,12 +94,17 @@
                               CreditGrant *grant)
 {
     std::vector<TableIndex> touched;
+    std::vector<TableIndex> held;
+    if (atAperture(session, service))
+        held = heldWithFree(session, service);
     while (m_tables->demand(session, service).granted < m_tables->demand(session, service).target) {
-        const TableIndex endpoint = pick(session, service);
+        const TableIndex endpoint = pick(session, service, held);
         if (endpoint == noIndex)
             break;
         setGrant(now, session, endpoint, m_tables->holding(session, endpoint).slots + 1);
         touched.push_back(endpoint);
+        if (held.empty() && atAperture(session, service))
+            held = heldWithFree(session, service);
     }
     std::sort(touched.begin(), touched.end());
     touched.erase(std::unique(touched.begin(), touched.end()), touched.end());
@@ -105,11 +112,30 @@
         addLine(now, session, it, grant);
 }
 
-TableIndex GrantAllocator::pick(TableIndex session, TableIndex service)
+bool GrantAllocator::atAperture(TableIndex session, TableIndex index)
+{
+    // An entry that should hold much needs endpoints enough for twice that.
+    const SessionDemand &demand = m_tables->demand(session, index);
+    const GrantorService &service = m_tables->service(index);
+    const std::uint32_t slotsEach = std::max(service.room / std::max(service.endpoints, 1U), 1U);
+    const std::uint32_t needed = apertureReserve * demand.target / slotsEach;
+    return demand.endpoints >= std::max(apertureOf(index), needed);
+}
+
+TableIndex GrantAllocator::pick(TableIndex session, TableIndex service,
+                                const std::vector<TableIndex> &held)
 {
     SessionDemand &demand = m_tables->demand(session, service);
-    if (demand.endpoints >= apertureOf(service))
-        return pickHeld(session, service);
+    if (atAperture(session, service)) {
+        // Round the endpoints held already, until none of them has anything left.
+        for (std::size_t it = 0; it < held.size(); ++it) {
+            const TableIndex index = held[demand.cursor++ % held.size()];
+            const GrantorEndpoint &endpoint = m_tables->endpoint(index);
+            if (endpoint.freeSlots() > 0 && endpoint.freeConnections() > 0)
+                return index;
+        }
+        return noIndex;
+    }
 
     // The entry's own zone first; within a zone one endpoint after the other, so that the slots
     // of an entry are spread thinly.
@@ -124,15 +150,16 @@
     return noIndex;
 }
 
-TableIndex GrantAllocator::pickHeld(TableIndex session, TableIndex service)
+std::vector<TableIndex> GrantAllocator::heldWithFree(TableIndex session, TableIndex service) const
 {
+    std::vector<TableIndex> found;
     for (const auto &[endpoint, holding] : m_tables->session(session).holdings) {
         const GrantorEndpoint &candidate = m_tables->endpoint(endpoint);
         if (candidate.service == service && holding.slots > 0 && candidate.freeSlots() > 0
             && candidate.freeConnections() > 0)
-            return endpoint;
+            found.push_back(endpoint);
     }
-    return noIndex;
+    return found;
 }
 
 void GrantAllocator::setGrant(Timestamp now, TableIndex sessionIndex, TableIndex index,
--- a/acaciafork/decisions/routing/GrantAllocator.h
+++ b/acaciafork/decisions/routing/GrantAllocator.h
@@ -38,8 +38,10 @@
 
 private:
     void allocate(Timestamp now, TableIndex session, TableIndex service, CreditGrant *grant);
-    TableIndex pick(TableIndex session, TableIndex service);
-    TableIndex pickHeld(TableIndex session, TableIndex service);
+    TableIndex pick(TableIndex session, TableIndex service, const std::vector<TableIndex> &held);
+    [[nodiscard]] std::vector<TableIndex> heldWithFree(TableIndex session,
+                                                       TableIndex service) const;
+    [[nodiscard]] bool atAperture(TableIndex session, TableIndex service);
     void setGrant(Timestamp now, TableIndex session, TableIndex endpoint, std::uint32_t slots);
     void addLine(Timestamp now, TableIndex session, TableIndex endpoint, CreditGrant *grant);
     void addWatched(Timestamp now, TableIndex session, CreditGrant *grant);
--- a/acaciafork/decisions/routing/GrantorTables.h
+++ b/acaciafork/decisions/routing/GrantorTables.h
@@ -133,6 +133,8 @@
     /// Sums over its usable endpoints.
     std::uint32_t room = 0;
     std::uint32_t unknown = 0;
+    /// Endpoints with room.
+    std::uint32_t endpoints = 0;
 
     /// Slots that can be granted now at endpoints of any zone.
     [[nodiscard]] bool hasFree() const;
@@ -228,9 +230,11 @@
     GrantorEndpoint &changed = m_endpoints[index];
     GrantorService &ofService = m_services[changed.service];
     ofService.room -= changed.room();
+    ofService.endpoints -= changed.room() > 0 ? 1 : 0;
     ofService.unknown -= changed.usable ? changed.unknownSlots : 0;
     change(&changed);
     ofService.room += changed.room();
+    ofService.endpoints += changed.room() > 0 ? 1 : 0;
     ofService.unknown += changed.usable ? changed.unknownSlots : 0;
     refreshPool(index);
 }
--- a/tests/decisions/routing/FakeWorld.cpp
+++ b/tests/decisions/routing/FakeWorld.cpp
@@ -147,6 +147,7 @@
     for (int it = 0; knowsEntries && it < m_options.entries; ++it)
         known.push_back(ProcessId { static_cast<std::uint32_t>(it + 1) });
     GrantorCommands commands;
+    m_grantor->configApplied(std::span(&m_options.service, 1));
     m_grantor->becameLeader(localTime(grantorProcess), m_term, known, true, &commands);
     carryOut(&commands);
     for (int it = 0; it < m_options.entries; ++it) {
--- a/tests/decisions/routing/GrantorTest.cpp
+++ b/tests/decisions/routing/GrantorTest.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "tests/decisions/routing/FakeWorld.h"
 
 namespace acaciafork::routing::fake {
@@ -124,6 +126,24 @@
     CHECK(world.overshoots() == 0);
 }
 
+TEST_CASE("an aperture bounds the endpoints that an entry reaches, never what it can hold")
+{
+    for (const std::uint32_t aperture : { 4U, 0U }) {
+        WorldOptions options { .entries = 2, .endpoints = 40, .slots = 8, .connections = 64 };
+        options.service.aperture = aperture;
+        FakeWorld world(options);
+        loadSteadily(&world, 1, 10 * second, 20 * second);
+        // Half of all slots goes to the entry that has nothing to do.
+        world.runUntil(20 * second);
+        const auto &tables = world.grantor().tables();
+        const TableIndex session = tables.findSession(ProcessId { 1 }, Incarnation { 1 });
+        const SessionDemand &demand = tables.session(session).demands.at(0);
+        CHECK(demand.granted >= 150);
+        CHECK(demand.endpoints == (aperture == 0 ? 40 : std::min(40U, 2 * demand.target / 8)));
+        CHECK(world.overshoots() == 0);
+    }
+}
+
 TEST_CASE("messages of an idle system do not grow with its endpoints")
 {
     for (const int endpoints : { 4, 64 }) {
