Measure the cost of the grantor's events

Cause: capacity at 8,200 workers and 23 entries needs the grantor's slopes. Change: measure requests grantor: mean cost of announcements, reports and ticks.

--- a/benchmarks/routing/measure_requests.cpp
+++ b/benchmarks/routing/measure_requests.cpp
@@ -9,6 +9,7 @@
 
 #include "benchmarks/routing/Baselines.h"
 #include "benchmarks/routing/DecisionCost.h"
+#include "benchmarks/routing/GrantorCost.h"
 #include "benchmarks/routing/Workload.h"
 #include "tests/decisions/routing/FakeWorld.h"
 
@@ -261,6 +262,19 @@
     goalAtMost("dearest size against the cheapest", *most / *least, 1.5);
 }
 
+void measureGrantor()
+{
+    std::printf("\ncost of the grantor's events, all slots granted, nothing changes\n");
+    std::printf("%10s %8s %16s %10s %8s\n", "endpoints", "entries", "announcement us", "report us",
+                "tick us");
+    const std::pair<int, int> sizes[] = { { 65, 9 }, { 520, 9 }, { 2050, 16 }, { 8200, 23 } };
+    for (const auto &[endpoints, entries] : sizes) {
+        const GrantorCost cost = measureGrantorCost(endpoints, entries);
+        std::printf("%10d %8d %16.2f %10.1f %8.1f\n", cost.endpoints, cost.entries,
+                    cost.announcementUs, cost.reportUs, cost.tickUs);
+    }
+}
+
 } // namespace
 
 /// Runs all measurements, or those named on the command line; `seed=N` changes the seed.
@@ -294,6 +308,8 @@
     }
     if (asked("cost"))
         measureCost();
+    if (asked("grantor"))
+        measureGrantor();
     return 0;
 }
 
