Catch evidence that does not wait for what is under way

Cause: the flight bound in the proof had no broken variant that shows its need. Change: a sixth broken variant, and the margin for clock rates as a test. Conclusion: the check can fail on this point too.

--- a/tests/decisions/routing/FakeWorld.cpp
+++ b/tests/decisions/routing/FakeWorld.cpp
@@ -227,7 +227,7 @@
         m_grantor->endpointAnnounced(localTime(grantorProcess), announcement, &commands);
         carryOut(&commands);
     };
-    control(through, deliver, m_options.credit.flightBound - 4 * m_options.hop);
+    control(through, deliver, m_options.announcementLateness);
 }
 
 void FakeWorld::carryOut(GrantorCommands *commands)
--- a/tests/decisions/routing/FakeWorld.h
+++ b/tests/decisions/routing/FakeWorld.h
@@ -29,6 +29,8 @@
     int repeatedPercent = 0;
     /// Most that such a message is late, so that messages cross.
     Duration lateness {};
+    /// Most that an announcement is late; less than the flight bound.
+    Duration announcementLateness {};
     /// Most that an attempt's bytes are late on their way to the endpoint.
     Duration attemptLateness {};
     Duration announceInterval = std::chrono::seconds(1);
--- a/tests/decisions/routing/FlowTest.cpp
+++ b/tests/decisions/routing/FlowTest.cpp
@@ -21,6 +21,16 @@
     CHECK(world.overshoots() == 0);
 }
 
+TEST_CASE("a time that is surely over is over on the slowest clock as counted on the fastest")
+{
+    for (const std::int64_t us : { 1000, 1'000'000, 6'000'000 }) {
+        const Duration time(us);
+        constexpr int all = 100;
+        CHECK(surelyOver(time).count() * (all - clockRateSkewPercent)
+              >= time.count() * (all + clockRateSkewPercent));
+    }
+}
+
 TEST_CASE("requests beyond the room are refused at once or wait, never overshoot")
 {
     FakeWorld world(WorldOptions {});
--- a/tests/decisions/routing/RoomTest.cpp
+++ b/tests/decisions/routing/RoomTest.cpp
@@ -34,6 +34,7 @@
     options.listsAttempts = draw() % 2 == 0;
     options.credit.lease = std::chrono::milliseconds(1000);
     options.credit.flightBound = std::chrono::milliseconds(100);
+    options.announcementLateness = std::chrono::milliseconds(90);
     options.credit.heartbeatInterval = std::chrono::milliseconds(200);
     options.credit.announcementTimeout = std::chrono::milliseconds(1500);
     options.credit.halfOpenTimeout = std::chrono::seconds(3);
@@ -47,7 +48,11 @@
 {
 public:
     explicit Scenario(std::uint64_t seed)
-        : m_options(optionsOf(seed))
+        : Scenario(seed, optionsOf(seed))
+    { }
+
+    Scenario(std::uint64_t seed, const WorldOptions &options)
+        : m_options(options)
         , m_draw(seed * 7919 + 1)
         , m_world(m_options)
     { }
@@ -202,6 +207,19 @@
     }));
 }
 
+TEST_CASE("evidence that does not wait for what is under way is caught")
+{
+    bool overshot = false;
+    for (std::uint64_t seed = 1; seed <= brokenScenarioCount && !overshot; ++seed) {
+        WorldOptions options = optionsOf(seed);
+        options.credit.flightBound = Duration::zero();
+        Scenario scenario(seed, options);
+        scenario.run();
+        overshot = scenario.world().overshoots() > 0;
+    }
+    CHECK(overshot);
+}
+
 TEST_CASE("a leader that thinks that nobody holds anything is caught")
 {
     CHECK(caught([](Scenario *it) { it->forgetfulLeaders = true; }));
