Leave the answer of an endpoint that did not begin to the retry rules

Cause: the head of a not-run answer was reported like any other, so a non-idempotent request got the 503 as its answer in place of another try. Change: only the attempt's end is reported. Conclusion: the rule stands in one table again.

--- a/acaciafork/entry/EntryAttempt.cpp
+++ b/acaciafork/entry/EntryAttempt.cpp
@@ -74,7 +74,9 @@
     m_saysNotRun = net::findHeader(head.headers, "acaciafork-outcome") == "not-run";
     for (const net::Header &it : head.headers)
         m_headers.emplace_back(it.name, it.value);
-    if (m_abandoned)
+    // An endpoint that did not begin the work gives no answer for the caller: the attempt's end
+    // alone decides.
+    if (m_abandoned || m_saysNotRun)
         return;
     m_owner->attemptHeaders(m_attempt, head.status >= firstEndpointErrorStatus);
 }
