--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -101,7 +101,10 @@
     consensus::ReplicaSettings settings { .cluster = m_settings.cluster,
                                           .identity = { .self = self(),
                                                         .zone = { m_settings.zone } },
-                                          .seed = m_incarnation.value };
+                                          .node = m_settings.agreement,
+                                          .replacement = m_settings.replacement,
+                                          .seed = m_incarnation.value,
+                                          .counters = &m_counters };
     for (const peers::PeerAddress &it : m_settings.members)
         settings.identity.initialMembers.push_back(
                 { .id = it.process, .zone = it.zone, .voter = true });
@@ -185,10 +188,21 @@
     m_committed->set(static_cast<std::int64_t>(m_node->state().appliedIndex()));
     sendRelays();
     m_relays.expire(at.now);
+    endIfBroken();
     if (m_draining && !m_replica->isLeader())
         m_loop->stop();
 }
 
+void ControlProcess::endIfBroken()
+{
+    // After a write that failed for good only a restart tells what is on the disk.
+    if (m_isBroken || !m_replica->status(net::Loop::now()).broken)
+        return;
+    m_isBroken = true;
+    spdlog::error("event=storage-broken folder={}", m_settings.dataFolder);
+    m_loop->stop();
+}
+
 Moment ControlProcess::moment() const
 {
     return { .now = net::Loop::now(), .wallMicroseconds = net::Loop::wallMicroseconds() };
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -28,6 +28,9 @@
     /// Hands the leadership on if it has it, then stops the loop.
     void drain();
 
+    /// True when the loop was stopped because the data folder can't be written any more.
+    [[nodiscard]] bool broken() const { return m_isBroken; }
+
 private:
     using Reply = peers::CallTable::Handler;
 
@@ -53,6 +56,7 @@
     void onMessage(const wire::Envelope &envelope);
     void onApiRequest(const wire::Envelope &envelope);
     void tick();
+    void endIfBroken();
 
     /// Carries a call out here, or passes it to the leader.
     void callApi(const peers::ApiCall &call, const Reply &reply);
@@ -81,6 +85,7 @@
     std::unique_ptr<consensus::Replica> m_replica;
     peers::CallTable m_relays;
     bool m_draining = false;
+    bool m_isBroken = false;
     Counter *m_committed;
 };
 
--- a/acaciafork/control/ControlSettings.cpp
+++ b/acaciafork/control/ControlSettings.cpp
@@ -50,6 +50,26 @@
     return fields;
 }
 
+/// Moves one section out of `from`, if it is there.
+void takeSection(const std::string &name, IniSections *from, IniSections *to)
+{
+    auto node = from->extract(name);
+    if (!node.empty())
+        to->insert(std::move(node));
+}
+
+/// Adds the problems that a step of reading finds.
+template <typename Step>
+void gather(SettingsProblems *all, Step step)
+{
+    leaf::try_handle_all([&]() -> Result<void> { return step(); },
+                         [&](const SettingsProblems &found) {
+                             all->problems.insert(all->problems.end(), found.problems.begin(),
+                                                  found.problems.end());
+                         },
+                         [] { ACACIAFORK_ASSERT(false); });
+}
+
 } // namespace
 
 std::span<const Field> controlFields()
@@ -62,12 +82,40 @@
 {
     ControlSettings settings;
     BOOST_LEAF_AUTO(sections, parseIni(ini, file));
-    BOOST_LEAF_CHECK(readSettings<ControlSettings>(sections, file, controlFields(), &settings));
-    BOOST_LEAF_CHECK(peers::checkProcessSettings(settings, file));
-    BOOST_LEAF_ASSIGN(settings.entries,
-                      peers::parsePeers(settings.peerList, false, file, "peers", "list"));
-    BOOST_LEAF_ASSIGN(settings.members,
-                      peers::parsePeers(settings.controlMembers, true, file, "control", "members"));
+
+    // Sections of the consensus library are read by its own tables; what is wrong anywhere is
+    // reported together.
+    IniSections agreement;
+    IniSections replacement;
+    takeSection("agreement", &sections, &agreement);
+    takeSection("replacement", &sections, &replacement);
+    SettingsProblems all;
+    gather(&all, [&] {
+        return readSettings<ControlSettings>(sections, file, controlFields(), &settings);
+    });
+    gather(&all, [&] {
+        return readSettings<consensus::NodeSettings>(
+                agreement, file, consensus::nodeSettingFields(), &settings.agreement);
+    });
+    gather(&all, [&] {
+        return readSettings<consensus::ReplacementSettings>(
+                replacement, file, consensus::replacementSettingFields(), &settings.replacement);
+    });
+    gather(&all, [&] { return peers::checkProcessSettings(settings, file); });
+    gather(&all, [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(settings.entries,
+                          peers::parsePeers(settings.peerList, false, file, "peers", "list"));
+        return {};
+    });
+    gather(&all, [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(
+                settings.members,
+                peers::parsePeers(settings.controlMembers, true, file, "control", "members"));
+        return {};
+    });
+    if (!all.problems.empty())
+        return leaf::new_error(std::move(all));
+    BOOST_LEAF_CHECK(consensus::checkNodeSettings(settings.agreement));
     return settings;
 }
 
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -2,6 +2,7 @@
 
 #include <string_view>
 
+#include "acaciafork/consensus/Consensus.h"
 #include "acaciafork/peers/Peers.h"
 
 namespace acaciafork::control {
@@ -22,6 +23,10 @@
     /// Silence after which a worker gets no new work.
     Duration workerSilence = std::chrono::seconds(5);
 
+    /// Timing of the agreement, and when a lost member is replaced: sections of their own.
+    consensus::NodeSettings agreement;
+    consensus::ReplacementSettings replacement;
+
     /// The lists of the base struct, parsed.
     std::vector<peers::PeerAddress> entries;
     std::vector<peers::PeerAddress> members;
--- a/acaciafork/entry/EntryAttempt.h
+++ b/acaciafork/entry/EntryAttempt.h
@@ -52,7 +52,7 @@
 private:
     /// Answer bytes held before the decision, and bytes a slow caller may leave unsent, before the
     /// endpoint is slowed down.
-    static constexpr std::size_t mostBacklogBytes = 256 * 1024;
+    static constexpr std::size_t mostBacklogBytes = 256UL * 1024;
 
     void beginAnswer();
     void beginTunnel();
--- a/acaciafork/entry/EntryNode.cpp
+++ b/acaciafork/entry/EntryNode.cpp
@@ -107,6 +107,17 @@
     return !m_draining && m_config.ready(now);
 }
 
+Duration EntryNode::allowedTime(const ServiceName &service, Duration named) const
+{
+    const routing::ServiceTable &services = m_scheduler.state().services;
+    const routing::TableIndex index = services.find(service);
+    const routing::ServiceSettings settings =
+            index == routing::noIndex ? routing::ServiceSettings {} : services[index].settings;
+    if (named == Duration::zero())
+        return settings.defaultTimeout;
+    return std::min(named, settings.maxTimeout);
+}
+
 void EntryNode::requestArrived(Moment at, const routing::RequestInfo &info)
 {
     if (!ready(at.now)) {
@@ -131,7 +142,7 @@
     run(at, &commands);
 }
 
-void EntryNode::apiCall(Moment at, peers::ApiCall call, peers::CallTable::Handler handler)
+void EntryNode::apiCall(Moment at, peers::ApiCall call, const peers::CallTable::Handler &handler)
 {
     // The leader carries the call out; the answer comes back by its number.
     if (m_calls.begin(at.now, std::move(call), handler) == 0) {
--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -47,12 +47,16 @@
     /// @{
     /// True while requests may be accepted.
     [[nodiscard]] bool ready(Timestamp now) const;
+    /// Time that a request gets: what its caller named, within the service's bound, or the
+    /// service's own default.
+    /// @param[in] named zero when the caller named none
+    [[nodiscard]] Duration allowedTime(const ServiceName &service, Duration named) const;
     /// A request has come whole; refused at once while the entry is not ready.
     void requestArrived(Moment at, const routing::RequestInfo &info);
     /// The caller of a request has gone.
     void callerGone(Moment at, RequestId request);
     /// A call of the /acaciafork/v1/ interface has come; `handler` gets its answer once.
-    void apiCall(Moment at, peers::ApiCall call, peers::CallTable::Handler handler);
+    void apiCall(Moment at, peers::ApiCall call, const peers::CallTable::Handler &handler);
     /// An endpoint has announced itself here.
     void endpointAnnounced(Moment at, const routing::EndpointAnnouncement &announcement);
     /// @}
--- a/acaciafork/entry/EntryProcess.cpp
+++ b/acaciafork/entry/EntryProcess.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
+constexpr std::string_view timeoutHeader = "acaciafork-timeout-ms";
 constexpr std::string_view endpointsPath = "/acaciafork/v1/endpoints/";
 /// Bits of a request id below the process that made it.
 constexpr int requestCounterBits = 48;
@@ -169,6 +170,9 @@
     m_requests.emplace(id, Request { .request = request, .exchange = std::move(exchange) });
 
     const bool forwarded = !net::findHeader(request.headers, forwardedHeader).empty();
+    const bool namesTimeout = !net::findHeader(request.headers, timeoutHeader).empty();
+    const Duration timeout = m_node->allowedTime({ std::string(request.service) },
+                                                 namesTimeout ? request.timeout : Duration::zero());
     m_node->requestArrived(
             moment(),
             { .request = id,
@@ -178,7 +182,7 @@
               .idempotent = request.isIdempotent,
               .keyDigest = keyDigest(request.idempotencyKey),
               .bodyDigest = bodyDigest(request.method, request.path, request.body),
-              .deadline = request.arrivedAt + request.timeout,
+              .deadline = request.arrivedAt + timeout,
               .bodyBytes = request.body.size(),
               .forwarded = forwarded });
 }
--- a/acaciafork/entry/EntrySettings.h
+++ b/acaciafork/entry/EntrySettings.h
@@ -16,9 +16,9 @@
     /// File with the operators' bearer token.
     std::string tokenFile;
     /// Bounds of callers' requests.
-    std::int64_t mostHeadBytes = 32 * 1024;
-    std::int64_t mostBodyBytes = 16 * 1024 * 1024;
-    std::int64_t mostBufferedBytes = 64 * 1024 * 1024;
+    std::int64_t mostHeadBytes = 32L * 1024;
+    std::int64_t mostBodyBytes = 16L * 1024 * 1024;
+    std::int64_t mostBufferedBytes = 64L * 1024 * 1024;
     std::int64_t mostConnections = 10'000;
     Duration requestTimeout = std::chrono::seconds(10);
     /// Readiness lease, the same as the control members'.
--- a/acaciafork/entry/PeerForward.h
+++ b/acaciafork/entry/PeerForward.h
@@ -33,7 +33,7 @@
     void onEnd(const net::CallEnd &end) override;
 
 private:
-    static constexpr std::size_t mostBacklogBytes = 256 * 1024;
+    static constexpr std::size_t mostBacklogBytes = 256UL * 1024;
 
     std::shared_ptr<callers::CallerExchange> m_exchange;
     Ended m_ended;
--- a/cmake/Acaciafork.cmake
+++ b/cmake/Acaciafork.cmake
@@ -4,9 +4,10 @@
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(H2O REQUIRED IMPORTED_TARGET libh2o-evloop)
 
+# BOOST_LEAF_CHECK is a statement expression, which clang's -Wpedantic minds.
 add_library(acaciafork_options INTERFACE)
 target_compile_options(acaciafork_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror
-    -Wno-missing-field-initializers)
+    -Wno-missing-field-initializers -Wno-gnu-statement-expression)
 target_include_directories(acaciafork_options INTERFACE ${CMAKE_SOURCE_DIR})
 
 # acaciafork_library(<name> [LIBS <targets>...] [GENERATED <files>...]): the library of the current
--- a/daemons/control/main.cpp
+++ b/daemons/control/main.cpp
@@ -1,4 +1,4 @@
-#include <csignal>
+#include <google/protobuf/stubs/logging.h>
 
 #include "acaciafork/control/Control.h"
 #include "daemons/common/CommandLine.h"
@@ -21,6 +21,8 @@
     BOOST_LEAF_CHECK(process.start());
     loop.onSignal([&process](int) { process.drain(); });
     loop.run();
+    if (process.broken())
+        return fail(FailureKind::Storage, "the data folder " + settings.dataFolder + " is broken");
     return {};
 }
 
@@ -28,6 +30,8 @@
 
 int main(int argc, char **argv)
 {
+    // What is malformed on the wire is counted, not printed.
+    google::protobuf::SetLogHandler(nullptr);
     return runDaemon({ .name = "acaciafork-control",
                        .purpose = "holds the agreed state, hands out credits, leases and plans",
                        .settingsHelp = describeFields(control::controlFields()),
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,4 +1,4 @@
-#include <csignal>
+#include <google/protobuf/stubs/logging.h>
 
 #include "acaciafork/entry/Entry.h"
 #include "daemons/common/CommandLine.h"
@@ -28,6 +28,8 @@
 
 int main(int argc, char **argv)
 {
+    // What is malformed on the wire is counted, not printed.
+    google::protobuf::SetLogHandler(nullptr);
     return runDaemon({ .name = "acaciafork-entry",
                        .purpose = "takes callers' requests and brings them to endpoints",
                        .settingsHelp = describeFields(entry::entryFields()),
--- a/tests/entry/EntryTest.cpp
+++ b/tests/entry/EntryTest.cpp
@@ -1,7 +1,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
-#include "acaciafork/entry/ConfigFollower.h"
+#include "acaciafork/entry/EntryNode.h"
+#include "wire/state.pb.h"
 
 using namespace acaciafork;
 using namespace acaciafork::entry;
@@ -67,3 +68,34 @@
     follower.reply(follower.beginHeartbeat(at(0)), version(1), "one");
     CHECK(follower.ready(at(60'000)));
 }
+
+TEST_CASE("a request gets the time that its caller names, or that its service allows")
+{
+    Timeline timeline(ProcessId { 11 }, 16);
+    CounterRegistry counters;
+    peers::PeerLink link(
+            { .process = { 11 }, .incarnation = { 5 }, .cluster = "c", .cell = { 1 } }, &timeline,
+            &counters, [](ProcessId, std::span<const std::byte>) {}, [](const wire::Envelope &) {});
+    EntryNode node({ .zone = { "a" }, .controlMembers = { ProcessId { 1 } } }, &link, nullptr,
+                   &timeline, &counters);
+
+    // The configuration comes with the reply to the first heartbeat.
+    node.tick({ .now = at(0) });
+    wire::ConfigDocument document;
+    document.add_services()->set_name("loopdraw");
+    document.mutable_services(0)->set_deadline_ms(2000);
+    document.mutable_services(0)->set_longest_deadline_ms(9000);
+    wire::Envelope reply;
+    reply.set_sender(1);
+    reply.mutable_heartbeat_reply()->set_sequence(1);
+    reply.mutable_heartbeat_reply()->set_term(1);
+    reply.mutable_heartbeat_reply()->set_config_version(1);
+    reply.mutable_heartbeat_reply()->set_config_document(document.SerializeAsString());
+    node.peerMessage({ .now = at(1) }, reply);
+
+    using std::chrono::milliseconds;
+    CHECK(node.ready(at(2)));
+    CHECK(node.allowedTime({ "loopdraw" }, Duration::zero()) == milliseconds(2000));
+    CHECK(node.allowedTime({ "loopdraw" }, milliseconds(500)) == milliseconds(500));
+    CHECK(node.allowedTime({ "loopdraw" }, milliseconds(60'000)) == milliseconds(9000));
+}
