--- a/benchmarks/slopes/LineFit.cpp
+++ b/benchmarks/slopes/LineFit.cpp
@@ -7,24 +7,37 @@
 
 namespace acaciafork::slopes {
 
+namespace {
+
+double weightOf(const Point &point)
+{
+    return 1 / std::max(point.value * point.value, 1e-9);
+}
+
+} // namespace
+
 LineFit fitLine(std::span<const Point> points)
 {
     ACACIAFORK_ASSERT(points.size() >= 2);
-    const auto n = static_cast<double>(points.size());
+
+    // Each point counts by its relative distance, so that small sizes say as much as large ones.
+    double sum = 0;
     double sumSize = 0;
     double sumValue = 0;
     for (const Point &it : points) {
-        sumSize += it.size;
-        sumValue += it.value;
+        const double weight = weightOf(it);
+        sum += weight;
+        sumSize += weight * it.size;
+        sumValue += weight * it.value;
     }
-    const double meanSize = sumSize / n;
-    const double meanValue = sumValue / n;
+    const double meanSize = sumSize / sum;
+    const double meanValue = sumValue / sum;
 
     double covariance = 0;
     double variance = 0;
     for (const Point &it : points) {
-        covariance += (it.size - meanSize) * (it.value - meanValue);
-        variance += (it.size - meanSize) * (it.size - meanSize);
+        covariance += weightOf(it) * (it.size - meanSize) * (it.value - meanValue);
+        variance += weightOf(it) * (it.size - meanSize) * (it.size - meanSize);
     }
     LineFit fit { .slope = covariance / variance };
     fit.constant = meanValue - fit.slope * meanSize;
--- a/benchmarks/slopes/LineFit.h
+++ b/benchmarks/slopes/LineFit.h
@@ -13,7 +13,7 @@
     double value = 0;
 };
 
-/// Straight line through points by least squares, with its quality.
+/// Straight line through points by least squares of the relative distances, with its quality.
 struct LineFit
 {
     double slope = 0;
--- a/benchmarks/slopes/measure_slopes.cpp
+++ b/benchmarks/slopes/measure_slopes.cpp
@@ -200,6 +200,7 @@
     task->set_task(numbered("@loopdraw/", i));
     task->set_family("loopdraw");
     task->mutable_size()->set_millicores(1000);
+    task->mutable_size()->set_memory_mb(1000);
     return command;
 }
 
