Send the list of entries only when it changed

Cause: at 23 entries the list alone cost each entry 762 B a heartbeat, two heartbeats a second, and the leader as much for each. Change: a revision of the list, of one leadership, goes both ways; the list follows only when the revisions differ. A late reply with an older list is put right by the next heartbeat.

--- a/acaciafork/control/ControlNode.cpp
+++ b/acaciafork/control/ControlNode.cpp
@@ -319,15 +319,27 @@
     reply->set_config_version(record.version());
     if (heartbeat.config_version() < record.version())
         reply->set_config_document(record.document().SerializeAsString());
+    addEntries(entry, heartbeat.entries_revision(), reply);
+    m_link->send(entry, &envelopeOut, at.wallMicroseconds);
+}
+
+void ControlNode::addEntries(ProcessId receiver, std::uint64_t heldRevision,
+                             wire::HeartbeatReply *reply) const
+{
+    // Revisions of different leaderships never meet: the term stands above the count.
+    constexpr int revisionBits = 32;
+    const std::uint64_t revision = (m_term << revisionBits) | m_entries.revision();
+    reply->set_entries_revision(revision);
+    if (heldRevision == revision)
+        return;
     for (const auto &[process, it] : m_entries.entries()) {
-        if (process == entry || it.draining)
+        if (process == receiver || it.draining)
             continue;
         wire::EntryPeer *peer = reply->add_entries();
         peer->set_process(process.value);
         peer->set_zone(it.zone);
         peer->set_callers_address(it.callersAddress);
     }
-    m_link->send(entry, &envelopeOut, at.wallMicroseconds);
 }
 
 void ControlNode::onCreditReport(Moment at, const wire::Envelope &envelope)
--- a/acaciafork/control/ControlNode.h
+++ b/acaciafork/control/ControlNode.h
@@ -90,6 +90,8 @@
     void configApplied(Moment at);
     void recordEvents(Moment at, const wire::Command &command, const state::ApplyResult &result);
     void onEntryHeartbeat(Moment at, const wire::Envelope &envelope);
+    void addEntries(ProcessId receiver, std::uint64_t heldRevision,
+                    wire::HeartbeatReply *reply) const;
     void onCreditReport(Moment at, const wire::Envelope &envelope);
     void onLeavingNotice(Moment at, const wire::Envelope &envelope);
     void onEndpointAnnouncements(Moment at, const wire::Envelope &envelope);
--- a/acaciafork/control/EntryRegistry.cpp
+++ b/acaciafork/control/EntryRegistry.cpp
@@ -11,6 +11,7 @@
 void EntryRegistry::becameLeader(Timestamp now)
 {
     m_entries.clear();
+    ++m_revision;
     m_leaderSince = now;
 }
 
@@ -23,6 +24,8 @@
         return false;
     const bool isNew = known.incarnation != record.incarnation;
     const ConfigVersion version = isNew ? record.version : std::max(known.version, record.version);
+    if (isNew || record.draining != known.draining || record.callersAddress != known.callersAddress)
+        ++m_revision;
     known = record;
     known.version = version;
     known.lastReply = now;
@@ -37,6 +40,7 @@
             ++it;
             continue;
         }
+        ++m_revision;
         lost.push_back(std::move(it->second));
         it = m_entries.erase(it);
     }
--- a/acaciafork/control/EntryRegistry.h
+++ b/acaciafork/control/EntryRegistry.h
@@ -56,6 +56,9 @@
     /// Highest version that is in force everywhere, or nothing while that can't be known.
     [[nodiscard]] std::optional<ConfigVersion> versionInForce(Timestamp now) const;
 
+    /// Changes whenever the list of entries, an address or a draining mark does.
+    [[nodiscard]] std::uint64_t revision() const { return m_revision; }
+
     /// The live entries by process id.
     [[nodiscard]] const std::map<ProcessId, EntryRecord> &entries() const { return m_entries; }
 
@@ -65,6 +68,7 @@
 
     EntryRegistrySettings m_settings;
     Timestamp m_leaderSince;
+    std::uint64_t m_revision = 0;
     std::map<ProcessId, EntryRecord> m_entries;
 };
 
--- a/acaciafork/entry/EntryNode.cpp
+++ b/acaciafork/entry/EntryNode.cpp
@@ -281,6 +281,7 @@
     message->set_config_version(m_config.version().value);
     message->set_draining(m_draining);
     message->set_operators_address(m_settings.operatorsAddress);
+    message->set_entries_revision(m_entriesRevision);
     sendToLeader(at, &envelope);
 }
 
@@ -327,9 +328,12 @@
         return;
     m_leader.heardLeader(at.now, ProcessId { envelope.sender() });
 
-    m_entries.clear();
-    for (const wire::EntryPeer &it : reply.entries())
-        m_entries[ProcessId { it.process() }] = it.callers_address();
+    if (reply.entries_revision() != m_entriesRevision) {
+        m_entriesRevision = reply.entries_revision();
+        m_entries.clear();
+        for (const wire::EntryPeer &it : reply.entries())
+            m_entries[ProcessId { it.process() }] = it.callers_address();
+    }
 
     const bool newer = m_config.reply(reply.sequence(), ConfigVersion { reply.config_version() },
                                       reply.config_document());
--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -118,8 +118,9 @@
     peers::LeaderTracker m_leader;
     peers::CallTable m_calls;
     LedgerOutbox m_ledger;
-    /// Other live entries, from the last heartbeat's reply.
+    /// Other live entries, as the leader last listed them.
     std::map<ProcessId, std::string> m_entries;
+    std::uint64_t m_entriesRevision = 0;
     /// Announcements not passed on yet.
     wire::EndpointAnnouncements m_announcements;
     std::uint64_t m_term = 0;
--- a/benchmarks/slopes/measure_slopes.cpp
+++ b/benchmarks/slopes/measure_slopes.cpp
@@ -97,13 +97,37 @@
     return wireBytes(envelope);
 }
 
-double heartbeatReplyBytes(std::size_t size)
+/// Heartbeat's reply to an entry that holds the current list of entries.
+wire::Envelope unchangedReply()
 {
     wire::Envelope envelope;
     wire::HeartbeatReply *reply = envelope.mutable_heartbeat_reply();
     reply->set_sequence(100'000);
     reply->set_config_version(5'000);
     reply->set_term(7);
+    reply->set_entries_revision((std::uint64_t { 7 } << 32) | 100);
+    return envelope;
+}
+
+/// One heartbeat and its reply, whatever the number of entries.
+double heartbeatBytes(std::size_t)
+{
+    wire::Envelope envelope;
+    wire::EntryHeartbeat *heartbeat = envelope.mutable_entry_heartbeat();
+    heartbeat->set_sequence(100'000);
+    heartbeat->set_zone("tw-north-a");
+    heartbeat->set_callers_address("10.1.23.45:8080");
+    heartbeat->set_operators_address("10.1.23.45:8411");
+    heartbeat->set_config_version(5'000);
+    heartbeat->set_entries_revision((std::uint64_t { 7 } << 32) | 100);
+    envelope.set_sender_address("10.1.23.45:8412");
+    return wireBytes(envelope) + wireBytes(unchangedReply());
+}
+
+double heartbeatReplyBytes(std::size_t size)
+{
+    wire::Envelope envelope = unchangedReply();
+    wire::HeartbeatReply *reply = envelope.mutable_heartbeat_reply();
     for (std::size_t i = 0; i < size; ++i) {
         wire::EntryPeer *peer = reply->add_entries();
         peer->set_process(static_cast<std::uint32_t>(101 + i));
@@ -259,6 +283,7 @@
         { "announcements", "bytes", "endpoints in one message", announcementBytes, endpoints,
           47'000 },
         { "credit-report", "bytes", "holdings that changed", reportBytes, { 1, 8, 32, 128 }, 128 },
+        { "heartbeat", "bytes", "entries", heartbeatBytes, { 3, 9, 16, 23 }, 23 },
         { "heartbeat-reply", "bytes", "entries", heartbeatReplyBytes, { 3, 9, 16, 23 }, 23 },
         { "worker-report", "bytes", "tasks of a worker", workerReportBytes, { 1, 8, 34, 100 }, 34 },
         { "worker-report-cpu", "ns", "tasks of a worker", workerReportCost, { 1, 8, 34, 100 }, 34 },
--- a/tests/control/ControlSettingsTest.cpp
+++ b/tests/control/ControlSettingsTest.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "acaciafork/control/ControlSettings.h"
 
 using namespace acaciafork;
@@ -46,6 +48,7 @@
                    "[peers]\nlist=nobody\n[tasks]\nlease-ms=0\n",
          &problems);
     std::vector<std::string> keys;
+    keys.reserve(problems.size());
     for (const SettingsProblem &it : problems)
         keys.push_back(it.section + '.' + it.key);
     std::sort(keys.begin(), keys.end());
--- a/tests/control/ControlTest.cpp
+++ b/tests/control/ControlTest.cpp
@@ -64,3 +64,20 @@
     CHECK_FALSE(registry.heartbeat(at(3), record(1, 5, 9)));
     CHECK(registry.entries().at(ProcessId { 1 }).version == ConfigVersion { 0 });
 }
+
+TEST_CASE("the revision changes exactly when the list that entries hold does")
+{
+    EntryRegistry registry({});
+    registry.becameLeader(at(0));
+    registry.heartbeat(at(1), record(1, 5, 1));
+    const std::uint64_t first = registry.revision();
+    registry.heartbeat(at(2), record(1, 5, 2));
+    CHECK(registry.revision() == first);
+    EntryRecord draining = record(1, 5, 2);
+    draining.draining = true;
+    registry.heartbeat(at(3), draining);
+    CHECK(registry.revision() != first);
+    const std::uint64_t second = registry.revision();
+    CHECK(registry.expire(at(4000)).size() == 1);
+    CHECK(registry.revision() != second);
+}
