Keep what a lease takes in the replicated state

Cause: a scheduler may grant more than a job declared; the state kept the declared size only, so the leader after it counted too little at the worker and could give it more than it has room for. Conclusion: room is counted alike on every leader.

--- a/acaciafork/control/BatchRecords.cpp
+++ b/acaciafork/control/BatchRecords.cpp
@@ -33,6 +33,14 @@
     return checkpoint ? std::to_string(checkpoint.value) : std::string();
 }
 
+batch::Resources toBatch(const state::TaskSize &size)
+{
+    return { .millicores = cutAmount(size.millicores),
+             .memoryMb = cutAmount(size.memoryMb),
+             .accelerators = cutAmount(size.accelerators),
+             .slots = 1 };
+}
+
 batch::RackState toBatch(wire::RackState rackState)
 {
     switch (rackState) {
@@ -117,6 +125,7 @@
         lease->set_worker(change.worker.value);
         lease->set_epoch(change.epoch.value);
         lease->set_checkpoint(toText(change.checkpoint));
+        setResources(change.granted, lease->mutable_granted());
     }
 
     void operator()(const batch::RecordStarted &change) const
@@ -294,15 +303,11 @@
 
 batch::TaskRecord toBatch(const std::string &name, const state::Task &task)
 {
-    const batch::Resources size { .millicores = cutAmount(task.size.millicores),
-                                  .memoryMb = cutAmount(task.size.memoryMb),
-                                  .accelerators = cutAmount(task.size.accelerators),
-                                  .slots = 1 };
     batch::TaskRecord record {
         .job = { .task = { name },
                  .team = task.team,
                  .family = { task.family },
-                 .declared = size,
+                 .declared = toBatch(task.size),
                  .declaredRunTime =
                          std::chrono::milliseconds(static_cast<std::int64_t>(task.declaredRunMs)),
                  .urgent = task.urgent },
@@ -317,7 +322,7 @@
         record.lease = { .worker = task.worker,
                          .epoch = task.epoch,
                          .checkpoint = record.checkpoint,
-                         .granted = size,
+                         .granted = toBatch(task.granted),
                          .started = task.state == wire::TASK_STATE_RUNNING };
     }
     return record;
--- a/acaciafork/state/Task.h
+++ b/acaciafork/state/Task.h
@@ -45,6 +45,8 @@
     /// Last change of state.
     std::int64_t changedMicroseconds = 0;
     TaskSize size;
+    /// What the live lease, or the last one, takes at its worker.
+    TaskSize granted;
     std::uint32_t failures = 0;
     std::uint32_t evictions = 0;
     wire::TaskState state = wire::TASK_STATE_QUEUED;
--- a/acaciafork/state/TaskRecords.cpp
+++ b/acaciafork/state/TaskRecords.cpp
@@ -14,6 +14,8 @@
     return command.task().starts_with(owner + '/');
 }
 
+} // namespace
+
 TaskSize sizeOf(const wire::Resources &amounts)
 {
     return { .millicores = static_cast<std::uint32_t>(amounts.millicores()),
@@ -21,7 +23,12 @@
              .accelerators = static_cast<std::uint32_t>(amounts.accelerators()) };
 }
 
-} // namespace
+void resourcesOf(const TaskSize &size, wire::Resources *amounts)
+{
+    amounts->set_millicores(size.millicores);
+    amounts->set_memory_mb(size.memoryMb);
+    amounts->set_accelerators(size.accelerators);
+}
 
 std::string problemOf(const wire::SubmitTask &command, std::size_t payloadBytes)
 {
@@ -64,10 +71,7 @@
     command->set_payload(task.payload);
     command->set_declared_run_ms(task.declaredRunMs);
     command->set_urgent(task.urgent);
-    wire::Resources *size = command->mutable_size();
-    size->set_millicores(task.size.millicores);
-    size->set_memory_mb(task.size.memoryMb);
-    size->set_accelerators(task.size.accelerators);
+    resourcesOf(task.size, command->mutable_size());
 }
 
 void recordOf(std::string_view id, const Task &task, wire::TaskRecord *record)
@@ -83,6 +87,7 @@
     record->set_submitted_us(task.submittedMicroseconds);
     record->set_changed_us(task.changedMicroseconds);
     record->set_reason(std::string(task.reason.view()));
+    resourcesOf(task.granted, record->mutable_granted());
 }
 
 Task taskOf(const wire::TaskRecord &record, TextPool *pool)
@@ -98,6 +103,7 @@
     task.submittedMicroseconds = record.submitted_us();
     task.changedMicroseconds = record.changed_us();
     task.reason = { pool, record.reason() };
+    task.granted = sizeOf(record.granted());
     return task;
 }
 
--- a/acaciafork/state/TaskRecords.h
+++ b/acaciafork/state/TaskRecords.h
@@ -7,6 +7,12 @@
 
 namespace acaciafork::state {
 
+/// Compact form of amounts that isBounded() has passed.
+TaskSize sizeOf(const wire::Resources &amounts);
+
+/// Amounts of a compact size.
+void resourcesOf(const TaskSize &size, wire::Resources *amounts);
+
 /// What is wrong with a submission, apart from its team; empty when nothing is.
 std::string problemOf(const wire::SubmitTask &command, std::size_t payloadBytes);
 
--- a/acaciafork/state/Tasks.cpp
+++ b/acaciafork/state/Tasks.cpp
@@ -88,6 +88,9 @@
     if (!isName(command.worker()))
         return makeResult(wire::OUTCOME_INVALID, task.epoch.value, "a lease needs a worker");
 
+    if (!isBounded(command.granted()))
+        return makeResult(wire::OUTCOME_INVALID, task.epoch.value, "the size is out of bounds");
+
     // The same lease once more changes nothing; any other while one is live is refused.
     if (task.hasLiveLease()) {
         if (command.epoch() == task.epoch.value && command.worker() == task.worker.view())
@@ -106,6 +109,7 @@
 
     task.epoch = { command.epoch() };
     task.worker = { &m_texts, command.worker() };
+    task.granted = command.has_granted() ? sizeOf(command.granted()) : task.size;
     setState(it, wire::TASK_STATE_LEASED, nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED, task.epoch.value);
 }
@@ -249,7 +253,7 @@
 bool Tasks::load(const wire::TaskRecord &record)
 {
     if (!problemOf(record.submitted(), m_limits.taskPayloadBytes).empty()
-        || !wire::TaskState_IsValid(record.state()))
+        || !isBounded(record.granted()) || !wire::TaskState_IsValid(record.state()))
         return false;
     const auto [it, isNew] =
             m_tasks.try_emplace(record.submitted().task(), taskOf(record, &m_texts));
--- a/tests/control/BatchRecordsTest.cpp
+++ b/tests/control/BatchRecordsTest.cpp
@@ -118,3 +118,25 @@
     applied.outcomes(batch::RecordFailed { .task = { "@loopdraw/0" }, .epoch = { 2 } });
     CHECK(applied.machine.tasks().find("@loopdraw/0")->failures == 1);
 }
+
+TEST_CASE("a new leader counts what a lease takes, not what the job declared")
+{
+    Applied applied;
+    applied.outcomes(serviceLease(1));
+    applied.outcomes(batch::RecordStopped { .task = { "@loopdraw/0" }, .epoch = { 1 } });
+    batch::LeaseTask larger = serviceLease(2);
+    larger.granted = { .millicores = 9000, .memoryMb = 9000, .accelerators = 1, .slots = 1 };
+    applied.outcomes(larger);
+
+    // Also through a snapshot, as a member that was down gets it.
+    state::StateMachine other(CellId { 1 });
+    const std::string snapshot = applied.machine.snapshot();
+    leaf::try_handle_all([&]() -> Result<void> { return other.restore(state::bytesOf(snapshot)); },
+                         [] { FAIL("the snapshot is refused"); });
+    for (const state::StateMachine *it : { &applied.machine, &other }) {
+        const batch::RestoredState restored = restoredState(*it, {});
+        REQUIRE(restored.tasks.size() == 1);
+        CHECK(restored.tasks[0].lease.granted == larger.granted);
+        CHECK(restored.tasks[0].job.declared == replicaSize);
+    }
+}
