--- a/acaciafork/control/ControlNode.cpp
+++ b/acaciafork/control/ControlNode.cpp
@@ -200,6 +200,7 @@
     routing::GrantorCommands commands;
     m_grantor.becameLeader(at.now, m_term, m_settings.knownEntries, true, &commands);
     run(at, commands);
+    m_accepted = m_state.configuration().version();
     configApplied(at);
     m_batch.start(at);
 }
@@ -228,8 +229,13 @@
     const wire::ConfigRecord &record = m_state.configuration().current();
     if (record.version() == 0)
         return;
-    m_timeline->record(at.wallMicroseconds, EventKind::ConfigAccepted,
-                       std::to_string(record.version()), "author=" + record.author());
+
+    // A resent proposal, and a later leader, accept nothing new.
+    if (ConfigVersion { record.version() } > m_accepted) {
+        m_accepted = { record.version() };
+        m_timeline->record(at.wallMicroseconds, EventKind::ConfigAccepted,
+                           std::to_string(record.version()), "author=" + record.author());
+    }
     leaf::try_handle_all(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(services,
--- a/acaciafork/control/ControlNode.h
+++ b/acaciafork/control/ControlNode.h
@@ -119,6 +119,8 @@
     bool m_leading = false;
     std::uint64_t m_term = 0;
     Timestamp m_batchTickAt;
+    /// Version last recorded on the time line as accepted.
+    ConfigVersion m_accepted;
     /// Version last recorded on the time line as in force everywhere.
     ConfigVersion m_inForce;
     Counter *m_applied;
