--- a/tests/sessions/Session.cpp
+++ b/tests/sessions/Session.cpp
@@ -266,7 +266,8 @@
     m_endpoints.at(name).isLeaving = true;
 }
 
-void Session::request(const std::string &name, std::uint32_t entry, routing::RequestInfo info)
+void Session::request(const std::string &name, std::uint32_t entry,
+                      const routing::RequestInfo &info)
 {
     Entry &it = *m_entries.at(entry);
     it.names[info.request] = name;
--- a/tests/sessions/Session.h
+++ b/tests/sessions/Session.h
@@ -40,7 +40,7 @@
     /// Takes a process away without a word.
     void kill(std::uint32_t process) { m_dead.insert(process); }
     /// Sends one request; its outcome is noted under `name`.
-    void request(const std::string &name, std::uint32_t entry, routing::RequestInfo info);
+    void request(const std::string &name, std::uint32_t entry, const routing::RequestInfo &info);
 
     /// Notes one line with the virtual time.
     void note(const std::string &line);
