Read and write checkpoints in one place, and drop a second time line encoder

Cause: reading the whole change again, two files converted checkpoints with the same code, and peers/TimelineJson had no caller left since entries answer through the operators' library. Change: control/Checkpoints serves both; TimelineJson is gone. Behaviour stays as it is.

--- a/acaciafork/control/BatchRecords.cpp
+++ b/acaciafork/control/BatchRecords.cpp
@@ -1,9 +1,10 @@
 #include "acaciafork/control/BatchRecords.h"
 
 #include <algorithm>
-#include <charconv>
 #include <limits>
 
+#include "acaciafork/control/Checkpoints.h"
+
 namespace acaciafork::control {
 namespace {
 
@@ -20,19 +21,6 @@
     message->set_accelerators(static_cast<std::uint64_t>(resources.accelerators));
 }
 
-/// Checkpoints are numbers towards workers and texts in the state; none is 0 and empty.
-batch::CheckpointId toCheckpoint(std::string_view text)
-{
-    batch::CheckpointId id;
-    std::from_chars(text.data(), text.data() + text.size(), id.value);
-    return id;
-}
-
-std::string toText(batch::CheckpointId checkpoint)
-{
-    return checkpoint ? std::to_string(checkpoint.value) : std::string();
-}
-
 batch::Resources toBatch(const state::TaskSize &size)
 {
     return { .millicores = cutAmount(size.millicores),
--- a/acaciafork/control/PlatformRecords.cpp
+++ b/acaciafork/control/PlatformRecords.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+
+#include "acaciafork/control/Checkpoints.h"
 
 #include <boost/json.hpp>
 
@@ -32,18 +33,6 @@
     return statuses.at(static_cast<std::size_t>(status));
 }
 
-batch::CheckpointId toCheckpoint(std::string_view text)
-{
-    batch::CheckpointId id;
-    std::from_chars(text.data(), text.data() + text.size(), id.value);
-    return id;
-}
-
-std::string toText(batch::CheckpointId checkpoint)
-{
-    return checkpoint ? std::to_string(checkpoint.value) : std::string();
-}
-
 /// Turns one worker call into commands, one overload for each kind.
 struct CallEncoder
 {
--- a/acaciafork/peers/Peers.h
+++ b/acaciafork/peers/Peers.h
@@ -9,4 +9,3 @@
 #include "acaciafork/peers/LeaderTracker.h"
 #include "acaciafork/peers/PeerLink.h"
 #include "acaciafork/peers/ProcessSettings.h"
-#include "acaciafork/peers/TimelineJson.h"
