Rename the library of workers' calls from platform to workers

Cause: the word platform is needed for the adapter to the users' platform and must have one meaning.

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -375,10 +375,10 @@
             [&]() -> Result<void> {
                 if (isUsage) {
                     worker.remove_suffix(usageSuffix.size());
-                    BOOST_LEAF_AUTO(usage, platform::decodeUsageReport(worker, call.body));
+                    BOOST_LEAF_AUTO(usage, workers::decodeUsageReport(worker, call.body));
                     m_node->usageReported(moment(), toBatch(usage));
                 } else {
-                    BOOST_LEAF_AUTO(report, platform::decodeWorkerReport(worker, call.body));
+                    BOOST_LEAF_AUTO(report, workers::decodeWorkerReport(worker, call.body));
                     m_node->workerReported(moment(), toBatch(report), report.address.toString());
                 }
                 reply({ .status = 200, .body = "{}" });
@@ -457,8 +457,7 @@
 void ControlProcess::callWorker(std::string_view address, const batch::Command &command)
 {
     const batch::CallId call = callOf(command);
-    const std::vector<platform::WorkerCommand> commands =
-            toWorkerCommands(command, m_node->state());
+    const std::vector<workers::WorkerCommand> commands = toWorkerCommands(command, m_node->state());
     const auto progress = std::make_shared<CallProgress>();
     progress->left = commands.size();
 
@@ -469,8 +468,8 @@
                 return {};
             },
             [] {});
-    for (const platform::WorkerCommand &it : commands) {
-        m_workers.send(worker, it, [this, call, progress](const platform::CommandReply &reply) {
+    for (const workers::WorkerCommand &it : commands) {
+        m_workers.send(worker, it, [this, call, progress](const workers::CommandReply &reply) {
             progress->worst = std::max(progress->worst, toBatch(reply.outcome));
             if (--progress->left == 0)
                 m_node->workerCallAnswered(moment(), call, progress->worst);
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -9,7 +9,7 @@
 #include "acaciafork/control/ControlViews.h"
 #include "acaciafork/net/Net.h"
 #include "acaciafork/operators/Operators.h"
-#include "acaciafork/platform/Platform.h"
+#include "acaciafork/workers/Workers.h"
 
 namespace acaciafork::control {
 
@@ -73,7 +73,7 @@
     CounterRegistry m_counters;
     Timeline m_timeline;
     net::MessageLink m_messages;
-    platform::WorkerClient m_workers;
+    workers::WorkerClient m_workers;
     std::string m_peersAddress;
     std::string m_operatorsAddress;
     std::unique_ptr<peers::PeerLink> m_link;
--- a/acaciafork/control/PlatformRecords.cpp
+++ b/acaciafork/control/PlatformRecords.cpp
@@ -22,11 +22,11 @@
     return static_cast<std::int32_t>(std::clamp<std::int64_t>(amount, 0, INT32_MAX));
 }
 
-batch::TaskStatus toBatch(platform::TaskStatus status)
+batch::TaskStatus toBatch(workers::TaskStatus status)
 {
-    using From = platform::TaskStatus;
+    using From = workers::TaskStatus;
     using To = batch::TaskStatus;
-    /// By platform::TaskStatus.
+    /// By workers::TaskStatus.
     static constexpr std::array statuses { To::Running, To::Running,  To::Running, To::Checkpointed,
                                            To::Stopped, To::Finished, To::Failed };
     static_assert(statuses.size() == static_cast<std::size_t>(From::Failed) + 1);
@@ -37,13 +37,13 @@
 struct CallEncoder
 {
     const state::StateMachine &machine;
-    std::vector<platform::WorkerCommand> *commands;
+    std::vector<workers::WorkerCommand> *commands;
 
-    platform::WorkerCommand &add(platform::WorkerAction action, const TaskName &task,
-                                 LeaseEpoch epoch) const
+    workers::WorkerCommand &add(workers::WorkerAction action, const TaskName &task,
+                                LeaseEpoch epoch) const
     {
         return commands->emplace_back(
-                platform::WorkerCommand { .task = task, .action = action, .epoch = epoch });
+                workers::WorkerCommand { .task = task, .action = action, .epoch = epoch });
     }
 
     /// What the platform is told to run for one replica of a service.
@@ -60,7 +60,7 @@
         return boost::json::serialize(payload);
     }
 
-    static void setBasis(const batch::LeaseBasis &basis, platform::WorkerCommand *command)
+    static void setBasis(const batch::LeaseBasis &basis, workers::WorkerCommand *command)
     {
         command->leaseDuration = basis.leaseLength;
         command->incarnation = basis.incarnation;
@@ -69,8 +69,7 @@
 
     void operator()(const batch::StartTask &call) const
     {
-        platform::WorkerCommand &command =
-                add(platform::WorkerAction::Start, call.task, call.epoch);
+        workers::WorkerCommand &command = add(workers::WorkerAction::Start, call.task, call.epoch);
         setBasis(call.basis, &command);
         command.checkpoint = toText(call.checkpoint);
         if (const state::Task *task = machine.tasks().find(call.task.value)) {
@@ -83,22 +82,22 @@
     void operator()(const batch::RenewLease &call) const
     {
         for (const batch::TaskEpoch &it : call.tasks)
-            setBasis(call.basis, &add(platform::WorkerAction::Renew, it.task, it.epoch));
+            setBasis(call.basis, &add(workers::WorkerAction::Renew, it.task, it.epoch));
     }
 
     void operator()(const batch::ThrottleTask &call) const
     {
-        add(platform::WorkerAction::Throttle, call.task, call.epoch).perMille = call.permille;
+        add(workers::WorkerAction::Throttle, call.task, call.epoch).perMille = call.permille;
     }
 
     void operator()(const batch::CheckpointTask &call) const
     {
-        add(platform::WorkerAction::Checkpoint, call.task, call.epoch);
+        add(workers::WorkerAction::Checkpoint, call.task, call.epoch);
     }
 
     void operator()(const batch::StopTask &call) const
     {
-        add(platform::WorkerAction::Stop, call.task, call.epoch).release = call.release;
+        add(workers::WorkerAction::Stop, call.task, call.epoch).release = call.release;
     }
 
     void operator()(const batch::Propose &) const { }
@@ -119,7 +118,7 @@
 
 } // namespace
 
-batch::WorkerReport toBatch(const platform::WorkerReport &report)
+batch::WorkerReport toBatch(const workers::WorkerReport &report)
 {
     batch::WorkerReport converted {
         .worker = report.worker,
@@ -134,7 +133,7 @@
         .seq = report.sequence,
     };
     converted.tasks.reserve(report.tasks.size());
-    for (const platform::TaskReport &it : report.tasks) {
+    for (const workers::TaskReport &it : report.tasks) {
         converted.tasks.push_back({ .task = it.task,
                                     .epoch = it.epoch,
                                     .status = toBatch(it.status),
@@ -143,12 +142,12 @@
     return converted;
 }
 
-batch::UsageReport toBatch(const platform::UsageReport &report)
+batch::UsageReport toBatch(const workers::UsageReport &report)
 {
     batch::UsageReport converted { .worker = report.worker,
                                    .incarnation = report.incarnation,
                                    .seq = report.sequence };
-    for (const platform::TaskUsage &it : report.tasks) {
+    for (const workers::TaskUsage &it : report.tasks) {
         const std::int64_t speed = std::max<std::int64_t>(it.speedPerMille, 1);
         converted.tasks.push_back(
                 { .task = it.task,
@@ -160,10 +159,10 @@
     return converted;
 }
 
-std::vector<platform::WorkerCommand> toWorkerCommands(const batch::Command &call,
-                                                      const state::StateMachine &machine)
+std::vector<workers::WorkerCommand> toWorkerCommands(const batch::Command &call,
+                                                     const state::StateMachine &machine)
 {
-    std::vector<platform::WorkerCommand> commands;
+    std::vector<workers::WorkerCommand> commands;
     std::visit(CallEncoder { .machine = machine, .commands = &commands }, call);
     return commands;
 }
@@ -173,12 +172,12 @@
     return std::visit(CallOf {}, command);
 }
 
-batch::CallAnswer toBatch(platform::CommandOutcome outcome)
+batch::CallAnswer toBatch(workers::CommandOutcome outcome)
 {
-    if (outcome == platform::CommandOutcome::Done)
+    if (outcome == workers::CommandOutcome::Done)
         return batch::CallAnswer::Ok;
-    return outcome == platform::CommandOutcome::Unclear ? batch::CallAnswer::Timeout
-                                                        : batch::CallAnswer::Failed;
+    return outcome == workers::CommandOutcome::Unclear ? batch::CallAnswer::Timeout
+                                                       : batch::CallAnswer::Failed;
 }
 
 } // namespace acaciafork::control
--- a/acaciafork/platform/WorkerClient.cpp
+++ b/acaciafork/workers/WorkerClient.cpp
@@ -1,9 +1,9 @@
-#include "acaciafork/platform/WorkerClient.h"
+#include "acaciafork/workers/WorkerClient.h"
 
 #include <array>
 #include <utility>
 
-namespace acaciafork::platform {
+namespace acaciafork::workers {
 
 namespace {
 
@@ -79,4 +79,4 @@
     return reply;
 }
 
-} // namespace acaciafork::platform
+} // namespace acaciafork::workers
--- a/acaciafork/platform/WorkerClient.h
+++ b/acaciafork/workers/WorkerClient.h
@@ -5,10 +5,10 @@
 #include <string>
 
 #include "acaciafork/net/Net.h"
-#include "acaciafork/platform/WorkerCommand.h"
-#include "acaciafork/platform/WorkerReport.h"
+#include "acaciafork/workers/WorkerCommand.h"
+#include "acaciafork/workers/WorkerReport.h"
 
-namespace acaciafork::platform {
+namespace acaciafork::workers {
 
 /// What a worker answered to a command.
 enum class CommandOutcome : std::uint8_t {
@@ -64,4 +64,4 @@
 /// Answer of a worker to a command, from status and body.
 CommandReply decodeCommandReply(const WorkerCommand &command, const net::HttpReply &http);
 
-} // namespace acaciafork::platform
+} // namespace acaciafork::workers
--- a/acaciafork/platform/WorkerCommand.cpp
+++ b/acaciafork/workers/WorkerCommand.cpp
@@ -1,4 +1,4 @@
-#include "acaciafork/platform/WorkerCommand.h"
+#include "acaciafork/workers/WorkerCommand.h"
 
 #include <array>
 
@@ -7,7 +7,7 @@
 
 #include "acaciafork/net/JsonReader.h"
 
-namespace acaciafork::platform {
+namespace acaciafork::workers {
 
 namespace {
 
@@ -67,4 +67,4 @@
     return boost::json::serialize(object);
 }
 
-} // namespace acaciafork::platform
+} // namespace acaciafork::workers
--- a/acaciafork/platform/WorkerCommand.h
+++ b/acaciafork/workers/WorkerCommand.h
@@ -8,7 +8,7 @@
 #include "acaciafork/core/Ids.h"
 #include "acaciafork/core/Time.h"
 
-namespace acaciafork::platform {
+namespace acaciafork::workers {
 
 /// What a worker is asked to do with a task.
 enum class WorkerAction : std::uint8_t {
@@ -52,4 +52,4 @@
 /// Encodes a command as its body.
 std::string encodeWorkerCommand(const WorkerCommand &command);
 
-} // namespace acaciafork::platform
+} // namespace acaciafork::workers
--- a/acaciafork/platform/WorkerReport.cpp
+++ b/acaciafork/workers/WorkerReport.cpp
@@ -1,4 +1,4 @@
-#include "acaciafork/platform/WorkerReport.h"
+#include "acaciafork/workers/WorkerReport.h"
 
 #include <algorithm>
 #include <array>
@@ -9,7 +9,7 @@
 
 #include "acaciafork/net/JsonReader.h"
 
-namespace acaciafork::platform {
+namespace acaciafork::workers {
 
 namespace json = boost::json;
 
@@ -181,4 +181,4 @@
     return json::serialize(object);
 }
 
-} // namespace acaciafork::platform
+} // namespace acaciafork::workers
--- a/acaciafork/platform/WorkerReport.h
+++ b/acaciafork/workers/WorkerReport.h
@@ -10,7 +10,7 @@
 #include "acaciafork/core/Time.h"
 #include "acaciafork/net/Address.h"
 
-namespace acaciafork::platform {
+namespace acaciafork::workers {
 
 /// What a worker says about a task.
 enum class TaskStatus : std::uint8_t {
@@ -100,4 +100,4 @@
 /// Encodes a usage report as its body.
 std::string encodeUsageReport(const UsageReport &report);
 
-} // namespace acaciafork::platform
+} // namespace acaciafork::workers
--- a/benchmarks/slopes/measure_slopes.cpp
+++ b/benchmarks/slopes/measure_slopes.cpp
@@ -11,7 +11,7 @@
 #include "acaciafork/control/BatchRecords.h"
 #include "acaciafork/control/EntryRegistry.h"
 #include "acaciafork/peers/Peers.h"
-#include "acaciafork/platform/Platform.h"
+#include "acaciafork/workers/Workers.h"
 #include "benchmarks/slopes/LineFit.h"
 
 using namespace acaciafork;
@@ -139,40 +139,40 @@
 
 double workerReportBytes(std::size_t size)
 {
-    platform::WorkerReport report { .worker = { "rack-17-worker-3" },
-                                    .incarnation = { 1'764'800'000'000'000 },
-                                    .sequence = 100'000,
-                                    .rack = { "rack-17" },
-                                    .building = { "north" },
-                                    .zone = { "tw-north-a" },
-                                    .millicores = 32'000,
-                                    .memoryMb = 125'000,
-                                    .address = { .host = "10.1.23.45", .port = 9000 } };
+    workers::WorkerReport report { .worker = { "rack-17-worker-3" },
+                                   .incarnation = { 1'764'800'000'000'000 },
+                                   .sequence = 100'000,
+                                   .rack = { "rack-17" },
+                                   .building = { "north" },
+                                   .zone = { "tw-north-a" },
+                                   .millicores = 32'000,
+                                   .memoryMb = 125'000,
+                                   .address = { .host = "10.1.23.45", .port = 9000 } };
     for (std::size_t i = 0; i < size; ++i)
         report.tasks.push_back({ .task = { numbered("architects/building-", i) }, .epoch = { 2 } });
-    return static_cast<double>(platform::encodeWorkerReport(report).size());
+    return static_cast<double>(workers::encodeWorkerReport(report).size());
 }
 
 double workerReportCost(std::size_t size)
 {
-    platform::WorkerReport report { .worker = { "w" },
-                                    .incarnation = { 1 },
-                                    .sequence = 1,
-                                    .rack = { "r" },
-                                    .building = { "b" },
-                                    .zone = { "z" },
-                                    .millicores = 1,
-                                    .memoryMb = 1,
-                                    .address = { .host = "10.1.23.45", .port = 9000 } };
+    workers::WorkerReport report { .worker = { "w" },
+                                   .incarnation = { 1 },
+                                   .sequence = 1,
+                                   .rack = { "r" },
+                                   .building = { "b" },
+                                   .zone = { "z" },
+                                   .millicores = 1,
+                                   .memoryMb = 1,
+                                   .address = { .host = "10.1.23.45", .port = 9000 } };
     for (std::size_t i = 0; i < size; ++i)
         report.tasks.push_back({ .task = { numbered("architects/building-", i) }, .epoch = { 2 } });
-    const std::string json = platform::encodeWorkerReport(report);
+    const std::string json = workers::encodeWorkerReport(report);
     constexpr int repeats = 200;
     return costNs([&] {
                for (int i = 0; i < repeats; ++i)
                    leaf::try_handle_all(
                            [&]() -> Result<void> {
-                               BOOST_LEAF_AUTO(decoded, platform::decodeWorkerReport("w", json));
+                               BOOST_LEAF_AUTO(decoded, workers::decodeWorkerReport("w", json));
                                ACACIAFORK_ASSERT(decoded.tasks.size() == size);
                                return {};
                            },
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -58,15 +58,15 @@
     return std::chrono::milliseconds(ms);
 }
 
-bool hasEnded(platform::TaskStatus status)
+bool hasEnded(workers::TaskStatus status)
 {
-    return status != platform::TaskStatus::Running && status != platform::TaskStatus::Throttled;
+    return status != workers::TaskStatus::Running && status != workers::TaskStatus::Throttled;
 }
 
 } // namespace
 
 StandinWorker::StandinWorker(net::Loop &loop, StandinReporter &reporter,
-                             platform::WorkerReport report)
+                             workers::WorkerReport report)
     : m_loop(loop)
     , m_reporter(reporter)
     , m_report(std::move(report))
@@ -106,7 +106,7 @@
 {
     leaf::try_handle_all(
             [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(command, platform::decodeWorkerCommand(task, http->body()));
+                BOOST_LEAF_AUTO(command, workers::decodeWorkerCommand(task, http->body()));
                 carryOut(command, *http);
                 return {};
             },
@@ -114,27 +114,27 @@
             [&] { http->answerFailure(FailureKind::Internal, "command not read"); });
 }
 
-void StandinWorker::carryOut(const platform::WorkerCommand &command, net::HttpExchange &http)
+void StandinWorker::carryOut(const workers::WorkerCommand &command, net::HttpExchange &http)
 {
     const auto it = m_tasks.find(command.task.value);
     if (it != m_tasks.end() && command.epoch < it->second.report.epoch) {
         ++m_fenced;
-        http.answerJson(409, platform::encodeTaskReport(it->second.report));
+        http.answerJson(409, workers::encodeTaskReport(it->second.report));
         return;
     }
     // A lease counts from a report of this incarnation; a command from before a restart is void.
-    const bool givesLease = command.action == platform::WorkerAction::Start
-            || command.action == platform::WorkerAction::Renew;
+    const bool givesLease = command.action == workers::WorkerAction::Start
+            || command.action == workers::WorkerAction::Renew;
     if (givesLease && command.incarnation != m_report.incarnation) {
         http.answerFailure(FailureKind::Conflict, "the lease is of another incarnation");
         return;
     }
     const bool isKnown = it != m_tasks.end() && it->second.report.epoch == command.epoch;
-    if (!isKnown && command.action == platform::WorkerAction::Stop) {
+    if (!isKnown && command.action == workers::WorkerAction::Stop) {
         refuseEpoch(command, http);
         return;
     }
-    if (!isKnown && command.action == platform::WorkerAction::Start) {
+    if (!isKnown && command.action == workers::WorkerAction::Start) {
         begin(command, http);
         return;
     }
@@ -144,32 +144,32 @@
     }
     // A repeated command changes nothing, as after a lost answer.
     apply(command, it->second);
-    http.answerJson(200, platform::encodeTaskReport(it->second.report));
+    http.answerJson(200, workers::encodeTaskReport(it->second.report));
 }
 
-void StandinWorker::refuseEpoch(const platform::WorkerCommand &command, net::HttpExchange &http)
+void StandinWorker::refuseEpoch(const workers::WorkerCommand &command, net::HttpExchange &http)
 {
     // The epoch is listed as stopped, so that a start of it that comes late is refused.
     Task &task = m_tasks[command.task.value];
     if (task.report.epoch && !hasEnded(task.report.status))
-        stop(task, platform::TaskStatus::Stopped, "replaced");
+        stop(task, workers::TaskStatus::Stopped, "replaced");
     task = Task {};
     task.report = { .task = command.task,
                     .epoch = command.epoch,
-                    .status = platform::TaskStatus::Stopped };
+                    .status = workers::TaskStatus::Stopped };
     task.endedAt = net::Loop::now();
     task.isReleased = command.release;
-    http.answerJson(200, platform::encodeTaskReport(task.report));
+    http.answerJson(200, workers::encodeTaskReport(task.report));
 }
 
-Timestamp StandinWorker::leaseEnd(const platform::WorkerCommand &command) const
+Timestamp StandinWorker::leaseEnd(const workers::WorkerCommand &command) const
 {
     // A report that is not remembered any more is too old to give a lease.
     const auto it = m_sentAt.find(command.reportSequence);
     return it == m_sentAt.end() ? Timestamp {} : it->second + command.leaseDuration;
 }
 
-void StandinWorker::begin(const platform::WorkerCommand &command, net::HttpExchange &http)
+void StandinWorker::begin(const workers::WorkerCommand &command, net::HttpExchange &http)
 {
     leaf::try_handle_all(
             [&]() -> Result<void> {
@@ -177,7 +177,7 @@
                 const Timestamp now = net::Loop::now();
                 Task &task = m_tasks[command.task.value];
                 if (task.report.epoch && !hasEnded(task.report.status))
-                    stop(task, platform::TaskStatus::Stopped, "replaced");
+                    stop(task, workers::TaskStatus::Stopped, "replaced");
                 task = Task {};
                 task.report = { .task = command.task, .epoch = command.epoch };
                 task.payload = payload;
@@ -200,42 +200,42 @@
                         !ok)
                         return ok.error();
                 }
-                http.answerJson(200, platform::encodeTaskReport(task.report));
+                http.answerJson(200, workers::encodeTaskReport(task.report));
                 return {};
             },
             [&](const Failure &failure) { http.answerFailure(failure.kind, failure.detail); },
             [&] { http.answerFailure(FailureKind::Internal, "task not started"); });
 }
 
-void StandinWorker::apply(const platform::WorkerCommand &command, Task &task)
+void StandinWorker::apply(const workers::WorkerCommand &command, Task &task)
 {
-    if (command.action == platform::WorkerAction::Stop)
+    if (command.action == workers::WorkerAction::Stop)
         task.isReleased = task.isReleased || command.release;
     if (hasEnded(task.report.status))
         return;
     switch (command.action) {
-    case platform::WorkerAction::Start:
-    case platform::WorkerAction::Renew:
+    case workers::WorkerAction::Start:
+    case workers::WorkerAction::Renew:
         task.leaseEnd = std::max(task.leaseEnd, leaseEnd(command));
         return;
-    case platform::WorkerAction::Throttle:
+    case workers::WorkerAction::Throttle:
         task.isThrottled = command.perMille < fullPerMille;
         task.report.status =
-                task.isThrottled ? platform::TaskStatus::Throttled : platform::TaskStatus::Running;
+                task.isThrottled ? workers::TaskStatus::Throttled : workers::TaskStatus::Running;
         return;
-    case platform::WorkerAction::Checkpoint:
+    case workers::WorkerAction::Checkpoint:
         stepTask(task, net::Loop::now());
         task.report.checkpoint = std::to_string(
                 std::chrono::duration_cast<std::chrono::milliseconds>(task.progress).count());
-        stop(task, platform::TaskStatus::Checkpointed, "checkpointed");
+        stop(task, workers::TaskStatus::Checkpointed, "checkpointed");
         return;
-    case platform::WorkerAction::Stop:
-        stop(task, platform::TaskStatus::Stopped, "stopped");
+    case workers::WorkerAction::Stop:
+        stop(task, workers::TaskStatus::Stopped, "stopped");
         return;
     }
 }
 
-void StandinWorker::stop(Task &task, platform::TaskStatus status, std::string_view end)
+void StandinWorker::stop(Task &task, workers::TaskStatus status, std::string_view end)
 {
     if (hasEnded(task.report.status))
         return;
@@ -268,12 +268,11 @@
     const Duration passed = now - std::exchange(task.steppedAt, now);
     task.progress += task.isThrottled ? passed / 2 : passed;
     if (m_isBroken)
-        stop(task, platform::TaskStatus::Failed, "failed");
+        stop(task, workers::TaskStatus::Failed, "failed");
     else if (now >= task.leaseEnd)
-        stop(task, platform::TaskStatus::Stopped, "lease-expired");
+        stop(task, workers::TaskStatus::Stopped, "lease-expired");
     else if (!task.payload.isService && task.progress >= task.payload.runTime)
-        stop(task,
-             task.payload.fails ? platform::TaskStatus::Failed : platform::TaskStatus::Finished,
+        stop(task, task.payload.fails ? workers::TaskStatus::Failed : workers::TaskStatus::Finished,
              task.payload.fails ? "failed" : "finished");
 }
 
@@ -288,16 +287,16 @@
         if (!hasEnded(task.report.status) || !task.isReleased)
             m_report.tasks.push_back(task.report);
     m_reporter.send("PUT", "/acaciafork/v1/workers/" + m_report.worker.value,
-                    platform::encodeWorkerReport(m_report));
+                    workers::encodeWorkerReport(m_report));
 }
 
 void StandinWorker::sendUsage()
 {
-    platform::UsageReport usage { .worker = m_report.worker,
-                                  .incarnation = m_report.incarnation,
-                                  .sequence = m_report.sequence,
-                                  .lag = usagePeriod,
-                                  .window = usagePeriod };
+    workers::UsageReport usage { .worker = m_report.worker,
+                                 .incarnation = m_report.incarnation,
+                                 .sequence = m_report.sequence,
+                                 .lag = usagePeriod,
+                                 .window = usagePeriod };
     for (const auto &[name, task] : m_tasks) {
         if (hasEnded(task.report.status))
             continue;
@@ -307,7 +306,7 @@
                                 .memoryMb = task.payload.memoryMb });
     }
     m_reporter.send("POST", "/acaciafork/v1/workers/" + m_report.worker.value + "/usage",
-                    platform::encodeUsageReport(usage));
+                    workers::encodeUsageReport(usage));
 }
 
 std::size_t StandinWorker::running() const
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -12,7 +12,7 @@
 
 #include "StandinEndpoint.h"
 #include "StandinReporter.h"
-#include "acaciafork/platform/Platform.h"
+#include "acaciafork/workers/Workers.h"
 
 namespace acaciafork::standins {
 
@@ -47,7 +47,7 @@
 {
 public:
     /// @param[in] report what it reports; address, incarnation and sequence are filled in
-    StandinWorker(net::Loop &loop, StandinReporter &reporter, platform::WorkerReport report);
+    StandinWorker(net::Loop &loop, StandinReporter &reporter, workers::WorkerReport report);
     ~StandinWorker();
     StandinWorker(const StandinWorker &) = delete;
     StandinWorker &operator=(const StandinWorker &) = delete;
@@ -63,7 +63,7 @@
     void addCounts(boost::json::array *runs, boost::json::array *endpoints) const;
 
     /// What it last reported; leases count from it.
-    [[nodiscard]] const platform::WorkerReport &lastReport() const { return m_report; }
+    [[nodiscard]] const workers::WorkerReport &lastReport() const { return m_report; }
 
     /// Tasks that run now.
     [[nodiscard]] std::size_t running() const;
@@ -72,7 +72,7 @@
     /// One task that the worker has, or had not long ago.
     struct Task
     {
-        platform::TaskReport report;
+        workers::TaskReport report;
         StandinPayload payload;
         Duration progress = Duration::zero();
         bool isThrottled = false;
@@ -87,12 +87,12 @@
 
     void serve(const std::shared_ptr<net::HttpExchange> &http);
     void serveCommand(const std::shared_ptr<net::HttpExchange> &http, std::string_view task);
-    void carryOut(const platform::WorkerCommand &command, net::HttpExchange &http);
-    void begin(const platform::WorkerCommand &command, net::HttpExchange &http);
-    void refuseEpoch(const platform::WorkerCommand &command, net::HttpExchange &http);
-    [[nodiscard]] Timestamp leaseEnd(const platform::WorkerCommand &command) const;
-    void apply(const platform::WorkerCommand &command, Task &task);
-    void stop(Task &task, platform::TaskStatus status, std::string_view end);
+    void carryOut(const workers::WorkerCommand &command, net::HttpExchange &http);
+    void begin(const workers::WorkerCommand &command, net::HttpExchange &http);
+    void refuseEpoch(const workers::WorkerCommand &command, net::HttpExchange &http);
+    [[nodiscard]] Timestamp leaseEnd(const workers::WorkerCommand &command) const;
+    void apply(const workers::WorkerCommand &command, Task &task);
+    void stop(Task &task, workers::TaskStatus status, std::string_view end);
     void step();
     void stepTask(Task &task, Timestamp now);
     void sendReport();
@@ -100,7 +100,7 @@
 
     net::Loop &m_loop;
     StandinReporter &m_reporter;
-    platform::WorkerReport m_report;
+    workers::WorkerReport m_report;
     net::HttpServer m_server;
     std::map<std::string, Task> m_tasks;
     std::vector<StandinRun> m_runs;
--- a/standins/worker.cpp
+++ b/standins/worker.cpp
@@ -30,7 +30,7 @@
 
 int main(int argc, char **argv)
 {
-    platform::WorkerReport report;
+    workers::WorkerReport report;
     std::vector<std::string> entries;
     std::size_t count = 1;
     std::size_t broken = 0;
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/workers/WorkersTest.cpp
@@ -1,10 +1,10 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "../net/NetFixtures.h"
 
-#include "acaciafork/platform/Platform.h"
+#include "acaciafork/workers/Workers.h"
 #include "standins/StandinWorker.h"
 
-namespace acaciafork::platform {
+namespace acaciafork::workers {
 
 namespace {
 
@@ -220,4 +220,4 @@
         CHECK(std::string_view(runs[i].at("end").as_string()) == ends[i]);
 }
 
-} // namespace acaciafork::platform
+} // namespace acaciafork::workers
