--- a/acaciafork/consensus/AgreementSettings.cpp
+++ b/acaciafork/consensus/AgreementSettings.cpp
@@ -65,6 +65,12 @@
                        .least = 1000,
                        .most = 60 * minuteMs,
                        .meaning = "Silence after which a member counts as lost." },
+    ReplacementField { .section = "replacement",
+                       .key = "voters",
+                       .member = &ReplacementSettings::voters,
+                       .least = 0,
+                       .most = 9,
+                       .meaning = "Voters that spares fill the group up to; 0 leaves it alone." },
 };
 
 } // namespace
--- a/acaciafork/consensus/LogFolder.h
+++ b/acaciafork/consensus/LogFolder.h
@@ -43,6 +43,10 @@
     static Result<std::unique_ptr<LogFolder>> open(StorageFolder *files, const FolderOwner &owner,
                                                    const LogFolderSettings &settings = {});
 
+    /// Member that a folder was formatted for; none when it is empty.
+    /// Fails with Corrupt when its format record is broken, with Storage.
+    static Result<std::optional<ProcessId>> readMember(StorageFolder *files);
+
     /// What was found, to be handed to the node; only once.
     RecoveredState takeRecovered() { return std::move(m_recovered); }
 
--- a/acaciafork/consensus/LogRecovery.cpp
+++ b/acaciafork/consensus/LogRecovery.cpp
@@ -22,6 +22,19 @@
     return message->ParseFromArray(body.data(), static_cast<int>(body.size()));
 }
 
+/// The record that says whom a folder belongs to.
+Result<wire::consensus::Format> readFormatRecord(StorageFolder *files)
+{
+    BOOST_LEAF_AUTO(length, files->size(formatName));
+    BOOST_LEAF_AUTO(bytes, files->read(formatName, 0, length));
+    Record record;
+    wire::consensus::Format format;
+    if (!readRecord(bytes, 0, 0, &record) || record.kind != RecordKind::Format
+        || !parseBody(record.body, &format))
+        return failCorrupt(formatName, 0, "not a format record");
+    return format;
+}
+
 } // namespace
 
 Result<std::unique_ptr<LogFolder>> LogFolder::open(StorageFolder *files, const FolderOwner &owner,
@@ -37,6 +50,15 @@
     return folder;
 }
 
+Result<std::optional<ProcessId>> LogFolder::readMember(StorageFolder *files)
+{
+    BOOST_LEAF_AUTO(names, files->list());
+    if (std::ranges::find(names, formatName) == names.end())
+        return std::optional<ProcessId>();
+    BOOST_LEAF_AUTO(format, readFormatRecord(files));
+    return std::optional<ProcessId>(ProcessId { format.member() });
+}
+
 Result<void> LogFolder::readFormat(const std::vector<std::string> &names, const FolderOwner &owner)
 {
     wire::consensus::Format format;
@@ -54,12 +76,7 @@
         appendRecord(RecordKind::Format, 0, 0, format.SerializeAsString(), &head);
         BOOST_LEAF_CHECK(replaceFile(formatName, head, {}));
     } else {
-        BOOST_LEAF_AUTO(length, m_files->size(formatName));
-        BOOST_LEAF_AUTO(bytes, m_files->read(formatName, 0, length));
-        Record record;
-        if (!readRecord(bytes, 0, 0, &record) || record.kind != RecordKind::Format
-            || !parseBody(record.body, &format))
-            return failCorrupt(formatName, 0, "not a format record");
+        BOOST_LEAF_ASSIGN(format, readFormatRecord(m_files));
         if (format.version() != formatVersion)
             return fail(FailureKind::Conflict,
                         "data folder of format version " + std::to_string(format.version()));
--- a/acaciafork/consensus/Node.h
+++ b/acaciafork/consensus/Node.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,8 @@
     Result<LogPosition> removeMember(Timestamp now, ProcessId id);
     /// Hands the leadership to a voter.
     Result<void> transferLeadership(Timestamp now, ProcessId to);
+    /// Names processes that may know the group; greeted while this one has no place in it.
+    void addContacts(std::span<const ProcessId> contacts);
 
     /// What is to be done since the last call.
     NodeOutput takeOutput(Timestamp now);
--- a/acaciafork/consensus/NodeMembership.cpp
+++ b/acaciafork/consensus/NodeMembership.cpp
@@ -176,6 +176,14 @@
     return {};
 }
 
+void Node::addContacts(std::span<const ProcessId> contacts)
+{
+    for (const ProcessId it : contacts) {
+        if (it != m_identity.self && std::ranges::find(m_contacts, it) == m_contacts.end())
+            m_contacts.push_back(it);
+    }
+}
+
 void Node::greet(Timestamp now)
 {
     if (now < m_nextGreeting)
--- a/acaciafork/consensus/ReplacementPolicy.cpp
+++ b/acaciafork/consensus/ReplacementPolicy.cpp
@@ -33,27 +33,32 @@
         if (!handled && lost == nullptr)
             lost = status.membership.find(it.member.id);
     }
-    if (lost == nullptr)
+    const bool hasRoom =
+            status.membership.members.size() < static_cast<std::size_t>(m_settings.voters);
+    if (lost == nullptr && !hasRoom)
         return std::nullopt;
-    const ProcessId spare = chooseSpare(now, status, *lost);
+    const ProcessId spare = chooseSpare(now, status, lost);
     if (!spare)
         return std::nullopt;
-    return ReplacementCommand { .lost = lost->id, .spare = spare };
+    return ReplacementCommand { .lost = lost == nullptr ? ProcessId {} : lost->id,
+                                .spare = spare };
 }
 
 ProcessId ReplacementPolicy::chooseSpare(Timestamp now, const NodeStatus &status,
-                                         const Member &lost) const
+                                         const Member *lost) const
 {
     // The lost member's zone first, then the zone with the fewest voters.
     const auto rank = [&](const Spare &spare) {
         const auto voters = std::ranges::count_if(status.membership.members, [&](const Member &it) {
-            return it.voter && it.id != lost.id && it.zone == spare.zone;
+            return it.voter && (lost == nullptr || it.id != lost->id) && it.zone == spare.zone;
         });
-        return std::tuple(spare.zone != lost.zone, voters, spare.id);
+        return std::tuple(lost != nullptr && spare.zone != lost->zone, voters, spare.id);
     };
     const Spare *best = nullptr;
     for (const Spare &it : status.spares) {
-        if (now - it.heardAt > m_settings.spareFresh)
+        const bool isTaken = status.membership.find(it.id) != nullptr
+                || status.membership.isRetired(it.id);
+        if (isTaken || now - it.heardAt > m_settings.spareFresh)
             continue;
         if (best == nullptr || rank(it) < rank(*best))
             best = &it;
--- a/acaciafork/consensus/ReplacementPolicy.h
+++ b/acaciafork/consensus/ReplacementPolicy.h
@@ -14,6 +14,8 @@
     bool automatic = true;
     /// Silence after which a member is replaced; longer than a restart of a process takes.
     Duration lostAfter = std::chrono::seconds(60);
+    /// Voters that the group should have: spares fill it up to this number; 0 leaves its size alone.
+    std::int64_t voters = 0;
     /// How recently a spare must have shown itself.
     Duration spareFresh = std::chrono::seconds(2);
 };
@@ -43,8 +45,9 @@
     std::optional<ReplacementCommand> decide(Timestamp now, const NodeStatus &status);
 
 private:
+    /// @param[in] lost member whose place is to be taken; null for a place that is free
     [[nodiscard]] ProcessId chooseSpare(Timestamp now, const NodeStatus &status,
-                                        const Member &lost) const;
+                                        const Member *lost) const;
 
     ReplacementSettings m_settings;
     /// Since when members have been silent.
--- a/acaciafork/consensus/Replica.h
+++ b/acaciafork/consensus/Replica.h
@@ -102,6 +102,9 @@
     /// Hands the leadership to a voter.
     Result<void> transferLeadership(Timestamp now, ProcessId to);
 
+    /// Names processes that may know the group. See Node::addContacts().
+    void addContacts(std::span<const ProcessId> contacts) { m_node.addContacts(contacts); }
+
     /// The node inside, for tests and measurements.
     [[nodiscard]] const Node &node() const { return m_node; }
 
--- a/acaciafork/control/ControlNode.cpp
+++ b/acaciafork/control/ControlNode.cpp
@@ -51,6 +51,12 @@
               [this](Moment at, const EndpointName &endpoint) { leaveEndpoint(at, endpoint); },
               [this](const EndpointName &endpoint) { return isIdle(endpoint); },
               [this](const EndpointName &endpoint) { return isServable(endpoint); }, counters)
+    , m_jobs(
+              m_settings.jobs, &m_state,
+              [this](Moment at, wire::Command command, ProposalTable::Handler handler) {
+                  return propose(at, std::move(command), std::move(handler));
+              },
+              counters)
     , m_applied(&counters->counter("control_commands_applied_total"))
     , m_ledgerAsks(&counters->counter("control_ledger_asks_total"))
 { }
@@ -69,6 +75,7 @@
     if (!decoded.ParseFromArray(command.data(), static_cast<int>(command.size())))
         return;
     m_batch.applied(at, decoded, result);
+    m_jobs.applied(at, decoded, result);
     recordEvents(at, decoded, result);
     if (m_leading && decoded.body_case() == wire::Command::kProposeConfig)
         configApplied(at);
@@ -178,6 +185,7 @@
     m_grantor.tick(at.now, &commands);
     run(at, commands);
 
+    m_jobs.tick(at);
     if (at.now >= m_batchTickAt) {
         m_batchTickAt = at.now + m_settings.batchTick;
         m_batch.tick(at);
@@ -190,6 +198,12 @@
     }
 }
 
+void ControlNode::turnEnded(Moment at)
+{
+    if (m_leading && m_ports->canActAsLeader(at.now))
+        m_jobs.carryOut(at);
+}
+
 void ControlNode::startLeading(Moment at)
 {
     m_leading = true;
@@ -203,6 +217,7 @@
     m_accepted = m_state.configuration().version();
     configApplied(at);
     m_batch.start(at);
+    m_jobs.start(at);
 }
 
 void ControlNode::stopLeading(Moment at)
@@ -214,6 +229,7 @@
     m_leading = false;
     m_grantor.lostLeadership();
     m_batch.stop();
+    m_jobs.stop();
     m_proposals.abandon(at);
 }
 
@@ -442,7 +458,7 @@
 bool ControlNode::isKnownEntry(ProcessId process) const
 {
     const auto &known = m_settings.knownEntries;
-    return std::find(known.begin(), known.end(), process) != known.end();
+    return m_settings.takesAnyEntry || std::find(known.begin(), known.end(), process) != known.end();
 }
 
 bool ControlNode::isIdle(const EndpointName &endpoint) const
--- a/acaciafork/control/ControlNode.h
+++ b/acaciafork/control/ControlNode.h
@@ -8,6 +8,7 @@
 #include "acaciafork/control/BatchDriver.h"
 #include "acaciafork/control/ControlPorts.h"
 #include "acaciafork/control/EntryRegistry.h"
+#include "acaciafork/control/JobDriver.h"
 #include "acaciafork/control/ProposalTable.h"
 #include "acaciafork/decisions/routing/Routing.h"
 #include "acaciafork/peers/Peers.h"
@@ -22,6 +23,9 @@
     EntryRegistrySettings entries;
     routing::CreditSettings credit = peers::creditTiming();
     batch::SchedulerSettings batch;
+    jobs::JobSchedulerSettings jobs;
+    /// Takes entries that the settings do not name; for clusters whose members find each other.
+    bool takesAnyEntry = false;
     /// The entries of the cluster, as the settings name them; the leader takes no others, so that a
     /// new leader knows whose credit it has to wait for.
     std::vector<ProcessId> knownEntries;
@@ -70,6 +74,9 @@
     /// Time has passed; every 10 ms.
     void tick(Moment at);
 
+    /// Carries out what the scheduler of jobs has decided; at the end of a turn.
+    void turnEnded(Moment at);
+
     /// True while this member leads and its soft state is in use.
     [[nodiscard]] bool leading() const { return m_leading; }
 
@@ -79,6 +86,7 @@
     [[nodiscard]] const EntryRegistry &entries() const { return m_entries; }
     [[nodiscard]] const routing::CreditGrantor &grantor() const { return m_grantor; }
     [[nodiscard]] const BatchDriver &batch() const { return m_batch; }
+    [[nodiscard]] JobDriver &jobs() { return m_jobs; }
     /// @}
 
 private:
@@ -115,6 +123,7 @@
     EntryRegistry m_entries;
     routing::CreditGrantor m_grantor;
     BatchDriver m_batch;
+    JobDriver m_jobs;
     bool m_isLeader = false;
     bool m_leading = false;
     std::uint64_t m_term = 0;
--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -34,8 +34,6 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_incarnation { static_cast<std::uint64_t>(net::Loop::wallMicroseconds()) }
-    , m_timeline(ProcessId { static_cast<std::uint32_t>(settings.id) },
-                 static_cast<std::size_t>(settings.timelineEvents))
     , m_messages(*loop, {})
     , m_workers(*loop, {})
     , m_relays({}, m_incarnation.value)
@@ -46,20 +44,29 @@
 
 Result<void> ControlProcess::start()
 {
-    BOOST_LEAF_AUTO(token, readFile(m_settings.tokenFile));
+    std::string token;
+    if (!m_settings.tokenFile.empty()) {
+        BOOST_LEAF_ASSIGN(token, readFile(m_settings.tokenFile));
+    }
+    BOOST_LEAF_CHECK(openFolder());
+    m_timeline = std::make_unique<Timeline>(
+            m_self, static_cast<std::size_t>(m_settings.timelineEvents));
     BOOST_LEAF_CHECK(listenPeers());
 
     ControlNodeSettings nodeSettings { .cell = { static_cast<std::uint32_t>(m_settings.cell) },
                                        .entries = { .lease = m_settings.configLease } };
     nodeSettings.batch.lease.leaseLength = m_settings.taskLease;
     nodeSettings.batch.lease.workerSilentAfter = m_settings.workerSilence;
+    nodeSettings.jobs.lease = m_settings.jobLease;
+    nodeSettings.takesAnyEntry = !m_settings.seeds.empty();
     for (const peers::PeerAddress &it : m_settings.entries)
         nodeSettings.knownEntries.push_back(it.process);
     m_node = std::make_unique<ControlNode>(std::move(nodeSettings), m_link.get(),
-                                           static_cast<ControlPorts *>(this), &m_timeline,
+                                           static_cast<ControlPorts *>(this), m_timeline.get(),
                                            &m_counters);
-    m_views = std::make_unique<ControlViews>(m_settings.cluster, self(), m_node.get(), &m_timeline,
+    m_views = std::make_unique<ControlViews>(m_settings.cluster, self(), m_node.get(), m_timeline.get(),
                                              &m_counters);
+    m_node->jobs().setOrders(m_orders);
     m_views->setStatus([this] { return m_replica->status(net::Loop::now()); });
     m_api = std::make_unique<operators::OperatorApi>(
             operators::tokenDigest(operators::trimmedToken(token)), m_node->state(), *m_views);
@@ -67,12 +74,24 @@
     BOOST_LEAF_CHECK(openReplica());
     BOOST_LEAF_CHECK(connectPeers());
     BOOST_LEAF_CHECK(listenOperators());
+    BOOST_LEAF_AUTO(seeds, peers::seedPeers(m_settings));
+    m_finder = std::make_unique<peers::MemberFinder>(
+            peers::DirectoryIdentity {
+                    .self = self(),
+                    .address = m_peersAddress,
+                    .controlAddress = m_controlAddress.empty() ? m_operatorsAddress
+                                                               : m_controlAddress,
+                    .zone = m_settings.zone },
+            std::move(seeds), &m_messages, m_link.get());
     m_views->setMemberAddress(self(), { .peers = m_peersAddress, .operators = m_operatorsAddress });
 
     // All writes of a turn are synced together, once, at its end.
     m_loop->every(tickInterval, [this] { tick(); });
-    m_loop->onTurnEnd([this] { m_replica->flush(net::Loop::now()); });
-    m_timeline.record(net::Loop::wallMicroseconds(), EventKind::ProcessStarted, "control");
+    m_loop->onTurnEnd([this] {
+        m_node->turnEnded(moment());
+        m_replica->flush(net::Loop::now());
+    });
+    m_timeline->record(net::Loop::wallMicroseconds(), EventKind::ProcessStarted, "control");
     spdlog::info("event=started role=control operators={} peers={}", m_operatorsAddress,
                  m_peersAddress);
     return {};
@@ -89,15 +108,27 @@
                                   .cluster = m_settings.cluster,
                                   .cell = { static_cast<std::uint32_t>(m_settings.cell) },
                                   .address = m_peersAddress },
-            &m_timeline, &m_counters,
+            m_timeline.get(), &m_counters,
             [this](ProcessId to, std::span<const std::byte> bytes) { m_messages.send(to, bytes); },
             [this](const wire::Envelope &envelope) { onMessage(envelope); });
     return {};
 }
 
-Result<void> ControlProcess::openReplica()
+Result<void> ControlProcess::openFolder()
 {
     BOOST_LEAF_ASSIGN(m_folder, consensus::PosixFolder::open(m_settings.dataFolder));
+    m_self = { static_cast<std::uint32_t>(m_settings.id) };
+    if (m_self)
+        return {};
+
+    // A member keeps the number that its folder was formatted with.
+    BOOST_LEAF_AUTO(member, consensus::LogFolder::readMember(m_folder.get()));
+    m_self = member.value_or(peers::drawProcessId());
+    return {};
+}
+
+Result<void> ControlProcess::openReplica()
+{
     consensus::ReplicaSettings settings { .cluster = m_settings.cluster,
                                           .identity = { .self = self(),
                                                         .zone = { m_settings.zone } },
@@ -108,6 +139,12 @@
     for (const peers::PeerAddress &it : m_settings.members)
         settings.identity.initialMembers.push_back(
                 { .id = it.process, .zone = it.zone, .voter = true });
+
+    // One process alone may found a cluster whose members find each other; the others join it.
+    BOOST_LEAF_AUTO(seeds, peers::seedPeers(m_settings));
+    if (m_settings.mayFound && !seeds.empty() && seeds.front() == m_peersAddress)
+        settings.identity.initialMembers.push_back(
+                { .id = self(), .zone = { m_settings.zone }, .voter = true });
     BOOST_LEAF_ASSIGN(
             m_replica,
             consensus::Replica::open(net::Loop::now(), std::move(settings), m_folder.get(), this));
@@ -162,7 +199,7 @@
         return;
     m_draining = true;
     spdlog::info("event=draining role=control leader={}", m_replica->isLeader());
-    m_timeline.record(net::Loop::wallMicroseconds(), EventKind::ProcessDraining, "control");
+    m_timeline->record(net::Loop::wallMicroseconds(), EventKind::ProcessDraining, "control");
     m_loop->after(drainTimeout, [this] { m_loop->stop(); });
 
     // A leader names a voter that is up to date; a follower can go at once.
@@ -183,6 +220,7 @@
 void ControlProcess::tick()
 {
     const Moment at = moment();
+    findMembers();
     m_replica->tick(at.now);
     m_node->tick(at);
     m_committed->set(static_cast<std::int64_t>(m_node->state().appliedIndex()));
@@ -193,6 +231,31 @@
         m_loop->stop();
 }
 
+void ControlProcess::findMembers()
+{
+    if (!m_finder->tick(moment(), m_replica->leader()))
+        return;
+    std::vector<ProcessId> members;
+    for (const auto &[process, member] : m_finder->directory().members()) {
+        members.push_back(process);
+        m_views->setMemberAddress(process, { .peers = member.address });
+    }
+    m_replica->addContacts(members);
+}
+
+bool ControlProcess::leadsJobs() const
+{
+    return m_node->leading() && m_node->jobs().isActive() && canActAsLeader(net::Loop::now());
+}
+
+std::string ControlProcess::leaderControlAddress() const
+{
+    const ProcessId leader = m_replica->leader();
+    const auto &members = m_finder->directory().members();
+    const auto it = members.find(leader);
+    return it == members.end() ? std::string() : it->second.controlAddress;
+}
+
 void ControlProcess::endIfBroken()
 {
     // After a write that failed for good only a restart tells what is on the disk.
@@ -208,11 +271,6 @@
     return { .now = net::Loop::now(), .wallMicroseconds = net::Loop::wallMicroseconds() };
 }
 
-ProcessId ControlProcess::self() const
-{
-    return { static_cast<std::uint32_t>(m_settings.id) };
-}
-
 // ---- messages
 
 void ControlProcess::learnAddress(const wire::Envelope &envelope)
@@ -235,6 +293,7 @@
 {
     learnAddress(envelope);
     const Moment at = moment();
+    m_finder->heard(at, envelope, m_replica->leader());
     switch (envelope.body_case()) {
     case wire::Envelope::kAgreement:
         leaf::try_handle_all(
@@ -345,7 +404,7 @@
 
 void ControlProcess::callApiAsLeader(const peers::ApiCall &call, const Reply &reply)
 {
-    if (takeWorkerReport(call, reply))
+    if (takeWorkerReport(call, reply) || takeJobCall(call, reply))
         return;
     const operators::ApiOutcome outcome =
             m_api->handle({ .port = call.operatorsPort ? operators::ApiPort::Operators
@@ -391,6 +450,19 @@
     return true;
 }
 
+bool ControlProcess::takeJobCall(const peers::ApiCall &call, const Reply &reply)
+{
+    if (call.path != peers::jobCallsPath || call.operatorsPort)
+        return false;
+    wire::JobCall jobCall;
+    if (!jobCall.ParseFromString(call.body)) {
+        reply(peers::failureAnswer(FailureKind::InvalidArgument, "not a call about a job"));
+        return true;
+    }
+    m_node->jobs().call(moment(), jobCall, reply);
+    return true;
+}
+
 void ControlProcess::proposeFor(wire::Command command, const Reply &reply)
 {
     const bool accepted = m_node->propose(
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -28,6 +28,22 @@
     /// Hands the leadership on if it has it, then stops the loop.
     void drain();
 
+    /// @name For the binding of another interface beside this process's own
+    /// @{
+    /// Where orders to the workers of jobs go; set before start().
+    void setWorkerOrders(WorkerOrders *orders) { m_orders = orders; }
+    /// host:port under which other members name this one to operators and workers; set before
+    /// start().
+    void setControlAddress(std::string address) { m_controlAddress = std::move(address); }
+    /// True while this member surely leads and its scheduler of jobs works.
+    [[nodiscard]] bool leadsJobs() const;
+    /// Address of the leader's control interface; empty while unknown.
+    [[nodiscard]] std::string leaderControlAddress() const;
+    [[nodiscard]] JobDriver &jobs() { return m_node->jobs(); }
+    [[nodiscard]] Moment moment() const;
+    [[nodiscard]] CounterRegistry &counters() { return m_counters; }
+    /// @}
+
     /// True when the loop was stopped because the data folder can't be written any more.
     [[nodiscard]] bool broken() const { return m_isBroken; }
 
@@ -46,9 +62,10 @@
     void roleChanged(consensus::Role role, ProcessId leader) override;
     void readReady(consensus::ReadTicket ticket, bool ready) override;
 
-    [[nodiscard]] Moment moment() const;
-    [[nodiscard]] ProcessId self() const;
+    [[nodiscard]] ProcessId self() const { return m_self; }
+    Result<void> openFolder();
     Result<void> openReplica();
+    void findMembers();
     Result<void> listenPeers();
     Result<void> listenOperators();
     Result<void> connectPeers();
@@ -62,6 +79,7 @@
     void callApi(const peers::ApiCall &call, const Reply &reply);
     void callApiAsLeader(const peers::ApiCall &call, const Reply &reply);
     bool takeWorkerReport(const peers::ApiCall &call, const Reply &reply);
+    bool takeJobCall(const peers::ApiCall &call, const Reply &reply);
     void proposeFor(wire::Command command, const Reply &reply);
     void changeMembers(const operators::MemberChange &change, const Reply &reply);
     void sendRelays();
@@ -69,14 +87,18 @@
 
     net::Loop *m_loop;
     ControlSettings m_settings;
+    ProcessId m_self;
+    WorkerOrders *m_orders = nullptr;
+    std::string m_controlAddress;
     Incarnation m_incarnation;
     CounterRegistry m_counters;
-    Timeline m_timeline;
+    std::unique_ptr<Timeline> m_timeline;
     net::MessageLink m_messages;
     workers::WorkerClient m_workers;
     std::string m_peersAddress;
     std::string m_operatorsAddress;
     std::unique_ptr<peers::PeerLink> m_link;
+    std::unique_ptr<peers::MemberFinder> m_finder;
     std::unique_ptr<ControlNode> m_node;
     std::unique_ptr<ControlViews> m_views;
     std::unique_ptr<operators::OperatorApi> m_api;
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -22,6 +22,16 @@
     Duration taskLease = std::chrono::seconds(30);
     /// Silence after which a worker gets no new work.
     Duration workerSilence = std::chrono::seconds(5);
+    /// The first of the seeds may found the cluster.
+    bool mayFound = false;
+    /// Lease of the tasks of jobs.
+    Duration jobLease = std::chrono::seconds(5);
+
+    /// Interface that operators and workers see: the product's own, or the users' platform's.
+    std::string binding = "own";
+    /// `host:port` of the binding's interfaces, where it is not the product's own.
+    std::string bindingControl;
+    std::string bindingMetrics;
 
     /// Timing of the agreement, and when a lost member is replaced: sections of their own.
     consensus::NodeSettings agreement;
--- /dev/null
+++ b/acaciafork/control/JobCodec.cpp
@@ -0,0 +1,120 @@
+#include "acaciafork/control/JobCodec.h"
+
+namespace acaciafork::control {
+namespace {
+
+jobs::Size toJobs(const wire::Resources &resources)
+{
+    return { .millicores = static_cast<std::int64_t>(resources.millicores()),
+             .memoryMb = static_cast<std::int64_t>(resources.memory_mb()),
+             .accelerators = static_cast<std::int64_t>(resources.accelerators()) };
+}
+
+jobs::StepSpec toJobs(const wire::JobStep &step)
+{
+    return { .count = step.count(),
+             .size = toJobs(step.size()),
+             .estimate = std::chrono::milliseconds(step.estimate_ms()),
+             .after = { step.after().begin(), step.after().end() },
+             .checkpoints = step.checkpoints(),
+             .gang = step.gang(),
+             .sameRack = step.same_rack(),
+             .label = step.label(),
+             .dataRack = { step.data_rack() },
+             .mostPerWorker = step.most_per_worker(),
+             .speculative = step.speculative(),
+             .longRunning = step.long_running(),
+             .image = step.image(),
+             .tailTarget = std::chrono::milliseconds(step.tail_target_ms()),
+             .fills = step.fills(),
+             .disruptionBudget = step.disruption_budget() };
+}
+
+} // namespace
+
+std::shared_ptr<const jobs::JobSpec> toJobs(const wire::JobSpec &spec)
+{
+    auto result = std::make_shared<jobs::JobSpec>();
+    for (const wire::JobStep &it : spec.steps())
+        result->steps.push_back(toJobs(it));
+    result->isScheduled = spec.has_schedule();
+    if (spec.has_schedule())
+        result->schedule = { .firstUs = spec.schedule().first_ms() * 1000,
+                             .interval = std::chrono::milliseconds(spec.schedule().interval_ms()),
+                             .times = spec.schedule().times() };
+    return result;
+}
+
+jobs::QueueSpec toJobs(const wire::Queue &queue)
+{
+    return { .name = queue.name(),
+             .pool = queue.pool(),
+             .priority = queue.priority(),
+             .mostAttempts = queue.most_attempts(),
+             .stretch = queue.stretch(),
+             .objective = std::chrono::milliseconds(queue.objective_ms()) };
+}
+
+jobs::JobView toJobs(const state::Job &job)
+{
+    jobs::JobView view { .id = { job.id },
+                         .queue = toJobs(job.queue),
+                         .spec = toJobs(*job.spec),
+                         .submittedUs = job.submittedUs,
+                         .done = job.done };
+    for (const auto &[place, count] : job.failures) {
+        const jobs::TaskKey key { .job = { job.id },
+                                  .occurrence = place.occurrence,
+                                  .step = place.step,
+                                  .task = place.task };
+        view.failures.emplace_back(key, count);
+    }
+    return view;
+}
+
+jobs::WorkerLife toJobs(const wire::WorkerLife &life)
+{
+    return { .name = { life.worker() },
+             .born = { life.born() },
+             .pool = life.pool(),
+             .address = life.address(),
+             .zone = life.zone(),
+             .labels = { life.labels().begin(), life.labels().end() },
+             .rack = { life.rack() },
+             .capacity = toJobs(life.capacity()) };
+}
+
+wire::WorkerLife toState(const jobs::WorkerLife &life)
+{
+    wire::WorkerLife record;
+    record.set_worker(life.name.value);
+    record.set_born(life.born.value);
+    record.set_pool(life.pool);
+    record.set_address(life.address);
+    record.set_zone(life.zone);
+    record.mutable_labels()->Add(life.labels.begin(), life.labels.end());
+    record.set_rack(life.rack.value);
+    record.mutable_capacity()->set_millicores(static_cast<std::uint64_t>(life.capacity.millicores));
+    record.mutable_capacity()->set_memory_mb(static_cast<std::uint64_t>(life.capacity.memoryMb));
+    record.mutable_capacity()->set_accelerators(
+            static_cast<std::uint64_t>(life.capacity.accelerators));
+    return record;
+}
+
+wire::RecordTaskEnds toState(const jobs::RecordEnds &ends)
+{
+    wire::RecordTaskEnds record;
+    for (const jobs::TaskEnd &it : ends.ends) {
+        wire::TaskEnd *end = record.add_ends();
+        end->set_job(it.task.job.value);
+        end->set_occurrence(it.task.occurrence);
+        end->set_step(it.task.step);
+        end->set_task(it.task.task);
+        end->set_failed(it.failed);
+    }
+    for (const jobs::JobId it : ends.failedJobs)
+        record.add_failed_jobs(it.value);
+    return record;
+}
+
+} // namespace acaciafork::control
--- /dev/null
+++ b/acaciafork/control/JobCodec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "acaciafork/decisions/jobs/Jobs.h"
+#include "acaciafork/state/State.h"
+
+namespace acaciafork::control {
+
+/// A job's spec as the scheduler takes it.
+std::shared_ptr<const jobs::JobSpec> toJobs(const wire::JobSpec &spec);
+
+/// A queue as the scheduler takes it.
+jobs::QueueSpec toJobs(const wire::Queue &queue);
+
+/// A job as the scheduler takes it; `done` stays a view of the state's.
+jobs::JobView toJobs(const state::Job &job);
+
+/// A worker as the scheduler takes it.
+jobs::WorkerLife toJobs(const wire::WorkerLife &life);
+/// A worker as the state takes it.
+wire::WorkerLife toState(const jobs::WorkerLife &life);
+
+/// How tasks ended, as the state takes it.
+wire::RecordTaskEnds toState(const jobs::RecordEnds &ends);
+
+} // namespace acaciafork::control
--- /dev/null
+++ b/acaciafork/control/JobDriver.cpp
@@ -0,0 +1,437 @@
+#include "acaciafork/control/JobDriver.h"
+
+#include <charconv>
+
+#include <spdlog/spdlog.h>
+
+#include "acaciafork/control/JobCodec.h"
+
+namespace acaciafork::control {
+namespace {
+
+/// Pause before a tenure that could not be proposed is proposed again.
+constexpr Duration startAgainAfter = std::chrono::milliseconds(100);
+/// When a client may come back that was refused since the state can't be changed now; an election
+/// takes about half of it.
+constexpr std::string_view notNow = R"({"error":{"kind":"not-ready"},"retryAfterMs":1000})";
+constexpr std::size_t jobIdDigits = 16;
+
+/// A job's id from its text; false for any other text.
+bool parseJobId(std::string_view text, std::uint64_t *id)
+{
+    if (text.size() != jobIdDigits)
+        return false;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), *id, 16);
+    return ec == std::errc() && end == text.data() + text.size();
+}
+
+std::string taskName(const jobs::TaskKey &task)
+{
+    return fmt::format("{:016x}.{}.{}.{}", task.job.value, task.occurrence, task.step, task.task);
+}
+
+} // namespace
+
+const wire::Queue *findQueue(const wire::QueueConfig &config, std::string_view host,
+                             std::string_view path)
+{
+    const wire::Queue *best = nullptr;
+    for (const wire::Queue &it : config.queues()) {
+        if (it.host() == host && path.starts_with(it.path_prefix())
+            && (best == nullptr || it.path_prefix().size() > best->path_prefix().size()))
+            best = &it;
+    }
+    return best;
+}
+
+/// Carries out the commands of the scheduler, one overload for each kind.
+struct JobCommandRunner
+{
+    JobDriver &driver;
+    Moment at;
+
+    void operator()(const jobs::StartRun &command) const
+    {
+        const state::Job *job = driver.m_state->jobs().find(command.run.task.job.value);
+        spdlog::info("event=run-placed task={} run={} worker={} free-millicores={} free-mb={} "
+                     "waited-ms={} resumes={}",
+                     taskName(command.run.task), command.run.run.value, command.target.name.value,
+                     command.roomBefore.millicores, command.roomBefore.memoryMb,
+                     command.waited / std::chrono::milliseconds(1), !command.checkpoint.empty());
+        driver.m_orders->start(command, job == nullptr ? std::string_view() : job->spec->payload(),
+                               driver.m_tenure);
+    }
+    void operator()(const jobs::StopRun &command) const
+    {
+        spdlog::info("event=run-stop task={} run={} worker={} reason={}",
+                     taskName(command.run.task), command.run.run.value, command.target.name.value,
+                     command.reason);
+        driver.m_orders->stop(command, driver.m_tenure);
+    }
+    void operator()(const jobs::PaceRun &command) const
+    {
+        driver.m_orders->pace(command, driver.m_tenure);
+    }
+    void operator()(const jobs::HoldWorker &command) const
+    {
+        driver.m_orders->hold(command, driver.m_tenure);
+    }
+    void operator()(const jobs::RecordEnds &command) const
+    {
+        wire::Command proposal;
+        *proposal.mutable_record_task_ends() = toState(command);
+        const std::uint64_t leadership = driver.m_leadership;
+        const bool accepted = driver.m_propose(
+                at, std::move(proposal),
+                [this_ = &driver, leadership, batch = command.batch](
+                        Moment when, const state::ApplyResult *result) {
+                    // Without a result the leadership is over: the next leader sees the ends again.
+                    if (result != nullptr && leadership == this_->m_leadership)
+                        this_->m_scheduler.endsRecorded(when, batch);
+                });
+        if (!accepted)
+            driver.m_unrecorded.push_back(command);
+    }
+    void operator()(const jobs::RecordWorkers &command) const
+    {
+        wire::Command proposal;
+        wire::ChangeWorkers *change = proposal.mutable_change_workers();
+        std::vector<WorkerName> names;
+        for (const jobs::WorkerLife &it : command.put) {
+            *change->add_put() = toState(it);
+            names.push_back(it.name);
+        }
+        for (const WorkerName &it : command.removed)
+            change->add_removed(it.value);
+        const std::uint64_t leadership = driver.m_leadership;
+        const bool accepted = driver.m_propose(
+                at, std::move(proposal),
+                [this_ = &driver, leadership, names](Moment when,
+                                                     const state::ApplyResult *result) {
+                    if (result != nullptr && leadership == this_->m_leadership)
+                        this_->m_scheduler.workersRecorded(when, names);
+                });
+        if (!accepted)
+            driver.m_unrecordedWorkers.push_back(command);
+    }
+    void operator()(const jobs::Note &command) const
+    {
+        spdlog::info("event={} task={} run={} worker={} {}", command.event,
+                     taskName(command.task), command.run.value, command.worker.value,
+                     command.detail);
+    }
+};
+
+JobDriver::JobDriver(const jobs::JobSchedulerSettings &settings,
+                     const state::StateMachine *machine, Propose propose,
+                     CounterRegistry *counters)
+    : m_state(machine)
+    , m_propose(std::move(propose))
+    , m_scheduler(settings)
+    , m_accepted(&counters->counter("jobs_total{outcome=\"accepted\"}"))
+    , m_refused(&counters->counter("jobs_total{outcome=\"refused\"}"))
+    , m_cancelled(&counters->counter("jobs_total{outcome=\"cancelled\"}"))
+    , m_started(&counters->counter("task_runs_started", MetricKind::Gauge))
+    , m_done(&counters->counter("tasks_done", MetricKind::Gauge))
+    , m_failed(&counters->counter("task_runs_failed", MetricKind::Gauge))
+    , m_lost(&counters->counter("task_runs_lost", MetricKind::Gauge))
+    , m_unanswered(&counters->counter("task_starts_unanswered", MetricKind::Gauge))
+{ }
+
+// ---- tenure
+
+void JobDriver::start(Moment at)
+{
+    ++m_leadership;
+    m_isStarting = m_orders != nullptr;
+    m_startAgainAt = at.now;
+    tick(at);
+}
+
+void JobDriver::stop()
+{
+    if (m_isActive)
+        spdlog::info("event=tenure-ended tenure={}", m_tenure.value);
+    ++m_leadership;
+    m_isStarting = false;
+    m_isActive = false;
+    m_tenure = {};
+    m_unrecorded.clear();
+    m_unrecordedWorkers.clear();
+    m_scheduler.end();
+}
+
+void JobDriver::begin(Moment at, std::uint64_t tenure)
+{
+    std::vector<jobs::QueueSpec> queues;
+    for (const wire::Queue &it : m_state->queues().current().queues())
+        queues.push_back(toJobs(it));
+    std::vector<jobs::JobView> views;
+    for (const auto &[id, job] : m_state->jobs().all()) {
+        if (job.state == wire::JOB_STATE_ACTIVE)
+            views.push_back(toJobs(job));
+    }
+    std::vector<jobs::WorkerLife> workers;
+    for (const auto &[name, life] : m_state->workers().all())
+        workers.push_back(toJobs(life));
+    m_tenure = { tenure };
+    m_isActive = true;
+    m_scheduler.begin(at, m_tenure, queues, views, workers);
+}
+
+void JobDriver::tick(Moment at)
+{
+    if (m_isStarting && !m_isActive && at.now >= m_startAgainAt) {
+        m_startAgainAt = at.now + startAgainAfter;
+        wire::Command proposal;
+        proposal.mutable_begin_tenure();
+        const std::uint64_t leadership = m_leadership;
+        m_isStarting = !m_propose(
+                at, std::move(proposal),
+                [this, leadership](Moment when, const state::ApplyResult *result) {
+                    if (result != nullptr && leadership == m_leadership)
+                        begin(when, result->version());
+                });
+    }
+    if (!m_isActive)
+        return;
+    m_scheduler.tick(at);
+
+    // What could not be proposed, as while the disk is full, is proposed again.
+    std::vector<jobs::RecordEnds> ends;
+    ends.swap(m_unrecorded);
+    for (const jobs::RecordEnds &it : ends)
+        JobCommandRunner { .driver = *this, .at = at }(it);
+    std::vector<jobs::RecordWorkers> workers;
+    workers.swap(m_unrecordedWorkers);
+    for (const jobs::RecordWorkers &it : workers)
+        JobCommandRunner { .driver = *this, .at = at }(it);
+
+    const jobs::JobSchedulerCounts &counts = m_scheduler.counts();
+    m_started->set(static_cast<std::int64_t>(counts.started));
+    m_done->set(static_cast<std::int64_t>(counts.done));
+    m_failed->set(static_cast<std::int64_t>(counts.failed));
+    m_lost->set(static_cast<std::int64_t>(counts.lost));
+    m_unanswered->set(static_cast<std::int64_t>(counts.unanswered));
+}
+
+void JobDriver::carryOut(Moment at)
+{
+    if (!m_isActive)
+        return;
+    const JobCommandRunner runner { .driver = *this, .at = at };
+    for (const jobs::Command &it : m_scheduler.takeCommands(at))
+        std::visit(runner, it);
+}
+
+void JobDriver::applied(Moment at, const wire::Command &command, const state::ApplyResult &result)
+{
+    if (!m_isActive || result.outcome() != wire::OUTCOME_APPLIED)
+        return;
+    if (command.body_case() == wire::Command::kSubmitJob) {
+        const state::Job *job = m_state->jobs().find(command.submit_job().job());
+        ACACIAFORK_ASSERT(job != nullptr);
+        m_accepted->add();
+        spdlog::info("event=job-accepted job={:016x} queue={} steps={} tasks={}", job->id,
+                     job->queue.name(), job->spec->steps_size(), job->done.size());
+        m_scheduler.jobAccepted(at, toJobs(*job));
+    } else if (command.body_case() == wire::Command::kCancelJob) {
+        m_cancelled->add();
+        spdlog::info("event=job-cancelled job={:016x}", command.cancel_job().job());
+        m_scheduler.jobCancelled(at, { command.cancel_job().job() });
+    } else if (command.body_case() == wire::Command::kProposeQueues) {
+        std::vector<jobs::QueueSpec> queues;
+        for (const wire::Queue &it : m_state->queues().current().queues())
+            queues.push_back(toJobs(it));
+        spdlog::info("event=queues-in-force version={} queues={}", m_state->queues().version(),
+                     queues.size());
+        m_scheduler.queuesChanged(queues);
+    }
+}
+
+// ---- calls
+
+void JobDriver::call(Moment at, const wire::JobCall &call, const Reply &reply)
+{
+    const wire::QueueConfig &config = m_state->queues().current();
+    if (!m_isActive || config.version() == 0) {
+        reply({ .status = 503, .body = std::string(notNow) });
+        return;
+    }
+    const wire::Queue *queue = findQueue(config, call.host(), call.path());
+    if (queue == nullptr) {
+        reply(peers::failureAnswer(FailureKind::NotFound, "no queue has this host and path"));
+        return;
+    }
+    const std::string_view rest = std::string_view(call.path()).substr(queue->path_prefix().size());
+    if (rest.empty() && call.action() == wire::JobCall::STATE) {
+        reply({ .status = 200,
+                .body = fmt::format(R"({{"pending":{}}})", m_scheduler.pending(queue->name())) });
+        return;
+    }
+    std::uint64_t id = 0;
+    if (!parseJobId(rest, &id)) {
+        reply(peers::failureAnswer(FailureKind::InvalidArgument,
+                                   "a job's id has 16 hexadecimal digits"));
+        return;
+    }
+    switch (call.action()) {
+    case wire::JobCall::SUBMIT:
+        submit(at, *queue, id, call, reply);
+        break;
+    case wire::JobCall::CANCEL:
+        cancel(at, id, reply);
+        break;
+    default:
+        tell(*queue, id, reply);
+        break;
+    }
+}
+
+void JobDriver::submit(Moment at, const wire::Queue &queue, std::uint64_t id,
+                       const wire::JobCall &call, const Reply &reply)
+{
+    if (m_state->jobs().find(id) != nullptr) {
+        reply({ .status = 200, .body = "{}" });
+        return;
+    }
+    wire::Command proposal;
+    wire::SubmitJob *job = proposal.mutable_submit_job();
+    if (call.malformed() || !job->mutable_spec()->ParseFromString(call.spec())) {
+        reply(peers::failureAnswer(FailureKind::InvalidArgument, "the body is not a job"));
+        return;
+    }
+    job->set_job(id);
+    *job->mutable_queue() = queue;
+    const bool accepted = m_propose(
+            at, std::move(proposal), [reply, id](Moment, const state::ApplyResult *result) {
+                // Not known whether it is accepted: whoever asked asks the next leader.
+                if (result == nullptr)
+                    return;
+                if (state::succeeded(*result)) {
+                    reply({ .status = 200, .body = "{}" });
+                    return;
+                }
+                spdlog::info("event=job-refused job={:016x} outcome={} detail=\"{}\"", id,
+                             state::outcomeName(result->outcome()), result->detail());
+                if (result->outcome() == wire::OUTCOME_INVALID)
+                    reply(peers::failureAnswer(FailureKind::InvalidArgument, result->detail()));
+                else
+                    reply({ .status = 503, .body = std::string(notNow) });
+            });
+    if (!accepted) {
+        m_refused->add();
+        spdlog::info("event=job-refused job={:016x} queue={} reason=cannot-propose", id,
+                     queue.name());
+        reply({ .status = 503, .body = std::string(notNow) });
+    }
+}
+
+void JobDriver::tell(const wire::Queue &, std::uint64_t id, const Reply &reply) const
+{
+    const state::Job *job = m_state->jobs().find(id);
+    if (job == nullptr) {
+        reply({ .status = 410, .body = "{}" });
+        return;
+    }
+    std::string_view word = "waiting";
+    switch (job->state) {
+    case wire::JOB_STATE_COMPLETED:
+        word = "completed";
+        break;
+    case wire::JOB_STATE_FAILED:
+        word = "failed";
+        break;
+    case wire::JOB_STATE_CANCELLED:
+        word = "cancelled";
+        break;
+    default: {
+        const jobs::Job *active = m_scheduler.jobs().find(jobs::JobId { id });
+        if (active != nullptr && active->hasBegun)
+            word = "running";
+        break;
+    }
+    }
+    reply({ .status = 200, .body = fmt::format(R"({{"state":"{}"}})", word) });
+}
+
+void JobDriver::cancel(Moment at, std::uint64_t id, const Reply &reply)
+{
+    const state::Job *job = m_state->jobs().find(id);
+    if (job == nullptr || job->state != wire::JOB_STATE_ACTIVE) {
+        reply({ .status = job == nullptr ? 410 : 200, .body = "{}" });
+        return;
+    }
+    wire::Command proposal;
+    proposal.mutable_cancel_job()->set_job(id);
+    const bool accepted = m_propose(at, std::move(proposal),
+                                    [reply](Moment, const state::ApplyResult *result) {
+                                        if (result != nullptr)
+                                            reply({ .status = 200, .body = "{}" });
+                                    });
+    if (!accepted)
+        reply({ .status = 503, .body = std::string(notNow) });
+}
+
+void JobDriver::configure(Moment at, wire::QueueConfig config, const Reply &reply)
+{
+    const std::uint64_t version = config.version();
+    if (version <= m_state->queues().version()) {
+        spdlog::info("event=queues-overtaken version={} held={}", version,
+                     m_state->queues().version());
+        reply({ .status = 200, .body = "{}" });
+        return;
+    }
+    wire::Command proposal;
+    *proposal.mutable_propose_queues()->mutable_config() = std::move(config);
+    const bool accepted = m_propose(
+            at, std::move(proposal), [reply, version](Moment, const state::ApplyResult *result) {
+                if (result == nullptr) {
+                    reply({ .status = 503, .body = std::string(notNow) });
+                    return;
+                }
+                spdlog::info("event=queues-proposed version={} outcome={}", version,
+                             state::outcomeName(result->outcome()));
+                if (state::succeeded(*result))
+                    reply({ .status = 200, .body = "{}" });
+                else
+                    reply(peers::failureAnswer(FailureKind::InvalidArgument, result->detail()));
+            });
+    if (!accepted)
+        reply({ .status = 503, .body = std::string(notNow) });
+}
+
+void JobDriver::workerReported(Moment at, const jobs::WorkerReport &report)
+{
+    if (m_isActive)
+        m_scheduler.workerReported(at, report);
+}
+
+void JobDriver::workerLeft(Moment at, const WorkerName &name, Incarnation born)
+{
+    if (m_isActive)
+        m_scheduler.workerLeft(at, name, born);
+}
+
+// ---- answers of workers
+
+void JobDriver::startAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run)
+{
+    if (isOf(answer.tenure))
+        m_scheduler.startAnswered(at, answer.worker, run, answer.outcome);
+}
+
+void JobDriver::stopAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run)
+{
+    if (isOf(answer.tenure))
+        m_scheduler.stopAnswered(at, answer.worker, run, answer.outcome);
+}
+
+void JobDriver::holdAnswered(Moment at, WorkerAnswer answer, bool wasQuick,
+                             const jobs::HoldAnswer *lists)
+{
+    if (isOf(answer.tenure))
+        m_scheduler.holdAnswered(at, answer.worker, wasQuick, answer.outcome, lists);
+}
+
+} // namespace acaciafork::control
--- /dev/null
+++ b/acaciafork/control/JobDriver.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "acaciafork/control/ControlPorts.h"
+#include "acaciafork/control/JobPorts.h"
+#include "acaciafork/control/ProposalTable.h"
+#include "acaciafork/decisions/jobs/Jobs.h"
+#include "acaciafork/peers/Peers.h"
+#include "acaciafork/state/State.h"
+
+namespace acaciafork::control {
+
+/// Runs the scheduler of jobs on the leader: brings it the changes of the replicated state, makes
+/// durable what it decides, hands its orders to the workers' port, and answers calls about jobs.
+class JobDriver
+{
+public:
+    /// Proposes a command; see ControlNode::propose().
+    using Propose = std::function<bool(Moment, wire::Command, ProposalTable::Handler)>;
+    /// Gets the answer to a call, once; never for a call whose outcome is not known.
+    using Reply = peers::CallTable::Handler;
+
+    JobDriver(const jobs::JobSchedulerSettings &settings, const state::StateMachine *machine,
+              Propose propose, CounterRegistry *counters);
+
+    /// Where orders go; without one nothing is scheduled.
+    void setOrders(WorkerOrders *orders) { m_orders = orders; }
+
+    /// This member leads from now on; the scheduler begins once its tenure is committed.
+    void start(Moment at);
+    void stop();
+    /// True while the scheduler works.
+    [[nodiscard]] bool isActive() const { return m_isActive; }
+
+    /// A command was applied on the leader.
+    void applied(Moment at, const wire::Command &command, const state::ApplyResult &result);
+    /// Time has passed; every 10 ms.
+    void tick(Moment at);
+    /// Carries out what was decided in this turn; at its end.
+    void carryOut(Moment at);
+
+    /// @name Calls
+    /// @{
+    /// A call about a job or a queue, from an entry.
+    void call(Moment at, const wire::JobCall &call, const Reply &reply);
+    /// A configuration of queues that its reader has found valid.
+    void configure(Moment at, wire::QueueConfig config, const Reply &reply);
+    /// A worker's report; answered at once.
+    void workerReported(Moment at, const jobs::WorkerReport &report);
+    void workerLeft(Moment at, const WorkerName &name, Incarnation born);
+    /// @}
+
+    /// @name Answers of workers
+    /// @{
+    void startAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run);
+    void stopAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run);
+    void holdAnswered(Moment at, WorkerAnswer answer, bool wasQuick,
+                      const jobs::HoldAnswer *lists);
+    /// @}
+
+    [[nodiscard]] const jobs::JobScheduler &scheduler() const { return m_scheduler; }
+    [[nodiscard]] const state::StateMachine &state() const { return *m_state; }
+
+private:
+    friend struct JobCommandRunner;
+
+    void begin(Moment at, std::uint64_t tenure);
+    void submit(Moment at, const wire::Queue &queue, std::uint64_t id, const wire::JobCall &call,
+                const Reply &reply);
+    void tell(const wire::Queue &queue, std::uint64_t id, const Reply &reply) const;
+    void cancel(Moment at, std::uint64_t id, const Reply &reply);
+    [[nodiscard]] bool isOf(jobs::Tenure tenure) const { return m_isActive && tenure == m_tenure; }
+
+    const state::StateMachine *m_state;
+    Propose m_propose;
+    WorkerOrders *m_orders = nullptr;
+    jobs::JobScheduler m_scheduler;
+    jobs::Tenure m_tenure;
+    bool m_isActive = false;
+    bool m_isStarting = false;
+    Timestamp m_startAgainAt;
+    /// Records that could not be proposed yet.
+    std::vector<jobs::RecordEnds> m_unrecorded;
+    std::vector<jobs::RecordWorkers> m_unrecordedWorkers;
+    /// Leadership that this member is in; answers of proposals of another one are stale.
+    std::uint64_t m_leadership = 0;
+
+    Counter *m_accepted;
+    Counter *m_refused;
+    Counter *m_cancelled;
+    Counter *m_started;
+    Counter *m_done;
+    Counter *m_failed;
+    Counter *m_lost;
+    Counter *m_unanswered;
+};
+
+/// Queue that a path of a host belongs to, the longest prefix first, or null.
+const wire::Queue *findQueue(const wire::QueueConfig &config, std::string_view host,
+                             std::string_view path);
+
+} // namespace acaciafork::control
--- /dev/null
+++ b/acaciafork/control/JobPorts.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "acaciafork/decisions/jobs/Jobs.h"
+
+namespace acaciafork::control {
+
+/// Outcome of one order, as the port reports it.
+struct WorkerAnswer
+{
+    jobs::WorkerId worker;
+    /// Tenure in which the order was given; answers to an earlier one are dropped.
+    jobs::Tenure tenure;
+    jobs::OrderOutcome outcome = jobs::OrderOutcome::Unanswered;
+};
+
+/// Orders to workers, as the scheduler of jobs gives them. Each call's answer goes back to the
+/// JobDriver, once.
+class WorkerOrders
+{
+public:
+    virtual ~WorkerOrders() = default;
+
+    /// @param[in] payload what the job hands to each of its tasks
+    virtual void start(const jobs::StartRun &order, std::string_view payload,
+                       jobs::Tenure tenure) = 0;
+    virtual void stop(const jobs::StopRun &order, jobs::Tenure tenure) = 0;
+    virtual void pace(const jobs::PaceRun &order, jobs::Tenure tenure) = 0;
+    virtual void hold(const jobs::HoldWorker &order, jobs::Tenure tenure) = 0;
+};
+
+} // namespace acaciafork::control
--- /dev/null
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -0,0 +1,294 @@
+#include "acaciafork/decisions/jobs/JobScheduler.h"
+
+#include <algorithm>
+
+// The tenure, the jobs, and the way of commands out. Runs, workers and placement have files of
+// their own.
+
+namespace acaciafork::jobs {
+namespace {
+
+/// Pause between two rounds of the checks that look at everything.
+constexpr Duration slowCheckInterval = std::chrono::milliseconds(100);
+/// Most ends in one record.
+constexpr std::size_t mostEndsPerRecord = 2000;
+
+} // namespace
+
+JobScheduler::JobScheduler(const JobSchedulerSettings &settings)
+    : m_settings(settings)
+    , m_placer(settings.placer)
+    , m_tails(settings.tails)
+{ }
+
+void JobScheduler::begin(Moment at, Tenure tenure, std::span<const QueueSpec> queues,
+                         std::span<const JobView> jobs, std::span<const WorkerLife> workers)
+{
+    end();
+    m_tenure = tenure;
+    queuesChanged(queues);
+    for (const WorkerLife &it : workers) {
+        Worker &worker = m_workers.add(it);
+        worker.isRecorded = true;
+        worker.heardAt = at.now;
+        worker.lease.assume(at.now, m_settings.lease);
+    }
+    m_isTakingOver = !workers.empty();
+    for (const JobView &it : jobs)
+        addJob(at, it, true);
+    note("tenure-began", {}, nullptr,
+         "tenure=" + std::to_string(tenure.value) + " jobs=" + std::to_string(jobs.size())
+                 + " workers=" + std::to_string(workers.size()));
+}
+
+void JobScheduler::end()
+{
+    m_order.clear();
+    m_jobs.clear();
+    m_workers.clear();
+    m_due.clear();
+    m_ends.clear();
+    m_failedJobs.clear();
+    m_openBatch = {};
+    m_batches.clear();
+    m_endsUrgent = false;
+    m_idle.clear();
+    m_lives.clear();
+    m_removed.clear();
+    m_commands.clear();
+    m_isFenced = false;
+    m_isTakingOver = false;
+    m_tenure = {};
+}
+
+void JobScheduler::note(std::string_view event, const RunKey &run, const Worker *worker,
+                        std::string detail)
+{
+    m_commands.emplace_back(Note { .event = event,
+                                   .task = run.task,
+                                   .run = run.run,
+                                   .worker = worker == nullptr ? WorkerName {} : worker->life.name,
+                                   .detail = std::move(detail) });
+}
+
+// ---- queues and jobs
+
+void JobScheduler::queuesChanged(std::span<const QueueSpec> queues)
+{
+    m_queues.clear();
+    for (const QueueSpec &it : queues)
+        m_queues[it.name] = it;
+}
+
+const QueueSpec &JobScheduler::queueOf(const QueueSpec &accepted) const
+{
+    const auto it = m_queues.find(accepted.name);
+    return it == m_queues.end() ? accepted : it->second;
+}
+
+void JobScheduler::jobAccepted(Moment at, const JobView &job)
+{
+    addJob(at, job, false);
+}
+
+void JobScheduler::addJob(Moment at, const JobView &view, bool isInherited)
+{
+    if (m_jobs.find(view.id) != nullptr)
+        return;
+    Job *job = m_jobs.add(at.now, at.wallMicroseconds, view, queueOf(view.queue));
+    job->isInherited = isInherited;
+    if (!isInherited)
+        job->acceptedAt = at.now;
+    job->objectiveAt = job->acceptedAt + job->objective;
+    std::uint32_t tasks = 0;
+    for (const Step &it : job->steps)
+        tasks += it.spec->count;
+    job->hasBegun = job->tasksLeft < tasks || !view.failures.empty();
+    if (job->spec->isScheduled)
+        holdUntilDue(at, job);
+    else
+        openSteps(at.now, job, 0);
+}
+
+void JobScheduler::holdUntilDue(Moment at, Job *job)
+{
+    const Schedule &schedule = job->spec->schedule;
+    for (Step &it : job->steps)
+        it.isHeld = true;
+    for (std::uint32_t it = 0; it < schedule.times; ++it) {
+        const std::int64_t dueUs = schedule.firstUs + schedule.interval.count() * it;
+        m_due.emplace(dueUs, Due { .job = job->id, .occurrence = it });
+    }
+    startDueOccurrences(at);
+}
+
+void JobScheduler::startDueOccurrences(Moment at)
+{
+    while (!m_due.empty() && m_due.begin()->first <= at.wallMicroseconds) {
+        const Due due = m_due.begin()->second;
+        m_due.erase(m_due.begin());
+        Job *job = m_jobs.find(due.job);
+        if (job == nullptr || job->phase != JobPhase::Active)
+            continue;
+        for (Step &it : job->steps) {
+            if (it.occurrence == due.occurrence)
+                it.isHeld = false;
+        }
+        openSteps(at.now, job, due.occurrence);
+    }
+}
+
+void JobScheduler::openSteps(Timestamp now, Job *job, std::uint32_t occurrence)
+{
+    for (Step &it : job->steps) {
+        if (it.occurrence == occurrence && it.mayStart() && it.left > 0)
+            makeReady(now, &it);
+    }
+}
+
+void JobScheduler::makeReady(Timestamp now, Step *step)
+{
+    step->readyAt = now;
+    for (std::uint32_t it = 0; it < step->tasks.size(); ++it)
+        requeue(now, { .step = step, .task = it });
+}
+
+void JobScheduler::requeue(Timestamp now, TaskRef ref)
+{
+    Task &task = ref.get();
+    Step *step = ref.step;
+    if (task.done || task.isReady || task.hasRun() || !step->mayStart()
+        || step->job->phase != JobPhase::Active)
+        return;
+    task.isReady = true;
+    step->ready.push_back(ref.task);
+    m_order.insert(now, step);
+    m_placementDue = true;
+}
+
+void JobScheduler::jobCancelled(Moment at, JobId id)
+{
+    Job *job = m_jobs.find(id);
+    if (job != nullptr && job->phase == JobPhase::Active)
+        endJob(at.now, job, JobPhase::Cancelled);
+}
+
+void JobScheduler::endJob(Timestamp now, Job *job, JobPhase phase)
+{
+    job->phase = phase;
+    for (Step &step : job->steps) {
+        m_order.erase(&step);
+        step.ready.clear();
+        for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+            step.tasks[it].isReady = false;
+            for (std::size_t slot = 0; slot < mostRuns; ++slot) {
+                const RunRef run { .task = { .step = &step, .task = it }, .slot = slot };
+                if (run.get().exists())
+                    requestStop(now, run, "job-over");
+            }
+        }
+    }
+    dropIfIdle(job);
+}
+
+void JobScheduler::dropIfIdle(Job *job)
+{
+    // Callers may still look at the job: it goes with the end of the turn.
+    if (job->phase != JobPhase::Active && job->runCount == 0)
+        m_idle.push_back(job->id);
+}
+
+std::uint32_t JobScheduler::pending(const std::string &queue) const
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(m_jobs.all(), [&](const auto &it) {
+        const Job &job = *it.second;
+        return job.queue == queue && job.phase == JobPhase::Active && !job.hasBegun;
+    }));
+}
+
+// ---- ends on their way into the replicated state
+
+void JobScheduler::recordEnd(Timestamp now, const TaskKey &task, bool failed, Worker *worker)
+{
+    if (m_ends.empty() && m_failedJobs.empty())
+        m_endsSince = now;
+    m_ends.push_back({ .task = task, .failed = failed });
+    if (worker != nullptr)
+        worker->lastBatch = m_lastBatch + 1;
+}
+
+void JobScheduler::flushEnds(Timestamp now)
+{
+    if (m_ends.empty() && m_failedJobs.empty())
+        return;
+    if (!m_endsUrgent && now - m_endsSince < m_settings.recordPause
+        && m_ends.size() < mostEndsPerRecord)
+        return;
+    const std::uint64_t batch = ++m_lastBatch;
+    Batch &open = m_batches[batch];
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (worker->lastBatch == batch)
+            open.cursors.emplace_back(id, worker->seenEnds);
+    }
+    m_commands.emplace_back(RecordEnds {
+            .batch = batch, .ends = std::move(m_ends), .failedJobs = std::move(m_failedJobs) });
+    m_ends.clear();
+    m_failedJobs.clear();
+    m_endsUrgent = false;
+}
+
+void JobScheduler::endsRecorded(Moment at, std::uint64_t batch)
+{
+    const auto it = m_batches.find(batch);
+    if (it == m_batches.end())
+        return;
+    for (const auto &[id, cursor] : it->second.cursors) {
+        Worker *worker = m_workers.find(id);
+        if (worker == nullptr)
+            continue;
+        // Ends after the last recorded one that need no record count as recorded with it.
+        const std::uint64_t recorded = worker->lastBatch <= batch ? worker->seenEnds : cursor;
+        worker->recordedEnds = std::max(worker->recordedEnds, recorded);
+        holdIfDue(at.now, worker);
+    }
+    m_batches.erase(it);
+}
+
+// ---- time and commands
+
+void JobScheduler::tick(Moment at)
+{
+    startDueOccurrences(at);
+    for (const auto &[id, worker] : m_workers.all())
+        holdIfDue(at.now, worker.get());
+    if (at.now < m_nextSlowCheck)
+        return;
+    m_nextSlowCheck = at.now + slowCheckInterval;
+    checkLapses(at.now);
+    checkTakeover(at.now);
+    startCopies(at.now);
+    m_order.refresh(at.now);
+    m_placementDue = true;
+}
+
+Commands JobScheduler::takeCommands(Moment at)
+{
+    if (m_placementDue && !m_isFenced) {
+        m_placementDue = false;
+        place(at.now);
+    }
+    flushEnds(at.now);
+    if (!m_lives.empty() || !m_removed.empty())
+        m_commands.emplace_back(
+                RecordWorkers { .put = std::move(m_lives), .removed = std::move(m_removed) });
+    m_lives.clear();
+    m_removed.clear();
+    for (const JobId it : m_idle)
+        m_jobs.remove(it);
+    m_idle.clear();
+    Commands commands;
+    commands.swap(m_commands);
+    return commands;
+}
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -0,0 +1,207 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciafork/decisions/jobs/Commands.h"
+#include "acaciafork/decisions/jobs/JobTable.h"
+#include "acaciafork/decisions/jobs/Placer.h"
+#include "acaciafork/decisions/jobs/StepOrder.h"
+#include "acaciafork/decisions/jobs/TailGuard.h"
+#include "acaciafork/decisions/jobs/WorkerTable.h"
+
+namespace acaciafork::jobs {
+
+/// Times of the scheduler.
+struct JobSchedulerSettings
+{
+    /// Lease given to a worker with each order; the workers' own bound is 6 s.
+    Duration lease = std::chrono::milliseconds(5000);
+    /// How long a renewal may wait for an end.
+    Duration holdWait = std::chrono::milliseconds(1500);
+    /// The same where a serving task and a task that fills meet, so that their interference shows.
+    Duration watchedHoldWait = std::chrono::milliseconds(500);
+    /// Pause before ends are confirmed to a worker that runs nothing.
+    Duration idleConfirm = std::chrono::milliseconds(500);
+    /// Pause before an unanswered renewal or stop is sent again.
+    Duration retryPause = std::chrono::milliseconds(200);
+    /// How long ends may wait to be recorded together.
+    Duration recordPause = std::chrono::milliseconds(15);
+    /// A worker that refused work for want of room or health is left alone this long.
+    Duration avoidAfterRefusal = std::chrono::milliseconds(500);
+    /// A worker whose runs keep failing is left alone this long.
+    Duration avoidAfterFailures = std::chrono::seconds(3);
+    /// A silent worker without a lease is forgotten after this long.
+    Duration forgetAfter = std::chrono::seconds(8);
+    /// A copy of a task begins when it takes this much longer, in percent, than the longest of its
+    /// step, once half of them are done.
+    std::int64_t copyAfterPercent = 150;
+    /// Steps without a worker that are passed over in one round of placement.
+    std::size_t mostMisses = 48;
+    PlacerSettings placer;
+    TailGuardSettings tails;
+};
+
+/// What the scheduler counts for metrics.
+struct JobSchedulerCounts
+{
+    std::uint64_t started = 0;
+    std::uint64_t done = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t unanswered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t copies = 0;
+};
+
+/// Decides which task runs on which worker, renews leases, and follows every run to its end. It
+/// runs on the leader only; all it keeps is soft and is built anew by begin(). Pure: events come in
+/// with their time, commands go out.
+///
+/// A task has at most one run that may be at work (two where copies are allowed). A run is over
+/// when its worker lists its end, does not list it after a confirmed stop, has left or been reborn,
+/// or when every lease that the worker may hold has surely run out.
+class JobScheduler
+{
+public:
+    explicit JobScheduler(const JobSchedulerSettings &settings = {});
+
+    /// @name Tenure
+    /// @{
+    /// A tenure begins, with the replicated state as it is now.
+    void begin(Moment at, Tenure tenure, std::span<const QueueSpec> queues,
+               std::span<const JobView> jobs, std::span<const WorkerLife> workers);
+    /// The tenure is over; nothing is remembered.
+    void end();
+    /// A worker has obeyed a later leader: this one must give no more orders.
+    [[nodiscard]] bool isFenced() const { return m_isFenced; }
+    /// @}
+
+    /// @name Replicated state, after it has changed
+    /// @{
+    void queuesChanged(std::span<const QueueSpec> queues);
+    void jobAccepted(Moment at, const JobView &job);
+    void jobCancelled(Moment at, JobId job);
+    void endsRecorded(Moment at, std::uint64_t batch);
+    void workersRecorded(Moment at, std::span<const WorkerName> names);
+    /// @}
+
+    /// @name Workers
+    /// @{
+    void workerReported(Moment at, const WorkerReport &report);
+    void workerLeft(Moment at, const WorkerName &name, Incarnation born);
+    void startAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome);
+    void stopAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome);
+    /// @param[in] answer null unless the outcome is Done
+    void holdAnswered(Moment at, WorkerId worker, bool wasQuick, OrderOutcome outcome,
+                      const HoldAnswer *answer);
+    /// @}
+
+    /// Time has passed; every 10 ms.
+    void tick(Moment at);
+    /// Places what can be placed and hands out everything to be done; once a turn.
+    Commands takeCommands(Moment at);
+
+    /// @name Views
+    /// @{
+    /// Jobs of a queue none of whose tasks has begun.
+    [[nodiscard]] std::uint32_t pending(const std::string &queue) const;
+    [[nodiscard]] const JobTable &jobs() const { return m_jobs; }
+    [[nodiscard]] const WorkerTable &workers() const { return m_workers; }
+    [[nodiscard]] const JobSchedulerCounts &counts() const { return m_counts; }
+    /// True while it waits to learn what earlier leaders have begun.
+    [[nodiscard]] bool isTakingOver() const { return m_isTakingOver; }
+    /// @}
+
+private:
+    /// Ends that are on their way into the replicated state.
+    struct Batch
+    {
+        std::vector<std::pair<WorkerId, std::uint64_t>> cursors;
+    };
+    /// An occurrence that waits for its time.
+    struct Due
+    {
+        JobId job;
+        std::uint32_t occurrence = 0;
+    };
+
+    [[nodiscard]] const QueueSpec &queueOf(const QueueSpec &accepted) const;
+    [[nodiscard]] static OrderTarget targetOf(const Worker &worker);
+    void note(std::string_view event, const RunKey &run, const Worker *worker, std::string detail);
+
+    void addJob(Moment at, const JobView &view, bool isInherited);
+    void holdUntilDue(Moment at, Job *job);
+    void openSteps(Timestamp now, Job *job, std::uint32_t occurrence);
+    void makeReady(Timestamp now, Step *step);
+    void requeue(Timestamp now, TaskRef task);
+    void endJob(Timestamp now, Job *job, JobPhase phase);
+    void dropIfIdle(Job *job);
+
+    [[nodiscard]] RunNumber nextRun(const Task &task) const;
+    void startRun(Timestamp now, TaskRef task, Worker *worker, RunNumber number);
+    bool adoptRun(Timestamp now, TaskRef task, const RunningRow &row, Worker *worker);
+    void requestStop(Timestamp now, const RunRef &run, std::string_view reason);
+    void releaseRun(const RunRef &run);
+    [[nodiscard]] static RunRef findRun(TaskRef task, RunNumber number);
+
+    void takeEnd(Timestamp now, Worker *worker, const EndedRow &row);
+    void taskDone(Timestamp now, TaskRef task, Worker *worker);
+    void taskFailed(Timestamp now, TaskRef task, Worker *worker);
+    void takeRunning(Timestamp now, Worker *worker, const HoldAnswer &answer);
+    void settleUnlisted(Timestamp now, Worker *worker, const HoldAnswer &answer);
+    void loseRuns(Timestamp now, Worker *worker, std::string_view reason);
+    void renewLife(Timestamp now, Worker *worker, const WorkerLife &life);
+    void recordLife(Worker *worker);
+    void recordEnd(Timestamp now, const TaskKey &task, bool failed, Worker *worker);
+    void flushEnds(Timestamp now);
+
+    void holdIfDue(Timestamp now, Worker *worker);
+    void sendHold(Timestamp now, Worker *worker, Duration wait, bool isQuick = false);
+    void checkLapses(Timestamp now);
+    void checkTakeover(Timestamp now);
+    void startDueOccurrences(Moment at);
+    void startCopies(Timestamp now);
+    void guardTails(Timestamp now, Worker *worker);
+    void leaveDraining(Timestamp now, Worker *worker);
+    void place(Timestamp now);
+    bool placeStep(Timestamp now, Step *step);
+    bool placeTogether(Timestamp now, Step *step, const RackName *rack);
+    void breakGang(Timestamp now, Step *step, std::string_view reason);
+
+    JobSchedulerSettings m_settings;
+    Placer m_placer;
+    TailGuard m_tails;
+    Tenure m_tenure;
+    bool m_isFenced = false;
+    bool m_isTakingOver = false;
+    std::map<std::string, QueueSpec> m_queues;
+    JobTable m_jobs;
+    WorkerTable m_workers;
+    StepOrder m_order;
+    /// Occurrences by their time on the wall clock.
+    std::multimap<std::int64_t, Due> m_due;
+    bool m_placementDue = false;
+
+    std::vector<TaskEnd> m_ends;
+    std::vector<JobId> m_failedJobs;
+    Batch m_openBatch;
+    std::map<std::uint64_t, Batch> m_batches;
+    std::uint64_t m_lastBatch = 0;
+    Timestamp m_endsSince;
+    bool m_endsUrgent = false;
+
+    /// Jobs that are over and run nothing any more.
+    std::vector<JobId> m_idle;
+    std::vector<WorkerLife> m_lives;
+    std::vector<WorkerName> m_removed;
+    Timestamp m_nextSlowCheck;
+    JobSchedulerCounts m_counts;
+    Commands m_commands;
+};
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -0,0 +1,153 @@
+#include <algorithm>
+#include <set>
+
+#include "acaciafork/decisions/jobs/JobScheduler.h"
+
+// Placement of ready tasks, and copies of tasks that take long.
+
+namespace acaciafork::jobs {
+namespace {
+
+/// A copy is worth its while only for a task that takes at least this much longer than its peers.
+constexpr Duration leastCopyDelay = std::chrono::milliseconds(150);
+constexpr std::int64_t wholePercent = 100;
+
+/// What found no worker in a round: larger tasks of its kind need not be tried.
+struct Miss
+{
+    std::string_view pool;
+    bool fills = false;
+    Size size;
+};
+
+bool isHopeless(const std::vector<Miss> &misses, const Step &step)
+{
+    return std::ranges::any_of(misses, [&](const Miss &it) {
+        return it.pool == step.job->pool && it.fills == step.spec->fills
+                && it.size.fitsIn(step.spec->size);
+    });
+}
+
+/// Nothing but its size decides where it fits.
+bool isPlain(const StepSpec &spec)
+{
+    return spec.mostPerWorker == 0 && spec.label.empty() && !spec.gang;
+}
+
+} // namespace
+
+void JobScheduler::place(Timestamp now)
+{
+    std::vector<Miss> misses;
+    std::size_t missed = 0;
+    const auto &steps = m_order.steps();
+    for (auto it = steps.begin(); it != steps.end() && missed < m_settings.mostMisses;) {
+        Step *step = it->second;
+        ++it;
+        if ((m_isTakingOver && step->job->isInherited) || isHopeless(misses, *step))
+            continue;
+        if (placeStep(now, step))
+            continue;
+        ++missed;
+        if (isPlain(*step->spec))
+            misses.push_back({ .pool = step->job->pool,
+                               .fills = step->spec->fills,
+                               .size = step->spec->size });
+    }
+}
+
+bool JobScheduler::placeStep(Timestamp now, Step *step)
+{
+    if (step->spec->gang) {
+        // Members that still run or end keep the others waiting.
+        if (step->ready.size() < step->left)
+            return true;
+        std::set<RackName> racks;
+        if (step->spec->sameRack) {
+            for (const auto &[id, worker] : m_workers.all())
+                racks.insert(worker->life.rack);
+        }
+        for (const RackName &it : racks) {
+            if (placeTogether(now, step, &it))
+                return true;
+        }
+        return placeTogether(now, step, nullptr);
+    }
+    while (!step->ready.empty()) {
+        const TaskRef task { .step = step, .task = step->ready.front() };
+        Worker *worker = m_placer.choose(now, m_workers, *step, task.get());
+        if (worker == nullptr)
+            return false;
+        step->ready.pop_front();
+        task.get().isReady = false;
+        startRun(now, task, worker, nextRun(task.get()));
+    }
+    m_order.erase(step);
+    return true;
+}
+
+bool JobScheduler::placeTogether(Timestamp now, Step *step, const RackName *rack)
+{
+    // All members or none: what was begun in vain is taken back before anything is sent.
+    RunNumber number;
+    for (const Task &it : step->tasks)
+        number = std::max(number, nextRun(it));
+    const std::size_t commandsBefore = m_commands.size();
+    const std::uint64_t startedBefore = m_counts.started;
+    std::vector<TaskRef> begun;
+    for (const std::uint32_t it : step->ready) {
+        const TaskRef task { .step = step, .task = it };
+        Worker *worker = m_placer.choose(now, m_workers, *step, task.get(), rack);
+        if (worker == nullptr)
+            break;
+        startRun(now, task, worker, number);
+        begun.push_back(task);
+    }
+    if (begun.size() == step->ready.size()) {
+        for (const TaskRef &it : begun)
+            it.get().isReady = false;
+        step->ready.clear();
+        m_order.erase(step);
+        return true;
+    }
+    for (const TaskRef &it : begun)
+        releaseRun({ .task = it, .slot = 0 });
+    m_commands.erase(m_commands.begin() + static_cast<std::ptrdiff_t>(commandsBefore),
+                     m_commands.end());
+    m_counts.started = startedBefore;
+    return false;
+}
+
+void JobScheduler::startCopies(Timestamp now)
+{
+    if (m_isFenced || m_isTakingOver)
+        return;
+    std::vector<std::pair<TaskRef, Worker *>> late;
+    for (const auto &[id, worker] : m_workers.all()) {
+        for (const RunRef &it : worker->runs) {
+            const Step &step = *it.task.step;
+            const Task &task = it.task.get();
+            const bool mayCopy = step.spec->speculative && !step.spec->gang
+                    && step.job->phase == JobPhase::Active
+                    && it.get().phase == RunPhase::Running && !task.runs[0].exists()
+                            != !task.runs[1].exists();
+            if (!mayCopy || step.doneCount * 2 < step.tasks.size())
+                continue;
+            const Duration bound =
+                    step.longestDone * m_settings.copyAfterPercent / wholePercent + leastCopyDelay;
+            if (now - it.get().startedAt > bound)
+                late.emplace_back(it.task, worker.get());
+        }
+    }
+    for (const auto &[task, worker] : late) {
+        Worker *other = m_placer.choose(now, m_workers, *task.step, task.get());
+        if (other == nullptr)
+            continue;
+        ++m_counts.copies;
+        note("copy-started", { .task = task.key(), .run = nextRun(task.get()) }, other,
+             "slow=" + worker->life.name.value);
+        startRun(now, task, other, nextRun(task.get()));
+    }
+}
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -0,0 +1,353 @@
+#include <algorithm>
+
+#include "acaciafork/decisions/jobs/JobScheduler.h"
+
+// Runs: their start, their stop, and what their ends mean.
+
+namespace acaciafork::jobs {
+namespace {
+
+/// Run numbers of one tenure; a later tenure's are higher without knowing the earlier ones.
+constexpr std::uint64_t runsPerTenure = 100'000;
+
+} // namespace
+
+RunRef JobScheduler::findRun(TaskRef task, RunNumber number)
+{
+    if (!task)
+        return {};
+    for (std::size_t slot = 0; slot < mostRuns; ++slot) {
+        const Run &run = task.get().runs[slot];
+        if (run.exists() && run.number == number)
+            return { .task = task, .slot = slot };
+    }
+    return {};
+}
+
+OrderTarget JobScheduler::targetOf(const Worker &worker)
+{
+    return { .worker = worker.id,
+             .name = worker.life.name,
+             .born = worker.life.born,
+             .address = worker.life.address };
+}
+
+RunNumber JobScheduler::nextRun(const Task &task) const
+{
+    const std::uint64_t base = (m_tenure.value - 1) * runsPerTenure;
+    return { std::max(task.lastRun.value, base) + 1 };
+}
+
+void JobScheduler::startRun(Timestamp now, TaskRef ref, Worker *worker, RunNumber number)
+{
+    Task &task = ref.get();
+    const std::size_t slot = task.runs[0].exists() ? 1 : 0;
+    ACACIAFORK_ASSERT(!task.runs[slot].exists());
+    const StepSpec &spec = *ref.step->spec;
+    const Size roomBefore { .millicores = worker->leftover(),
+                            .memoryMb = worker->room().memoryMb,
+                            .accelerators = worker->room().accelerators };
+    task.lastRun = number;
+    task.runs[slot] = {
+        .number = number, .phase = RunPhase::Starting, .worker = worker->id, .startedAt = now
+    };
+    const RunRef run { .task = ref, .slot = slot };
+    worker->runs.push_back(run);
+    worker->used += spec.reserved();
+    worker->fillMillicores += spec.fills ? spec.size.millicores : 0;
+    ref.step->job->hasBegun = true;
+    ++ref.step->job->runCount;
+    ++m_counts.started;
+    m_commands.emplace_back(StartRun { .target = targetOf(*worker),
+                                       .run = run.key(),
+                                       .leaseEndMs = worker->lease.grant(now, m_settings.lease),
+                                       .checkpoint = task.checkpoint,
+                                       .roomBefore = roomBefore,
+                                       .waited = now - ref.step->readyAt });
+}
+
+bool JobScheduler::adoptRun(Timestamp now, TaskRef ref, const RunningRow &row, Worker *worker)
+{
+    Task &task = ref.get();
+    if (task.done || ref.step->job->phase != JobPhase::Active)
+        return false;
+    const bool mayCopy = ref.step->spec->speculative && !task.runs[1].exists();
+    if (task.hasRun() && !mayCopy)
+        return false;
+    const std::size_t slot = task.runs[0].exists() ? 1 : 0;
+    task.runs[slot] = { .number = row.run.run,
+                        .phase = RunPhase::Running,
+                        .worker = worker->id,
+                        .startedAt = now,
+                        .confirmedAt = now };
+    task.lastRun = std::max(task.lastRun, row.run.run);
+    if (task.isReady) {
+        task.isReady = false;
+        std::erase(ref.step->ready, ref.task);
+        if (ref.step->ready.empty())
+            m_order.erase(ref.step);
+    }
+    const StepSpec &spec = *ref.step->spec;
+    worker->runs.push_back({ .task = ref, .slot = slot });
+    worker->used += spec.reserved();
+    worker->fillMillicores += spec.fills ? spec.size.millicores : 0;
+    ref.step->job->hasBegun = true;
+    ++ref.step->job->runCount;
+    note("run-adopted", row.run, worker, {});
+    return true;
+}
+
+void JobScheduler::requestStop(Timestamp now, const RunRef &ref, std::string_view reason)
+{
+    Run &run = ref.get();
+    run.phase = RunPhase::Stopping;
+    if (run.stopInFlight || run.stopConfirmed)
+        return;
+    const Worker *worker = m_workers.find(run.worker);
+    ACACIAFORK_ASSERT(worker != nullptr);
+    run.stopInFlight = true;
+    run.stopAgainAt = now + m_settings.retryPause;
+    m_commands.emplace_back(
+            StopRun { .target = targetOf(*worker), .run = ref.key(), .reason = reason });
+}
+
+void JobScheduler::releaseRun(const RunRef &ref)
+{
+    Run &run = ref.get();
+    Worker *worker = m_workers.find(run.worker);
+    ACACIAFORK_ASSERT(worker != nullptr);
+    const auto it = std::ranges::find(worker->runs, ref);
+    ACACIAFORK_ASSERT(it != worker->runs.end());
+    *it = worker->runs.back();
+    worker->runs.pop_back();
+    const StepSpec &spec = *ref.task.step->spec;
+    worker->used -= spec.reserved();
+    worker->fillMillicores -= spec.fills ? spec.size.millicores : 0;
+    run = {};
+    Job *job = ref.task.step->job;
+    --job->runCount;
+    m_placementDue = true;
+    dropIfIdle(job);
+}
+
+void JobScheduler::startAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
+{
+    const Timestamp now = at.now;
+    Worker *worker = m_workers.find(id);
+    const RunRef ref = findRun(m_jobs.find(key.task), key.run);
+    if (outcome == OrderOutcome::Fenced)
+        m_isFenced = true;
+    if (worker == nullptr || !ref.task || ref.get().worker != id)
+        return;
+    Run &run = ref.get();
+    if (outcome == OrderOutcome::Done) {
+        worker->heardAt = now;
+        run.confirmedAt = now;
+        if (run.phase == RunPhase::Starting)
+            run.phase = RunPhase::Running;
+        return;
+    }
+    note("start-failed", key, worker, "outcome=" + std::string(orderOutcomeName(outcome)));
+    if (outcome == OrderOutcome::Unanswered) {
+        // It may run yet: only a confirmed stop or the end of the lease settles it.
+        ++m_counts.unanswered;
+        worker->avoidUntil = std::max(worker->avoidUntil, now + m_settings.avoidAfterRefusal);
+        requestStop(now, ref, "start-unanswered");
+        return;
+    }
+
+    // Refused or never sent: nothing runs.
+    ++m_counts.refused;
+    if (run.phase == RunPhase::Starting || run.phase == RunPhase::Stopping) {
+        Step *step = ref.task.step;
+        releaseRun(ref);
+        if (outcome == OrderOutcome::OtherLife)
+            worker->avoidUntil = now + m_settings.avoidAfterFailures;
+        else if (outcome != OrderOutcome::OldRun)
+            worker->avoidUntil = now + m_settings.avoidAfterRefusal;
+        if (step->spec->gang)
+            breakGang(now, step, "member-refused");
+        requeue(now, ref.task);
+    }
+}
+
+void JobScheduler::stopAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
+{
+    Worker *worker = m_workers.find(id);
+    const RunRef ref = findRun(m_jobs.find(key.task), key.run);
+    if (outcome == OrderOutcome::Fenced)
+        m_isFenced = true;
+    if (worker == nullptr || !ref.task || ref.get().worker != id)
+        return;
+    Run &run = ref.get();
+    run.stopInFlight = false;
+    run.stopAgainAt = at.now + m_settings.retryPause;
+    if (outcome != OrderOutcome::Done)
+        return;
+    // From now on the worker's lists tell whether it still runs.
+    run.stopConfirmed = true;
+    run.confirmedAt = at.now;
+    worker->quickHoldAt = std::min(worker->quickHoldAt, at.now + m_settings.recordPause);
+}
+
+// ---- ends
+
+void JobScheduler::takeEnd(Timestamp now, Worker *worker, const EndedRow &row)
+{
+    worker->seenEnds = row.number;
+    const TaskRef task = m_jobs.find(row.run.task);
+    if (!task)
+        return;
+    const RunRef ref = findRun(task, row.run.run);
+    const bool isOurs = ref.task && ref.get().worker == worker->id;
+    if (row.end != RunEnd::Done || !task.get().done)
+        note("run-ended", row.run, worker,
+             "end=" + std::string(runEndName(row.end)) + " number=" + std::to_string(row.number));
+    if (!row.checkpoint.empty() && isOurs)
+        task.get().checkpoint = row.checkpoint;
+    task.get().lastRun = std::max(task.get().lastRun, row.run.run);
+
+    Step *step = task.step;
+    if (isOurs) {
+        if (row.end == RunEnd::Done) {
+            step->longestDone = std::max(step->longestDone, now - ref.get().startedAt);
+            ++step->doneCount;
+        }
+        releaseRun(ref);
+    }
+    switch (row.end) {
+    case RunEnd::Done:
+        taskDone(now, task, worker);
+        break;
+    case RunEnd::Failed:
+        taskFailed(now, task, worker);
+        break;
+    case RunEnd::Lapsed:
+    case RunEnd::Stopped:
+    case RunEnd::Broken:
+    case RunEnd::Alone:
+        if (isOurs && step->spec->gang)
+            breakGang(now, step, "member-ended");
+        requeue(now, task);
+        break;
+    }
+}
+
+void JobScheduler::taskDone(Timestamp now, TaskRef ref, Worker *worker)
+{
+    worker->failuresInRow = 0;
+    Step *step = ref.step;
+    Job *job = step->job;
+    if (step->spec->longRunning) {
+        // It lasts until its job is cancelled, however its runs end.
+        requeue(now, ref);
+        return;
+    }
+    if (step->spec->gang) {
+        for (std::uint32_t it = 0; it < step->tasks.size(); ++it) {
+            Task &member = step->tasks[it];
+            if (member.done || it == ref.task)
+                continue;
+            member.done = true;
+            --step->left;
+            --job->tasksLeft;
+            recordEnd(now, step->key(it), false, worker);
+        }
+    }
+    Task &task = ref.get();
+    if (task.done)
+        return;
+    task.done = true;
+    ++m_counts.done;
+    --step->left;
+    --job->tasksLeft;
+    recordEnd(now, ref.key(), false, worker);
+    if (task.isReady) {
+        task.isReady = false;
+        std::erase(step->ready, ref.task);
+        if (step->ready.empty())
+            m_order.erase(step);
+    }
+    for (std::size_t slot = 0; slot < mostRuns; ++slot) {
+        const RunRef other { .task = ref, .slot = slot };
+        if (other.get().exists())
+            requestStop(now, other, "task-done");
+    }
+    if (job->phase != JobPhase::Active)
+        return;
+    if (step->left == 0) {
+        const std::size_t base = step->occurrence * job->spec->steps.size();
+        for (std::size_t it = 0; it < job->spec->steps.size(); ++it) {
+            Step &later = job->steps[base + it];
+            const bool waits = std::ranges::find(later.spec->after, step->number)
+                    != later.spec->after.end();
+            if (waits && --later.awaited == 0 && later.mayStart())
+                makeReady(now, &later);
+        }
+    }
+    if (job->tasksLeft == 0) {
+        m_endsUrgent = true;
+        endJob(now, job, JobPhase::Completed);
+    }
+}
+
+void JobScheduler::taskFailed(Timestamp now, TaskRef ref, Worker *worker)
+{
+    ++m_counts.failed;
+    Task &task = ref.get();
+    Step *step = ref.step;
+    Job *job = step->job;
+    task.failedAt = worker->id;
+    if (worker->lastFailedJob != job->id) {
+        worker->lastFailedJob = job->id;
+        // A task that failed elsewhere too says nothing about this worker.
+        if (task.failures == 0 && ++worker->failuresInRow >= m_settings.placer.suspectAfter) {
+            worker->avoidUntil = now + m_settings.avoidAfterFailures;
+            note("worker-suspected", {}, worker,
+                 "failures=" + std::to_string(worker->failuresInRow));
+        }
+    }
+    if (step->spec->gang)
+        breakGang(now, step, "member-failed");
+    if (task.done || job->phase != JobPhase::Active)
+        return;
+    if (step->spec->longRunning) {
+        requeue(now, ref);
+        return;
+    }
+    ++task.failures;
+    recordEnd(now, ref.key(), true, worker);
+    if (task.failures < job->mostAttempts) {
+        requeue(now, ref);
+        return;
+    }
+    note("job-failed", { .task = ref.key(), .run = {} }, worker,
+         "attempts=" + std::to_string(task.failures));
+    m_failedJobs.push_back(job->id);
+    m_endsUrgent = true;
+    endJob(now, job, JobPhase::Failed);
+}
+
+void JobScheduler::breakGang(Timestamp now, Step *step, std::string_view reason)
+{
+    for (std::uint32_t it = 0; it < step->tasks.size(); ++it) {
+        for (std::size_t slot = 0; slot < mostRuns; ++slot) {
+            const RunRef run { .task = { .step = step, .task = it }, .slot = slot };
+            if (run.get().exists() && run.get().phase != RunPhase::Stopping)
+                requestStop(now, run, reason);
+        }
+    }
+}
+
+void JobScheduler::loseRuns(Timestamp now, Worker *worker, std::string_view reason)
+{
+    while (!worker->runs.empty()) {
+        const RunRef ref = worker->runs.back();
+        ++m_counts.lost;
+        note("run-lost", ref.key(), worker, "reason=" + std::string(reason));
+        releaseRun(ref);
+        requeue(now, ref.task);
+    }
+}
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -0,0 +1,93 @@
+#include "acaciafork/decisions/jobs/JobTable.h"
+
+#include <algorithm>
+
+namespace acaciafork::jobs {
+
+TaskKey Step::key(std::uint32_t task) const
+{
+    return { .job = job->id, .occurrence = occurrence, .step = number, .task = task };
+}
+
+Duration objectiveOf(const JobSpec &spec, const QueueSpec &queue)
+{
+    const auto chain = static_cast<double>(spec.criticalPath().count());
+    return Duration(static_cast<std::int64_t>(chain * queue.stretch)) + queue.objective;
+}
+
+Job *JobTable::add(Timestamp now, std::int64_t wallUs, const JobView &view, const QueueSpec &queue)
+{
+    auto job = std::make_unique<Job>();
+    job->id = view.id;
+    job->queue = queue.name;
+    job->priority = queue.priority;
+    job->mostAttempts = std::max<std::uint32_t>(queue.mostAttempts, 1);
+    job->pool = queue.pool;
+    job->spec = view.spec;
+    // The age of an inherited job, by wall clocks that may differ; never younger than new.
+    const Duration age = std::max(Duration {}, Duration(wallUs - view.submittedUs));
+    job->acceptedAt = now - age;
+    job->objective = objectiveOf(*view.spec, queue);
+    job->objectiveAt = job->acceptedAt + job->objective;
+
+    const std::vector<Duration> paths = view.spec->remainingPaths();
+    const std::uint32_t occurrences = view.spec->occurrences();
+    job->steps.reserve(occurrences * view.spec->steps.size());
+    std::size_t position = 0;
+    for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
+        for (std::uint32_t number = 0; number < view.spec->steps.size(); ++number) {
+            const StepSpec &spec = view.spec->steps[number];
+            Step &step = job->steps.emplace_back();
+            step.job = job.get();
+            step.spec = &spec;
+            step.occurrence = occurrence;
+            step.number = number;
+            step.readyAt = now;
+            step.remainingPath = paths[number];
+            step.tasks.resize(spec.count);
+            for (Task &it : step.tasks) {
+                it.done = position < view.done.size() && view.done[position] != 0;
+                step.left += it.done ? 0 : 1;
+                ++position;
+            }
+            job->tasksLeft += step.left;
+        }
+    }
+    for (const auto &[key, count] : view.failures) {
+        const std::size_t index = key.occurrence * view.spec->steps.size() + key.step;
+        if (index < job->steps.size() && key.task < job->steps[index].tasks.size())
+            job->steps[index].tasks[key.task].failures = count;
+    }
+    for (Step &it : job->steps) {
+        const std::size_t base = it.occurrence * view.spec->steps.size();
+        for (const std::uint32_t before : it.spec->after)
+            it.awaited += job->steps[base + before].left > 0 ? 1 : 0;
+    }
+    Job *added = job.get();
+    m_jobs[view.id] = std::move(job);
+    return added;
+}
+
+void JobTable::remove(JobId id)
+{
+    m_jobs.erase(id);
+}
+
+Job *JobTable::find(JobId id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+TaskRef JobTable::find(const TaskKey &key) const
+{
+    Job *job = find(key.job);
+    if (job == nullptr || key.step >= job->spec->steps.size())
+        return {};
+    const std::size_t index = key.occurrence * job->spec->steps.size() + key.step;
+    if (index >= job->steps.size() || key.task >= job->steps[index].tasks.size())
+        return {};
+    return { .step = &job->steps[index], .task = key.task };
+}
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciafork/decisions/jobs/Types.h"
+
+namespace acaciafork::jobs {
+
+/// How far a run has come, as the scheduler believes.
+enum class RunPhase : std::uint8_t {
+    None, ///< no run
+    Starting, ///< the order is on its way
+    Running, ///< confirmed by the worker
+    Unsure, ///< the order had no answer: it may run now, later, or never
+    Stopping, ///< an order to stop it is on its way or answered; its end is not listed yet
+};
+
+/// One run of a task.
+struct Run
+{
+    RunNumber number;
+    RunPhase phase = RunPhase::None;
+    WorkerId worker;
+    /// When the order was sent.
+    Timestamp startedAt;
+    /// When the worker last confirmed it; an older list of the worker says nothing about it.
+    Timestamp confirmedAt;
+    /// The worker has confirmed a stop: a run that it does not list is gone for good.
+    bool stopConfirmed = false;
+    /// An order to stop it is on its way.
+    bool stopInFlight = false;
+    Timestamp stopAgainAt;
+    /// Share at which it works, as last ordered.
+    std::int64_t percent = 100;
+    /// Its worker's load figure of the last list; -1 when unknown.
+    std::int64_t load = -1;
+    /// Since when its tail has been over its target; none while it is not.
+    Timestamp overSince = Timestamp::max();
+
+    [[nodiscard]] bool exists() const { return phase != RunPhase::None; }
+};
+
+/// Most runs of one task at a time: the run and, where it is allowed, one copy.
+inline constexpr std::size_t mostRuns = 2;
+
+/// One task of a step.
+struct Task
+{
+    std::array<Run, mostRuns> runs;
+    /// Highest run number given in this tenure, or seen.
+    RunNumber lastRun;
+    std::uint32_t failures = 0;
+    bool done = false;
+    /// It stands in its step's list of ready tasks.
+    bool isReady = false;
+    /// Newest checkpoint; empty for none.
+    std::string checkpoint;
+    /// Worker where it failed last; the next run goes elsewhere if it can.
+    WorkerId failedAt;
+
+    [[nodiscard]] bool hasRun() const { return runs[0].exists() || runs[1].exists(); }
+};
+
+struct Job;
+
+/// One step of one occurrence of a job.
+struct Step
+{
+    Job *job = nullptr;
+    const StepSpec *spec = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t number = 0;
+    /// Steps before it that are not done yet.
+    std::uint32_t awaited = 0;
+    /// Tasks that are not done.
+    std::uint32_t left = 0;
+    /// Its occurrence is not due yet.
+    bool isHeld = false;
+    /// Since when its tasks may start.
+    Timestamp readyAt;
+    std::vector<Task> tasks;
+    /// Numbers of tasks that wait for a worker.
+    std::deque<std::uint32_t> ready;
+    /// Longest chain of estimates from its beginning.
+    Duration remainingPath {};
+    /// It stands in the queue of steps.
+    bool isQueued = false;
+    /// Longest time that a done task took in this tenure, and how many have been done in it.
+    Duration longestDone {};
+    std::uint32_t doneCount = 0;
+
+    [[nodiscard]] bool mayStart() const { return awaited == 0 && !isHeld; }
+    [[nodiscard]] TaskKey key(std::uint32_t task) const;
+};
+
+/// Where a job stands for the scheduler.
+enum class JobPhase : std::uint8_t {
+    Active,
+    Cancelled, ///< nothing of it may run any more
+    Failed, ///< a task has failed too often; nothing of it may run any more
+    Completed, ///< all tasks are done
+};
+
+/// A job as the scheduler works on it. Soft: a new leader builds it from the replicated state and
+/// from the workers' lists.
+struct Job
+{
+    JobId id;
+    std::string queue;
+    std::uint32_t priority = 0;
+    std::uint32_t mostAttempts = 1;
+    std::string pool;
+    std::shared_ptr<const JobSpec> spec;
+    JobPhase phase = JobPhase::Active;
+    /// When it was accepted, on this process's clock.
+    Timestamp acceptedAt;
+    /// When its objective is reached or missed; of a scheduled job that of the first occurrence.
+    Timestamp objectiveAt;
+    Duration objective {};
+    /// It was accepted before this tenure: its tasks may run somewhere already.
+    bool isInherited = false;
+    std::uint32_t tasksLeft = 0;
+    std::uint32_t runCount = 0;
+    /// Some task of it has begun.
+    bool hasBegun = false;
+    /// By occurrence, then by step.
+    std::vector<Step> steps;
+};
+
+/// A task within its step.
+struct TaskRef
+{
+    Step *step = nullptr;
+    std::uint32_t task = 0;
+
+    [[nodiscard]] Task &get() const { return step->tasks[task]; }
+    [[nodiscard]] TaskKey key() const { return step->key(task); }
+    explicit operator bool() const { return step != nullptr; }
+};
+
+/// One of the runs of a task.
+struct RunRef
+{
+    TaskRef task;
+    std::size_t slot = 0;
+
+    bool operator==(const RunRef &other) const
+    {
+        return task.step == other.task.step && task.task == other.task.task && slot == other.slot;
+    }
+    [[nodiscard]] Run &get() const { return task.get().runs[slot]; }
+    [[nodiscard]] RunKey key() const { return { .task = task.key(), .run = get().number }; }
+};
+
+/// The jobs that are not over yet.
+class JobTable
+{
+public:
+    /// Adds a job as the replicated state shows it; tasks recorded as done are done.
+    Job *add(Timestamp now, std::int64_t wallUs, const JobView &view, const QueueSpec &queue);
+    /// Forgets a job none of whose tasks runs.
+    void remove(JobId id);
+    void clear() { m_jobs.clear(); }
+
+    /// The job of that id, or null.
+    [[nodiscard]] Job *find(JobId id) const;
+    /// The task of that key, or none.
+    [[nodiscard]] TaskRef find(const TaskKey &key) const;
+    /// All jobs by id.
+    [[nodiscard]] const std::unordered_map<JobId, std::unique_ptr<Job>> &all() const
+    {
+        return m_jobs;
+    }
+
+private:
+    std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
+};
+
+/// Objective of a job, counted from its acceptance: its chain of work with the stretch that its
+/// queue allows, and the queue's own objective more.
+Duration objectiveOf(const JobSpec &spec, const QueueSpec &queue);
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/TailGuard.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+
+#include "acaciafork/core/Core.h"
+
+namespace acaciafork::jobs {
+
+/// Bounds of the guard.
+struct TailGuardSettings
+{
+    /// Tails above this share of their target, in percent, count as in danger; below the second one
+    /// as safe.
+    std::int64_t dangerPercent = 90;
+    std::int64_t safePercent = 65;
+    /// Pause between two steps down, and between two steps up; figures cover half a second.
+    Duration stepDown = std::chrono::milliseconds(400);
+    Duration stepUp = std::chrono::milliseconds(1500);
+    /// Share below which tasks that fill are paused at once.
+    std::int64_t leastPercent = 15;
+};
+
+/// Response times of one serving task.
+struct TailReading
+{
+    /// Milliseconds; -1 when unknown.
+    std::int64_t tailMs = -1;
+    std::int64_t targetMs = 0;
+};
+
+/// Decides at which share the tasks that fill one worker work.
+///
+/// Load pattern: tasks that fill disturb serving ones by amounts that differ by what they run and
+/// change within seconds. The share is halved while a tail is in danger, and given back slowly.
+class TailGuard
+{
+public:
+    explicit TailGuard(const TailGuardSettings &settings = {})
+        : m_settings(settings)
+    { }
+
+    /// The share to work at from now on, in percent.
+    /// @param[in] percent the share now
+    /// @param[in] changedAt when it was last changed
+    [[nodiscard]] std::int64_t decide(Timestamp now, std::int64_t percent, Timestamp changedAt,
+                                      std::span<const TailReading> tails) const;
+
+private:
+    TailGuardSettings m_settings;
+};
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/Types.cpp
@@ -0,0 +1,42 @@
+#include "acaciafork/decisions/jobs/Types.h"
+
+#include <algorithm>
+#include <array>
+
+namespace acaciafork::jobs {
+
+std::vector<Duration> JobSpec::remainingPaths() const
+{
+    // Steps wait for earlier ones only: walked backwards, every follower is known.
+    std::vector<Duration> paths(steps.size());
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        paths[i] += steps[i].estimate;
+        for (const std::uint32_t it : steps[i].after)
+            paths[it] = std::max(paths[it], paths[i]);
+    }
+    return paths;
+}
+
+Duration JobSpec::criticalPath() const
+{
+    const std::vector<Duration> paths = remainingPaths();
+    return paths.empty() ? Duration {} : *std::ranges::max_element(paths);
+}
+
+std::string_view runEndName(RunEnd end)
+{
+    static constexpr std::array<std::string_view, 6> names { "done",   "failed", "stopped",
+                                                             "lapsed", "broken", "alone" };
+    return names.at(static_cast<std::size_t>(end));
+}
+
+std::string_view orderOutcomeName(OrderOutcome outcome)
+{
+    static constexpr std::array<std::string_view, 10> names {
+        "done",    "unanswered",  "not-sent",   "fenced", "old-run", "late",
+        "no-room", "not-healthy", "other-life", "refused"
+    };
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -0,0 +1,52 @@
+#include "acaciafork/decisions/jobs/WorkerTable.h"
+
+#include <algorithm>
+
+namespace acaciafork::jobs {
+
+std::uint32_t Worker::runsOf(const Step *step) const
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+            runs, [step](const RunRef &it) { return it.task.step == step; }));
+}
+
+Worker &WorkerTable::add(const WorkerLife &life)
+{
+    const WorkerId id { ++m_lastId };
+    auto worker = std::make_unique<Worker>();
+    worker->id = id;
+    worker->life = life;
+    m_names[life.name] = id;
+    return *m_workers.emplace(id, std::move(worker)).first->second;
+}
+
+Worker *WorkerTable::find(WorkerId id) const
+{
+    const auto it = m_workers.find(id);
+    return it == m_workers.end() ? nullptr : it->second.get();
+}
+
+Worker *WorkerTable::find(const WorkerName &name) const
+{
+    const auto it = m_names.find(name);
+    return it == m_names.end() ? nullptr : find(it->second);
+}
+
+void WorkerTable::remove(WorkerId id)
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end())
+        return;
+    const auto name = m_names.find(it->second->life.name);
+    if (name != m_names.end() && name->second == id)
+        m_names.erase(name);
+    m_workers.erase(it);
+}
+
+void WorkerTable::clear()
+{
+    m_workers.clear();
+    m_names.clear();
+}
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "acaciafork/decisions/jobs/JobTable.h"
+#include "acaciafork/decisions/jobs/LeaseClock.h"
+#include "acaciafork/decisions/jobs/Types.h"
+
+namespace acaciafork::jobs {
+
+/// One life of a worker, as the scheduler believes.
+struct Worker
+{
+    WorkerId id;
+    WorkerLife life;
+    /// Recorded in the replicated state: orders may go there.
+    bool isRecorded = false;
+    bool isRecording = false;
+    bool draining = false;
+    /// It has left, or another life has taken its place; its runs are over.
+    bool isGone = false;
+    /// Its lists have been seen in this tenure; until then it may run what an earlier leader began.
+    bool isKnown = false;
+    std::uint64_t sequence = 0;
+    /// When it last said something of itself or answered.
+    Timestamp heardAt = longAgo();
+    LeaseClock lease;
+
+    /// Set aside for the runs here.
+    Size used;
+    /// Millicores that filling tasks here would like.
+    std::int64_t fillMillicores = 0;
+    std::vector<RunRef> runs;
+
+    /// @name Ends: seen in its lists, recorded in the replicated state, and confirmed to it.
+    /// @{
+    std::uint64_t seenEnds = 0;
+    std::uint64_t recordedEnds = 0;
+    std::uint64_t confirmedEnds = 0;
+    /// Last batch of records that has an end of this worker.
+    std::uint64_t lastBatch = 0;
+    /// @}
+
+    /// @name Renewals
+    /// @{
+    /// A renewal that may wait for an end is on its way, and one that is answered at once.
+    bool holdInFlight = false;
+    bool quickHoldInFlight = false;
+    /// Ends confirmed by the renewals on their way.
+    std::uint64_t holdCursor = 0;
+    std::uint64_t quickHoldCursor = 0;
+    Timestamp holdAt = longAgo();
+    Timestamp quickHoldAt = Timestamp::max();
+    Timestamp lastHoldSentAt = longAgo();
+    std::uint32_t unansweredHolds = 0;
+    /// @}
+
+    /// No new work until then, since it refused work or had no room.
+    Timestamp avoidUntil = longAgo();
+    /// Failed runs of different jobs in a row without a done one between.
+    std::uint32_t failuresInRow = 0;
+    JobId lastFailedJob;
+    /// Share at which the tasks that fill work here, and when it was last set.
+    std::int64_t fillPercent = 100;
+    Timestamp pacedAt = longAgo();
+    /// When a serving task here was last seen over its target.
+    Timestamp tailOverAt = longAgo();
+    /// Speed against estimates of what ran here: below 1 it is slower than its peers.
+    double speed = 1;
+
+    static constexpr Timestamp longAgo() { return timestampFromMicroseconds(INT64_MIN / 4); }
+    [[nodiscard]] Size room() const
+    {
+        Size room = life.capacity;
+        room -= used;
+        return room;
+    }
+    /// Millicores that neither a reservation nor a filling task has taken.
+    [[nodiscard]] std::int64_t leftover() const
+    {
+        return life.capacity.millicores - used.millicores - fillMillicores;
+    }
+    [[nodiscard]] std::uint32_t runsOf(const Step *step) const;
+};
+
+/// The workers by id and by name.
+class WorkerTable
+{
+public:
+    /// Adds a life of a worker; an earlier life of that name must be gone.
+    Worker &add(const WorkerLife &life);
+    /// The worker of that id, or null once it is forgotten.
+    [[nodiscard]] Worker *find(WorkerId id) const;
+    /// The latest life of that name, or null.
+    [[nodiscard]] Worker *find(const WorkerName &name) const;
+    void remove(WorkerId id);
+    void clear();
+
+    [[nodiscard]] const std::map<WorkerId, std::unique_ptr<Worker>> &all() const
+    {
+        return m_workers;
+    }
+
+private:
+    std::map<WorkerId, std::unique_ptr<Worker>> m_workers;
+    std::map<WorkerName, WorkerId> m_names;
+    std::uint32_t m_lastId = 0;
+};
+
+} // namespace acaciafork::jobs
--- a/acaciafork/entry/EntryNode.cpp
+++ b/acaciafork/entry/EntryNode.cpp
@@ -253,6 +253,11 @@
     sendHeartbeat(at);
 }
 
+void EntryNode::setControlMembers(std::span<const ProcessId> members)
+{
+    m_leader.setMembers(members);
+}
+
 bool EntryNode::drained() const
 {
     return m_draining && m_scheduler.requestsInProgress() == 0 && m_ledger.empty();
@@ -267,7 +272,8 @@
 
 void EntryNode::sendToLeader(Moment at, wire::Envelope *envelope)
 {
-    m_link->send(m_leader.target(), envelope, at.wallMicroseconds);
+    if (const ProcessId target = m_leader.target())
+        m_link->send(target, envelope, at.wallMicroseconds);
 }
 
 void EntryNode::sendHeartbeat(Moment at)
@@ -287,6 +293,9 @@
 
 void EntryNode::sendCalls(Moment at)
 {
+    // A call that has not been sent can be refused for sure.
+    if (m_calls.needsLeader() && !m_leader.confirmed())
+        return;
     for (const auto &[number, call] : m_calls.due(at.now)) {
         wire::Envelope envelope;
         wire::ApiRequest *message = envelope.mutable_api_request();
--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,7 @@
     std::string callersAddress;
     /// host:port of its operators' interface.
     std::string operatorsAddress;
-    /// Control members known at start; not empty.
+    /// Control members known at start.
     std::vector<ProcessId> controlMembers;
     /// Pause between two heartbeats.
     Duration heartbeatInterval = std::chrono::milliseconds(500);
@@ -73,6 +74,9 @@
     /// A message from a peer that the link has checked.
     void peerMessage(Moment at, const wire::Envelope &envelope);
 
+    /// The control members, as they have been found.
+    void setControlMembers(std::span<const ProcessId> members);
+
     /// Time has passed; every 10 ms.
     void tick(Moment at);
 
@@ -80,6 +84,11 @@
     void drain(Moment at);
     /// True when a draining entry has nothing left to finish or to tell.
     [[nodiscard]] bool drained() const;
+    /// Control member that is taken for the leader; none while no leader has answered.
+    [[nodiscard]] ProcessId knownLeader() const
+    {
+        return m_leader.confirmed() ? m_leader.target() : ProcessId {};
+    }
 
     /// Version of the configuration that runs here.
     [[nodiscard]] ConfigVersion configVersion() const { return m_config.version(); }
--- a/acaciafork/entry/EntryProcess.cpp
+++ b/acaciafork/entry/EntryProcess.cpp
@@ -31,8 +31,9 @@
     , m_settings(settings)
     , m_incarnation { static_cast<std::uint64_t>(net::Loop::wallMicroseconds()) }
     , m_requestCounter(m_incarnation.value)
-    , m_timeline(ProcessId { static_cast<std::uint32_t>(settings.id) },
-                 static_cast<std::size_t>(settings.timelineEvents))
+    , m_self(settings.id != 0 ? ProcessId { static_cast<std::uint32_t>(settings.id) }
+                              : peers::drawProcessId())
+    , m_timeline(m_self, static_cast<std::size_t>(settings.timelineEvents))
     , m_messages(*loop, {})
     , m_endpoints(*loop, {})
     , m_peerClient(*loop, {})
@@ -46,21 +47,23 @@
 
 Result<void> EntryProcess::start()
 {
-    BOOST_LEAF_AUTO(token, readFile(m_settings.tokenFile));
-    m_tokenDigest = operators::tokenDigest(operators::trimmedToken(token));
+    if (!m_settings.tokenFile.empty()) {
+        BOOST_LEAF_AUTO(token, readFile(m_settings.tokenFile));
+        m_tokenDigest = operators::tokenDigest(operators::trimmedToken(token));
+    }
 
     // Messages first: nothing may reach the node before it can answer.
     BOOST_LEAF_AUTO(peersAddress, net::parseAddress(m_settings.listenPeers));
     BOOST_LEAF_ASSIGN(peersAddress.port, m_messages.listen(peersAddress));
     m_link = std::make_unique<peers::PeerLink>(
-            peers::PeerIdentity { .process = { static_cast<std::uint32_t>(m_settings.id) },
+            peers::PeerIdentity { .process = m_self,
                                   .incarnation = m_incarnation,
                                   .cluster = m_settings.cluster,
                                   .cell = { static_cast<std::uint32_t>(m_settings.cell) },
                                   .address = peersAddress.toString() },
             &m_timeline, &m_counters,
             [this](ProcessId to, std::span<const std::byte> bytes) { m_messages.send(to, bytes); },
-            [this](const wire::Envelope &envelope) { m_node->peerMessage(moment(), envelope); });
+            [this](const wire::Envelope &envelope) { onMessage(envelope); });
     m_messages.onMessage([this](std::span<const std::byte> bytes) {
         m_link->receive(bytes, net::Loop::wallMicroseconds());
     });
@@ -86,13 +89,22 @@
                                      .config = { .lease = m_settings.configLease,
                                                  .serveWithoutControl =
                                                          m_settings.serveWithoutControl },
+                                     .calls = { .timeout = m_settings.callTimeout,
+                                                .unsentTimeout = m_settings.unsentTimeout },
                                      .seed = m_incarnation.value };
     for (const peers::PeerAddress &it : m_settings.members)
         nodeSettings.controlMembers.push_back(it.process);
     m_node = std::make_unique<EntryNode>(std::move(nodeSettings), m_link.get(),
                                          static_cast<EntryPorts *>(this), &m_timeline, &m_counters);
     BOOST_LEAF_CHECK(connectPeers());
+    BOOST_LEAF_AUTO(seeds, peers::seedPeers(m_settings));
+    m_finder = std::make_unique<peers::MemberFinder>(
+            peers::DirectoryIdentity { .self = m_self,
+                                       .address = peersAddress.toString(),
+                                       .zone = m_settings.zone },
+            std::move(seeds), &m_messages, m_link.get());
     m_loop->every(tickInterval, [this] {
+        findMembers();
         m_node->tick(moment());
         finishIfDrained();
     });
@@ -102,11 +114,28 @@
     return {};
 }
 
+void EntryProcess::onMessage(const wire::Envelope &envelope)
+{
+    const Moment at = moment();
+    m_finder->heard(at, envelope, m_node->knownLeader());
+    m_node->peerMessage(at, envelope);
+}
+
+void EntryProcess::findMembers()
+{
+    if (!m_finder->tick(moment(), m_node->knownLeader()))
+        return;
+    std::vector<ProcessId> members;
+    for (const auto &[process, member] : m_finder->directory().members())
+        members.push_back(process);
+    m_node->setControlMembers(members);
+}
+
 Result<void> EntryProcess::connectPeers()
 {
     for (const auto *list : { &m_settings.entries, &m_settings.members }) {
         for (const peers::PeerAddress &it : *list) {
-            if (it.process.value == static_cast<std::uint32_t>(m_settings.id))
+            if (it.process == m_self)
                 continue;
             BOOST_LEAF_AUTO(address, net::parseAddress(it.address));
             BOOST_LEAF_CHECK(m_messages.addPeer(it.process, address));
@@ -147,7 +176,7 @@
 
 RequestId EntryProcess::nextRequestId()
 {
-    const std::uint64_t process = static_cast<std::uint64_t>(m_settings.id) << requestCounterBits;
+    const std::uint64_t process = static_cast<std::uint64_t>(m_self.value) << requestCounterBits;
     return { process | (m_requestCounter++ & requestCounterMask) };
 }
 
--- a/acaciafork/entry/EntryProcess.h
+++ b/acaciafork/entry/EntryProcess.h
@@ -32,6 +32,17 @@
     /// Finishes what is in progress, then stops the loop.
     void drain();
 
+    /// Carries a call of the /acaciafork/v1/ interface to the leader; `handler` gets its answer
+    /// once.
+    void callControl(peers::ApiCall call, const peers::CallTable::Handler &handler)
+    {
+        m_node->apiCall(moment(), std::move(call), handler);
+    }
+    /// True while requests may be accepted.
+    [[nodiscard]] bool ready() const { return m_node->ready(net::Loop::now()); }
+    /// What this process counts.
+    [[nodiscard]] CounterRegistry &counters() { return m_counters; }
+
     /// Ports that were listened on, once started.
     [[nodiscard]] std::uint16_t callersPort() const { return m_callersPort; }
 
@@ -81,6 +92,8 @@
     void relay(const std::shared_ptr<net::HttpExchange> &exchange);
     void answerOperator(const std::shared_ptr<net::HttpExchange> &exchange);
     void finishIfDrained();
+    void onMessage(const wire::Envelope &envelope);
+    void findMembers();
 
     net::Loop *m_loop;
     EntrySettings m_settings;
@@ -88,11 +101,13 @@
     Incarnation m_incarnation;
     std::uint64_t m_requestCounter;
     std::uint16_t m_callersPort = 0;
+    ProcessId m_self;
     CounterRegistry m_counters;
     Timeline m_timeline;
     net::MessageLink m_messages;
     std::unique_ptr<peers::PeerLink> m_link;
     std::unique_ptr<EntryNode> m_node;
+    std::unique_ptr<peers::MemberFinder> m_finder;
     std::unique_ptr<callers::CallerServer> m_callers;
     std::unique_ptr<net::HttpServer> m_operators;
     endpoints::EndpointClient m_endpoints;
--- a/acaciafork/entry/EntrySettings.h
+++ b/acaciafork/entry/EntrySettings.h
@@ -24,9 +24,20 @@
     /// Readiness lease, the same as the control members'.
     Duration configLease = std::chrono::seconds(3);
     bool serveWithoutControl = false;
+    /// Calls that need the control leader: how long they wait for its answer, and for a leader to
+    /// be known before they are refused; zero for the latter asks members that may not lead.
+    Duration callTimeout = std::chrono::seconds(5);
+    Duration unsentTimeout {};
     /// Longest time that a draining entry waits for what is in progress; 0 waits for ever.
     Duration drainTimeout {};
 
+    /// Interface that clients and workers see: the product's own, or that of the users' platform.
+    std::string binding = "own";
+    /// `host:port` of the binding's interfaces, where it is not the product's own.
+    std::string bindingClients;
+    std::string bindingReady;
+    std::string bindingMetrics;
+
     /// The lists of the base struct, parsed.
     std::vector<peers::PeerAddress> entries;
     std::vector<peers::PeerAddress> members;
--- a/acaciafork/net/HttpExchange.cpp
+++ b/acaciafork/net/HttpExchange.cpp
@@ -111,6 +111,14 @@
     return m_req == nullptr ? std::string_view() : view(m_req->input.path);
 }
 
+std::string_view HttpExchange::host() const
+{
+    if (m_req == nullptr)
+        return {};
+    const std::string_view authority = view(m_req->input.authority);
+    return authority.substr(0, authority.find(':'));
+}
+
 std::string_view HttpExchange::header(std::string_view name) const
 {
     return findHeader(m_headers, name);
--- a/acaciafork/net/HttpExchange.h
+++ b/acaciafork/net/HttpExchange.h
@@ -35,6 +35,8 @@
     [[nodiscard]] std::string_view method() const;
     /// Path with the query, as the peer wrote it.
     [[nodiscard]] std::string_view target() const;
+    /// Host that the request names, without its port; empty when it names none.
+    [[nodiscard]] std::string_view host() const;
     /// Headers in the order received, names in lower case; Host is not among them.
     [[nodiscard]] std::span<const Header> headers() const { return m_headers; }
     /// Value of the first header of that name, or an empty view.
--- a/acaciafork/peers/CallTable.cpp
+++ b/acaciafork/peers/CallTable.cpp
@@ -32,8 +32,10 @@
 
     // The handler may begin another call: the table is left in order before it runs.
     const Handler handler = std::move(it->second.handler);
+    ApiAnswer marked = answer;
+    marked.isRepeated = it->second.sends > 1;
     m_calls.erase(it);
-    handler(answer);
+    handler(marked);
 }
 
 std::vector<std::pair<std::uint64_t, const ApiCall *>> CallTable::due(Timestamp now)
@@ -43,6 +45,7 @@
         if (pending.sendAt > now)
             continue;
         pending.sendAt = now + m_settings.resendAfter;
+        ++pending.sends;
         calls.emplace_back(number, &pending.call);
     }
     return calls;
@@ -58,10 +61,16 @@
 void CallTable::expire(Timestamp now)
 {
     std::vector<std::uint64_t> late;
+    std::vector<std::uint64_t> unsent;
     for (const auto &[number, pending] : m_calls) {
         if (now - pending.began >= m_settings.timeout)
             late.push_back(number);
+        else if (needsLeader() && pending.sends == 0
+                 && now - pending.began >= m_settings.unsentTimeout)
+            unsent.push_back(number);
     }
+    for (const std::uint64_t it : unsent)
+        end(it, failureAnswer(FailureKind::NotReady, "no control leader is known"));
     for (const std::uint64_t it : late)
         end(it, failureAnswer(FailureKind::Timeout, "no answer from the control leader"));
 }
--- a/acaciafork/peers/CallTable.h
+++ b/acaciafork/peers/CallTable.h
@@ -4,12 +4,16 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "acaciafork/core/Core.h"
 
 namespace acaciafork::peers {
 
+/// Path of calls about jobs between the system's own processes; the body is a wire::JobCall.
+inline constexpr std::string_view jobCallsPath = "/acaciafork/v1/job-calls";
+
 /// One call of the /acaciafork/v1/ interface.
 struct ApiCall
 {
@@ -28,6 +32,9 @@
 {
     int status = 0;
     std::string body;
+    /// The call was sent more than once: a refusal answers one of them only, another may have been
+    /// carried out.
+    bool isRepeated = false;
 };
 
 /// Bounds on calls that wait for an answer.
@@ -37,6 +44,9 @@
     Duration resendAfter = std::chrono::milliseconds(400);
     /// A call without an answer for this long ends as a timeout.
     Duration timeout = std::chrono::seconds(5);
+    /// A call that could not be sent to a leader for this long ends as not ready: nothing of it was
+    /// done. Zero sends calls to members that may not lead.
+    Duration unsentTimeout {};
     /// Most calls that wait; further ones are refused.
     std::size_t mostCalls = 4096;
 };
@@ -68,6 +78,9 @@
     /// Ends the calls that have waited too long, as a timeout.
     void expire(Timestamp now);
 
+    /// True when calls wait for a leader that is known before they are sent.
+    [[nodiscard]] bool needsLeader() const { return m_settings.unsentTimeout > Duration {}; }
+
     /// How many calls wait.
     [[nodiscard]] std::size_t size() const { return m_calls.size(); }
 
@@ -79,6 +92,7 @@
         Handler handler;
         Timestamp began;
         Timestamp sendAt;
+        std::uint32_t sends = 0;
     };
 
     CallTableSettings m_settings;
--- a/acaciafork/peers/LeaderTracker.cpp
+++ b/acaciafork/peers/LeaderTracker.cpp
@@ -8,9 +8,7 @@
                              const LeaderTrackerSettings &settings)
     : m_settings(settings)
     , m_members(members.begin(), members.end())
-{
-    ACACIAFORK_ASSERT(!m_members.empty());
-}
+{ }
 
 void LeaderTracker::heardLeader(Timestamp now, ProcessId from)
 {
@@ -23,7 +21,7 @@
 void LeaderTracker::heardNotLeader(Timestamp now, ProcessId from, ProcessId leader)
 {
     // News from a member that is not asked any more changes nothing.
-    if (from != target())
+    if (m_members.empty() || from != target())
         return;
     m_confirmed = false;
     m_lastHeard = now;
@@ -35,7 +33,7 @@
 
 void LeaderTracker::tick(Timestamp now)
 {
-    if (now - m_lastHeard < m_settings.silence)
+    if (m_members.empty() || now - m_lastHeard < m_settings.silence)
         return;
     m_confirmed = false;
     m_lastHeard = now;
@@ -44,7 +42,6 @@
 
 void LeaderTracker::setMembers(std::span<const ProcessId> members)
 {
-    ACACIAFORK_ASSERT(!members.empty());
     const ProcessId before = target();
     m_members.assign(members.begin(), members.end());
     if (!moveTo(before)) {
--- a/acaciafork/peers/LeaderTracker.h
+++ b/acaciafork/peers/LeaderTracker.h
@@ -18,11 +18,14 @@
 class LeaderTracker
 {
 public:
-    /// @param[in] members the control members; not empty
+    /// @param[in] members the control members; may be empty until they are found
     LeaderTracker(std::span<const ProcessId> members, const LeaderTrackerSettings &settings);
 
-    /// Member that messages for the leader go to now.
-    [[nodiscard]] ProcessId target() const { return m_members[m_current]; }
+    /// Member that messages for the leader go to now; none while no member is known.
+    [[nodiscard]] ProcessId target() const
+    {
+        return m_members.empty() ? ProcessId {} : m_members[m_current];
+    }
 
     /// True when the target has answered as leader and has not been silent since.
     [[nodiscard]] bool confirmed() const { return m_confirmed; }
--- /dev/null
+++ b/acaciafork/peers/LinkWatch.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "acaciafork/core/Core.h"
+
+namespace acaciafork::peers {
+
+/// Timing of the watch.
+struct LinkWatchSettings
+{
+    /// Silence of a peer that should speak after which the connection to it is made anew; a
+    /// connection can go silent for good without a reset.
+    Duration silence = std::chrono::milliseconds(1500);
+    /// A peer that nobody vouches for is dropped after this long.
+    Duration forgetAfter = std::chrono::seconds(15);
+};
+
+/// Watches which peers are heard from. Pure: it is told what was heard and when.
+class LinkWatch
+{
+public:
+    explicit LinkWatch(const LinkWatchSettings &settings = {})
+        : m_settings(settings)
+    { }
+
+    /// A peer has spoken, or a connection to it has just been made.
+    void heard(Timestamp now, ProcessId peer);
+    /// Peers among those expected to speak whose connections are to be made anew now.
+    std::vector<ProcessId> silent(Timestamp now, const std::vector<ProcessId> &expected);
+    /// Peers that have been silent for so long that they are gone; forgets them.
+    std::vector<ProcessId> gone(Timestamp now);
+
+private:
+    /// What is known of one peer.
+    struct Peer
+    {
+        Timestamp heardAt;
+        Timestamp redialledAt;
+    };
+
+    LinkWatchSettings m_settings;
+    std::map<ProcessId, Peer> m_peers;
+};
+
+} // namespace acaciafork::peers
--- a/acaciafork/peers/PeerLink.cpp
+++ b/acaciafork/peers/PeerLink.cpp
@@ -26,8 +26,9 @@
     envelope->mutable_time()->set_wall_us(time.wallMicroseconds);
     envelope->mutable_time()->set_logical(time.logical);
 
-    // Only these two kinds reach processes that may never have heard of this one.
+    // Only these kinds reach processes that may never have heard of this one.
     const bool introduces = envelope->body_case() == wire::Envelope::kEntryHeartbeat
+            || envelope->body_case() == wire::Envelope::kIntroduction
             || envelope->body_case() == wire::Envelope::kAgreement;
     if (introduces)
         envelope->set_sender_address(m_identity.address);
--- a/acaciafork/peers/ProcessSettings.cpp
+++ b/acaciafork/peers/ProcessSettings.cpp
@@ -1,11 +1,15 @@
 #include "acaciafork/peers/ProcessSettings.h"
 
 #include <algorithm>
+#include <random>
 
 namespace acaciafork::peers {
 namespace {
 
 constexpr std::int64_t mostProcessId = 65'535;
+/// Drawn numbers lie above those that settings may name, and below those of directory contacts.
+constexpr std::uint32_t leastDrawnId = 0x10000U;
+constexpr std::uint32_t mostDrawnId = 0x7fffffffU;
 
 /// Cuts `text` at the next '@'; the part before it is returned and `text` keeps the rest.
 std::string_view cutAt(std::string_view *text)
@@ -87,9 +91,34 @@
                                      .found = it.found,
                                      .allowed = std::string(it.allowed) });
     }
+    if (settings.seeds.empty() && (settings.controlMembers.empty() || settings.id == 0))
+        all.problems.push_back({ .file = std::string(file),
+                                 .section = "control",
+                                 .key = "members",
+                                 .found = "none",
+                                 .allowed = "members and an id, or seeds under [discovery]" });
     if (!all.problems.empty())
         return leaf::new_error(std::move(all));
     return {};
 }
 
+Result<std::vector<std::string>> seedPeers(const ProcessSettings &settings)
+{
+    const std::string port = settings.listenPeers.substr(settings.listenPeers.rfind(':') + 1);
+    std::vector<std::string> peers;
+    for (const std::string &it : settings.seeds) {
+        const std::size_t colon = it.rfind(':');
+        if (colon == std::string::npos || colon == 0)
+            return fail(FailureKind::InvalidArgument, "seed " + it + " is not host:port");
+        peers.push_back(it.substr(0, colon) + ':' + port);
+    }
+    return peers;
+}
+
+ProcessId drawProcessId()
+{
+    std::random_device device;
+    return { std::uniform_int_distribution<std::uint32_t>(leastDrawnId, mostDrawnId)(device) };
+}
+
 } // namespace acaciafork::peers
--- a/acaciafork/peers/ProcessSettings.h
+++ b/acaciafork/peers/ProcessSettings.h
@@ -20,6 +20,7 @@
 /// Settings that every process has: who it is and how its peers are reached.
 struct ProcessSettings
 {
+    /// 0 draws a number; a control member keeps it in its data folder.
     std::int64_t id = 0;
     std::string cluster;
     std::int64_t cell = 1;
@@ -28,6 +29,8 @@
     std::string listenPeers;
     std::vector<std::string> peerList;
     std::vector<std::string> controlMembers;
+    /// Addresses of some control members; only their hosts count.
+    std::vector<std::string> seeds;
     std::string logFormat = "text";
     std::string logLevel = "info";
     std::int64_t timelineEvents = 20'000;
@@ -42,10 +45,10 @@
         Field { .section = "process",
                 .key = "id",
                 .member = &ProcessSettings::id,
-                .least = 1,
+                .least = 0,
                 .most = 65'535,
-                .required = true,
-                .meaning = "number of this process, unique in the cluster and never used again" },
+                .meaning = "number of this process, unique in the cluster and never used again; 0, "
+                           "which needs seeds, draws one" },
         Field { .section = "process",
                 .key = "cluster",
                 .member = &ProcessSettings::cluster,
@@ -80,8 +83,13 @@
         Field { .section = "control",
                 .key = "members",
                 .member = &ProcessSettings::controlMembers,
-                .required = true,
-                .meaning = "the control members, each as id@zone@host:port, with commas between" },
+                .meaning = "the control members, each as id@zone@host:port, with commas between; "
+                           "empty where seeds are given" },
+        Field { .section = "discovery",
+                .key = "seeds",
+                .member = &ProcessSettings::seeds,
+                .meaning = "host:port of some control members, with commas between; their peers' "
+                           "port is that of this process" },
         Field { .section = "log",
                 .key = "format",
                 .member = &ProcessSettings::logFormat,
@@ -99,7 +107,14 @@
                                             std::string_view file, std::string_view section,
                                             std::string_view key);
 
-/// Checks what the table can't: words out of a fixed set. Fails with SettingsProblems.
+/// Checks what the table can't: words out of a fixed set, and that the control members can be
+/// found. Fails with SettingsProblems.
 Result<void> checkProcessSettings(const ProcessSettings &settings, std::string_view file);
 
+/// Addresses of the peers' interfaces of the seeds.
+Result<std::vector<std::string>> seedPeers(const ProcessSettings &settings);
+
+/// Number for a process whose settings name none; drawn anew at each call.
+ProcessId drawProcessId();
+
 } // namespace acaciafork::peers
--- /dev/null
+++ b/acaciafork/state/Jobs.cpp
@@ -0,0 +1,204 @@
+#include "acaciafork/state/Jobs.h"
+
+#include <algorithm>
+
+#include "acaciafork/state/Snapshot.h"
+
+namespace acaciafork::state {
+namespace {
+
+/// Fills what follows from the spec.
+void layOut(Job *job)
+{
+    std::uint32_t n = 0;
+    job->stepStarts.clear();
+    for (const wire::JobStep &it : job->spec->steps()) {
+        job->stepStarts.push_back(n);
+        n += it.count();
+    }
+    job->stepStarts.push_back(n);
+    job->done.assign(static_cast<std::size_t>(n) * job->occurrences(), '\0');
+}
+
+} // namespace
+
+std::uint32_t Job::occurrences() const
+{
+    return spec->has_schedule() ? spec->schedule().times() : 1;
+}
+
+std::size_t Job::positionOf(const TaskPlace &place) const
+{
+    const bool isKnown = place.occurrence < occurrences()
+            && place.step + std::size_t { 1 } < stepStarts.size()
+            && place.task < stepStarts[place.step + 1] - stepStarts[place.step];
+    if (!isKnown)
+        return done.size();
+    return static_cast<std::size_t>(place.occurrence) * stepStarts.back() + stepStarts[place.step]
+            + place.task;
+}
+
+bool Job::isDone(const TaskPlace &place) const
+{
+    const std::size_t position = positionOf(place);
+    return position < done.size() && done[position] != 0;
+}
+
+std::string Jobs::problemOf(const wire::JobSpec &spec, const StateLimits &limits)
+{
+    if (spec.steps_size() == 0)
+        return "a job has at least one step";
+    if (spec.payload().size() > limits.taskPayloadBytes)
+        return "the payload is too large";
+    std::uint64_t tasks = 0;
+    for (int i = 0; i < spec.steps_size(); ++i) {
+        const wire::JobStep &step = spec.steps(i);
+        if (step.count() == 0 || !isBounded(step.size()))
+            return "a step has at least one task, of bounded size";
+        tasks += step.count();
+        // Steps wait for earlier ones only, so that no cycle can arise.
+        for (const std::uint32_t it : step.after()) {
+            if (it >= static_cast<std::uint32_t>(i))
+                return "a step waits for earlier steps only";
+        }
+    }
+    if (spec.has_schedule()
+        && (spec.schedule().times() == 0 || spec.schedule().interval_ms() < 0
+            || spec.schedule().times() > limits.jobTasks))
+        return "the schedule is not valid";
+    const std::uint64_t times = spec.has_schedule() ? spec.schedule().times() : 1;
+    if (tasks > limits.jobTasks || tasks * times > limits.jobTasks)
+        return "too many tasks";
+    return {};
+}
+
+ApplyResult Jobs::submit(const wire::SubmitJob &command, std::int64_t nowMicroseconds)
+{
+    if (m_jobs.contains(command.job()))
+        return makeResult(wire::OUTCOME_ALREADY_APPLIED);
+    if (std::string problem = problemOf(command.spec(), m_limits); !problem.empty())
+        return makeResult(wire::OUTCOME_INVALID, 0, std::move(problem));
+    if (m_jobs.size() >= m_limits.jobs)
+        return makeResult(wire::OUTCOME_FULL, 0, "too many jobs");
+    Job &job = m_jobs[command.job()];
+    job.id = command.job();
+    job.queue = command.queue();
+    job.spec = std::make_shared<const wire::JobSpec>(command.spec());
+    job.submittedUs = nowMicroseconds;
+    layOut(&job);
+    return makeResult(wire::OUTCOME_APPLIED);
+}
+
+ApplyResult Jobs::cancel(const wire::CancelJob &command, std::int64_t nowMicroseconds)
+{
+    const auto it = m_jobs.find(command.job());
+    if (it == m_jobs.end())
+        return makeResult(wire::OUTCOME_NOT_FOUND);
+    if (it->second.state != wire::JOB_STATE_ACTIVE)
+        return makeResult(wire::OUTCOME_ALREADY_APPLIED);
+    end(&it->second, wire::JOB_STATE_CANCELLED, nowMicroseconds);
+    return makeResult(wire::OUTCOME_APPLIED);
+}
+
+ApplyResult Jobs::recordEnds(const wire::RecordTaskEnds &command, std::int64_t nowMicroseconds)
+{
+    for (const wire::TaskEnd &it : command.ends()) {
+        const auto found = m_jobs.find(it.job());
+        if (found == m_jobs.end() || found->second.state != wire::JOB_STATE_ACTIVE)
+            continue;
+        Job &job = found->second;
+        const TaskPlace place { .occurrence = it.occurrence(),
+                                .step = it.step(),
+                                .task = it.task() };
+        const std::size_t position = job.positionOf(place);
+        if (position == job.done.size() || job.done[position] != 0)
+            continue;
+        if (it.failed()) {
+            ++job.failures[place];
+            continue;
+        }
+        job.done[position] = 1;
+        if (++job.doneCount == job.done.size())
+            end(&job, wire::JOB_STATE_COMPLETED, nowMicroseconds);
+    }
+    for (const std::uint64_t it : command.failed_jobs()) {
+        const auto found = m_jobs.find(it);
+        if (found != m_jobs.end() && found->second.state == wire::JOB_STATE_ACTIVE)
+            end(&found->second, wire::JOB_STATE_FAILED, nowMicroseconds);
+    }
+    return makeResult(wire::OUTCOME_APPLIED);
+}
+
+void Jobs::end(Job *job, wire::JobState state, std::int64_t nowMicroseconds)
+{
+    job->state = state;
+    job->endedUs = nowMicroseconds;
+    m_ended.emplace_back(nowMicroseconds, job->id);
+}
+
+void Jobs::expire(std::int64_t nowMicroseconds)
+{
+    const std::int64_t before = nowMicroseconds - m_limits.endedJobWindow.count();
+    while (!m_ended.empty() && m_ended.front().first < before) {
+        m_jobs.erase(m_ended.front().second);
+        m_ended.pop_front();
+    }
+}
+
+const Job *Jobs::find(std::uint64_t id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+void Jobs::save(SnapshotWriter *writer) const
+{
+    std::vector<const Job *> jobs;
+    jobs.reserve(m_jobs.size());
+    for (const auto &[id, job] : m_jobs)
+        jobs.push_back(&job);
+    std::ranges::sort(jobs, {}, [](const Job *job) { return std::pair(job->endedUs, job->id); });
+    for (const Job *job : jobs) {
+        wire::JobRecord *record = writer->record().mutable_job();
+        record->set_job(job->id);
+        *record->mutable_queue() = job->queue;
+        *record->mutable_spec() = *job->spec;
+        record->set_state(job->state);
+        record->set_submitted_us(job->submittedUs);
+        record->set_ended_us(job->endedUs);
+        record->set_done(job->done);
+        for (const auto &[place, count] : job->failures) {
+            wire::TaskFailures *failures = record->add_failures();
+            failures->set_occurrence(place.occurrence);
+            failures->set_step(place.step);
+            failures->set_task(place.task);
+            failures->set_count(count);
+        }
+    }
+}
+
+bool Jobs::load(const wire::JobRecord &record)
+{
+    if (!problemOf(record.spec(), m_limits).empty() || !wire::JobState_IsValid(record.state())
+        || m_jobs.contains(record.job()))
+        return false;
+    Job job { .id = record.job(),
+              .queue = record.queue(),
+              .spec = std::make_shared<const wire::JobSpec>(record.spec()),
+              .state = record.state(),
+              .submittedUs = record.submitted_us(),
+              .endedUs = record.ended_us() };
+    layOut(&job);
+    if (record.done().size() != job.done.size())
+        return false;
+    job.done = record.done();
+    job.doneCount = static_cast<std::uint32_t>(std::ranges::count(job.done, '\1'));
+    for (const wire::TaskFailures &it : record.failures())
+        job.failures[{ it.occurrence(), it.step(), it.task() }] = it.count();
+    if (job.state != wire::JOB_STATE_ACTIVE)
+        m_ended.emplace_back(job.endedUs, job.id);
+    m_jobs.emplace(job.id, std::move(job));
+    return true;
+}
+
+} // namespace acaciafork::state
--- a/acaciafork/state/StateLimits.h
+++ b/acaciafork/state/StateLimits.h
@@ -41,6 +41,16 @@
     Duration requestWindow = std::chrono::hours(24);
     /// Most operator results kept; past it a new request is refused.
     std::size_t requests = 50'000;
+    /// Largest configuration of queues, in encoded bytes.
+    std::size_t queueConfigBytes = 2'097'152;
+    /// Most jobs known, ended ones included.
+    std::size_t jobs = 1'000'000;
+    /// Most tasks of one job, over all its occurrences.
+    std::size_t jobTasks = 100'000;
+    /// How long an ended job can still be asked about; longer than any client asks.
+    Duration endedJobWindow = std::chrono::seconds(180);
+    /// Most workers known.
+    std::size_t workers = 100'000;
     /// Most commands in one batch.
     std::size_t batchCommands = 10'000;
 };
--- a/acaciafork/state/StateMachine.cpp
+++ b/acaciafork/state/StateMachine.cpp
@@ -6,14 +6,17 @@
 
 #include "acaciafork/core/Assert.h"
 #include "acaciafork/state/Configuration.h"
+#include "acaciafork/state/Jobs.h"
 #include "acaciafork/state/Ledger.h"
 #include "acaciafork/state/Moves.h"
 #include "acaciafork/state/Placements.h"
+#include "acaciafork/state/Queues.h"
 #include "acaciafork/state/Racks.h"
 #include "acaciafork/state/RequestLog.h"
 #include "acaciafork/state/Snapshot.h"
 #include "acaciafork/state/Tasks.h"
 #include "acaciafork/state/Teams.h"
+#include "acaciafork/state/WorkerLives.h"
 
 namespace acaciafork::state {
 namespace {
@@ -41,6 +44,9 @@
         , moves(limits, racks)
         , ledger(limits)
         , requests(limits)
+        , queues(limits)
+        , jobs(limits)
+        , workers(limits)
     { }
 
     std::uint64_t appliedIndex = 0;
@@ -53,6 +59,9 @@
     Moves moves;
     Ledger ledger;
     RequestLog requests;
+    Queues queues;
+    Jobs jobs;
+    WorkerLives workers;
 };
 
 StateMachine::StateMachine(CellId cell, const StateLimits &limits)
@@ -80,6 +89,7 @@
     tables.tasks.expire(tables.nowMicroseconds);
     tables.ledger.expire(tables.nowMicroseconds);
     tables.requests.expire(tables.nowMicroseconds);
+    tables.jobs.expire(tables.nowMicroseconds);
     return applyOnce(parsed);
 }
 
@@ -149,6 +159,18 @@
         return tables.ledger.begin(command.ledger_begin(), now);
     case wire::Command::kLedgerEnd:
         return tables.ledger.end(command.ledger_end());
+    case wire::Command::kProposeQueues:
+        return tables.queues.propose(command.propose_queues());
+    case wire::Command::kSubmitJob:
+        return tables.jobs.submit(command.submit_job(), now);
+    case wire::Command::kCancelJob:
+        return tables.jobs.cancel(command.cancel_job(), now);
+    case wire::Command::kRecordTaskEnds:
+        return tables.jobs.recordEnds(command.record_task_ends(), now);
+    case wire::Command::kChangeWorkers:
+        return tables.workers.change(command.change_workers());
+    case wire::Command::kBeginTenure:
+        return tables.workers.beginTenure();
     case wire::Command::BODY_NOT_SET:
         break;
     }
@@ -187,6 +209,9 @@
     tables.moves.save(&writer);
     tables.ledger.save(&writer);
     tables.requests.save(&writer);
+    tables.queues.save(&writer);
+    tables.jobs.save(&writer);
+    tables.workers.save(&writer);
     return writer.finish();
 }
 
@@ -238,6 +263,14 @@
         return tables->ledger.load(record.ledger());
     case wire::SnapshotRecord::kRequest:
         return tables->requests.load(record.request());
+    case wire::SnapshotRecord::kQueues:
+        return tables->queues.load(record.queues());
+    case wire::SnapshotRecord::kJob:
+        return tables->jobs.load(record.job());
+    case wire::SnapshotRecord::kWorker:
+        return tables->workers.load(record.worker());
+    case wire::SnapshotRecord::kTenure:
+        return tables->workers.load(record.tenure());
     case wire::SnapshotRecord::kHeader:
     case wire::SnapshotRecord::BODY_NOT_SET:
         break;
@@ -295,4 +328,19 @@
     return m_tables->requests;
 }
 
+const Queues &StateMachine::queues() const
+{
+    return m_tables->queues;
+}
+
+const Jobs &StateMachine::jobs() const
+{
+    return m_tables->jobs;
+}
+
+const WorkerLives &StateMachine::workers() const
+{
+    return m_tables->workers;
+}
+
 } // namespace acaciafork::state
--- a/acaciafork/state/StateMachine.h
+++ b/acaciafork/state/StateMachine.h
@@ -14,13 +14,16 @@
 namespace acaciafork::state {
 
 class Configuration;
+class Jobs;
 class Ledger;
 class Moves;
 class Placements;
+class Queues;
 class Racks;
 class RequestLog;
 class Tasks;
 class Teams;
+class WorkerLives;
 
 /// The replicated state of one cell. Deterministic: members that apply the same commands in the
 /// same order hold the same state, give the same results and write the same snapshot, byte for
@@ -63,6 +66,9 @@
     [[nodiscard]] const Moves &moves() const;
     [[nodiscard]] const Ledger &ledger() const;
     [[nodiscard]] const RequestLog &requests() const;
+    [[nodiscard]] const Queues &queues() const;
+    [[nodiscard]] const Jobs &jobs() const;
+    [[nodiscard]] const WorkerLives &workers() const;
     /// @}
 
 private:
--- /dev/null
+++ b/acaciafork/state/WorkerLives.cpp
@@ -0,0 +1,47 @@
+#include "acaciafork/state/WorkerLives.h"
+
+#include "acaciafork/state/Snapshot.h"
+
+namespace acaciafork::state {
+
+ApplyResult WorkerLives::change(const wire::ChangeWorkers &command)
+{
+    for (const std::string &it : command.removed())
+        m_workers.erase(it);
+    for (const wire::WorkerLife &it : command.put()) {
+        if (it.worker().empty() || it.worker().size() > longestName)
+            return makeResult(wire::OUTCOME_INVALID, 0, "a worker has a name of bounded length");
+        if (!m_workers.contains(it.worker()) && m_workers.size() >= m_limits.workers)
+            return makeResult(wire::OUTCOME_FULL, 0, "too many workers");
+        m_workers[it.worker()] = it;
+    }
+    return makeResult(wire::OUTCOME_APPLIED);
+}
+
+ApplyResult WorkerLives::beginTenure()
+{
+    return makeResult(wire::OUTCOME_APPLIED, ++m_tenure);
+}
+
+void WorkerLives::save(SnapshotWriter *writer) const
+{
+    for (const auto &[name, worker] : m_workers)
+        *writer->record().mutable_worker() = worker;
+    if (m_tenure != 0)
+        writer->record().mutable_tenure()->set_tenure(m_tenure);
+}
+
+bool WorkerLives::load(const wire::WorkerLife &record)
+{
+    return !record.worker().empty() && m_workers.try_emplace(record.worker(), record).second;
+}
+
+bool WorkerLives::load(const wire::TenureRecord &record)
+{
+    if (m_tenure != 0 || record.tenure() == 0)
+        return false;
+    m_tenure = record.tenure();
+    return true;
+}
+
+} // namespace acaciafork::state
--- a/cmake/Acaciafork.cmake
+++ b/cmake/Acaciafork.cmake
@@ -11,7 +11,7 @@
 target_include_directories(acaciafork_options INTERFACE ${CMAKE_SOURCE_DIR})
 
 # acaciafork_library(<name> [LIBS <targets>...] [GENERATED <files>...]): the library of the current
-# folder from every .cpp in it and below, and its test program from tests/<folder below acaciafork>.
+# folder from every .cpp in it and below, and its test program from tests/<folder>.
 function(acaciafork_library name)
     cmake_parse_arguments(ARG "" "" "LIBS;GENERATED" ${ARGN})
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
@@ -20,7 +20,8 @@
     target_include_directories(acaciafork_${name} PUBLIC ${CMAKE_SOURCE_DIR})
     set_source_files_properties(${ARG_GENERATED} PROPERTIES COMPILE_OPTIONS "-w")
 
-    file(RELATIVE_PATH dir ${CMAKE_SOURCE_DIR}/acaciafork ${CMAKE_CURRENT_SOURCE_DIR})
+    file(RELATIVE_PATH dir ${CMAKE_SOURCE_DIR} ${CMAKE_CURRENT_SOURCE_DIR})
+    string(REGEX REPLACE "^acaciafork/" "" dir ${dir})
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${dir}/*.cpp)
     if(tests)
         add_executable(test_${name} ${tests})
--- a/daemons/control/main.cpp
+++ b/daemons/control/main.cpp
@@ -2,6 +2,7 @@
 
 #include "acaciafork/control/Control.h"
 #include "daemons/common/CommandLine.h"
+#include "platform/Platform.h"
 
 using namespace acaciafork;
 
@@ -18,7 +19,16 @@
                 "acaciafork-control", ProcessId { static_cast<std::uint32_t>(settings.id) });
     net::Loop loop;
     control::ControlProcess process(&loop, settings);
+    std::unique_ptr<platform::ControlBinding> binding;
+    if (settings.binding == "platform")
+        binding = std::make_unique<platform::ControlBinding>(
+                &loop, &process,
+                platform::ControlBindingSettings { .control = settings.bindingControl,
+                                                   .metrics = settings.bindingMetrics });
     BOOST_LEAF_CHECK(process.start());
+    if (binding) {
+        BOOST_LEAF_CHECK(binding->start());
+    }
     loop.onSignal([&process](int) { process.drain(); });
     loop.run();
     if (process.broken())
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -2,6 +2,7 @@
 
 #include "acaciafork/entry/Entry.h"
 #include "daemons/common/CommandLine.h"
+#include "platform/Platform.h"
 
 using namespace acaciafork;
 
@@ -19,6 +20,16 @@
     net::Loop loop;
     entry::EntryProcess process(&loop, settings);
     BOOST_LEAF_CHECK(process.start());
+    if (settings.binding == "platform") {
+        platform::EntryBinding binding(&loop, &process,
+                                       { .clients = settings.bindingClients,
+                                         .ready = settings.bindingReady,
+                                         .metrics = settings.bindingMetrics });
+        BOOST_LEAF_CHECK(binding.start());
+        loop.onSignal([&binding](int) { binding.drain(); });
+        loop.run();
+        return {};
+    }
     loop.onSignal([&process](int) { process.drain(); });
     loop.run();
     return {};
