Learn which images disturb which, and let tasks fill beside serving ones

Change: pairs are learned by batch::InterferenceModel; placement counts 60 % of serving reservations as used and keeps known disturbers away; a known disturber is stopped and goes on elsewhere from its checkpoint.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -17,7 +17,7 @@
 
 JobScheduler::JobScheduler(const JobSchedulerSettings &settings)
     : m_settings(settings)
-    , m_placer(settings.placer)
+    , m_placer(settings.placer, &m_interference)
     , m_tails(settings.tails)
 { }
 
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -12,6 +12,7 @@
 #include "acaciafork/decisions/jobs/Placer.h"
 #include "acaciafork/decisions/jobs/StepOrder.h"
 #include "acaciafork/decisions/jobs/TailGuard.h"
+#include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/WorkerTable.h"
 
 namespace acaciafork::jobs {
@@ -167,6 +168,8 @@
     void startDueOccurrences(Moment at);
     void startCopies(Timestamp now);
     void guardTails(Timestamp now, Worker *worker);
+    void readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails);
+    bool moveDisturbers(Timestamp now, Worker *worker, std::span<const TailReading> tails);
     void leaveDraining(Timestamp now, Worker *worker);
     void place(Timestamp now);
     bool placeStep(Timestamp now, Step *step);
@@ -176,6 +179,7 @@
     JobSchedulerSettings m_settings;
     Placer m_placer;
     TailGuard m_tails;
+    TailInterference m_interference;
     Tenure m_tenure;
     bool m_isFenced = false;
     bool m_isTakingOver = false;
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -53,8 +53,7 @@
     };
     const RunRef run { .task = ref, .slot = slot };
     worker->runs.push_back(run);
-    worker->used += spec.reserved();
-    worker->fillMillicores += spec.fills ? spec.size.millicores : 0;
+    worker->reserve(spec);
     ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     ++m_counts.started;
@@ -87,10 +86,8 @@
         if (ref.step->ready.empty())
             m_order.erase(ref.step);
     }
-    const StepSpec &spec = *ref.step->spec;
     worker->runs.push_back({ .task = ref, .slot = slot });
-    worker->used += spec.reserved();
-    worker->fillMillicores += spec.fills ? spec.size.millicores : 0;
+    worker->reserve(*ref.step->spec);
     ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     note("run-adopted", row.run, worker, {});
@@ -120,9 +117,7 @@
     ACACIAFORK_ASSERT(it != worker->runs.end());
     *it = worker->runs.back();
     worker->runs.pop_back();
-    const StepSpec &spec = *ref.task.step->spec;
-    worker->used -= spec.reserved();
-    worker->fillMillicores -= spec.fills ? spec.size.millicores : 0;
+    worker->giveBack(*ref.task.step->spec);
     run = {};
     Job *job = ref.task.step->job;
     --job->runCount;
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -10,6 +10,8 @@
 
 /// Ends that wait for their record hold a renewal back no longer than this.
 constexpr Duration longestRecordWait = std::chrono::milliseconds(700);
+/// What a worker's load figures cover.
+constexpr Duration tailWindow = std::chrono::milliseconds(500);
 /// A life that could not be recorded is recorded again after this.
 constexpr Duration recordAgainAfter = std::chrono::seconds(1);
 
@@ -146,10 +148,7 @@
         const bool waitsForRecord = worker->recordedEnds < worker->seenEnds;
         if (waitsForRecord && now - worker->lastHoldSentAt < longestRecordWait)
             return;
-        const bool serves = std::ranges::any_of(worker->runs, [](const RunRef &it) {
-            return it.task.step->spec->tailTarget > Duration {};
-        });
-        const bool isWatched = serves && worker->fillMillicores > 0;
+        const bool isWatched = worker->servingMillicores > 0 && worker->fillMillicores > 0;
         Duration wait = isWatched ? m_settings.watchedHoldWait : m_settings.holdWait;
         if (worker->unansweredHolds > 0)
             wait = Duration {};
@@ -329,6 +328,62 @@
     note("take-over-ended", {}, nullptr, "workers=" + std::to_string(m_workers.all().size()));
 }
 
+void JobScheduler::readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails)
+{
+    // Figures cover half a second: what changed within it can't be told apart.
+    const auto whole = static_cast<double>(std::max<std::int64_t>(
+            worker->life.capacity.millicores, 1));
+    bool isSteady = now - worker->pacedAt > tailWindow;
+    std::vector<FillingNeighbour> neighbours;
+    for (const RunRef &it : worker->runs) {
+        if (!it.task.step->spec->fills)
+            continue;
+        isSteady = isSteady && now - it.get().startedAt > tailWindow;
+        neighbours.push_back({ .image = it.task.step->spec->image,
+                               .share = static_cast<double>(std::max<std::int64_t>(
+                                                it.get().load, 0))
+                                       / whole });
+    }
+    for (const RunRef &it : worker->runs) {
+        const StepSpec &spec = *it.task.step->spec;
+        const Run &run = it.get();
+        if (!spec.serves() || run.load < 0 || run.phase != RunPhase::Running)
+            continue;
+        const std::int64_t targetMs = spec.tailTarget / std::chrono::milliseconds(1);
+        tails->push_back({ .image = spec.image, .tailMs = run.load, .targetMs = targetMs });
+        if (isSteady && targetMs > 0)
+            m_interference.observe(spec.image, static_cast<double>(run.load)
+                                           / static_cast<double>(targetMs),
+                                   neighbours);
+    }
+}
+
+bool JobScheduler::moveDisturbers(Timestamp now, Worker *worker,
+                                  std::span<const TailReading> tails)
+{
+    // Where the disturber is known, it goes on elsewhere, and the others are left in peace.
+    const auto whole = static_cast<double>(std::max<std::int64_t>(
+            worker->life.capacity.millicores, 1));
+    bool moved = false;
+    const std::vector<RunRef> runs = worker->runs;
+    for (const RunRef &it : runs) {
+        const StepSpec &spec = *it.task.step->spec;
+        if (!spec.fills || it.get().phase != RunPhase::Running)
+            continue;
+        const double share = static_cast<double>(spec.size.millicores) / whole;
+        const bool disturbs = std::ranges::any_of(tails, [&](const TailReading &tail) {
+            return m_tails.isInDanger(tail)
+                    && m_interference.expected(tail.image, spec.image, share)
+                            >= m_settings.placer.mostDisturbance;
+        });
+        if (!disturbs)
+            continue;
+        moved = true;
+        requestStop(now, it, "disturbs");
+    }
+    return moved;
+}
+
 void JobScheduler::guardTails(Timestamp now, Worker *worker)
 {
     if (worker->fillMillicores == 0) {
@@ -336,12 +391,9 @@
         return;
     }
     std::vector<TailReading> tails;
-    for (const RunRef &it : worker->runs) {
-        const StepSpec &spec = *it.task.step->spec;
-        if (spec.tailTarget > Duration {})
-            tails.push_back({ .tailMs = it.get().load,
-                              .targetMs = spec.tailTarget / std::chrono::milliseconds(1) });
-    }
+    readTails(now, worker, &tails);
+    if (moveDisturbers(now, worker, tails))
+        return;
     const std::int64_t percent =
             m_tails.decide(now, worker->fillPercent, worker->pacedAt, tails);
     if (percent == worker->fillPercent)
--- a/acaciafork/decisions/jobs/Jobs.h
+++ b/acaciafork/decisions/jobs/Jobs.h
@@ -9,5 +9,6 @@
 #include "acaciafork/decisions/jobs/Placer.h"
 #include "acaciafork/decisions/jobs/StepOrder.h"
 #include "acaciafork/decisions/jobs/TailGuard.h"
+#include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/Types.h"
 #include "acaciafork/decisions/jobs/WorkerTable.h"
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -8,7 +8,9 @@
 /// Scores are shares of a worker's processors; these outweigh any of them.
 constexpr double wrongRackPenalty = 4;
 constexpr double failedHerePenalty = 16;
-constexpr double servesHerePenalty = 2;
+/// What is not known of disturbance counts a little, so that empty workers are filled first.
+constexpr double servesHerePenalty = 0.15;
+constexpr double disturbancePenalty = 2;
 /// Share of tasks that are not slowed down, in percent.
 constexpr std::int64_t wholeShare = 100;
 
@@ -17,18 +19,6 @@
     return label.empty() || std::ranges::find(life.labels, label) != life.labels.end();
 }
 
-bool servesSomebody(const Worker &worker)
-{
-    return std::ranges::any_of(worker.runs, [](const RunRef &it) {
-        return it.task.step->spec->tailTarget > Duration {};
-    });
-}
-
-bool hasFilling(const Worker &worker)
-{
-    return worker.fillMillicores > 0;
-}
-
 } // namespace
 
 bool Placer::isUsable(Timestamp now, const Worker &worker) const
@@ -55,11 +45,29 @@
         return false;
     // Tasks that fill share what is left; at least half of their share must be there.
     if (spec.fills
-        && (worker.leftover() < spec.size.millicores / 2 || worker.fillPercent < wholeShare))
+        && (worker.leftover() < spec.size.millicores / 2 || worker.fillPercent < wholeShare
+            || disturbance(worker, spec) > m_settings.mostDisturbance))
         return false;
     return spec.mostPerWorker == 0 || worker.runsOf(&step) < spec.mostPerWorker;
 }
 
+double Placer::disturbance(const Worker &worker, const StepSpec &spec) const
+{
+    const auto whole =
+            static_cast<double>(std::max<std::int64_t>(worker.life.capacity.millicores, 1));
+    double worst = 0;
+    for (const RunRef &it : worker.runs) {
+        const StepSpec &other = *it.task.step->spec;
+        const StepSpec &serving = spec.serves() ? spec : other;
+        const StepSpec &filling = spec.serves() ? other : spec;
+        if (!serving.serves() || !filling.fills)
+            continue;
+        const double share = static_cast<double>(filling.size.millicores) / whole;
+        worst = std::max(worst, m_interference->expected(serving.image, filling.image, share));
+    }
+    return worst;
+}
+
 double Placer::score(const Worker &worker, const Step &step, const Task &task) const
 {
     const StepSpec &spec = *step.spec;
@@ -67,11 +75,13 @@
     const double left = static_cast<double>(worker.leftover()) / whole;
     double score = 0;
     if (spec.fills)
-        score = left - (servesSomebody(worker) ? servesHerePenalty : 0);
-    else if (spec.tailTarget > Duration {})
-        score = -left - (hasFilling(worker) && !servesSomebody(worker) ? servesHerePenalty : 0);
+        score = left - (worker.servingMillicores > 0 ? servesHerePenalty : 0);
+    else if (spec.serves())
+        score = -left;
     else
         score = left;
+    if (spec.fills || spec.serves())
+        score -= disturbancePenalty * disturbance(worker, spec);
     if (!spec.dataRack.value.empty() && worker.life.rack != spec.dataRack)
         score -= wrongRackPenalty;
     if (task.failedAt == worker.id)
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/WorkerTable.h"
 
 namespace acaciafork::jobs {
@@ -11,19 +12,24 @@
     Duration silence = std::chrono::milliseconds(2500);
     /// Failed runs of different jobs in a row after which a worker gets no new work for a while.
     std::uint32_t suspectAfter = 2;
+    /// Most that a filling task may be expected to add to a tail beside it, as a share of the
+    /// tail's target; undisturbed tails swing between a quarter and four fifths of it.
+    double mostDisturbance = 0.2;
 };
 
 /// Chooses the worker of a task.
 ///
 /// Load patterns: tasks that serve go together, the fullest worker that still has room first, so
 /// that whole workers stay free for wide steps and for tasks that fill; tasks that fill go where
-/// the most processor time is left and, if they can, where nothing serves, since they disturb it;
+/// the most processor time is left and where they disturb nobody by what is known of their images;
 /// other tasks go where the most is left, so that the loss of one worker hits few of them.
 class Placer
 {
 public:
-    explicit Placer(const PlacerSettings &settings = {})
+    /// @param[in] interference what is known of disturbance; must outlive the placer
+    Placer(const PlacerSettings &settings, const TailInterference *interference)
         : m_settings(settings)
+        , m_interference(interference)
     { }
 
     /// The best worker for the task, or null when none has room now.
@@ -42,7 +48,10 @@
     [[nodiscard]] bool fits(const Worker &worker, const Step &step) const;
     [[nodiscard]] double score(const Worker &worker, const Step &step, const Task &task) const;
 
+    [[nodiscard]] double disturbance(const Worker &worker, const StepSpec &spec) const;
+
     PlacerSettings m_settings;
+    const TailInterference *m_interference;
 };
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/TailGuard.h
+++ b/acaciafork/decisions/jobs/TailGuard.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 #include "acaciafork/core/Core.h"
 
@@ -24,6 +25,8 @@
 /// Response times of one serving task.
 struct TailReading
 {
+    /// What the task runs.
+    std::string_view image;
     /// Milliseconds; -1 when unknown.
     std::int64_t tailMs = -1;
     std::int64_t targetMs = 0;
@@ -46,6 +49,12 @@
     [[nodiscard]] std::int64_t decide(Timestamp now, std::int64_t percent, Timestamp changedAt,
                                       std::span<const TailReading> tails) const;
 
+    /// True when the tail is near its target or over it.
+    [[nodiscard]] bool isInDanger(const TailReading &tail) const
+    {
+        return tail.targetMs > 0 && tail.tailMs * 100 > tail.targetMs * m_settings.dangerPercent;
+    }
+
 private:
     TailGuardSettings m_settings;
 };
--- /dev/null
+++ b/acaciafork/decisions/jobs/TailInterference.cpp
@@ -0,0 +1,68 @@
+#include "acaciafork/decisions/jobs/TailInterference.h"
+
+#include <algorithm>
+
+namespace acaciafork::jobs {
+namespace {
+
+/// Tail over target of an undisturbed task: its middle, since its own load swings it both ways.
+constexpr double undisturbedRatio = 0.45;
+/// Ratios above this say no more than that the tail is far over its target.
+constexpr double mostRatio = 6;
+/// Tail growth for a whole worker's use, as pairs that disturb show it, and its drift.
+constexpr double priorDeviation = 8;
+constexpr double leastDeviation = 0.8;
+constexpr double ratioNoise = 0.25;
+/// Levels of load are not told apart.
+constexpr batch::Index level = 0;
+
+} // namespace
+
+TailInterference::TailInterference()
+    : m_model({ .measurementNoise = ratioNoise,
+                .priorMean = 0,
+                .priorDeviation = priorDeviation,
+                .leastDeviation = leastDeviation })
+{ }
+
+batch::Index TailInterference::indexOf(std::string_view image)
+{
+    const auto next = static_cast<batch::Index>(m_indexes.size());
+    return m_indexes.try_emplace(std::string(image), next).first->second;
+}
+
+batch::Index TailInterference::findIndex(std::string_view image) const
+{
+    const auto it = m_indexes.find(std::string(image));
+    return it == m_indexes.end() ? batch::noIndex : it->second;
+}
+
+void TailInterference::observe(std::string_view serving, double tailRatio,
+                               std::span<const FillingNeighbour> neighbours)
+{
+    if (neighbours.empty())
+        return;
+    m_coRunners.clear();
+    for (const FillingNeighbour &it : neighbours) {
+        const batch::Index index = indexOf(it.image);
+        const auto found = std::ranges::find(m_coRunners, index, &batch::CoRunner::family);
+        if (found != m_coRunners.end())
+            found->count += static_cast<float>(it.share);
+        else
+            m_coRunners.push_back({ .family = index, .count = static_cast<float>(it.share) });
+    }
+    m_model.observe(indexOf(serving), m_coRunners, level,
+                    std::min(tailRatio, mostRatio) - undisturbedRatio);
+}
+
+double TailInterference::expected(std::string_view serving, std::string_view filling,
+                                  double share) const
+{
+    const batch::Index victim = findIndex(serving);
+    const batch::Index aggressor = findIndex(filling);
+    if (victim == batch::noIndex || aggressor == batch::noIndex)
+        return 0;
+    return m_model.expected(victim, aggressor, level) * share;
+}
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/TailInterference.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciafork/core/Core.h"
+#include "acaciafork/decisions/batch/Batch.h"
+
+namespace acaciafork::jobs {
+
+/// A task that fills, beside a serving one.
+struct FillingNeighbour
+{
+    std::string_view image;
+    /// Processor time that it uses, as a share of the worker's.
+    double share = 0;
+};
+
+/// Learns which images that fill disturb which images that serve, from the response times of
+/// serving tasks and what ran beside them. Most pairs do not disturb each other at all.
+class TailInterference
+{
+public:
+    TailInterference();
+
+    /// Takes in one reading.
+    /// @param[in] tailRatio tail over target
+    void observe(std::string_view serving, double tailRatio,
+                 std::span<const FillingNeighbour> neighbours);
+
+    /// By how much of its target the tail of `serving` is expected to grow if a task of `filling`
+    /// uses `share` of the worker beside it; never negative.
+    [[nodiscard]] double expected(std::string_view serving, std::string_view filling,
+                                  double share) const;
+
+private:
+    [[nodiscard]] batch::Index indexOf(std::string_view image);
+    [[nodiscard]] batch::Index findIndex(std::string_view image) const;
+
+    batch::InterferenceModel m_model;
+    std::unordered_map<std::string, batch::Index> m_indexes;
+    std::vector<batch::CoRunner> m_coRunners;
+};
+
+} // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -93,6 +93,8 @@
     bool fills = false;
     std::uint32_t disruptionBudget = 0;
 
+    /// The tasks answer users of their own.
+    [[nodiscard]] bool serves() const { return tailTarget > Duration {}; }
     /// What a worker has to set aside for one task.
     [[nodiscard]] Size reserved() const
     {
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -10,6 +10,20 @@
             runs, [step](const RunRef &it) { return it.task.step == step; }));
 }
 
+void Worker::reserve(const StepSpec &spec)
+{
+    used += spec.reserved();
+    fillMillicores += spec.fills ? spec.size.millicores : 0;
+    servingMillicores += spec.serves() && !spec.fills ? spec.size.millicores : 0;
+}
+
+void Worker::giveBack(const StepSpec &spec)
+{
+    used -= spec.reserved();
+    fillMillicores -= spec.fills ? spec.size.millicores : 0;
+    servingMillicores -= spec.serves() && !spec.fills ? spec.size.millicores : 0;
+}
+
 Worker &WorkerTable::add(const WorkerLife &life)
 {
     const WorkerId id { ++m_lastId };
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -30,6 +30,8 @@
 
     /// Set aside for the runs here.
     Size used;
+    /// Of that, millicores of serving tasks, which use a part of them only.
+    std::int64_t servingMillicores = 0;
     /// Millicores that filling tasks here would like.
     std::int64_t fillMillicores = 0;
     std::vector<RunRef> runs;
@@ -77,11 +79,19 @@
         room -= used;
         return room;
     }
-    /// Millicores that neither a reservation nor a filling task has taken.
+    /// Share of its reservation that a serving task is reckoned to use, in percent: its mean load,
+    /// and half of its swing more.
+    static constexpr std::int64_t servingUsePercent = 60;
+    /// Millicores that nothing here is reckoned to use.
     [[nodiscard]] std::int64_t leftover() const
     {
-        return life.capacity.millicores - used.millicores - fillMillicores;
+        const std::int64_t unusedByServing =
+                servingMillicores * (100 - servingUsePercent) / 100;
+        return life.capacity.millicores - used.millicores + unusedByServing - fillMillicores;
     }
+    /// Sets a task's share aside, and gives it back.
+    void reserve(const StepSpec &spec);
+    void giveBack(const StepSpec &spec);
     [[nodiscard]] std::uint32_t runsOf(const Step *step) const;
 };
 
