Reload on SIGHUP, and record that a worker leaves before acknowledging it

Change: a worker's draining is part of its replicated record, and its heartbeat is answered once that is committed; SIGHUP reads the settings again; logs go to standard output.

--- a/acaciafork/consensus/ReplacementPolicy.cpp
+++ b/acaciafork/consensus/ReplacementPolicy.cpp
@@ -40,8 +40,7 @@
     const ProcessId spare = chooseSpare(now, status, lost);
     if (!spare)
         return std::nullopt;
-    return ReplacementCommand { .lost = lost == nullptr ? ProcessId {} : lost->id,
-                                .spare = spare };
+    return ReplacementCommand { .lost = lost == nullptr ? ProcessId {} : lost->id, .spare = spare };
 }
 
 ProcessId ReplacementPolicy::chooseSpare(Timestamp now, const NodeStatus &status,
@@ -56,8 +55,8 @@
     };
     const Spare *best = nullptr;
     for (const Spare &it : status.spares) {
-        const bool isTaken = status.membership.find(it.id) != nullptr
-                || status.membership.isRetired(it.id);
+        const bool isTaken =
+                status.membership.find(it.id) != nullptr || status.membership.isRetired(it.id);
         if (isTaken || now - it.heardAt > m_settings.spareFresh)
             continue;
         if (best == nullptr || rank(it) < rank(*best))
--- a/acaciafork/consensus/ReplacementPolicy.h
+++ b/acaciafork/consensus/ReplacementPolicy.h
@@ -14,7 +14,8 @@
     bool automatic = true;
     /// Silence after which a member is replaced; longer than a restart of a process takes.
     Duration lostAfter = std::chrono::seconds(60);
-    /// Voters that the group should have: spares fill it up to this number; 0 leaves its size alone.
+    /// Voters that the group should have: spares fill it up to this number; 0 leaves its size
+    /// alone.
     std::int64_t voters = 0;
     /// How recently a spare must have shown itself.
     Duration spareFresh = std::chrono::seconds(2);
--- a/acaciafork/control/ControlNode.cpp
+++ b/acaciafork/control/ControlNode.cpp
@@ -458,7 +458,8 @@
 bool ControlNode::isKnownEntry(ProcessId process) const
 {
     const auto &known = m_settings.knownEntries;
-    return m_settings.takesAnyEntry || std::find(known.begin(), known.end(), process) != known.end();
+    return m_settings.takesAnyEntry
+            || std::find(known.begin(), known.end(), process) != known.end();
 }
 
 bool ControlNode::isIdle(const EndpointName &endpoint) const
--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -49,8 +49,8 @@
         BOOST_LEAF_ASSIGN(token, readFile(m_settings.tokenFile));
     }
     BOOST_LEAF_CHECK(openFolder());
-    m_timeline = std::make_unique<Timeline>(
-            m_self, static_cast<std::size_t>(m_settings.timelineEvents));
+    m_timeline =
+            std::make_unique<Timeline>(m_self, static_cast<std::size_t>(m_settings.timelineEvents));
     BOOST_LEAF_CHECK(listenPeers());
 
     ControlNodeSettings nodeSettings { .cell = { static_cast<std::uint32_t>(m_settings.cell) },
@@ -64,8 +64,8 @@
     m_node = std::make_unique<ControlNode>(std::move(nodeSettings), m_link.get(),
                                            static_cast<ControlPorts *>(this), m_timeline.get(),
                                            &m_counters);
-    m_views = std::make_unique<ControlViews>(m_settings.cluster, self(), m_node.get(), m_timeline.get(),
-                                             &m_counters);
+    m_views = std::make_unique<ControlViews>(m_settings.cluster, self(), m_node.get(),
+                                             m_timeline.get(), &m_counters);
     m_node->jobs().setOrders(m_orders);
     m_views->setStatus([this] { return m_replica->status(net::Loop::now()); });
     m_api = std::make_unique<operators::OperatorApi>(
@@ -76,12 +76,12 @@
     BOOST_LEAF_CHECK(listenOperators());
     BOOST_LEAF_AUTO(seeds, peers::seedPeers(m_settings));
     m_finder = std::make_unique<peers::MemberFinder>(
-            peers::DirectoryIdentity {
-                    .self = self(),
-                    .address = m_peersAddress,
-                    .controlAddress = m_controlAddress.empty() ? m_operatorsAddress
-                                                               : m_controlAddress,
-                    .zone = m_settings.zone },
+            peers::DirectoryIdentity { .self = self(),
+                                       .address = m_peersAddress,
+                                       .controlAddress = m_controlAddress.empty()
+                                               ? m_operatorsAddress
+                                               : m_controlAddress,
+                                       .zone = m_settings.zone },
             std::move(seeds), &m_messages, m_link.get());
     m_views->setMemberAddress(self(), { .peers = m_peersAddress, .operators = m_operatorsAddress });
 
@@ -154,6 +154,14 @@
     return {};
 }
 
+Result<void> ControlProcess::reload(const ControlSettings &settings)
+{
+    BOOST_LEAF_AUTO(seeds, peers::seedPeers(settings));
+    spdlog::info("event=reloaded seeds={}", seeds.size());
+    m_finder->setSeeds(std::move(seeds));
+    return {};
+}
+
 Result<void> ControlProcess::connectPeers()
 {
     for (const auto *list : { &m_settings.entries, &m_settings.members }) {
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -25,6 +25,9 @@
     /// Opens the data folder and every socket, and starts the timers.
     Result<void> start();
 
+    /// Takes the seeds over from settings that have changed. Fails with Failure InvalidArgument.
+    Result<void> reload(const ControlSettings &settings);
+
     /// Hands the leadership on if it has it, then stops the loop.
     void drain();
 
--- a/acaciafork/control/JobCodec.cpp
+++ b/acaciafork/control/JobCodec.cpp
@@ -81,7 +81,8 @@
              .zone = life.zone(),
              .labels = { life.labels().begin(), life.labels().end() },
              .rack = { life.rack() },
-             .capacity = toJobs(life.capacity()) };
+             .capacity = toJobs(life.capacity()),
+             .draining = life.draining() };
 }
 
 wire::WorkerLife toState(const jobs::WorkerLife &life)
@@ -94,6 +95,7 @@
     record.set_zone(life.zone);
     record.mutable_labels()->Add(life.labels.begin(), life.labels.end());
     record.set_rack(life.rack.value);
+    record.set_draining(life.draining);
     record.mutable_capacity()->set_millicores(static_cast<std::uint64_t>(life.capacity.millicores));
     record.mutable_capacity()->set_memory_mb(static_cast<std::uint64_t>(life.capacity.memoryMb));
     record.mutable_capacity()->set_accelerators(
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -81,14 +81,15 @@
         wire::Command proposal;
         *proposal.mutable_record_task_ends() = toState(command);
         const std::uint64_t leadership = driver.m_leadership;
-        const bool accepted = driver.m_propose(
-                at, std::move(proposal),
-                [this_ = &driver, leadership, batch = command.batch](
-                        Moment when, const state::ApplyResult *result) {
-                    // Without a result the leadership is over: the next leader sees the ends again.
-                    if (result != nullptr && leadership == this_->m_leadership)
-                        this_->m_scheduler.endsRecorded(when, batch);
-                });
+        const bool accepted =
+                driver.m_propose(at, std::move(proposal),
+                                 [this_ = &driver, leadership, batch = command.batch](
+                                         Moment when, const state::ApplyResult *result) {
+                                     // Without a result the leadership is over: the next leader
+                                     // sees the ends again.
+                                     if (result != nullptr && leadership == this_->m_leadership)
+                                         this_->m_scheduler.endsRecorded(when, batch);
+                                 });
         if (!accepted)
             driver.m_unrecorded.push_back(command);
     }
@@ -96,35 +97,30 @@
     {
         wire::Command proposal;
         wire::ChangeWorkers *change = proposal.mutable_change_workers();
-        std::vector<WorkerName> names;
-        for (const jobs::WorkerLife &it : command.put) {
+        for (const jobs::WorkerLife &it : command.put)
             *change->add_put() = toState(it);
-            names.push_back(it.name);
-        }
         for (const WorkerName &it : command.removed)
             change->add_removed(it.value);
         const std::uint64_t leadership = driver.m_leadership;
-        const bool accepted = driver.m_propose(
-                at, std::move(proposal),
-                [this_ = &driver, leadership, names](Moment when,
-                                                     const state::ApplyResult *result) {
-                    if (result != nullptr && leadership == this_->m_leadership)
-                        this_->m_scheduler.workersRecorded(when, names);
-                });
+        const bool accepted =
+                driver.m_propose(at, std::move(proposal),
+                                 [this_ = &driver, leadership,
+                                  command](Moment when, const state::ApplyResult *result) {
+                                     if (result != nullptr && leadership == this_->m_leadership)
+                                         this_->workersRecorded(when, command);
+                                 });
         if (!accepted)
             driver.m_unrecordedWorkers.push_back(command);
     }
     void operator()(const jobs::Note &command) const
     {
-        spdlog::info("event={} task={} run={} worker={} {}", command.event,
-                     taskName(command.task), command.run.value, command.worker.value,
-                     command.detail);
+        spdlog::info("event={} task={} run={} worker={} {}", command.event, taskName(command.task),
+                     command.run.value, command.worker.value, command.detail);
     }
 };
 
-JobDriver::JobDriver(const jobs::JobSchedulerSettings &settings,
-                     const state::StateMachine *machine, Propose propose,
-                     CounterRegistry *counters)
+JobDriver::JobDriver(const jobs::JobSchedulerSettings &settings, const state::StateMachine *machine,
+                     Propose propose, CounterRegistry *counters)
     : m_state(machine)
     , m_propose(std::move(propose))
     , m_scheduler(settings)
@@ -158,6 +154,9 @@
     m_tenure = {};
     m_unrecorded.clear();
     m_unrecordedWorkers.clear();
+    for (const auto &[name, reply] : m_leaving)
+        reply({ .status = 503, .body = std::string(notNow) });
+    m_leaving.clear();
     m_scheduler.end();
 }
 
@@ -186,12 +185,12 @@
         wire::Command proposal;
         proposal.mutable_begin_tenure();
         const std::uint64_t leadership = m_leadership;
-        m_isStarting = !m_propose(
-                at, std::move(proposal),
-                [this, leadership](Moment when, const state::ApplyResult *result) {
-                    if (result != nullptr && leadership == m_leadership)
-                        begin(when, result->version());
-                });
+        m_isStarting =
+                !m_propose(at, std::move(proposal),
+                           [this, leadership](Moment when, const state::ApplyResult *result) {
+                               if (result != nullptr && leadership == m_leadership)
+                                   begin(when, result->version());
+                           });
     }
     if (!m_isActive)
         return;
@@ -364,11 +363,11 @@
     }
     wire::Command proposal;
     proposal.mutable_cancel_job()->set_job(id);
-    const bool accepted = m_propose(at, std::move(proposal),
-                                    [reply](Moment, const state::ApplyResult *result) {
-                                        if (result != nullptr)
-                                            reply({ .status = 200, .body = "{}" });
-                                    });
+    const bool accepted =
+            m_propose(at, std::move(proposal), [reply](Moment, const state::ApplyResult *result) {
+                if (result != nullptr)
+                    reply({ .status = 200, .body = "{}" });
+            });
     if (!accepted)
         reply({ .status = 503, .body = std::string(notNow) });
 }
@@ -401,10 +400,36 @@
         reply({ .status = 503, .body = std::string(notNow) });
 }
 
-void JobDriver::workerReported(Moment at, const jobs::WorkerReport &report)
+void JobDriver::workerReported(Moment at, const jobs::WorkerReport &report, const Reply &reply)
 {
-    if (m_isActive)
-        m_scheduler.workerReported(at, report);
+    if (!m_isActive) {
+        reply({ .status = 503, .body = std::string(notNow) });
+        return;
+    }
+    m_scheduler.workerReported(at, report);
+    const auto &recorded = m_state->workers().all();
+    const auto it = recorded.find(report.life.name.value);
+    const bool isRecorded = it != recorded.end() && it->second.draining()
+            && it->second.born() == report.life.born.value;
+    if (!report.life.draining || isRecorded)
+        reply({ .status = 200, .body = "{}" });
+    else
+        m_leaving.emplace(report.life.name, reply);
+}
+
+void JobDriver::workersRecorded(Moment at, const jobs::RecordWorkers &command)
+{
+    std::vector<WorkerName> names;
+    for (const jobs::WorkerLife &it : command.put) {
+        names.push_back(it.name);
+        if (!it.draining)
+            continue;
+        const auto [first, last] = m_leaving.equal_range(it.name);
+        for (auto waiting = first; waiting != last; ++waiting)
+            waiting->second({ .status = 200, .body = "{}" });
+        m_leaving.erase(first, last);
+    }
+    m_scheduler.workersRecorded(at, names);
 }
 
 void JobDriver::workerLeft(Moment at, const WorkerName &name, Incarnation born)
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,8 +50,9 @@
     void call(Moment at, const wire::JobCall &call, const Reply &reply);
     /// A configuration of queues that its reader has found valid.
     void configure(Moment at, wire::QueueConfig config, const Reply &reply);
-    /// A worker's report; answered at once.
-    void workerReported(Moment at, const jobs::WorkerReport &report);
+    /// A worker's report. Word that it leaves is answered once every later leader will know of it,
+    /// any other report at once.
+    void workerReported(Moment at, const jobs::WorkerReport &report, const Reply &reply);
     void workerLeft(Moment at, const WorkerName &name, Incarnation born);
     /// @}
 
@@ -58,8 +60,7 @@
     /// @{
     void startAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run);
     void stopAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run);
-    void holdAnswered(Moment at, WorkerAnswer answer, bool wasQuick,
-                      const jobs::HoldAnswer *lists);
+    void holdAnswered(Moment at, WorkerAnswer answer, bool wasQuick, const jobs::HoldAnswer *lists);
     /// @}
 
     [[nodiscard]] const jobs::JobScheduler &scheduler() const { return m_scheduler; }
@@ -69,6 +70,7 @@
     friend struct JobCommandRunner;
 
     void begin(Moment at, std::uint64_t tenure);
+    void workersRecorded(Moment at, const jobs::RecordWorkers &command);
     void submit(Moment at, const wire::Queue &queue, std::uint64_t id, const wire::JobCall &call,
                 const Reply &reply);
     void tell(const wire::Queue &queue, std::uint64_t id, const Reply &reply) const;
@@ -86,6 +88,8 @@
     /// Records that could not be proposed yet.
     std::vector<jobs::RecordEnds> m_unrecorded;
     std::vector<jobs::RecordWorkers> m_unrecordedWorkers;
+    /// Workers whose word that they leave is not recorded yet, and who waits for it.
+    std::multimap<WorkerName, Reply> m_leaving;
     /// Leadership that this member is in; answers of proposals of another one are stale.
     std::uint64_t m_leadership = 0;
 
--- a/acaciafork/core/Logging.cpp
+++ b/acaciafork/core/Logging.cpp
@@ -8,7 +8,7 @@
 void initLogging(const LoggingSettings &settings, std::string_view program, ProcessId process)
 {
     const std::string name = std::string(program) + '-' + std::to_string(process.value);
-    auto logger = spdlog::stderr_logger_st(name);
+    auto logger = spdlog::stdout_logger_st(name);
     if (settings.json)
         logger->set_pattern(
                 R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l","process":"%n","line":"%v"})",
--- a/acaciafork/core/Logging.h
+++ b/acaciafork/core/Logging.h
@@ -16,7 +16,7 @@
     std::string level = "info";
 };
 
-/// Sets up spdlog for this process; lines go to standard error. Call once, at the start of main().
+/// Sets up spdlog for this process; lines go to standard output. Call once, at the start of main().
 void initLogging(const LoggingSettings &settings, std::string_view program, ProcessId process);
 
 } // namespace acaciafork
--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -97,7 +97,8 @@
 };
 
 /// What the scheduler wants done, in order.
-using Command = std::variant<StartRun, StopRun, PaceRun, HoldWorker, RecordEnds, RecordWorkers, Note>;
+using Command =
+        std::variant<StartRun, StopRun, PaceRun, HoldWorker, RecordEnds, RecordWorkers, Note>;
 using Commands = std::vector<Command>;
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -128,9 +128,8 @@
             const Step &step = *it.task.step;
             const Task &task = it.task.get();
             const bool mayCopy = step.spec->speculative && !step.spec->gang
-                    && step.job->phase == JobPhase::Active
-                    && it.get().phase == RunPhase::Running && !task.runs[0].exists()
-                            != !task.runs[1].exists();
+                    && step.job->phase == JobPhase::Active && it.get().phase == RunPhase::Running
+                    && !task.runs[0].exists() != !task.runs[1].exists();
             if (!mayCopy || step.doneCount * 2 < step.tasks.size())
                 continue;
             const Duration bound =
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -274,8 +274,8 @@
         const std::size_t base = step->occurrence * job->spec->steps.size();
         for (std::size_t it = 0; it < job->spec->steps.size(); ++it) {
             Step &later = job->steps[base + it];
-            const bool waits = std::ranges::find(later.spec->after, step->number)
-                    != later.spec->after.end();
+            const bool waits =
+                    std::ranges::find(later.spec->after, step->number) != later.spec->after.end();
             if (waits && --later.awaited == 0 && later.mayStart())
                 makeReady(now, &later);
         }
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -18,7 +18,8 @@
 bool sameLife(const WorkerLife &one, const WorkerLife &other)
 {
     return one.born == other.born && one.pool == other.pool && one.address == other.address
-            && one.labels == other.labels && one.capacity == other.capacity;
+            && one.labels == other.labels && one.capacity == other.capacity
+            && one.draining == other.draining;
 }
 
 } // namespace
@@ -33,7 +34,6 @@
         worker->heardAt = at.now;
         worker->sequence = report.sequence;
         worker->lease.observe(at.now, report.clockMs);
-        worker->draining = report.draining;
         note("worker-joined", {}, worker,
              "pool=" + report.life.pool + " address=" + report.life.address);
         recordLife(worker);
@@ -41,6 +41,7 @@
     }
     if (report.life.born < worker->life.born)
         return;
+    const bool beginsToDrain = report.life.draining && !worker->life.draining;
     if (report.life.born > worker->life.born) {
         renewLife(at.now, worker, report.life);
     } else if (report.sequence <= worker->sequence) {
@@ -53,12 +54,10 @@
     worker->heardAt = at.now;
     worker->sequence = report.sequence;
     worker->lease.observe(at.now, report.clockMs);
-    if (report.draining && !worker->draining) {
+    if (beginsToDrain) {
         note("worker-draining", {}, worker, "runs=" + std::to_string(worker->runs.size()));
-        worker->draining = true;
         leaveDraining(at.now, worker);
     }
-    worker->draining = report.draining;
     if (!worker->isRecorded && !worker->isRecording)
         recordLife(worker);
     m_placementDue = true;
@@ -91,7 +90,6 @@
     worker->life = life;
     worker->isRecorded = false;
     worker->isKnown = true;
-    worker->draining = false;
     worker->lease = {};
     worker->seenEnds = 0;
     worker->recordedEnds = 0;
@@ -213,8 +211,8 @@
     worker->heardAt = now;
     worker->holdAt = now;
     worker->lease.observe(now, answer->clockMs);
-    worker->confirmedEnds = std::max(
-            worker->confirmedEnds, wasQuick ? worker->quickHoldCursor : worker->holdCursor);
+    worker->confirmedEnds = std::max(worker->confirmedEnds,
+                                     wasQuick ? worker->quickHoldCursor : worker->holdCursor);
 
     for (const EndedRow &it : answer->ended) {
         if (it.number > worker->seenEnds)
@@ -331,18 +329,17 @@
 void JobScheduler::readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails)
 {
     // Figures cover half a second: what changed within it can't be told apart.
-    const auto whole = static_cast<double>(std::max<std::int64_t>(
-            worker->life.capacity.millicores, 1));
+    const auto whole =
+            static_cast<double>(std::max<std::int64_t>(worker->life.capacity.millicores, 1));
     bool isSteady = now - worker->pacedAt > tailWindow;
     std::vector<FillingNeighbour> neighbours;
     for (const RunRef &it : worker->runs) {
         if (!it.task.step->spec->fills)
             continue;
         isSteady = isSteady && now - it.get().startedAt > tailWindow;
-        neighbours.push_back({ .image = it.task.step->spec->image,
-                               .share = static_cast<double>(std::max<std::int64_t>(
-                                                it.get().load, 0))
-                                       / whole });
+        neighbours.push_back(
+                { .image = it.task.step->spec->image,
+                  .share = static_cast<double>(std::max<std::int64_t>(it.get().load, 0)) / whole });
     }
     for (const RunRef &it : worker->runs) {
         const StepSpec &spec = *it.task.step->spec;
@@ -352,18 +349,17 @@
         const std::int64_t targetMs = spec.tailTarget / std::chrono::milliseconds(1);
         tails->push_back({ .image = spec.image, .tailMs = run.load, .targetMs = targetMs });
         if (isSteady && targetMs > 0)
-            m_interference.observe(spec.image, static_cast<double>(run.load)
-                                           / static_cast<double>(targetMs),
+            m_interference.observe(spec.image,
+                                   static_cast<double>(run.load) / static_cast<double>(targetMs),
                                    neighbours);
     }
 }
 
-bool JobScheduler::moveDisturbers(Timestamp now, Worker *worker,
-                                  std::span<const TailReading> tails)
+bool JobScheduler::moveDisturbers(Timestamp now, Worker *worker, std::span<const TailReading> tails)
 {
     // Where the disturber is known, it goes on elsewhere, and the others are left in peace.
-    const auto whole = static_cast<double>(std::max<std::int64_t>(
-            worker->life.capacity.millicores, 1));
+    const auto whole =
+            static_cast<double>(std::max<std::int64_t>(worker->life.capacity.millicores, 1));
     bool moved = false;
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
@@ -374,7 +370,7 @@
         const bool disturbs = std::ranges::any_of(tails, [&](const TailReading &tail) {
             return m_tails.isInDanger(tail)
                     && m_interference.expected(tail.image, spec.image, share)
-                            >= m_settings.placer.mostDisturbance;
+                    >= m_settings.placer.mostDisturbance;
         });
         if (!disturbs)
             continue;
@@ -394,8 +390,7 @@
     readTails(now, worker, &tails);
     if (moveDisturbers(now, worker, tails))
         return;
-    const std::int64_t percent =
-            m_tails.decide(now, worker->fillPercent, worker->pacedAt, tails);
+    const std::int64_t percent = m_tails.decide(now, worker->fillPercent, worker->pacedAt, tails);
     if (percent == worker->fillPercent)
         return;
     note("tasks-paced", {}, worker,
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -23,7 +23,7 @@
 
 bool Placer::isUsable(Timestamp now, const Worker &worker) const
 {
-    return worker.isRecorded && worker.isKnown && !worker.draining && !worker.isGone
+    return worker.isRecorded && worker.isKnown && !worker.life.draining && !worker.isGone
             && worker.lease.isKnown() && worker.unansweredHolds == 0 && now >= worker.avoidUntil
             && now - worker.heardAt < m_settings.silence;
 }
@@ -71,7 +71,8 @@
 double Placer::score(const Worker &worker, const Step &step, const Task &task) const
 {
     const StepSpec &spec = *step.spec;
-    const auto whole = static_cast<double>(std::max<std::int64_t>(worker.life.capacity.millicores, 1));
+    const auto whole =
+            static_cast<double>(std::max<std::int64_t>(worker.life.capacity.millicores, 1));
     const double left = static_cast<double>(worker.leftover()) / whole;
     double score = 0;
     if (spec.fills)
@@ -102,9 +103,8 @@
         if (rack != nullptr && worker->life.rack != *rack)
             continue;
         // A copy runs elsewhere than the first run.
-        const bool runsHere = std::ranges::any_of(task.runs, [&](const Run &it) {
-            return it.exists() && it.worker == worker->id;
-        });
+        const bool runsHere = std::ranges::any_of(
+                task.runs, [&](const Run &it) { return it.exists() && it.worker == worker->id; });
         if (runsHere)
             continue;
         const double value = score(*worker, step, task);
--- a/acaciafork/decisions/jobs/Types.cpp
+++ b/acaciafork/decisions/jobs/Types.cpp
@@ -33,8 +33,8 @@
 std::string_view orderOutcomeName(OrderOutcome outcome)
 {
     static constexpr std::array<std::string_view, 10> names {
-        "done",    "unanswered",  "not-sent",   "fenced", "old-run", "late",
-        "no-room", "not-healthy", "other-life", "refused"
+        "done", "unanswered", "not-sent",    "fenced",     "old-run",
+        "late", "no-room",    "not-healthy", "other-life", "refused"
     };
     return names.at(static_cast<std::size_t>(outcome));
 }
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -166,6 +166,8 @@
     std::vector<std::string> labels;
     RackName rack;
     Size capacity;
+    /// It has said that it leaves: nothing new is started there.
+    bool draining = false;
 };
 
 /// What a worker says of itself.
@@ -174,7 +176,6 @@
     WorkerLife life;
     /// Counts its reports, so that a late one is known.
     std::uint64_t sequence = 0;
-    bool draining = false;
     /// The worker's own clock, in milliseconds.
     std::int64_t clockMs = 0;
 };
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -6,8 +6,8 @@
 
 std::uint32_t Worker::runsOf(const Step *step) const
 {
-    return static_cast<std::uint32_t>(std::ranges::count_if(
-            runs, [step](const RunRef &it) { return it.task.step == step; }));
+    return static_cast<std::uint32_t>(
+            std::ranges::count_if(runs, [step](const RunRef &it) { return it.task.step == step; }));
 }
 
 void Worker::reserve(const StepSpec &spec)
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -18,7 +18,6 @@
     /// Recorded in the replicated state: orders may go there.
     bool isRecorded = false;
     bool isRecording = false;
-    bool draining = false;
     /// It has left, or another life has taken its place; its runs are over.
     bool isGone = false;
     /// Its lists have been seen in this tenure; until then it may run what an earlier leader began.
@@ -85,8 +84,7 @@
     /// Millicores that nothing here is reckoned to use.
     [[nodiscard]] std::int64_t leftover() const
     {
-        const std::int64_t unusedByServing =
-                servingMillicores * (100 - servingUsePercent) / 100;
+        const std::int64_t unusedByServing = servingMillicores * (100 - servingUsePercent) / 100;
         return life.capacity.millicores - used.millicores + unusedByServing - fillMillicores;
     }
     /// Sets a task's share aside, and gives it back.
--- a/acaciafork/entry/EntryProcess.cpp
+++ b/acaciafork/entry/EntryProcess.cpp
@@ -83,15 +83,15 @@
     BOOST_LEAF_AUTO(operatorsAddress, net::parseAddress(m_settings.listenOperators));
     BOOST_LEAF_ASSIGN(operatorsAddress.port, m_operators->listen(operatorsAddress));
 
-    EntryNodeSettings nodeSettings { .zone = { m_settings.zone },
-                                     .callersAddress = callersAddress.toString(),
-                                     .operatorsAddress = operatorsAddress.toString(),
-                                     .config = { .lease = m_settings.configLease,
-                                                 .serveWithoutControl =
-                                                         m_settings.serveWithoutControl },
-                                     .calls = { .timeout = m_settings.callTimeout,
-                                                .unsentTimeout = m_settings.unsentTimeout },
-                                     .seed = m_incarnation.value };
+    EntryNodeSettings nodeSettings {
+        .zone = { m_settings.zone },
+        .callersAddress = callersAddress.toString(),
+        .operatorsAddress = operatorsAddress.toString(),
+        .config = { .lease = m_settings.configLease,
+                    .serveWithoutControl = m_settings.serveWithoutControl },
+        .calls = { .timeout = m_settings.callTimeout, .unsentTimeout = m_settings.unsentTimeout },
+        .seed = m_incarnation.value
+    };
     for (const peers::PeerAddress &it : m_settings.members)
         nodeSettings.controlMembers.push_back(it.process);
     m_node = std::make_unique<EntryNode>(std::move(nodeSettings), m_link.get(),
@@ -99,9 +99,8 @@
     BOOST_LEAF_CHECK(connectPeers());
     BOOST_LEAF_AUTO(seeds, peers::seedPeers(m_settings));
     m_finder = std::make_unique<peers::MemberFinder>(
-            peers::DirectoryIdentity { .self = m_self,
-                                       .address = peersAddress.toString(),
-                                       .zone = m_settings.zone },
+            peers::DirectoryIdentity {
+                    .self = m_self, .address = peersAddress.toString(), .zone = m_settings.zone },
             std::move(seeds), &m_messages, m_link.get());
     m_loop->every(tickInterval, [this] {
         findMembers();
@@ -131,6 +130,14 @@
     m_node->setControlMembers(members);
 }
 
+Result<void> EntryProcess::reload(const EntrySettings &settings)
+{
+    BOOST_LEAF_AUTO(seeds, peers::seedPeers(settings));
+    spdlog::info("event=reloaded seeds={}", seeds.size());
+    m_finder->setSeeds(std::move(seeds));
+    return {};
+}
+
 Result<void> EntryProcess::connectPeers()
 {
     for (const auto *list : { &m_settings.entries, &m_settings.members }) {
--- a/acaciafork/entry/EntryProcess.h
+++ b/acaciafork/entry/EntryProcess.h
@@ -29,6 +29,9 @@
     /// Opens every socket and starts the timers.
     Result<void> start();
 
+    /// Takes the seeds over from settings that have changed. Fails with Failure InvalidArgument.
+    Result<void> reload(const EntrySettings &settings);
+
     /// Finishes what is in progress, then stops the loop.
     void drain();
 
--- a/acaciafork/net/Loop.cpp
+++ b/acaciafork/net/Loop.cpp
@@ -149,6 +149,7 @@
     action.sa_flags = SA_RESTART;
     ::sigaction(SIGTERM, &action, nullptr);
     ::sigaction(SIGINT, &action, nullptr);
+    ::sigaction(SIGHUP, &action, nullptr);
 }
 
 void Loop::onTurnEnd(Function fn)
--- a/acaciafork/net/Loop.h
+++ b/acaciafork/net/Loop.h
@@ -64,7 +64,8 @@
     /// Calls `fn` in the next turn.
     void post(Function fn);
 
-    /// Calls `fn` in the loop when the process gets SIGTERM or SIGINT. One loop of a process only.
+    /// Calls `fn` in the loop when the process gets SIGTERM, SIGINT or SIGHUP. One loop of a
+    /// process only.
     void onSignal(std::function<void(int)> fn);
 
     /// Calls `fn` at the end of each turn, after all that was ready has run.
--- a/acaciafork/peers/Directory.cpp
+++ b/acaciafork/peers/Directory.cpp
@@ -83,10 +83,9 @@
         return;
     if (isNew || member.address != address || member.controlAddress != controlAddress)
         ++m_revision;
-    member = { .address = address,
-               .controlAddress = controlAddress,
-               .zone = zone,
-               .heardAt = heardAt };
+    member = {
+        .address = address, .controlAddress = controlAddress, .zone = zone, .heardAt = heardAt
+    };
 }
 
 void Directory::noteAlive(Timestamp now, ProcessId member)
@@ -107,9 +106,8 @@
     if (now >= m_nextSeeds) {
         m_nextSeeds = now + m_settings.seedInterval;
         for (std::size_t i = 0; i < m_seeds.size(); ++i) {
-            const bool isKnown = std::ranges::any_of(m_members, [&](const auto &it) {
-                return it.second.address == m_seeds[i];
-            });
+            const bool isKnown = std::ranges::any_of(
+                    m_members, [&](const auto &it) { return it.second.address == m_seeds[i]; });
             if (isKnown || m_seeds[i] == m_identity.address)
                 continue;
             messages.push_back({ .to = contactOf(i),
--- a/acaciafork/peers/MemberFinder.cpp
+++ b/acaciafork/peers/MemberFinder.cpp
@@ -52,8 +52,9 @@
     if (envelope.body_case() != wire::Envelope::kIntroduction)
         return;
     dial(sender, envelope.sender_address());
-    send(at, m_directory.heard(at.now, sender, envelope.sender_address(), envelope.introduction(),
-                               leader));
+    send(at,
+         m_directory.heard(at.now, sender, envelope.sender_address(), envelope.introduction(),
+                           leader));
 }
 
 void MemberFinder::send(Moment at, std::vector<DirectoryMessage> messages)
--- a/acaciafork/peers/MemberFinder.h
+++ b/acaciafork/peers/MemberFinder.h
@@ -30,6 +30,9 @@
     /// @return true when the known members have changed
     bool tick(Moment at, ProcessId leader);
 
+    /// Replaces the seeds, as when the settings have changed.
+    void setSeeds(std::vector<std::string> seeds) { m_directory.setSeeds(std::move(seeds)); }
+
     [[nodiscard]] const Directory &directory() const { return m_directory; }
 
 private:
--- a/acaciafork/state/Jobs.h
+++ b/acaciafork/state/Jobs.h
@@ -78,7 +78,8 @@
     bool load(const wire::JobRecord &record);
 
 private:
-    [[nodiscard]] static std::string problemOf(const wire::JobSpec &spec, const StateLimits &limits);
+    [[nodiscard]] static std::string problemOf(const wire::JobSpec &spec,
+                                               const StateLimits &limits);
     void end(Job *job, wire::JobState state, std::int64_t nowMicroseconds);
 
     const StateLimits &m_limits;
--- a/daemons/control/main.cpp
+++ b/daemons/control/main.cpp
@@ -1,4 +1,7 @@
+#include <csignal>
+
 #include <google/protobuf/stubs/logging.h>
+#include <spdlog/spdlog.h>
 
 #include "acaciafork/control/Control.h"
 #include "daemons/common/CommandLine.h"
@@ -8,6 +11,24 @@
 
 namespace {
 
+/// Takes over what may change while the process runs; the rest waits for a restart.
+void reloadSettings(const std::string &file, control::ControlProcess *process)
+{
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(ini, readFile(file));
+                BOOST_LEAF_AUTO(settings, control::readControlSettings(ini, file));
+                return process->reload(settings);
+            },
+            [](const SettingsProblems &problems) {
+                spdlog::error("event=reload-refused problems=\"{}\"", describe(problems));
+            },
+            [](const Failure &failure) {
+                spdlog::error("event=reload-refused detail=\"{}\"", failure.detail);
+            },
+            [] { spdlog::error("event=reload-refused"); });
+}
+
 Result<void> runControl(const CommandLine &commandLine)
 {
     BOOST_LEAF_AUTO(ini, readFile(commandLine.settingsFile));
@@ -29,7 +50,12 @@
     if (binding) {
         BOOST_LEAF_CHECK(binding->start());
     }
-    loop.onSignal([&process](int) { process.drain(); });
+    loop.onSignal([&](int signal) {
+        if (signal == SIGHUP)
+            reloadSettings(commandLine.settingsFile, &process);
+        else
+            process.drain();
+    });
     loop.run();
     if (process.broken())
         return fail(FailureKind::Storage, "the data folder " + settings.dataFolder + " is broken");
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,4 +1,7 @@
+#include <csignal>
+
 #include <google/protobuf/stubs/logging.h>
+#include <spdlog/spdlog.h>
 
 #include "acaciafork/entry/Entry.h"
 #include "daemons/common/CommandLine.h"
@@ -8,6 +11,24 @@
 
 namespace {
 
+/// Takes over what may change while the process runs; the rest waits for a restart.
+void reloadSettings(const std::string &file, entry::EntryProcess *process)
+{
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(ini, readFile(file));
+                BOOST_LEAF_AUTO(settings, entry::readEntrySettings(ini, file));
+                return process->reload(settings);
+            },
+            [](const SettingsProblems &problems) {
+                spdlog::error("event=reload-refused problems=\"{}\"", describe(problems));
+            },
+            [](const Failure &failure) {
+                spdlog::error("event=reload-refused detail=\"{}\"", failure.detail);
+            },
+            [] { spdlog::error("event=reload-refused"); });
+}
+
 Result<void> runEntry(const CommandLine &commandLine)
 {
     BOOST_LEAF_AUTO(ini, readFile(commandLine.settingsFile));
@@ -26,11 +47,21 @@
                                          .ready = settings.bindingReady,
                                          .metrics = settings.bindingMetrics });
         BOOST_LEAF_CHECK(binding.start());
-        loop.onSignal([&binding](int) { binding.drain(); });
+        loop.onSignal([&](int signal) {
+            if (signal == SIGHUP)
+                reloadSettings(commandLine.settingsFile, &process);
+            else
+                binding.drain();
+        });
         loop.run();
         return {};
     }
-    loop.onSignal([&process](int) { process.drain(); });
+    loop.onSignal([&](int signal) {
+        if (signal == SIGHUP)
+            reloadSettings(commandLine.settingsFile, &process);
+        else
+            process.drain();
+    });
     loop.run();
     return {};
 }
