Replace only members that are silent, count a failed run once, rejoin when displaced

Ruled out: votes refused to members of a newer membership (senders not known are taken). Change: any message keeps a member from being replaced, and the longest silent goes first; a displaced member empties its folder and comes back as a new one, never as a founder; ends carry the number of their run.

--- a/acaciafork/consensus/ReplacementPolicy.cpp
+++ b/acaciafork/consensus/ReplacementPolicy.cpp
@@ -14,7 +14,9 @@
     std::erase_if(m_silentSince,
                   [&](const auto &it) { return status.membership.find(it.first) == nullptr; });
 
+    // The member that has been silent the longest is the surest to be gone.
     const Member *lost = nullptr;
+    Timestamp lostSince = Timestamp::max();
     for (const MemberStatus &it : status.members) {
         if (it.live) {
             m_silentSince.erase(it.member.id);
@@ -30,8 +32,10 @@
                 std::ranges::any_of(status.membership.members, [&](const Member &other) {
                     return other.replaces == it.member.id;
                 });
-        if (!handled && lost == nullptr)
+        if (!handled && since->second < lostSince) {
             lost = status.membership.find(it.member.id);
+            lostSince = since->second;
+        }
     }
     const bool hasRoom =
             status.membership.members.size() < static_cast<std::size_t>(m_settings.voters);
--- a/acaciafork/consensus/ReplacementPolicy.h
+++ b/acaciafork/consensus/ReplacementPolicy.h
@@ -41,6 +41,10 @@
         : m_settings(settings)
     { }
 
+    /// A member's process has spoken, in whatever way: it is not lost, though it may not take part,
+    /// as while its disk has no room.
+    void heard(ProcessId member) { m_silentSince.erase(member); }
+
     /// The change to make now, if any.
     /// @param[in] status of the leader; that of another member asks for nothing
     std::optional<ReplacementCommand> decide(Timestamp now, const NodeStatus &status);
--- a/acaciafork/consensus/Replica.h
+++ b/acaciafork/consensus/Replica.h
@@ -102,6 +102,8 @@
     /// Hands the leadership to a voter.
     Result<void> transferLeadership(Timestamp now, ProcessId to);
 
+    /// A process has spoken outside the agreement. See ReplacementPolicy::heard().
+    void noteAlive(ProcessId process) { m_replacement.heard(process); }
     /// Names processes that may know the group. See Node::addContacts().
     void addContacts(std::span<const ProcessId> contacts) { m_node.addContacts(contacts); }
 
--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -7,6 +7,10 @@
 namespace acaciafork::control {
 namespace {
 
+/// Pause between two looks for a change of the membership, for the log.
+constexpr Duration membershipLookInterval = std::chrono::milliseconds(100);
+/// File that says that the folder was emptied by its own process, which must not found a cluster.
+constexpr std::string_view rejoinMarker = "rejoin";
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
 constexpr std::string_view workersPath = "/acaciafork/v1/workers/";
 constexpr std::string_view usageSuffix = "/usage";
@@ -120,6 +124,9 @@
     m_self = { static_cast<std::uint32_t>(m_settings.id) };
     if (m_self)
         return {};
+    BOOST_LEAF_AUTO(names, m_folder->list());
+    m_mayFound = m_settings.mayFound
+            && std::find(names.begin(), names.end(), rejoinMarker) == names.end();
 
     // A member keeps the number that its folder was formatted with.
     BOOST_LEAF_AUTO(member, consensus::LogFolder::readMember(m_folder.get()));
@@ -142,7 +149,7 @@
 
     // One process alone may found a cluster whose members find each other; the others join it.
     BOOST_LEAF_AUTO(seeds, peers::seedPeers(m_settings));
-    if (m_settings.mayFound && !seeds.empty() && seeds.front() == m_peersAddress)
+    if (m_mayFound && !seeds.empty() && seeds.front() == m_peersAddress)
         settings.identity.initialMembers.push_back(
                 { .id = self(), .zone = { m_settings.zone }, .voter = true });
     BOOST_LEAF_ASSIGN(
@@ -235,6 +242,11 @@
     sendRelays();
     m_relays.expire(at.now);
     endIfBroken();
+    if (at.now >= m_nextMembershipLook) {
+        m_nextMembershipLook = at.now + membershipLookInterval;
+        showMembership();
+        rejoinIfDisplaced(at.now);
+    }
     if (m_draining && !m_replica->isLeader())
         m_loop->stop();
 }
@@ -264,6 +276,47 @@
     return it == members.end() ? std::string() : it->second.controlAddress;
 }
 
+void ControlProcess::showMembership()
+{
+    const consensus::Membership &membership = m_replica->node().membership();
+    if (membership == m_shownMembership)
+        return;
+    m_shownMembership = membership;
+    std::string members;
+    for (const consensus::Member &it : membership.members) {
+        members += fmt::format("{}{}{}{}", members.empty() ? "" : ",", it.id.value,
+                               it.voter ? "" : ":learner",
+                               it.replaces ? fmt::format(":replaces-{}", it.replaces.value) : "");
+    }
+    spdlog::info("event=membership members={} retired={} term={}", members,
+                 membership.retired.size(), m_replica->node().term());
+}
+
+void ControlProcess::rejoinIfDisplaced(Timestamp now)
+{
+    // Another member has taken its place: it comes back as a new one, with nothing remembered.
+    if (m_settings.seeds.empty() || m_isBroken || !m_replica->status(now).node.displaced)
+        return;
+    spdlog::warn("event=displaced member={}; rejoining with an empty folder", m_self.value);
+    m_isBroken = true;
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(marker, m_folder->openFile(std::string(rejoinMarker)));
+                BOOST_LEAF_CHECK(marker->sync());
+                BOOST_LEAF_AUTO(names, m_folder->list());
+                for (const std::string &it : names) {
+                    if (it != rejoinMarker)
+                        BOOST_LEAF_CHECK(m_folder->remove(it));
+                }
+                return m_folder->sync();
+            },
+            [&](const Failure &failure) {
+                spdlog::error("event=rejoin-failed detail=\"{}\"", failure.detail);
+            },
+            [] { spdlog::error("event=rejoin-failed"); });
+    m_loop->stop();
+}
+
 void ControlProcess::endIfBroken()
 {
     // After a write that failed for good only a restart tells what is on the disk.
@@ -302,6 +355,7 @@
     learnAddress(envelope);
     const Moment at = moment();
     m_finder->heard(at, envelope, m_replica->leader());
+    m_replica->noteAlive({ envelope.sender() });
     switch (envelope.body_case()) {
     case wire::Envelope::kAgreement:
         leaf::try_handle_all(
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -77,6 +77,8 @@
     void onApiRequest(const wire::Envelope &envelope);
     void tick();
     void endIfBroken();
+    void showMembership();
+    void rejoinIfDisplaced(Timestamp now);
 
     /// Carries a call out here, or passes it to the leader.
     void callApi(const peers::ApiCall &call, const Reply &reply);
@@ -91,6 +93,7 @@
     net::Loop *m_loop;
     ControlSettings m_settings;
     ProcessId m_self;
+    bool m_mayFound = false;
     WorkerOrders *m_orders = nullptr;
     std::string m_controlAddress;
     Incarnation m_incarnation;
@@ -109,6 +112,8 @@
     std::unique_ptr<consensus::PosixFolder> m_folder;
     std::unique_ptr<consensus::Replica> m_replica;
     peers::CallTable m_relays;
+    consensus::Membership m_shownMembership;
+    Timestamp m_nextMembershipLook;
     bool m_draining = false;
     bool m_isBroken = false;
     Counter *m_committed;
--- a/acaciafork/control/JobCodec.cpp
+++ b/acaciafork/control/JobCodec.cpp
@@ -62,12 +62,12 @@
                          .spec = toJobs(*job.spec),
                          .submittedUs = job.submittedUs,
                          .done = job.done };
-    for (const auto &[place, count] : job.failures) {
+    for (const auto &[place, runs] : job.failures) {
         const jobs::TaskKey key { .job = { job.id },
                                   .occurrence = place.occurrence,
                                   .step = place.step,
                                   .task = place.task };
-        view.failures.emplace_back(key, count);
+        view.failures.emplace_back(key, runs);
     }
     return view;
 }
@@ -113,6 +113,7 @@
         end->set_step(it.task.step);
         end->set_task(it.task.task);
         end->set_failed(it.failed);
+        end->set_run(it.run.value);
     }
     for (const jobs::JobId it : ends.failedJobs)
         record.add_failed_jobs(it.value);
--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -66,6 +66,7 @@
 struct TaskEnd
 {
     TaskKey task;
+    RunNumber run;
     bool failed = false;
 };
 
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -208,11 +208,11 @@
 
 // ---- ends on their way into the replicated state
 
-void JobScheduler::recordEnd(Timestamp now, const TaskKey &task, bool failed, Worker *worker)
+void JobScheduler::recordEnd(Timestamp now, const RunKey &run, bool failed, Worker *worker)
 {
     if (m_ends.empty() && m_failedJobs.empty())
         m_endsSince = now;
-    m_ends.push_back({ .task = task, .failed = failed });
+    m_ends.push_back({ .task = run.task, .run = run.run, .failed = failed });
     if (worker != nullptr)
         worker->lastBatch = m_lastBatch + 1;
 }
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -151,14 +151,14 @@
     [[nodiscard]] static RunRef findRun(TaskRef task, RunNumber number);
 
     void takeEnd(Timestamp now, Worker *worker, const EndedRow &row);
-    void taskDone(Timestamp now, TaskRef task, Worker *worker);
-    void taskFailed(Timestamp now, TaskRef task, Worker *worker);
+    void taskDone(Timestamp now, TaskRef task, RunNumber run, Worker *worker);
+    void taskFailed(Timestamp now, TaskRef task, RunNumber run, Worker *worker);
     void takeRunning(Timestamp now, Worker *worker, const HoldAnswer &answer);
     void settleUnlisted(Timestamp now, Worker *worker, const HoldAnswer &answer);
     void loseRuns(Timestamp now, Worker *worker, std::string_view reason);
     void renewLife(Timestamp now, Worker *worker, const WorkerLife &life);
     void recordLife(Worker *worker);
-    void recordEnd(Timestamp now, const TaskKey &task, bool failed, Worker *worker);
+    void recordEnd(Timestamp now, const RunKey &run, bool failed, Worker *worker);
     void flushEnds(Timestamp now);
 
     void holdIfDue(Timestamp now, Worker *worker);
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -212,10 +212,10 @@
     }
     switch (row.end) {
     case RunEnd::Done:
-        taskDone(now, task, worker);
+        taskDone(now, task, row.run.run, worker);
         break;
     case RunEnd::Failed:
-        taskFailed(now, task, worker);
+        taskFailed(now, task, row.run.run, worker);
         break;
     case RunEnd::Lapsed:
     case RunEnd::Stopped:
@@ -228,7 +228,7 @@
     }
 }
 
-void JobScheduler::taskDone(Timestamp now, TaskRef ref, Worker *worker)
+void JobScheduler::taskDone(Timestamp now, TaskRef ref, RunNumber run, Worker *worker)
 {
     worker->failuresInRow = 0;
     Step *step = ref.step;
@@ -246,7 +246,7 @@
             member.done = true;
             --step->left;
             --job->tasksLeft;
-            recordEnd(now, step->key(it), false, worker);
+            recordEnd(now, { .task = step->key(it), .run = run }, false, worker);
         }
     }
     Task &task = ref.get();
@@ -256,7 +256,7 @@
     ++m_counts.done;
     --step->left;
     --job->tasksLeft;
-    recordEnd(now, ref.key(), false, worker);
+    recordEnd(now, { .task = ref.key(), .run = run }, false, worker);
     if (task.isReady) {
         task.isReady = false;
         std::erase(step->ready, ref.task);
@@ -286,17 +286,22 @@
     }
 }
 
-void JobScheduler::taskFailed(Timestamp now, TaskRef ref, Worker *worker)
+void JobScheduler::taskFailed(Timestamp now, TaskRef ref, RunNumber run, Worker *worker)
 {
-    ++m_counts.failed;
     Task &task = ref.get();
+    // An earlier leader may have recorded the same end.
+    if (std::ranges::find(task.failedRuns, run.value) != task.failedRuns.end()) {
+        requeue(now, ref);
+        return;
+    }
+    ++m_counts.failed;
     Step *step = ref.step;
     Job *job = step->job;
     task.failedAt = worker->id;
     if (worker->lastFailedJob != job->id) {
         worker->lastFailedJob = job->id;
         // A task that failed elsewhere too says nothing about this worker.
-        if (task.failures == 0 && ++worker->failuresInRow >= m_settings.placer.suspectAfter) {
+        if (task.failedRuns.empty() && ++worker->failuresInRow >= m_settings.placer.suspectAfter) {
             worker->avoidUntil = now + m_settings.avoidAfterFailures;
             note("worker-suspected", {}, worker,
                  "failures=" + std::to_string(worker->failuresInRow));
@@ -310,14 +315,14 @@
         requeue(now, ref);
         return;
     }
-    ++task.failures;
-    recordEnd(now, ref.key(), true, worker);
-    if (task.failures < job->mostAttempts) {
+    task.failedRuns.push_back(run.value);
+    recordEnd(now, { .task = ref.key(), .run = run }, true, worker);
+    if (task.failedRuns.size() < job->mostAttempts) {
         requeue(now, ref);
         return;
     }
     note("job-failed", { .task = ref.key(), .run = {} }, worker,
-         "attempts=" + std::to_string(task.failures));
+         "attempts=" + std::to_string(task.failedRuns.size()));
     m_failedJobs.push_back(job->id);
     m_endsUrgent = true;
     endJob(now, job, JobPhase::Failed);
--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -53,10 +53,10 @@
             job->tasksLeft += step.left;
         }
     }
-    for (const auto &[key, count] : view.failures) {
+    for (const auto &[key, runs] : view.failures) {
         const std::size_t index = key.occurrence * view.spec->steps.size() + key.step;
         if (index < job->steps.size() && key.task < job->steps[index].tasks.size())
-            job->steps[index].tasks[key.task].failures = count;
+            job->steps[index].tasks[key.task].failedRuns = runs;
     }
     for (Step &it : job->steps) {
         const std::size_t base = it.occurrence * view.spec->steps.size();
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -54,7 +54,8 @@
     std::array<Run, mostRuns> runs;
     /// Highest run number given in this tenure, or seen.
     RunNumber lastRun;
-    std::uint32_t failures = 0;
+    /// Numbers of its runs that failed.
+    std::vector<std::uint64_t> failedRuns;
     bool done = false;
     /// It stands in its step's list of ready tasks.
     bool isReady = false;
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -151,8 +151,8 @@
     std::int64_t submittedUs = 0;
     /// One byte a task, occurrence by occurrence and step by step: 1 when done; empty when none is.
     std::string_view done;
-    /// Failed runs, for tasks that have any.
-    std::vector<std::pair<TaskKey, std::uint32_t>> failures;
+    /// Runs that failed, for tasks that have any.
+    std::vector<std::pair<TaskKey, std::vector<std::uint64_t>>> failures;
 };
 
 /// A worker in one of its lives.
--- a/acaciafork/state/Jobs.cpp
+++ b/acaciafork/state/Jobs.cpp
@@ -114,7 +114,9 @@
         if (position == job.done.size() || job.done[position] != 0)
             continue;
         if (it.failed()) {
-            ++job.failures[place];
+            std::vector<std::uint64_t> &runs = job.failures[place];
+            if (std::ranges::find(runs, it.run()) == runs.end())
+                runs.push_back(it.run());
             continue;
         }
         job.done[position] = 1;
@@ -167,12 +169,12 @@
         record->set_submitted_us(job->submittedUs);
         record->set_ended_us(job->endedUs);
         record->set_done(job->done);
-        for (const auto &[place, count] : job->failures) {
+        for (const auto &[place, runs] : job->failures) {
             wire::TaskFailures *failures = record->add_failures();
             failures->set_occurrence(place.occurrence);
             failures->set_step(place.step);
             failures->set_task(place.task);
-            failures->set_count(count);
+            failures->mutable_runs()->Add(runs.begin(), runs.end());
         }
     }
 }
@@ -194,7 +196,8 @@
     job.done = record.done();
     job.doneCount = static_cast<std::uint32_t>(std::ranges::count(job.done, '\1'));
     for (const wire::TaskFailures &it : record.failures())
-        job.failures[{ it.occurrence(), it.step(), it.task() }] = it.count();
+        job.failures[{ it.occurrence(), it.step(), it.task() }] = { it.runs().begin(),
+                                                                    it.runs().end() };
     if (job.state != wire::JOB_STATE_ACTIVE)
         m_ended.emplace_back(job.endedUs, job.id);
     m_jobs.emplace(job.id, std::move(job));
--- a/acaciafork/state/Jobs.h
+++ b/acaciafork/state/Jobs.h
@@ -40,7 +40,8 @@
     /// One byte a task, occurrence by occurrence: 1 when done.
     std::string done;
     std::uint32_t doneCount = 0;
-    std::map<TaskPlace, std::uint32_t> failures;
+    /// Numbers of the runs that failed, by task.
+    std::map<TaskPlace, std::vector<std::uint64_t>> failures;
 
     /// Position of a task in `done`; the size of `done` when there is no such task.
     [[nodiscard]] std::size_t positionOf(const TaskPlace &place) const;
