Give a silent worker no longer lease, and summarise the fleet in the log

Change: no renewal while a worker is silent; leases of 4 s in place of 5 s; a line on the fleet every 2 s.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -10,6 +10,9 @@
 
 /// Pause between two rounds of the checks that look at everything.
 constexpr Duration slowCheckInterval = std::chrono::milliseconds(100);
+/// Pause between two summaries of the fleet in the log.
+constexpr Duration summaryInterval = std::chrono::seconds(2);
+constexpr std::int64_t millicoresPerCore = 1000;
 /// Most ends in one record.
 constexpr std::size_t mostEndsPerRecord = 2000;
 
@@ -269,6 +272,43 @@
     startCopies(at.now);
     m_order.refresh(at.now);
     m_placementDue = true;
+    if (at.now >= m_nextSummary) {
+        m_nextSummary = at.now + summaryInterval;
+        noteSummary(at.now);
+    }
+}
+
+void JobScheduler::noteSummary(Timestamp now)
+{
+    std::int64_t capacity = 0;
+    std::int64_t serving = 0;
+    std::int64_t filling = 0;
+    std::int64_t other = 0;
+    std::size_t usable = 0;
+    std::size_t paced = 0;
+    std::size_t unsure = 0;
+    for (const auto &[id, worker] : m_workers.all()) {
+        capacity += worker->life.capacity.millicores;
+        serving += worker->servingMillicores;
+        filling += worker->fillMillicores;
+        other += worker->used.millicores - worker->servingMillicores;
+        usable += m_placer.isUsable(now, *worker) ? 1 : 0;
+        paced += worker->fillPercent < 100 ? 1 : 0;
+        for (const RunRef &it : worker->runs)
+            unsure += it.get().phase == RunPhase::Stopping ? 1 : 0;
+    }
+    std::map<std::string_view, std::size_t> ready;
+    for (const auto &[place, step] : m_order.steps())
+        ready[step->job->queue] += step->ready.size();
+    std::string detail = "workers=" + std::to_string(m_workers.all().size())
+            + " usable=" + std::to_string(usable) + " paced=" + std::to_string(paced) + " stopping="
+            + std::to_string(unsure) + " cores=" + std::to_string(capacity / millicoresPerCore)
+            + " serving=" + std::to_string(serving / millicoresPerCore)
+            + " filling=" + std::to_string(filling / millicoresPerCore)
+            + " other=" + std::to_string(other / millicoresPerCore);
+    for (const auto &[queue, count] : ready)
+        detail += " ready." + std::string(queue) + '=' + std::to_string(count);
+    note("fleet", {}, nullptr, std::move(detail));
 }
 
 Commands JobScheduler::takeCommands(Moment at)
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -21,7 +21,7 @@
 struct JobSchedulerSettings
 {
     /// Lease given to a worker with each order; the workers' own bound is 6 s.
-    Duration lease = std::chrono::milliseconds(5000);
+    Duration lease = std::chrono::milliseconds(4000);
     /// How long a renewal may wait for an end.
     Duration holdWait = std::chrono::milliseconds(1500);
     /// The same where a serving task and a task that fills meet, so that their interference shows.
@@ -166,9 +166,12 @@
     void checkLapses(Timestamp now);
     void checkTakeover(Timestamp now);
     void startDueOccurrences(Moment at);
+    void noteSummary(Timestamp now);
     void startCopies(Timestamp now);
     void guardTails(Timestamp now, Worker *worker);
     void readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails);
+    [[nodiscard]] bool isHarmless(const Worker &worker, const RunRef &run,
+                                  std::span<const TailReading> tails) const;
     bool moveDisturbers(Timestamp now, Worker *worker, std::span<const TailReading> tails);
     void leaveDraining(Timestamp now, Worker *worker);
     void place(Timestamp now);
@@ -204,6 +207,7 @@
     std::vector<WorkerLife> m_lives;
     std::vector<WorkerName> m_removed;
     Timestamp m_nextSlowCheck;
+    Timestamp m_nextSummary;
     JobSchedulerCounts m_counts;
     Commands m_commands;
 };
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -163,8 +163,10 @@
 {
     worker->lastHoldSentAt = now;
     (isQuick ? worker->quickHoldCursor : worker->holdCursor) = worker->recordedEnds;
-    // A worker whose clock has not been seen, or that runs nothing, gets no longer lease.
-    const bool renews = worker->lease.isKnown() && !worker->runs.empty();
+    // A worker whose clock has not been seen, or that runs nothing, gets no longer lease. Nor does
+    // a silent one: a lease that it may have heard of has to run out before its tasks go elsewhere.
+    const bool renews =
+            worker->lease.isKnown() && !worker->runs.empty() && worker->unansweredHolds == 0;
     m_commands.emplace_back(
             HoldWorker { .target = targetOf(*worker),
                          .recordedEnds = worker->recordedEnds,
@@ -255,7 +257,7 @@
         if (run.phase == RunPhase::Running)
             run.confirmedAt = std::max(run.confirmedAt, answer.sentAt);
         run.load = row.load;
-        run.percent = row.percent;
+        run.progress = row.percent;
         if (!row.checkpoint.empty())
             task.get().checkpoint = row.checkpoint;
     }
@@ -358,15 +360,13 @@
 bool JobScheduler::moveDisturbers(Timestamp now, Worker *worker, std::span<const TailReading> tails)
 {
     // Where the disturber is known, it goes on elsewhere, and the others are left in peace.
-    const auto whole =
-            static_cast<double>(std::max<std::int64_t>(worker->life.capacity.millicores, 1));
     bool moved = false;
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
         const StepSpec &spec = *it.task.step->spec;
         if (!spec.fills || it.get().phase != RunPhase::Running)
             continue;
-        const double share = static_cast<double>(spec.size.millicores) / whole;
+        const double share = shareOf(*worker, spec);
         const bool disturbs = std::ranges::any_of(tails, [&](const TailReading &tail) {
             return m_tails.isInDanger(tail)
                     && m_interference.expected(tail.image, spec.image, share)
@@ -390,18 +390,39 @@
     readTails(now, worker, &tails);
     if (moveDisturbers(now, worker, tails))
         return;
-    const std::int64_t percent = m_tails.decide(now, worker->fillPercent, worker->pacedAt, tails);
-    if (percent == worker->fillPercent)
+    const std::int64_t before = worker->fillPercent;
+    const std::int64_t percent = m_tails.decide(now, before, worker->pacedAt, tails);
+    if (percent == before)
+        return;
+    // Tasks that are known to disturb nobody here go on as they are.
+    std::size_t suspects = 0;
+    for (const RunRef &it : worker->runs) {
+        Run &run = it.get();
+        if (!it.task.step->spec->fills || run.phase != RunPhase::Running
+            || (percent < before ? isHarmless(*worker, it, tails) : run.percent >= percent))
+            continue;
+        ++suspects;
+        run.percent = percent;
+        m_commands.emplace_back(
+                PaceRun { .target = targetOf(*worker), .run = it.key(), .percent = percent });
+    }
+    if (suspects == 0 && percent < before)
         return;
     note("tasks-paced", {}, worker,
-         "from=" + std::to_string(worker->fillPercent) + " to=" + std::to_string(percent));
+         "from=" + std::to_string(before) + " to=" + std::to_string(percent)
+                 + " tasks=" + std::to_string(suspects));
     worker->fillPercent = percent;
     worker->pacedAt = now;
-    for (const RunRef &it : worker->runs) {
-        if (it.task.step->spec->fills && it.get().phase == RunPhase::Running)
-            m_commands.emplace_back(
-                    PaceRun { .target = targetOf(*worker), .run = it.key(), .percent = percent });
-    }
+}
+
+bool JobScheduler::isHarmless(const Worker &worker, const RunRef &run,
+                              std::span<const TailReading> tails) const
+{
+    const StepSpec &spec = *run.task.step->spec;
+    const double share = shareOf(worker, spec);
+    return std::ranges::all_of(tails, [&](const TailReading &it) {
+        return !m_tails.isInDanger(it) || m_interference.isHarmless(it.image, spec.image, share);
+    });
 }
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -37,6 +37,8 @@
     Timestamp stopAgainAt;
     /// Share at which it works, as last ordered.
     std::int64_t percent = 100;
+    /// How far it has come by the worker's last list; of a task that lasts 100 when it is at work.
+    std::int64_t progress = 0;
     /// Its worker's load figure of the last list; -1 when unknown.
     std::int64_t load = -1;
     /// Since when its tail has been over its target; none while it is not.
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -45,16 +45,24 @@
         return false;
     // Tasks that fill share what is left; at least half of their share must be there.
     if (spec.fills
-        && (worker.leftover() < spec.size.millicores / 2 || worker.fillPercent < wholeShare
-            || disturbance(worker, spec) > m_settings.mostDisturbance))
+        && (worker.leftover() < spec.size.millicores / 2
+            || disturbance(worker, spec) > m_settings.mostDisturbance
+            || (worker.fillPercent < wholeShare && !isHarmless(worker, spec))))
         return false;
     return spec.mostPerWorker == 0 || worker.runsOf(&step) < spec.mostPerWorker;
 }
 
+bool Placer::isHarmless(const Worker &worker, const StepSpec &spec) const
+{
+    return std::ranges::all_of(worker.runs, [&](const RunRef &it) {
+        const StepSpec &other = *it.task.step->spec;
+        return !other.serves()
+                || m_interference->isHarmless(other.image, spec.image, shareOf(worker, spec));
+    });
+}
+
 double Placer::disturbance(const Worker &worker, const StepSpec &spec) const
 {
-    const auto whole =
-            static_cast<double>(std::max<std::int64_t>(worker.life.capacity.millicores, 1));
     double worst = 0;
     for (const RunRef &it : worker.runs) {
         const StepSpec &other = *it.task.step->spec;
@@ -62,8 +70,8 @@
         const StepSpec &filling = spec.serves() ? other : spec;
         if (!serving.serves() || !filling.fills)
             continue;
-        const double share = static_cast<double>(filling.size.millicores) / whole;
-        worst = std::max(worst, m_interference->expected(serving.image, filling.image, share));
+        worst = std::max(worst, m_interference->expected(serving.image, filling.image,
+                                                         shareOf(worker, filling)));
     }
     return worst;
 }
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -48,6 +48,7 @@
     [[nodiscard]] bool fits(const Worker &worker, const Step &step) const;
     [[nodiscard]] double score(const Worker &worker, const Step &step, const Task &task) const;
 
+    [[nodiscard]] bool isHarmless(const Worker &worker, const StepSpec &spec) const;
     [[nodiscard]] double disturbance(const Worker &worker, const StepSpec &spec) const;
 
     PlacerSettings m_settings;
--- a/acaciafork/decisions/jobs/TailGuard.h
+++ b/acaciafork/decisions/jobs/TailGuard.h
@@ -13,11 +13,11 @@
 {
     /// Tails above this share of their target, in percent, count as in danger; below the second one
     /// as safe.
-    std::int64_t dangerPercent = 90;
-    std::int64_t safePercent = 65;
+    std::int64_t dangerPercent = 100;
+    std::int64_t safePercent = 85;
     /// Pause between two steps down, and between two steps up; figures cover half a second.
     Duration stepDown = std::chrono::milliseconds(400);
-    Duration stepUp = std::chrono::milliseconds(1500);
+    Duration stepUp = std::chrono::milliseconds(800);
     /// Share below which tasks that fill are paused at once.
     std::int64_t leastPercent = 15;
 };
--- a/acaciafork/decisions/jobs/TailInterference.cpp
+++ b/acaciafork/decisions/jobs/TailInterference.cpp
@@ -1,6 +1,7 @@
 #include "acaciafork/decisions/jobs/TailInterference.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acaciafork::jobs {
 namespace {
@@ -13,6 +14,8 @@
 constexpr double priorDeviation = 8;
 constexpr double leastDeviation = 0.8;
 constexpr double ratioNoise = 0.25;
+/// Growth of a tail, as a share of its target, that harms nobody.
+constexpr double harmlessGrowth = 0.25;
 /// Levels of load are not told apart.
 constexpr batch::Index level = 0;
 
@@ -55,6 +58,17 @@
                     std::min(tailRatio, mostRatio) - undisturbedRatio);
 }
 
+bool TailInterference::isHarmless(std::string_view serving, std::string_view filling,
+                                  double share) const
+{
+    const batch::Index victim = findIndex(serving);
+    const batch::Index aggressor = findIndex(filling);
+    if (victim == batch::noIndex || aggressor == batch::noIndex)
+        return false;
+    const batch::PairEstimate &pair = m_model.pair(victim, aggressor, level);
+    return (std::max(pair.mean, 0.0F) + std::sqrt(pair.variance)) * share < harmlessGrowth;
+}
+
 double TailInterference::expected(std::string_view serving, std::string_view filling,
                                   double share) const
 {
--- a/acaciafork/decisions/jobs/TailInterference.h
+++ b/acaciafork/decisions/jobs/TailInterference.h
@@ -35,6 +35,11 @@
     [[nodiscard]] double expected(std::string_view serving, std::string_view filling,
                                   double share) const;
 
+    /// True when enough has been seen of the pair to say that a task of `filling` with that share
+    /// does not disturb `serving`.
+    [[nodiscard]] bool isHarmless(std::string_view serving, std::string_view filling,
+                                  double share) const;
+
 private:
     [[nodiscard]] batch::Index indexOf(std::string_view image);
     [[nodiscard]] batch::Index findIndex(std::string_view image) const;
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -199,6 +199,7 @@
     RunKey run;
     /// Newest checkpoint; empty for none.
     std::string checkpoint;
+    /// How far it has come; of a task that lasts 100 when it is at work.
     std::int64_t percent = 0;
     /// Of a serving task the tail of its response times in milliseconds, of any other one the
     /// millicores in use; -1 when unknown.
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -10,6 +10,12 @@
             std::ranges::count_if(runs, [step](const RunRef &it) { return it.task.step == step; }));
 }
 
+double shareOf(const Worker &worker, const StepSpec &spec)
+{
+    return static_cast<double>(spec.size.millicores)
+            / static_cast<double>(std::max<std::int64_t>(worker.life.capacity.millicores, 1));
+}
+
 void Worker::reserve(const StepSpec &spec)
 {
     used += spec.reserved();
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -93,6 +93,9 @@
     [[nodiscard]] std::uint32_t runsOf(const Step *step) const;
 };
 
+/// Share of a worker's processors that a task of the step would like.
+double shareOf(const Worker &worker, const StepSpec &spec);
+
 /// The workers by id and by name.
 class WorkerTable
 {
