Place filling tasks image by image, and pause them where a tail stays over its target

Change: misses are told apart by image; a tail over its target for 1.2 s pauses all that fills beside it.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -36,6 +36,9 @@
     Duration avoidAfterRefusal = std::chrono::milliseconds(500);
     /// A worker whose runs keep failing is left alone this long.
     Duration avoidAfterFailures = std::chrono::seconds(3);
+    /// A tail that has been over its target for this long pauses all that fills beside it; well
+    /// below the 4 s after which it counts as harm.
+    Duration mostTimeOver = std::chrono::milliseconds(1200);
     /// A silent worker without a lease is forgotten after this long.
     Duration forgetAfter = std::chrono::seconds(8);
     /// A copy of a task begins when it takes this much longer, in percent, than the longest of its
@@ -170,6 +173,7 @@
     void startCopies(Timestamp now);
     void guardTails(Timestamp now, Worker *worker);
     void readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails);
+    bool pauseIfOver(Timestamp now, Worker *worker);
     [[nodiscard]] bool isHarmless(const Worker &worker, const RunRef &run,
                                   std::span<const TailReading> tails) const;
     bool moveDisturbers(Timestamp now, Worker *worker, std::span<const TailReading> tails);
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -17,6 +17,8 @@
 {
     std::string_view pool;
     bool fills = false;
+    /// Of a task that fills: where it may go depends on it.
+    std::string_view image;
     Size size;
 };
 
@@ -24,7 +26,7 @@
 {
     return std::ranges::any_of(misses, [&](const Miss &it) {
         return it.pool == step.job->pool && it.fills == step.spec->fills
-                && it.size.fitsIn(step.spec->size);
+                && (!it.fills || it.image == step.spec->image) && it.size.fitsIn(step.spec->size);
     });
 }
 
@@ -52,6 +54,7 @@
         if (isPlain(*step->spec))
             misses.push_back({ .pool = step->job->pool,
                                .fills = step->spec->fills,
+                               .image = step->spec->image,
                                .size = step->spec->size });
     }
 }
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -345,10 +345,11 @@
     }
     for (const RunRef &it : worker->runs) {
         const StepSpec &spec = *it.task.step->spec;
-        const Run &run = it.get();
+        Run &run = it.get();
         if (!spec.serves() || run.load < 0 || run.phase != RunPhase::Running)
             continue;
         const std::int64_t targetMs = spec.tailTarget / std::chrono::milliseconds(1);
+        run.overSince = run.load > targetMs ? std::min(run.overSince, now) : Timestamp::max();
         tails->push_back({ .image = spec.image, .tailMs = run.load, .targetMs = targetMs });
         if (isSteady && targetMs > 0)
             m_interference.observe(spec.image,
@@ -388,7 +389,8 @@
     }
     std::vector<TailReading> tails;
     readTails(now, worker, &tails);
-    if (moveDisturbers(now, worker, tails))
+    const bool moved = moveDisturbers(now, worker, tails);
+    if (pauseIfOver(now, worker) || moved)
         return;
     const std::int64_t before = worker->fillPercent;
     const std::int64_t percent = m_tails.decide(now, before, worker->pacedAt, tails);
@@ -415,6 +417,32 @@
     worker->pacedAt = now;
 }
 
+bool JobScheduler::pauseIfOver(Timestamp now, Worker *worker)
+{
+    // Whatever is believed of the images: a tail that stays over its target stops them all.
+    const bool isLong = std::ranges::any_of(worker->runs, [&](const RunRef &it) {
+        const Timestamp since = it.get().overSince;
+        return since != Timestamp::max() && now - since >= m_settings.mostTimeOver;
+    });
+    if (!isLong)
+        return false;
+    std::size_t paused = 0;
+    for (const RunRef &it : worker->runs) {
+        Run &run = it.get();
+        if (!it.task.step->spec->fills || run.phase != RunPhase::Running || run.percent == 0)
+            continue;
+        ++paused;
+        run.percent = 0;
+        m_commands.emplace_back(
+                PaceRun { .target = targetOf(*worker), .run = it.key(), .percent = 0 });
+    }
+    if (paused > 0)
+        note("tasks-paused", {}, worker, "tasks=" + std::to_string(paused));
+    worker->fillPercent = 0;
+    worker->pacedAt = now;
+    return true;
+}
+
 bool JobScheduler::isHarmless(const Worker &worker, const RunRef &run,
                               std::span<const TailReading> tails) const
 {
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -46,7 +46,7 @@
     // Tasks that fill share what is left; at least half of their share must be there.
     if (spec.fills
         && (worker.leftover() < spec.size.millicores / 2
-            || disturbance(worker, spec) > m_settings.mostDisturbance
+            || disturbance(worker, spec) > m_settings.mostDisturbance || worker.fillPercent == 0
             || (worker.fillPercent < wholeShare && !isHarmless(worker, spec))))
         return false;
     return spec.mostPerWorker == 0 || worker.runsOf(&step) < spec.mostPerWorker;
@@ -70,8 +70,9 @@
         const StepSpec &filling = spec.serves() ? other : spec;
         if (!serving.serves() || !filling.fills)
             continue;
-        worst = std::max(worst, m_interference->expected(serving.image, filling.image,
-                                                         shareOf(worker, filling)));
+        worst = std::max(
+                worst,
+                m_interference->expected(serving.image, filling.image, shareOf(worker, filling)));
     }
     return worst;
 }
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -14,7 +14,7 @@
     std::uint32_t suspectAfter = 2;
     /// Most that a filling task may be expected to add to a tail beside it, as a share of the
     /// tail's target; undisturbed tails swing between a quarter and four fifths of it.
-    double mostDisturbance = 0.2;
+    double mostDisturbance = 0.35;
 };
 
 /// Chooses the worker of a task.
