Keep serving tasks of one image together

Change: a serving task goes to a worker that serves its image only, then to an empty one, then to a mixed one.

--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -11,6 +11,10 @@
 /// What is not known of disturbance counts a little, so that empty workers are filled first.
 constexpr double servesHerePenalty = 0.15;
 constexpr double disturbancePenalty = 2;
+/// A worker that serves one image only is closed to the few images that disturb it, and open to all
+/// others.
+constexpr double sameImageBonus = 2;
+constexpr double otherImagePenalty = 2;
 /// Share of tasks that are not slowed down, in percent.
 constexpr std::int64_t wholeShare = 100;
 
@@ -52,6 +56,17 @@
     return spec.mostPerWorker == 0 || worker.runsOf(&step) < spec.mostPerWorker;
 }
 
+double Placer::servingBonus(const Worker &worker, const StepSpec &spec)
+{
+    if (worker.servingMillicores == 0)
+        return 0;
+    const bool sameOnly = std::ranges::all_of(worker.runs, [&](const RunRef &it) {
+        const StepSpec &other = *it.task.step->spec;
+        return !other.serves() || other.image == spec.image;
+    });
+    return sameOnly ? sameImageBonus : -otherImagePenalty;
+}
+
 bool Placer::isHarmless(const Worker &worker, const StepSpec &spec) const
 {
     return std::ranges::all_of(worker.runs, [&](const RunRef &it) {
@@ -87,7 +102,7 @@
     if (spec.fills)
         score = left - (worker.servingMillicores > 0 ? servesHerePenalty : 0);
     else if (spec.serves())
-        score = -left;
+        score = servingBonus(worker, spec) - left;
     else
         score = left;
     if (spec.fills || spec.serves())
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -19,8 +19,9 @@
 
 /// Chooses the worker of a task.
 ///
-/// Load patterns: tasks that serve go together, the fullest worker that still has room first, so
-/// that whole workers stay free for wide steps and for tasks that fill; tasks that fill go where
+/// Load patterns: tasks that serve go together by what they run, the fullest worker that still
+/// has room first, so that whole workers stay free for wide steps and each image that fills is kept
+/// away from few workers only; tasks that fill go where
 /// the most processor time is left and where they disturb nobody by what is known of their images;
 /// other tasks go where the most is left, so that the loss of one worker hits few of them.
 class Placer
@@ -48,6 +49,7 @@
     [[nodiscard]] bool fits(const Worker &worker, const Step &step) const;
     [[nodiscard]] double score(const Worker &worker, const Step &step, const Task &task) const;
 
+    [[nodiscard]] static double servingBonus(const Worker &worker, const StepSpec &spec);
     [[nodiscard]] bool isHarmless(const Worker &worker, const StepSpec &spec) const;
     [[nodiscard]] double disturbance(const Worker &worker, const StepSpec &spec) const;
 
