Hold leases of 5.8 s, end calls with their client's deadline, refuse at once without a leader

Change: leases of 5.8 s, just below the workers' bound of 6 s; a call waits no longer than its client; while a leader has been unknown for 0.15 s calls are refused with Retry-After.

--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -25,7 +25,7 @@
     /// The first of the seeds may found the cluster.
     bool mayFound = false;
     /// Lease of the tasks of jobs.
-    Duration jobLease = std::chrono::seconds(4);
+    Duration jobLease = std::chrono::milliseconds(5800);
 
     /// Interface that operators and workers see: the product's own, or the users' platform's.
     std::string binding = "own";
--- a/acaciafork/decisions/jobs/StepOrder.cpp
+++ b/acaciafork/decisions/jobs/StepOrder.cpp
@@ -7,6 +7,7 @@
     const Job &job = *step.job;
     Place place { .band = 0,
                   .priority = job.priority,
+                  .lasts = step.spec->longRunning,
                   .startBy = job.objectiveAt - step.remainingPath,
                   .job = job.id,
                   .step = static_cast<std::uint32_t>(&step - job.steps.data()) };
--- a/acaciafork/decisions/jobs/StepOrder.h
+++ b/acaciafork/decisions/jobs/StepOrder.h
@@ -10,8 +10,9 @@
 ///
 /// Load pattern: a burst of large jobs over steady small ones. Work that can still meet its
 /// objective comes before work that can't any more; within each, a queue of higher priority first,
-/// then the step whose last moment to begin comes first. So a job that is lost already does not
-/// make others miss theirs, and a wide job that has time does not hide small ones.
+/// short work before tasks that last, then the step whose last moment to begin comes first. So a
+/// job that is lost already does not make others miss theirs, and a wide job that has time does not
+/// hide small ones.
 class StepOrder
 {
 public:
@@ -21,6 +22,8 @@
         /// 0 can meet the objective, 1 can still end while a late answer counts, 2 neither.
         std::uint32_t band = 0;
         std::uint32_t priority = 0;
+        /// Tasks that last hold their room for long: short work that is in time goes first.
+        bool lasts = false;
         /// Last moment to begin.
         Timestamp startBy;
         JobId job;
--- a/acaciafork/entry/EntryNode.cpp
+++ b/acaciafork/entry/EntryNode.cpp
@@ -144,6 +144,13 @@
 
 void EntryNode::apiCall(Moment at, peers::ApiCall call, const peers::CallTable::Handler &handler)
 {
+    // While an election goes on there is no use in waiting: the caller is told when to come back.
+    const bool isLost =
+            !m_leader.confirmed() && at.now - m_leaderKnownAt >= m_settings.calls.unsentTimeout;
+    if (m_calls.needsLeader() && isLost) {
+        handler(peers::failureAnswer(FailureKind::NotReady, "no control leader is known"));
+        return;
+    }
     // The leader carries the call out; the answer comes back by its number.
     if (m_calls.begin(at.now, std::move(call), handler) == 0) {
         handler(peers::failureAnswer(FailureKind::Overloaded, "too many calls wait for control"));
@@ -218,6 +225,8 @@
 void EntryNode::tick(Moment at)
 {
     m_leader.tick(at.now);
+    if (m_leader.confirmed())
+        m_leaderKnownAt = at.now;
     if (m_controlKnown && !m_leader.confirmed()) {
         m_controlKnown = false;
         Commands commands;
--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -134,6 +134,8 @@
     wire::EndpointAnnouncements m_announcements;
     std::uint64_t m_term = 0;
     bool m_controlKnown = false;
+    /// When a leader was last known.
+    Timestamp m_leaderKnownAt;
     bool m_draining = false;
     Timestamp m_heartbeatAt;
 
--- a/acaciafork/peers/CallTable.cpp
+++ b/acaciafork/peers/CallTable.cpp
@@ -1,5 +1,7 @@
 #include "acaciafork/peers/CallTable.h"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 namespace acaciafork::peers {
@@ -63,7 +65,10 @@
     std::vector<std::uint64_t> late;
     std::vector<std::uint64_t> unsent;
     for (const auto &[number, pending] : m_calls) {
-        if (now - pending.began >= m_settings.timeout)
+        const Duration own = pending.call.timeout;
+        const Duration timeout =
+                own > Duration {} ? std::min(own, m_settings.timeout) : m_settings.timeout;
+        if (now - pending.began >= timeout)
             late.push_back(number);
         else if (needsLeader() && pending.sends == 0
                  && now - pending.began >= m_settings.unsentTimeout)
--- a/acaciafork/peers/CallTable.h
+++ b/acaciafork/peers/CallTable.h
@@ -25,6 +25,8 @@
     bool operatorsPort = false;
     /// A control member has passed it on already.
     bool relayed = false;
+    /// Longest wait for its answer, where it is shorter than that of all calls; zero is none.
+    Duration timeout {};
 };
 
 /// Answer to an ApiCall: HTTP status and JSON body.
