Prefer workers where a filling task disturbs nobody for sure

Change: a worker whose serving tasks the image is not known to leave alone counts 0.3 of its cores less.

--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -133,7 +133,7 @@
             const bool mayCopy = step.spec->speculative && !step.spec->gang
                     && step.job->phase == JobPhase::Active && it.get().phase == RunPhase::Running
                     && !task.runs[0].exists() != !task.runs[1].exists();
-            if (!mayCopy || step.doneCount * 2 < step.tasks.size())
+            if (!mayCopy || std::size_t { 2 } * step.doneCount < step.tasks.size())
                 continue;
             const Duration bound =
                     step.longestDone * m_settings.copyAfterPercent / wholePercent + leastCopyDelay;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -8,8 +8,8 @@
 /// Scores are shares of a worker's processors; these outweigh any of them.
 constexpr double wrongRackPenalty = 4;
 constexpr double failedHerePenalty = 16;
-/// What is not known of disturbance counts a little, so that empty workers are filled first.
-constexpr double servesHerePenalty = 0.15;
+/// While there is room elsewhere, nothing goes beside serving tasks that it may disturb.
+constexpr double unknownPairPenalty = 0.3;
 constexpr double disturbancePenalty = 2;
 /// A worker that serves one image only is closed to the few images that disturb it, and open to all
 /// others.
@@ -100,7 +100,7 @@
     const double left = static_cast<double>(worker.leftover()) / whole;
     double score = 0;
     if (spec.fills)
-        score = left - (worker.servingMillicores > 0 ? servesHerePenalty : 0);
+        score = left - (isHarmless(worker, spec) ? 0 : unknownPairPenalty);
     else if (spec.serves())
         score = servingBonus(worker, spec) - left;
     else
@@ -121,19 +121,20 @@
 {
     Worker *best = nullptr;
     double bestScore = 0;
-    for (const auto &[id, worker] : workers.all()) {
+    for (const auto &it : workers.all()) {
+        Worker *worker = it.second.get();
         if (!isUsable(now, *worker) || !fits(*worker, step))
             continue;
         if (rack != nullptr && worker->life.rack != *rack)
             continue;
         // A copy runs elsewhere than the first run.
         const bool runsHere = std::ranges::any_of(
-                task.runs, [&](const Run &it) { return it.exists() && it.worker == worker->id; });
+                task.runs, [&](const Run &run) { return run.exists() && run.worker == worker->id; });
         if (runsHere)
             continue;
         const double value = score(*worker, step, task);
         if (best == nullptr || value > bestScore) {
-            best = worker.get();
+            best = worker;
             bestScore = value;
         }
     }
