Keep what was learnt of images in the replicated state

Cause: a new leader learnt again which images disturb which, at the cost of tails and paused work after every failover. Change: the pairs are recorded every 3 s and taken over when a tenure begins.

--- a/acaciafork/control/JobCodec.cpp
+++ b/acaciafork/control/JobCodec.cpp
@@ -103,6 +103,27 @@
     return record;
 }
 
+jobs::LearntPair toJobs(const wire::DisturbancePair &pair)
+{
+    return { .serving = pair.serving(),
+             .filling = pair.filling(),
+             .mean = pair.mean(),
+             .variance = pair.variance() };
+}
+
+wire::RecordDisturbance toState(const jobs::RecordDisturbance &learnt)
+{
+    wire::RecordDisturbance record;
+    for (const jobs::LearntPair &it : learnt.pairs) {
+        wire::DisturbancePair *pair = record.add_pairs();
+        pair->set_serving(it.serving);
+        pair->set_filling(it.filling);
+        pair->set_mean(it.mean);
+        pair->set_variance(it.variance);
+    }
+    return record;
+}
+
 wire::RecordTaskEnds toState(const jobs::RecordEnds &ends)
 {
     wire::RecordTaskEnds record;
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -112,6 +112,14 @@
         if (!accepted)
             driver.m_unrecordedWorkers.push_back(command);
     }
+    void operator()(const jobs::RecordDisturbance &command) const
+    {
+        wire::Command proposal;
+        *proposal.mutable_record_disturbance() = toState(command);
+        // One that can't be proposed now is replaced by the next.
+        (void)driver.m_propose(at, std::move(proposal),
+                               [](Moment, const state::ApplyResult *) {});
+    }
     void operator()(const jobs::Note &command) const
     {
         spdlog::info("event={} task={} run={} worker={} {}", command.event, taskName(command.task),
@@ -175,7 +183,10 @@
         workers.push_back(toJobs(life));
     m_tenure = { tenure };
     m_isActive = true;
-    m_scheduler.begin(at, m_tenure, queues, views, workers);
+    std::vector<jobs::LearntPair> learnt;
+    for (const wire::DisturbancePair &it : m_state->workers().disturbance().pairs())
+        learnt.push_back(toJobs(it));
+    m_scheduler.begin(at, m_tenure, queues, views, workers, learnt);
 }
 
 void JobDriver::tick(Moment at)
--- a/acaciafork/decisions/batch/InterferenceModel.h
+++ b/acaciafork/decisions/batch/InterferenceModel.h
@@ -55,6 +55,11 @@
 
     /// Slowdown that one task of `aggressor` causes to one of `victim`.
     [[nodiscard]] const PairEstimate &pair(Index victim, Index aggressor, Index level) const;
+    /// Sets what was learnt of a pair elsewhere.
+    void setPair(Index victim, Index aggressor, Index level, const PairEstimate &estimate)
+    {
+        m_pairs[place(victim, aggressor, level)] = estimate;
+    }
     /// What to reckon with: the mean, never negative.
     [[nodiscard]] double expected(Index victim, Index aggressor, Index level) const
     {
--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -4,6 +4,7 @@
 #include <variant>
 #include <vector>
 
+#include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/Types.h"
 
 namespace acaciafork::jobs {
@@ -85,6 +86,12 @@
     std::vector<WorkerName> removed;
 };
 
+/// Records what has been learnt of images in the replicated state.
+struct RecordDisturbance
+{
+    std::vector<LearntPair> pairs;
+};
+
 /// A decision or a change of belief that is worth a line of the log.
 struct Note
 {
@@ -99,7 +106,8 @@
 
 /// What the scheduler wants done, in order.
 using Command =
-        std::variant<StartRun, StopRun, PaceRun, HoldWorker, RecordEnds, RecordWorkers, Note>;
+        std::variant<StartRun, StopRun, PaceRun, HoldWorker, RecordEnds, RecordWorkers,
+                             RecordDisturbance, Note>;
 using Commands = std::vector<Command>;
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -12,6 +12,8 @@
 constexpr Duration slowCheckInterval = std::chrono::milliseconds(100);
 /// Pause between two summaries of the fleet in the log.
 constexpr Duration summaryInterval = std::chrono::seconds(2);
+/// Pause between two records of what was learnt: what a new leader may have to learn again.
+constexpr Duration learntRecordInterval = std::chrono::seconds(3);
 constexpr std::int64_t millicoresPerCore = 1000;
 /// Most ends in one record.
 constexpr std::size_t mostEndsPerRecord = 2000;
@@ -25,11 +27,13 @@
 { }
 
 void JobScheduler::begin(Moment at, Tenure tenure, std::span<const QueueSpec> queues,
-                         std::span<const JobView> jobs, std::span<const WorkerLife> workers)
+                         std::span<const JobView> jobs, std::span<const WorkerLife> workers,
+                         std::span<const LearntPair> learnt)
 {
     end();
     m_tenure = tenure;
     queuesChanged(queues);
+    m_interference.takeOver(learnt);
     for (const WorkerLife &it : workers) {
         Worker &worker = m_workers.add(it);
         worker.isRecorded = true;
@@ -276,6 +280,17 @@
         m_nextSummary = at.now + summaryInterval;
         noteSummary(at.now);
     }
+    recordLearnt(at.now);
+}
+
+void JobScheduler::recordLearnt(Timestamp now)
+{
+    if (now < m_nextLearntRecord)
+        return;
+    m_nextLearntRecord = now + learntRecordInterval;
+    std::vector<LearntPair> pairs = m_interference.learnt();
+    if (!pairs.empty())
+        m_commands.emplace_back(RecordDisturbance { .pairs = std::move(pairs) });
 }
 
 void JobScheduler::noteSummary(Timestamp now)
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -79,7 +79,8 @@
     /// @{
     /// A tenure begins, with the replicated state as it is now.
     void begin(Moment at, Tenure tenure, std::span<const QueueSpec> queues,
-               std::span<const JobView> jobs, std::span<const WorkerLife> workers);
+               std::span<const JobView> jobs, std::span<const WorkerLife> workers,
+               std::span<const LearntPair> learnt = {});
     /// The tenure is over; nothing is remembered.
     void end();
     /// A worker has obeyed a later leader: this one must give no more orders.
@@ -172,6 +173,7 @@
     void checkTakeover(Timestamp now);
     void startDueOccurrences(Moment at);
     void noteSummary(Timestamp now);
+    void recordLearnt(Timestamp now);
     void startCopies(Timestamp now);
     void guardTails(Timestamp now, Worker *worker);
     void readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails);
@@ -214,6 +216,7 @@
     std::vector<WorkerName> m_removed;
     Timestamp m_nextSlowCheck;
     Timestamp m_nextSummary;
+    Timestamp m_nextLearntRecord;
     JobSchedulerCounts m_counts;
     Commands m_commands;
 };
--- a/acaciafork/decisions/jobs/TailInterference.cpp
+++ b/acaciafork/decisions/jobs/TailInterference.cpp
@@ -54,10 +54,39 @@
         else
             m_coRunners.push_back({ .family = index, .count = static_cast<float>(it.share) });
     }
-    m_model.observe(indexOf(serving), m_coRunners, level,
+    const batch::Index victim = indexOf(serving);
+    for (const batch::CoRunner &it : m_coRunners)
+        m_seen.emplace(victim, it.family);
+    m_model.observe(victim, m_coRunners, level,
                     std::min(tailRatio, mostRatio) - undisturbedRatio);
 }
 
+std::vector<LearntPair> TailInterference::learnt() const
+{
+    std::vector<std::string_view> names(m_indexes.size());
+    for (const auto &[name, index] : m_indexes)
+        names[index] = name;
+    std::vector<LearntPair> pairs;
+    for (const auto &[victim, aggressor] : m_seen) {
+        const batch::PairEstimate &pair = m_model.pair(victim, aggressor, level);
+        pairs.push_back({ .serving = std::string(names[victim]),
+                          .filling = std::string(names[aggressor]),
+                          .mean = pair.mean,
+                          .variance = pair.variance });
+    }
+    return pairs;
+}
+
+void TailInterference::takeOver(std::span<const LearntPair> pairs)
+{
+    for (const LearntPair &it : pairs) {
+        const batch::Index victim = indexOf(it.serving);
+        const batch::Index aggressor = indexOf(it.filling);
+        m_seen.emplace(victim, aggressor);
+        m_model.setPair(victim, aggressor, level, { .mean = it.mean, .variance = it.variance });
+    }
+}
+
 bool TailInterference::isHarmless(std::string_view serving, std::string_view filling,
                                   double share) const
 {
--- a/acaciafork/decisions/jobs/TailInterference.h
+++ b/acaciafork/decisions/jobs/TailInterference.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -18,6 +19,16 @@
     double share = 0;
 };
 
+/// What has been learnt of two images.
+struct LearntPair
+{
+    std::string serving;
+    std::string filling;
+    /// Growth of the tail, as a share of its target, for a whole worker's use; and its variance.
+    float mean = 0;
+    float variance = 0;
+};
+
 /// Learns which images that fill disturb which images that serve, from the response times of
 /// serving tasks and what ran beside them. Most pairs do not disturb each other at all.
 class TailInterference
@@ -40,6 +51,11 @@
     [[nodiscard]] bool isHarmless(std::string_view serving, std::string_view filling,
                                   double share) const;
 
+    /// Every pair that readings have said something of.
+    [[nodiscard]] std::vector<LearntPair> learnt() const;
+    /// Takes over what another one has learnt.
+    void takeOver(std::span<const LearntPair> pairs);
+
 private:
     [[nodiscard]] batch::Index indexOf(std::string_view image);
     [[nodiscard]] batch::Index findIndex(std::string_view image) const;
@@ -47,6 +63,8 @@
     batch::InterferenceModel m_model;
     std::unordered_map<std::string, batch::Index> m_indexes;
     std::vector<batch::CoRunner> m_coRunners;
+    /// Pairs that have been read, serving first.
+    std::set<std::pair<batch::Index, batch::Index>> m_seen;
 };
 
 } // namespace acaciafork::jobs
--- a/acaciafork/state/StateLimits.h
+++ b/acaciafork/state/StateLimits.h
@@ -49,6 +49,8 @@
     std::size_t jobTasks = 100'000;
     /// How long an ended job can still be asked about; longer than any client asks.
     Duration endedJobWindow = std::chrono::seconds(180);
+    /// Most pairs of images that are known to disturb each other or not.
+    std::size_t disturbancePairs = 4096;
     /// Most workers known.
     std::size_t workers = 100'000;
     /// Most commands in one batch.
--- a/acaciafork/state/StateMachine.cpp
+++ b/acaciafork/state/StateMachine.cpp
@@ -171,6 +171,8 @@
         return tables.workers.change(command.change_workers());
     case wire::Command::kBeginTenure:
         return tables.workers.beginTenure();
+    case wire::Command::kRecordDisturbance:
+        return tables.workers.recordDisturbance(command.record_disturbance());
     case wire::Command::BODY_NOT_SET:
         break;
     }
@@ -271,6 +273,8 @@
         return tables->workers.load(record.worker());
     case wire::SnapshotRecord::kTenure:
         return tables->workers.load(record.tenure());
+    case wire::SnapshotRecord::kDisturbance:
+        return tables->workers.load(record.disturbance());
     case wire::SnapshotRecord::kHeader:
     case wire::SnapshotRecord::BODY_NOT_SET:
         break;
--- a/acaciafork/state/WorkerLives.cpp
+++ b/acaciafork/state/WorkerLives.cpp
@@ -18,6 +18,14 @@
     return makeResult(wire::OUTCOME_APPLIED);
 }
 
+ApplyResult WorkerLives::recordDisturbance(const wire::RecordDisturbance &command)
+{
+    if (static_cast<std::size_t>(command.pairs_size()) > m_limits.disturbancePairs)
+        return makeResult(wire::OUTCOME_FULL, 0, "too many pairs of images");
+    m_disturbance = command;
+    return makeResult(wire::OUTCOME_APPLIED);
+}
+
 ApplyResult WorkerLives::beginTenure()
 {
     return makeResult(wire::OUTCOME_APPLIED, ++m_tenure);
@@ -29,6 +37,8 @@
         *writer->record().mutable_worker() = worker;
     if (m_tenure != 0)
         writer->record().mutable_tenure()->set_tenure(m_tenure);
+    if (m_disturbance.pairs_size() > 0)
+        *writer->record().mutable_disturbance() = m_disturbance;
 }
 
 bool WorkerLives::load(const wire::WorkerLife &record)
@@ -36,6 +46,14 @@
     return !record.worker().empty() && m_workers.try_emplace(record.worker(), record).second;
 }
 
+bool WorkerLives::load(const wire::RecordDisturbance &record)
+{
+    if (m_disturbance.pairs_size() > 0)
+        return false;
+    m_disturbance = record;
+    return true;
+}
+
 bool WorkerLives::load(const wire::TenureRecord &record)
 {
     if (m_tenure != 0 || record.tenure() == 0)
