Know images by number, and place at most every 20 ms while work waits

Change: images are interned when a job is added, workers count the images that they serve, rounds that leave work over are 20 ms apart.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -117,8 +117,7 @@
         wire::Command proposal;
         *proposal.mutable_record_disturbance() = toState(command);
         // One that can't be proposed now is replaced by the next.
-        (void)driver.m_propose(at, std::move(proposal),
-                               [](Moment, const state::ApplyResult *) {});
+        (void)driver.m_propose(at, std::move(proposal), [](Moment, const state::ApplyResult *) {});
     }
     void operator()(const jobs::Note &command) const
     {
--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -105,8 +105,7 @@
 };
 
 /// What the scheduler wants done, in order.
-using Command =
-        std::variant<StartRun, StopRun, PaceRun, HoldWorker, RecordEnds, RecordWorkers,
+using Command = std::variant<StartRun, StopRun, PaceRun, HoldWorker, RecordEnds, RecordWorkers,
                              RecordDisturbance, Note>;
 using Commands = std::vector<Command>;
 
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -108,8 +108,10 @@
         job->acceptedAt = at.now;
     job->objectiveAt = job->acceptedAt + job->objective;
     std::uint32_t tasks = 0;
-    for (const Step &it : job->steps)
+    for (Step &it : job->steps) {
+        it.image = m_interference.intern(it.spec->image);
         tasks += it.spec->count;
+    }
     job->hasBegun = job->tasksLeft < tasks || !view.failures.empty();
     if (job->spec->isScheduled)
         holdUntilDue(at, job);
@@ -328,9 +330,11 @@
 
 Commands JobScheduler::takeCommands(Moment at)
 {
-    if (m_placementDue && !m_isFenced) {
+    if (m_placementDue && !m_isFenced && at.now >= m_nextPlacement) {
         m_placementDue = false;
-        place(at.now);
+        // While work waits for room, rounds are not worth more than so many a second.
+        if (!place(at.now))
+            m_nextPlacement = at.now + m_settings.placementPause;
     }
     flushEnds(at.now);
     if (!m_lives.empty() || !m_removed.empty())
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -45,6 +45,8 @@
     /// A copy of a task begins when it takes this much longer, in percent, than the longest of its
     /// step, once half of them are done.
     std::int64_t copyAfterPercent = 150;
+    /// Pause between two rounds of placement while work is left over that found no worker.
+    Duration placementPause = std::chrono::milliseconds(20);
     /// Steps without a worker that are passed over in one round of placement.
     std::size_t mostMisses = 48;
     PlacerSettings placer;
@@ -182,7 +184,7 @@
                                   std::span<const TailReading> tails) const;
     bool moveDisturbers(Timestamp now, Worker *worker, std::span<const TailReading> tails);
     void leaveDraining(Timestamp now, Worker *worker);
-    void place(Timestamp now);
+    bool place(Timestamp now);
     bool placeStep(Timestamp now, Step *step);
     bool placeTogether(Timestamp now, Step *step, const RackName *rack);
     void breakGang(Timestamp now, Step *step, std::string_view reason);
@@ -201,6 +203,7 @@
     /// Occurrences by their time on the wall clock.
     std::multimap<std::int64_t, Due> m_due;
     bool m_placementDue = false;
+    Timestamp m_nextPlacement;
 
     std::vector<TaskEnd> m_ends;
     std::vector<JobId> m_failedJobs;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-void JobScheduler::place(Timestamp now)
+bool JobScheduler::place(Timestamp now)
 {
     std::vector<Miss> misses;
     std::size_t missed = 0;
@@ -57,6 +57,7 @@
                                .image = step->spec->image,
                                .size = step->spec->size });
     }
+    return missed == 0;
 }
 
 bool JobScheduler::placeStep(Timestamp now, Step *step)
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -43,7 +43,6 @@
     Task &task = ref.get();
     const std::size_t slot = task.runs[0].exists() ? 1 : 0;
     ACACIAFORK_ASSERT(!task.runs[slot].exists());
-    const StepSpec &spec = *ref.step->spec;
     const Size roomBefore { .millicores = worker->leftover(),
                             .memoryMb = worker->room().memoryMb,
                             .accelerators = worker->room().accelerators };
@@ -55,7 +54,7 @@
     // While nothing ran there was no renewal that would have failed with its life.
     worker->isLifeSure = worker->isLifeSure && !worker->runs.empty();
     worker->runs.push_back(run);
-    worker->reserve(spec);
+    worker->reserve(*ref.step);
     ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     ++m_counts.started;
@@ -89,7 +88,7 @@
             m_order.erase(ref.step);
     }
     worker->runs.push_back({ .task = ref, .slot = slot });
-    worker->reserve(*ref.step->spec);
+    worker->reserve(*ref.step);
     ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     note("run-adopted", row.run, worker, {});
@@ -119,7 +118,7 @@
     ACACIAFORK_ASSERT(it != worker->runs.end());
     *it = worker->runs.back();
     worker->runs.pop_back();
-    worker->giveBack(*ref.task.step->spec);
+    worker->giveBack(*ref.task.step);
     run = {};
     Job *job = ref.task.step->job;
     --job->runCount;
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "acaciafork/decisions/batch/Batch.h"
 #include "acaciafork/decisions/jobs/Types.h"
 
 namespace acaciafork::jobs {
@@ -76,6 +77,8 @@
 {
     Job *job = nullptr;
     const StepSpec *spec = nullptr;
+    /// Number of its image, by which disturbance is known.
+    batch::Index image = batch::noIndex;
     std::uint32_t occurrence = 0;
     std::uint32_t number = 0;
     /// Steps before it that are not done yet.
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -50,44 +50,44 @@
     // Tasks that fill share what is left; at least half of their share must be there.
     if (spec.fills
         && (worker.leftover() < spec.size.millicores / 2
-            || disturbance(worker, spec) > m_settings.mostDisturbance || worker.fillPercent == 0
-            || (worker.fillPercent < wholeShare && !isHarmless(worker, spec))))
+            || disturbance(worker, step) > m_settings.mostDisturbance || worker.fillPercent == 0
+            || (worker.fillPercent < wholeShare && !isHarmless(worker, step))))
         return false;
     return spec.mostPerWorker == 0 || worker.runsOf(&step) < spec.mostPerWorker;
 }
 
-double Placer::servingBonus(const Worker &worker, const StepSpec &spec)
+double Placer::servingBonus(const Worker &worker, const Step &step)
 {
-    if (worker.servingMillicores == 0)
+    if (worker.servedImages.empty())
         return 0;
-    const bool sameOnly = std::ranges::all_of(worker.runs, [&](const RunRef &it) {
-        const StepSpec &other = *it.task.step->spec;
-        return !other.serves() || other.image == spec.image;
-    });
+    const bool sameOnly =
+            worker.servedImages.size() == 1 && worker.servedImages.front().first == step.image;
     return sameOnly ? sameImageBonus : -otherImagePenalty;
 }
 
-bool Placer::isHarmless(const Worker &worker, const StepSpec &spec) const
+bool Placer::isHarmless(const Worker &worker, const Step &step) const
 {
-    return std::ranges::all_of(worker.runs, [&](const RunRef &it) {
-        const StepSpec &other = *it.task.step->spec;
-        return !other.serves()
-                || m_interference->isHarmless(other.image, spec.image, shareOf(worker, spec));
+    const double share = shareOf(worker, *step.spec);
+    return std::ranges::all_of(worker.servedImages, [&](const auto &it) {
+        return m_interference->isHarmless(it.first, step.image, share);
     });
 }
 
-double Placer::disturbance(const Worker &worker, const StepSpec &spec) const
+double Placer::disturbance(const Worker &worker, const Step &step) const
 {
     double worst = 0;
+    if (step.spec->fills) {
+        const double share = shareOf(worker, *step.spec);
+        for (const auto &[image, count] : worker.servedImages)
+            worst = std::max(worst, m_interference->expected(image, step.image, share));
+        return worst;
+    }
     for (const RunRef &it : worker.runs) {
-        const StepSpec &other = *it.task.step->spec;
-        const StepSpec &serving = spec.serves() ? spec : other;
-        const StepSpec &filling = spec.serves() ? other : spec;
-        if (!serving.serves() || !filling.fills)
-            continue;
-        worst = std::max(
-                worst,
-                m_interference->expected(serving.image, filling.image, shareOf(worker, filling)));
+        const Step &other = *it.task.step;
+        if (other.spec->fills)
+            worst = std::max(worst,
+                             m_interference->expected(step.image, other.image,
+                                                      shareOf(worker, *other.spec)));
     }
     return worst;
 }
@@ -100,13 +100,13 @@
     const double left = static_cast<double>(worker.leftover()) / whole;
     double score = 0;
     if (spec.fills)
-        score = left - (isHarmless(worker, spec) ? 0 : unknownPairPenalty);
+        score = left - (isHarmless(worker, step) ? 0 : unknownPairPenalty);
     else if (spec.serves())
-        score = servingBonus(worker, spec) - left;
+        score = servingBonus(worker, step) - left;
     else
         score = left;
     if (spec.fills || spec.serves())
-        score -= disturbancePenalty * disturbance(worker, spec);
+        score -= disturbancePenalty * disturbance(worker, step);
     if (!spec.dataRack.value.empty() && worker.life.rack != spec.dataRack)
         score -= wrongRackPenalty;
     if (task.failedAt == worker.id)
@@ -128,8 +128,9 @@
         if (rack != nullptr && worker->life.rack != *rack)
             continue;
         // A copy runs elsewhere than the first run.
-        const bool runsHere = std::ranges::any_of(
-                task.runs, [&](const Run &run) { return run.exists() && run.worker == worker->id; });
+        const bool runsHere = std::ranges::any_of(task.runs, [&](const Run &run) {
+            return run.exists() && run.worker == worker->id;
+        });
         if (runsHere)
             continue;
         const double value = score(*worker, step, task);
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -49,9 +49,9 @@
     [[nodiscard]] bool fits(const Worker &worker, const Step &step) const;
     [[nodiscard]] double score(const Worker &worker, const Step &step, const Task &task) const;
 
-    [[nodiscard]] static double servingBonus(const Worker &worker, const StepSpec &spec);
-    [[nodiscard]] bool isHarmless(const Worker &worker, const StepSpec &spec) const;
-    [[nodiscard]] double disturbance(const Worker &worker, const StepSpec &spec) const;
+    [[nodiscard]] static double servingBonus(const Worker &worker, const Step &step);
+    [[nodiscard]] bool isHarmless(const Worker &worker, const Step &step) const;
+    [[nodiscard]] double disturbance(const Worker &worker, const Step &step) const;
 
     PlacerSettings m_settings;
     const TailInterference *m_interference;
--- a/acaciafork/decisions/jobs/TailInterference.cpp
+++ b/acaciafork/decisions/jobs/TailInterference.cpp
@@ -57,8 +57,7 @@
     const batch::Index victim = indexOf(serving);
     for (const batch::CoRunner &it : m_coRunners)
         m_seen.emplace(victim, it.family);
-    m_model.observe(victim, m_coRunners, level,
-                    std::min(tailRatio, mostRatio) - undisturbedRatio);
+    m_model.observe(victim, m_coRunners, level, std::min(tailRatio, mostRatio) - undisturbedRatio);
 }
 
 std::vector<LearntPair> TailInterference::learnt() const
@@ -92,9 +91,13 @@
 {
     const batch::Index victim = findIndex(serving);
     const batch::Index aggressor = findIndex(filling);
-    if (victim == batch::noIndex || aggressor == batch::noIndex)
-        return false;
-    const batch::PairEstimate &pair = m_model.pair(victim, aggressor, level);
+    return victim != batch::noIndex && aggressor != batch::noIndex
+            && isHarmless(victim, aggressor, share);
+}
+
+bool TailInterference::isHarmless(batch::Index serving, batch::Index filling, double share) const
+{
+    const batch::PairEstimate &pair = m_model.pair(serving, filling, level);
     return (std::max(pair.mean, 0.0F) + std::sqrt(pair.variance)) * share < harmlessGrowth;
 }
 
--- a/acaciafork/decisions/jobs/TailInterference.h
+++ b/acaciafork/decisions/jobs/TailInterference.h
@@ -41,6 +41,14 @@
     void observe(std::string_view serving, double tailRatio,
                  std::span<const FillingNeighbour> neighbours);
 
+    /// Number of an image, for the calls that are made often.
+    batch::Index intern(std::string_view image) { return indexOf(image); }
+    [[nodiscard]] double expected(batch::Index serving, batch::Index filling, double share) const
+    {
+        return m_model.expected(serving, filling, 0) * share;
+    }
+    [[nodiscard]] bool isHarmless(batch::Index serving, batch::Index filling, double share) const;
+
     /// By how much of its target the tail of `serving` is expected to grow if a task of `filling`
     /// uses `share` of the worker beside it; never negative.
     [[nodiscard]] double expected(std::string_view serving, std::string_view filling,
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -16,18 +16,35 @@
             / static_cast<double>(std::max<std::int64_t>(worker.life.capacity.millicores, 1));
 }
 
-void Worker::reserve(const StepSpec &spec)
+void Worker::reserve(const Step &step)
 {
+    const StepSpec &spec = *step.spec;
     used += spec.reserved();
     fillMillicores += spec.fills ? spec.size.millicores : 0;
-    servingMillicores += spec.serves() && !spec.fills ? spec.size.millicores : 0;
+    if (!spec.serves() || spec.fills)
+        return;
+    servingMillicores += spec.size.millicores;
+    const auto it = std::ranges::find(servedImages, step.image,
+                                      &std::pair<batch::Index, std::uint32_t>::first);
+    if (it == servedImages.end())
+        servedImages.emplace_back(step.image, 1);
+    else
+        ++it->second;
 }
 
-void Worker::giveBack(const StepSpec &spec)
+void Worker::giveBack(const Step &step)
 {
+    const StepSpec &spec = *step.spec;
     used -= spec.reserved();
     fillMillicores -= spec.fills ? spec.size.millicores : 0;
-    servingMillicores -= spec.serves() && !spec.fills ? spec.size.millicores : 0;
+    if (!spec.serves() || spec.fills)
+        return;
+    servingMillicores -= spec.size.millicores;
+    const auto it = std::ranges::find(servedImages, step.image,
+                                      &std::pair<batch::Index, std::uint32_t>::first);
+    ACACIAFORK_ASSERT(it != servedImages.end());
+    if (--it->second == 0)
+        servedImages.erase(it);
 }
 
 Worker &WorkerTable::add(const WorkerLife &life)
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -90,9 +90,12 @@
         const std::int64_t unusedByServing = servingMillicores * (100 - servingUsePercent) / 100;
         return life.capacity.millicores - used.millicores + unusedByServing - fillMillicores;
     }
+    /// Images that are served here, and by how many tasks.
+    std::vector<std::pair<batch::Index, std::uint32_t>> servedImages;
+
     /// Sets a task's share aside, and gives it back.
-    void reserve(const StepSpec &spec);
-    void giveBack(const StepSpec &spec);
+    void reserve(const Step &step);
+    void giveBack(const Step &step);
     [[nodiscard]] std::uint32_t runsOf(const Step *step) const;
 };
 
--- a/acaciafork/state/WorkerLives.h
+++ b/acaciafork/state/WorkerLives.h
@@ -11,9 +11,9 @@
 
 class SnapshotWriter;
 
-/// The workers that leaders may have given orders to, what was learnt of their tasks, and the number
-/// of the present leader's tenure. A new leader asks each of these workers what it runs before it starts anything that may
-/// already run there.
+/// The workers that leaders may have given orders to, what was learnt of their tasks, and the
+/// number of the present leader's tenure. A new leader asks each of these workers what it runs
+/// before it starts anything that may already run there.
 class WorkerLives
 {
 public:
--- a/tests/decisions/jobs/PolicyTest.cpp
+++ b/tests/decisions/jobs/PolicyTest.cpp
@@ -53,7 +53,7 @@
                                  .phase = RunPhase::Running,
                                  .worker = worker->id };
     worker->runs.push_back({ .task = { .step = &step, .task = task }, .slot = 0 });
-    worker->reserve(*step.spec);
+    worker->reserve(step);
 }
 
 const StepSpec serving { .count = 8,
