Write the log without ever waiting for its reader

Cause: lines went out one system call each, and a reader of standard output that stood still would have stopped the process.

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -96,8 +96,8 @@
         m_replica->flush(net::Loop::now());
     });
     m_timeline->record(net::Loop::wallMicroseconds(), EventKind::ProcessStarted, "control");
-    spdlog::info("event=started role=control operators={} peers={}", m_operatorsAddress,
-                 m_peersAddress);
+    spdlog::info("event=started role=control id={} operators={} peers={}", m_self.value,
+                 m_operatorsAddress, m_peersAddress);
     return {};
 }
 
@@ -236,6 +236,7 @@
 {
     const Moment at = moment();
     findMembers();
+    flushLog();
     m_replica->tick(at.now);
     m_node->tick(at);
     m_committed->set(static_cast<std::int64_t>(m_node->state().appliedIndex()));
--- a/acaciafork/core/Logging.h
+++ b/acaciafork/core/Logging.h
@@ -16,7 +16,12 @@
     std::string level = "info";
 };
 
-/// Sets up spdlog for this process; lines go to standard output. Call once, at the start of main().
+/// Sets up spdlog for this process; lines go to standard output and
+/// never wait for their reader. Call once, at the start of main().
 void initLogging(const LoggingSettings &settings, std::string_view program, ProcessId process);
 
+/// Writes the lines gathered so far, as far as their reader takes them; from time to time, and at
+/// the end of a process.
+void flushLog();
+
 } // namespace acaciafork
--- a/acaciafork/entry/EntryProcess.cpp
+++ b/acaciafork/entry/EntryProcess.cpp
@@ -104,11 +104,12 @@
             std::move(seeds), &m_messages, m_link.get());
     m_loop->every(tickInterval, [this] {
         findMembers();
+        flushLog();
         m_node->tick(moment());
         finishIfDrained();
     });
     m_timeline.record(net::Loop::wallMicroseconds(), EventKind::ProcessStarted, "entry");
-    spdlog::info("event=started role=entry callers={} peers={} operators={}",
+    spdlog::info("event=started role=entry id={} callers={} peers={} operators={}", m_self.value,
                  callersAddress.toString(), peersAddress.toString(), operatorsAddress.toString());
     return {};
 }
--- a/daemons/control/main.cpp
+++ b/daemons/control/main.cpp
@@ -57,6 +57,7 @@
             process.drain();
     });
     loop.run();
+    flushLog();
     if (process.broken())
         return fail(FailureKind::Storage, "the data folder " + settings.dataFolder + " is broken");
     return {};
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -54,6 +54,7 @@
                 binding.drain();
         });
         loop.run();
+        flushLog();
         return {};
     }
     loop.onSignal([&](int signal) {
@@ -63,6 +64,7 @@
             process.drain();
     });
     loop.run();
+    flushLog();
     return {};
 }
 
--- a/tests/decisions/jobs/PolicyTest.cpp
+++ b/tests/decisions/jobs/PolicyTest.cpp
@@ -45,6 +45,15 @@
     return worker;
 }
 
+/// Adds a job as the scheduler does, with its images numbered.
+Job *addJob(JobTable *jobs, TailInterference *interference, std::uint64_t id, const StepSpec &step)
+{
+    Job *job = jobs->add(start, 0, viewOf(id, specOf(step)), { .name = "q", .pool = "pool" });
+    for (Step &it : job->steps)
+        it.image = interference->intern(it.spec->image);
+    return job;
+}
+
 /// Puts a run of a job's only step on a worker, as the scheduler does.
 void putRun(Job *job, std::uint32_t task, Worker *worker)
 {
@@ -127,10 +136,9 @@
     JobTable jobs;
     StepSpec otherImage = serving;
     otherImage.image = "serve-b";
-    const QueueSpec queue { .name = "q", .pool = "pool" };
-    Job *first = jobs.add(start, 0, viewOf(1, specOf(serving)), queue);
-    Job *second = jobs.add(start, 0, viewOf(2, specOf(otherImage)), queue);
-    Job *next = jobs.add(start, 0, viewOf(3, specOf(serving)), queue);
+    Job *first = addJob(&jobs, &interference, 1, serving);
+    Job *second = addJob(&jobs, &interference, 2, otherImage);
+    Job *next = addJob(&jobs, &interference, 3, serving);
     putRun(first, 0, &same);
     putRun(second, 0, &other);
     putRun(second, 1, &other);
@@ -149,11 +157,10 @@
     WorkerTable workers;
     Worker &worker = addWorker(&workers, "w");
     JobTable jobs;
-    const QueueSpec queue { .name = "q", .pool = "pool" };
-    Job *service = jobs.add(start, 0, viewOf(1, specOf(serving)), queue);
+    Job *service = addJob(&jobs, &interference, 1, serving);
     for (std::uint32_t it = 0; it < 5; ++it)
         putRun(service, it, &worker);
-    Job *batch = jobs.add(start, 0, viewOf(2, specOf(filling)), queue);
+    Job *batch = addJob(&jobs, &interference, 2, filling);
     const Step &step = batch->steps.front();
     // All 32 cores are reserved; serving tasks use about 60 % of them.
     CHECK(placer.choose(start, workers, step, step.tasks[0]) == &worker);
