--- a/acaciafork/core/LogSink.h
+++ b/acaciafork/core/LogSink.h
@@ -14,7 +14,7 @@
 {
 public:
     /// Most bytes that wait for a slow reader.
-    static constexpr std::size_t mostWaiting = 256 * 1024;
+    static constexpr std::size_t mostWaiting = std::size_t { 256 } * 1024;
 
     explicit LogSink(int fd)
         : m_fd(fd)
