--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -83,12 +83,12 @@
         const std::uint64_t leadership = driver.m_leadership;
         const bool accepted =
                 driver.m_propose(at, std::move(proposal),
-                                 [this_ = &driver, leadership, batch = command.batch](
+                                 [owner = &driver, leadership, batch = command.batch](
                                          Moment when, const state::ApplyResult *result) {
                                      // Without a result the leadership is over: the next leader
                                      // sees the ends again.
-                                     if (result != nullptr && leadership == this_->m_leadership)
-                                         this_->m_scheduler.endsRecorded(when, batch);
+                                     if (result != nullptr && leadership == owner->m_leadership)
+                                         owner->m_scheduler.endsRecorded(when, batch);
                                  });
         if (!accepted)
             driver.m_unrecorded.push_back(command);
@@ -104,10 +104,10 @@
         const std::uint64_t leadership = driver.m_leadership;
         const bool accepted =
                 driver.m_propose(at, std::move(proposal),
-                                 [this_ = &driver, leadership,
+                                 [owner = &driver, leadership,
                                   command](Moment when, const state::ApplyResult *result) {
-                                     if (result != nullptr && leadership == this_->m_leadership)
-                                         this_->workersRecorded(when, command);
+                                     if (result != nullptr && leadership == owner->m_leadership)
+                                         owner->workersRecorded(when, command);
                                  });
         if (!accepted)
             driver.m_unrecordedWorkers.push_back(command);
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -333,8 +333,8 @@
 }
 
 void JobWorld::order(const jobs::OrderTarget &target, Duration timeout,
-                     std::function<jobs::OrderOutcome(FakeWorker &)> act,
-                     std::function<void(jobs::OrderOutcome)> answer)
+                     const std::function<jobs::OrderOutcome(FakeWorker &)> &act,
+                     const std::function<void(jobs::OrderOutcome)> &answer)
 {
     const std::uint64_t generation = m_generation;
     const auto reply = [this, generation, answer](Timestamp when, jobs::OrderOutcome outcome) {
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -152,8 +152,8 @@
     [[nodiscard]] FakeWorker *find(const WorkerName &name);
     /// Sends an order through the faults; `act` carries it out and gives its outcome.
     void order(const jobs::OrderTarget &target, Duration timeout,
-               std::function<jobs::OrderOutcome(FakeWorker &)> act,
-               std::function<void(jobs::OrderOutcome)> answer);
+               const std::function<jobs::OrderOutcome(FakeWorker &)> &act,
+               const std::function<void(jobs::OrderOutcome)> &answer);
     jobs::OrderOutcome startAt(FakeWorker &worker, const jobs::StartRun &order,
                                jobs::Tenure tenure);
     void checkStart(const FakeWorker &worker, const jobs::StartRun &order);
