Keep callers' connections open for a while when an entry drains

Ruled out: the kernel's reset on unread bytes, since what it holds at the close is read and answered. The node refuses only when no connection is left.

--- a/acaciafork/entry/EntryProcess.cpp
+++ b/acaciafork/entry/EntryProcess.cpp
@@ -21,7 +21,8 @@
                          .mostBodyBytes = settings.mostBodyBytes,
                          .mostBufferedBytes = settings.mostBufferedBytes,
                          .mostConnections = settings.mostConnections,
-                         .requestTimeout = settings.requestTimeout } };
+                         .requestTimeout = settings.requestTimeout,
+                         .drainLinger = settings.drainLinger } };
 }
 
 } // namespace
@@ -158,11 +159,14 @@
         return;
     m_draining = true;
     spdlog::info("event=draining requests={}", m_requests.size());
-    m_node->drain(moment());
-    m_callers->drain([] {});
+    // Requests that cross this on kept connections are served like any other; only once no
+    // connection is left does the node refuse.
+    m_callers->drain([this] {
+        m_node->drain(moment());
+        finishIfDrained();
+    });
     if (m_settings.drainTimeout > Duration::zero())
         m_loop->after(m_settings.drainTimeout, [this] { m_loop->stop(); });
-    finishIfDrained();
 }
 
 void EntryProcess::finishIfDrained()
--- a/acaciafork/entry/EntrySettings.h
+++ b/acaciafork/entry/EntrySettings.h
@@ -28,6 +28,9 @@
     /// be known before they are refused; zero for the latter asks members that may not lead.
     Duration callTimeout = std::chrono::seconds(5);
     Duration unsentTimeout {};
+    /// How long a draining entry keeps callers' idle connections and serves what comes on them;
+    /// longer than a balancer takes to notice and a caller's requests are apart.
+    Duration drainLinger = std::chrono::seconds(3);
     /// Longest time that a draining entry waits for what is in progress; 0 waits for ever.
     Duration drainTimeout {};
 
--- a/acaciafork/net/HttpServer.h
+++ b/acaciafork/net/HttpServer.h
@@ -31,6 +31,9 @@
     Duration stallTimeout = std::chrono::minutes(5);
     /// Longest time that a connection stays open without a request.
     Duration idleTimeout = std::chrono::seconds(60);
+    /// How long a draining server keeps idle connections, so that a request that is on its way is
+    /// still answered. Each answer given meanwhile closes its connection.
+    Duration drainLinger {};
 };
 
 /// What a server has counted since its start.
@@ -58,8 +61,8 @@
     /// @return the port
     Result<std::uint16_t> listen(const Address &address);
 
-    /// Stops listening, closes idle connections, lets requests in progress end, and calls `done`
-    /// when the last connection is gone.
+    /// Stops listening, closes idle connections once they have lingered, lets requests in progress
+    /// end, and calls `done` when the last connection is gone.
     void drain(std::function<void()> done);
 
     /// Connections open now; upgraded ones are not among them.
--- a/acaciafork/net/HttpServerGuard.cpp
+++ b/acaciafork/net/HttpServerGuard.cpp
@@ -122,6 +122,7 @@
 void HttpServer::Impl::drain(std::function<void()> done)
 {
     m_isDraining = true;
+    m_lingersUntil = Loop::now() + settings.drainLinger;
     m_drained = std::move(done);
     stopListening();
     requestShutdown();
@@ -137,7 +138,9 @@
             continue;
         if (connection->idleSince == Timestamp())
             connection->idleSince = now;
-        if (!m_isDraining && now - connection->idleSince < settings.idleTimeout)
+        const bool isKept = m_isDraining ? now < m_lingersUntil
+                                         : now - connection->idleSince < settings.idleTimeout;
+        if (isKept)
             continue;
         // What the kernel holds already is still read, and answered.
         connection->isClosing = true;
--- a/acaciafork/net/HttpServerImpl.h
+++ b/acaciafork/net/HttpServerImpl.h
@@ -95,6 +95,8 @@
     std::uint64_t m_ticks = 0;
     std::vector<h2o_socket_t *> m_ungated;
     bool m_isDraining = false;
+    /// A draining server keeps idle connections until then.
+    Timestamp m_lingersUntil;
     std::function<void()> m_drained;
     Lingering m_lingering;
     /// Tells the function at the end of each turn that the server is gone.
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -309,6 +309,36 @@
     CHECK(arriving.received.find("three") != std::string::npos);
 }
 
+TEST_CASE("a draining server answers what comes on kept connections before it closes them")
+{
+    Fixture fixture({ .drainLinger = std::chrono::milliseconds(300) });
+    RawPeer late(fixture.loop, fixture.port);
+    RawPeer idle(fixture.loop, fixture.port);
+    for (RawPeer *it : { &late, &idle }) {
+        it->stream->write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+        fixture.next()->answer(200, {}, "first");
+        it->exchange("", "first");
+    }
+    bool isDrained = false;
+    fixture.server.drain([&] { isDrained = true; });
+    // Several looks of the watch over idle connections.
+    const Timestamp later = Loop::now() + std::chrono::milliseconds(60);
+    runUntil(fixture.loop, [&] { return Loop::now() >= later; });
+    REQUIRE_FALSE(late.isEnded);
+    REQUIRE_FALSE(idle.isEnded);
+
+    late.received.clear();
+    late.stream->write("GET /late HTTP/1.1\r\nhost: x\r\n\r\n");
+    const auto exchange = fixture.next();
+    CHECK(exchange->target() == "/late");
+    exchange->answer(200, {}, "second");
+    late.exchange("", "second");
+    CHECK(late.received.find("Connection: close") != std::string::npos);
+    runUntil(fixture.loop, [&] { return late.isEnded; });
+    CHECK_FALSE(isDrained);
+    runUntil(fixture.loop, [&] { return idle.isEnded && isDrained; });
+}
+
 TEST_CASE("a server that goes away leaves its loop sound")
 {
     Loop loop;
