Join the twins of the daemons and of task names, drop dead state, add histograms

Metrics had counters only; the JSON format of the log held each line as one text; lines named every process 0 where it draws its own number. Change: reloadSettings in daemons/common, taskName and wholePercent beside TaskKey, dead members gone; Histogram over Boost.Histogram (calls, commits, waits, jobs, orders); JsonLines makes one member of each word; event=job-ended tells age and objective; lines name the process by its address. Ruled out: a metrics library with threads of its own (prometheus-cpp), since one loop serves all.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -25,11 +25,6 @@
     return ec == std::errc() && end == text.data() + text.size();
 }
 
-std::string taskName(const jobs::TaskKey &task)
-{
-    return fmt::format("{:016x}.{}.{}.{}", task.job.value, task.occurrence, task.step, task.task);
-}
-
 } // namespace
 
 const wire::Queue *findQueue(const wire::QueueConfig &config, std::string_view host,
@@ -55,17 +50,19 @@
         const state::Job *job = driver.m_state->jobs().find(command.run.task.job.value);
         spdlog::info("event=run-placed task={} run={} worker={} free-millicores={} free-mb={} "
                      "waited-ms={} resumes={}",
-                     taskName(command.run.task), command.run.run.value, command.target.name.value,
-                     command.roomBefore.millicores, command.roomBefore.memoryMb,
-                     command.waited / std::chrono::milliseconds(1), !command.checkpoint.empty());
+                     jobs::taskName(command.run.task), command.run.run.value,
+                     command.target.name.value, command.roomBefore.millicores,
+                     command.roomBefore.memoryMb, command.waited / std::chrono::milliseconds(1),
+                     !command.checkpoint.empty());
+        driver.m_waitTime->observe(command.waited);
         driver.m_orders->start(command, job == nullptr ? std::string_view() : job->spec->payload(),
                                driver.m_tenure);
     }
     void operator()(const jobs::StopRun &command) const
     {
         spdlog::info("event=run-stop task={} run={} worker={} reason={}",
-                     taskName(command.run.task), command.run.run.value, command.target.name.value,
-                     command.reason);
+                     jobs::taskName(command.run.task), command.run.run.value,
+                     command.target.name.value, command.reason);
         driver.m_orders->stop(command, driver.m_tenure);
     }
     void operator()(const jobs::PaceRun &command) const
@@ -119,10 +116,20 @@
         // One that can't be proposed now is replaced by the next.
         (void)driver.m_propose(at, std::move(proposal), [](Moment, const state::ApplyResult *) {});
     }
+    void operator()(const jobs::JobOver &command) const
+    {
+        const auto ageMs = command.age / std::chrono::milliseconds(1);
+        const auto objectiveMs = command.objective / std::chrono::milliseconds(1);
+        spdlog::info("event=job-ended job={:016x} outcome={} age-ms={} objective-ms={} late={}",
+                     command.job.value, command.outcome, ageMs, objectiveMs, ageMs > objectiveMs);
+        if (command.outcome == "completed")
+            driver.m_jobTime->observe(command.age);
+    }
     void operator()(const jobs::Note &command) const
     {
-        spdlog::info("event={} task={} run={} worker={} {}", command.event, taskName(command.task),
-                     command.run.value, command.worker.value, command.detail);
+        spdlog::info("event={} task={} run={} worker={} {}", command.event,
+                     jobs::taskName(command.task), command.run.value, command.worker.value,
+                     command.detail);
     }
 };
 
@@ -139,6 +146,9 @@
     , m_failed(&counters->counter("task_runs_failed", MetricKind::Gauge))
     , m_lost(&counters->counter("task_runs_lost", MetricKind::Gauge))
     , m_unanswered(&counters->counter("task_starts_unanswered", MetricKind::Gauge))
+    , m_commitTime(&counters->histogram("job_commit_seconds"))
+    , m_waitTime(&counters->histogram("task_wait_seconds"))
+    , m_jobTime(&counters->histogram("job_seconds"))
 { }
 
 // ---- tenure
@@ -292,7 +302,7 @@
         cancel(at, id, reply);
         break;
     default:
-        tell(*queue, id, reply);
+        tell(id, reply);
         break;
     }
 }
@@ -313,11 +323,13 @@
     job->set_job(id);
     *job->mutable_queue() = queue;
     const bool accepted = m_propose(
-            at, std::move(proposal), [reply, id](Moment, const state::ApplyResult *result) {
+            at, std::move(proposal),
+            [this, reply, id, began = at.now](Moment when, const state::ApplyResult *result) {
                 // Not known whether it is accepted: whoever asked asks the next leader.
                 if (result == nullptr)
                     return;
                 if (state::succeeded(*result)) {
+                    m_commitTime->observe(when.now - began);
                     reply({ .status = 200, .body = "{}" });
                     return;
                 }
@@ -336,7 +348,7 @@
     }
 }
 
-void JobDriver::tell(const wire::Queue &, std::uint64_t id, const Reply &reply) const
+void JobDriver::tell(std::uint64_t id, const Reply &reply) const
 {
     const state::Job *job = m_state->jobs().find(id);
     if (job == nullptr) {
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -73,7 +73,7 @@
     void workersRecorded(Moment at, const jobs::RecordWorkers &command);
     void submit(Moment at, const wire::Queue &queue, std::uint64_t id, const wire::JobCall &call,
                 const Reply &reply);
-    void tell(const wire::Queue &queue, std::uint64_t id, const Reply &reply) const;
+    void tell(std::uint64_t id, const Reply &reply) const;
     void cancel(Moment at, std::uint64_t id, const Reply &reply);
     [[nodiscard]] bool isOf(jobs::Tenure tenure) const { return m_isActive && tenure == m_tenure; }
 
@@ -101,6 +101,12 @@
     Counter *m_failed;
     Counter *m_lost;
     Counter *m_unanswered;
+    /// From a submission to its commit.
+    Histogram *m_commitTime;
+    /// From the moment that a task may start to its start.
+    Histogram *m_waitTime;
+    /// From acceptance to completion.
+    Histogram *m_jobTime;
 };
 
 /// Queue that a path of a host belongs to, the longest prefix first, or null.
--- a/acaciafork/core/Counters.cpp
+++ b/acaciafork/core/Counters.cpp
@@ -4,6 +4,21 @@
 #include <set>
 
 namespace acaciafork {
+namespace {
+
+constexpr std::string_view prefix = "acaciafork_";
+
+/// The type line of a metric, which stands once, before its first sample.
+void describeType(std::string_view name, std::string_view type,
+                  std::set<std::string_view> *described, std::string *text)
+{
+    const std::string_view metric = name.substr(0, name.find('{'));
+    if (described->insert(metric).second)
+        *text += "# TYPE " + std::string(prefix) + std::string(metric) + ' ' + std::string(type)
+                + '\n';
+}
+
+} // namespace
 
 Counter &CounterRegistry::counter(std::string_view name, MetricKind kind)
 {
@@ -14,19 +29,24 @@
     return m_counters.emplace_back(Counter { .name = std::string(name), .kind = kind });
 }
 
+Histogram &CounterRegistry::histogram(std::string_view name)
+{
+    const auto it = std::ranges::find(m_histograms, name, &Histogram::name);
+    return it != m_histograms.end() ? *it : m_histograms.emplace_back(std::string(name));
+}
+
 std::string CounterRegistry::prometheusText() const
 {
     std::string text;
     std::set<std::string_view> described;
     for (const Counter &it : m_counters) {
-        // The type line stands once per metric, before its first sample.
-        const std::string_view metric = std::string_view(it.name).substr(0, it.name.find('{'));
-        if (described.insert(metric).second) {
-            text += "# TYPE acaciafork_";
-            text += metric;
-            text += it.kind == MetricKind::Gauge ? " gauge\n" : " counter\n";
-        }
-        text += "acaciafork_" + it.name + ' ' + std::to_string(it.value) + '\n';
+        describeType(it.name, it.kind == MetricKind::Gauge ? "gauge" : "counter", &described,
+                     &text);
+        text += std::string(prefix) + it.name + ' ' + std::to_string(it.value) + '\n';
+    }
+    for (const Histogram &it : m_histograms) {
+        describeType(it.name(), "histogram", &described, &text);
+        text += it.prometheusText(prefix);
     }
     return text;
 }
--- a/acaciafork/core/Counters.h
+++ b/acaciafork/core/Counters.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "acaciafork/core/Histogram.h"
+
 namespace acaciafork {
 
 /// Kind of a metric, as the Prometheus text format names it.
@@ -24,14 +26,19 @@
     void set(std::int64_t n) { value = n; }
 };
 
-/// The counters of one process, used by its one loop. References stay valid for its lifetime.
+/// The counters and histograms of one process, used by its one loop. References stay valid for its
+/// lifetime.
 class CounterRegistry
 {
 public:
     /// Counter of that name, made on first use.
     Counter &counter(std::string_view name, MetricKind kind = MetricKind::Counter);
 
-    /// All counters in the Prometheus text format, in order of registration, prefix `acaciafork_`.
+    /// Histogram of that name, made on first use.
+    Histogram &histogram(std::string_view name);
+
+    /// All counters, then all histograms, in the Prometheus text format, in order of registration,
+    /// prefix `acaciafork_`.
     [[nodiscard]] std::string prometheusText() const;
 
     /// Every counter, in order of registration.
@@ -39,6 +46,7 @@
 
 private:
     std::deque<Counter> m_counters;
+    std::deque<Histogram> m_histograms;
 };
 
 } // namespace acaciafork
--- a/acaciafork/core/LogSink.cpp
+++ b/acaciafork/core/LogSink.cpp
@@ -33,7 +33,10 @@
     while (!m_waiting.empty() && writePiece(std::min(pieceBytes, m_waiting.size()))) { }
     if (m_waiting.empty() && m_dropped != m_droppedTold) {
         m_droppedTold = m_dropped;
-        m_waiting = fmt::format("event=log-lines-dropped total={}\n", m_dropped);
+        const std::string text = fmt::format("event=log-lines-dropped total={}", m_dropped);
+        spdlog::memory_buf_t line;
+        formatter_->format({ "log", spdlog::level::warn, text }, line);
+        m_waiting.assign(line.data(), line.size());
     }
 }
 
--- a/acaciafork/core/Logging.cpp
+++ b/acaciafork/core/Logging.cpp
@@ -4,18 +4,17 @@
 
 #include <spdlog/spdlog.h>
 
+#include "acaciafork/core/JsonLines.h"
 #include "acaciafork/core/LogSink.h"
 
 namespace acaciafork {
 
-void initLogging(const LoggingSettings &settings, std::string_view program, ProcessId process)
+void initLogging(const LoggingSettings &settings, const std::string &process)
 {
-    const std::string name = std::string(program) + '-' + std::to_string(process.value);
-    auto logger = std::make_shared<spdlog::logger>(name, std::make_shared<LogSink>(STDOUT_FILENO));
+    auto logger =
+            std::make_shared<spdlog::logger>(process, std::make_shared<LogSink>(STDOUT_FILENO));
     if (settings.json)
-        logger->set_pattern(
-                R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l","process":"%n","line":"%v"})",
-                spdlog::pattern_time_type::utc);
+        logger->set_formatter(std::make_unique<JsonLines>());
     else
         logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%fZ level=%l process=%n %v",
                             spdlog::pattern_time_type::utc);
--- a/acaciafork/core/Logging.h
+++ b/acaciafork/core/Logging.h
@@ -18,7 +18,8 @@
 
 /// Sets up spdlog for this process; lines go to standard output and
 /// never wait for their reader. Call once, at the start of main().
-void initLogging(const LoggingSettings &settings, std::string_view program, ProcessId process);
+/// @param[in] process what lines name the process by, such as "acaciafork-entry-4"
+void initLogging(const LoggingSettings &settings, const std::string &process);
 
 /// Writes the lines gathered so far, as far as their reader takes them; from time to time, and at
 /// the end of a process.
--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -92,6 +92,17 @@
     std::vector<LearntPair> pairs;
 };
 
+/// A job is over, for the log and the metrics.
+struct JobOver
+{
+    JobId job;
+    /// "completed", "failed" or "cancelled".
+    std::string_view outcome;
+    /// Time since it was accepted, and what its objective was.
+    Duration age {};
+    Duration objective {};
+};
+
 /// A decision or a change of belief that is worth a line of the log.
 struct Note
 {
@@ -106,7 +117,7 @@
 
 /// What the scheduler wants done, in order.
 using Command = std::variant<StartRun, StopRun, PaceRun, HoldWorker, RecordEnds, RecordWorkers,
-                             RecordDisturbance, Note>;
+                             RecordDisturbance, JobOver, Note>;
 using Commands = std::vector<Command>;
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -1,6 +1,7 @@
 #include "acaciafork/decisions/jobs/JobScheduler.h"
 
 #include <algorithm>
+#include <array>
 
 // The tenure, the jobs, and the way of commands out. Runs, workers and placement have files of
 // their own.
@@ -56,7 +57,6 @@
     m_due.clear();
     m_ends.clear();
     m_failedJobs.clear();
-    m_openBatch = {};
     m_batches.clear();
     m_endsUrgent = false;
     m_idle.clear();
@@ -184,7 +184,13 @@
 
 void JobScheduler::endJob(Timestamp now, Job *job, JobPhase phase)
 {
+    static constexpr std::array<std::string_view, 4> names { "active", "cancelled", "failed",
+                                                             "completed" };
     job->phase = phase;
+    m_commands.emplace_back(JobOver { .job = job->id,
+                                      .outcome = names.at(static_cast<std::size_t>(phase)),
+                                      .age = now - job->acceptedAt,
+                                      .objective = job->objective });
     for (Step &step : job->steps) {
         m_order.erase(&step);
         step.ready.clear();
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -210,7 +210,6 @@
 
     std::vector<TaskEnd> m_ends;
     std::vector<JobId> m_failedJobs;
-    Batch m_openBatch;
     std::map<std::uint64_t, Batch> m_batches;
     std::uint64_t m_lastBatch = 0;
     Timestamp m_endsSince;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -10,7 +10,6 @@
 
 /// A copy is worth its while only for a task that takes at least this much longer than its peers.
 constexpr Duration leastCopyDelay = std::chrono::milliseconds(150);
-constexpr std::int64_t wholePercent = 100;
 
 /// What found no worker in a round: larger tasks of its kind need not be tried.
 struct Miss
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -12,7 +12,6 @@
 constexpr Duration longestRecordWait = std::chrono::milliseconds(700);
 /// What a worker's load figures cover.
 constexpr Duration tailWindow = std::chrono::milliseconds(500);
-constexpr std::int64_t wholeShare = 100;
 /// A life that could not be recorded is recorded again after this.
 constexpr Duration recordAgainAfter = std::chrono::seconds(1);
 
@@ -136,7 +135,7 @@
 
 void JobScheduler::holdIfDue(Timestamp now, Worker *worker)
 {
-    if (!worker->isRecorded || worker->isGone || m_isFenced)
+    if (!worker->isRecorded || m_isFenced)
         return;
     if (now >= worker->quickHoldAt && !worker->quickHoldInFlight) {
         worker->quickHoldAt = Timestamp::max();
@@ -280,7 +279,7 @@
         listed.insert(it.run.task);
     // The worker's clock may be slow.
     const Duration stopTime = m_settings.stopTimeout
-            + m_settings.stopTimeout * LeaseClock::slownessPercent / wholeShare
+            + m_settings.stopTimeout * LeaseClock::slownessPercent / wholePercent
             + m_settings.recordPause;
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -17,7 +17,6 @@
     None, ///< no run
     Starting, ///< the order is on its way
     Running, ///< confirmed by the worker
-    Unsure, ///< the order had no answer: it may run now, later, or never
     Stopping, ///< an order to stop it is on its way or answered; its end is not listed yet
 };
 
--- a/acaciafork/decisions/jobs/LeaseClock.cpp
+++ b/acaciafork/decisions/jobs/LeaseClock.cpp
@@ -5,8 +5,6 @@
 namespace acaciafork::jobs {
 namespace {
 
-constexpr std::int64_t wholePercent = 100;
-
 std::int64_t toMilliseconds(Duration length)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
--- a/acaciafork/decisions/jobs/LeaseClock.h
+++ b/acaciafork/decisions/jobs/LeaseClock.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "acaciafork/core/Time.h"
+#include "acaciafork/decisions/jobs/Types.h"
 
 namespace acaciafork::jobs {
 
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -15,8 +15,6 @@
 /// others.
 constexpr double sameImageBonus = 2;
 constexpr double otherImagePenalty = 2;
-/// Share of tasks that are not slowed down, in percent.
-constexpr std::int64_t wholeShare = 100;
 
 bool hasLabel(const WorkerLife &life, const std::string &label)
 {
@@ -27,8 +25,8 @@
 
 bool Placer::isUsable(Timestamp now, const Worker &worker) const
 {
-    return worker.isRecorded && worker.isKnown && !worker.life.draining && !worker.isGone
-            && worker.lease.isKnown() && worker.unansweredHolds == 0 && now >= worker.avoidUntil
+    return worker.isRecorded && worker.isKnown && !worker.life.draining && worker.lease.isKnown()
+            && worker.unansweredHolds == 0 && now >= worker.avoidUntil
             && now - worker.heardAt < m_settings.silence;
 }
 
@@ -51,7 +49,7 @@
     if (spec.fills
         && (worker.leftover() < spec.size.millicores / 2
             || disturbance(worker, step) > m_settings.mostDisturbance || worker.fillPercent == 0
-            || (worker.fillPercent < wholeShare && !isHarmless(worker, step))))
+            || (worker.fillPercent < wholePercent && !isHarmless(worker, step))))
         return false;
     return spec.mostPerWorker == 0 || worker.runsOf(&step) < spec.mostPerWorker;
 }
--- a/acaciafork/decisions/jobs/TailGuard.cpp
+++ b/acaciafork/decisions/jobs/TailGuard.cpp
@@ -5,7 +5,6 @@
 namespace acaciafork::jobs {
 namespace {
 
-constexpr std::int64_t wholeShare = 100;
 /// A step up adds this much, in percent of the whole.
 constexpr std::int64_t stepUpPercent = 25;
 
@@ -17,16 +16,16 @@
     std::int64_t worst = 0;
     for (const TailReading &it : tails) {
         if (it.tailMs >= 0 && it.targetMs > 0)
-            worst = std::max(worst, it.tailMs * wholeShare / it.targetMs);
+            worst = std::max(worst, it.tailMs * wholePercent / it.targetMs);
     }
     if (worst > m_settings.dangerPercent && percent > 0 && now - changedAt >= m_settings.stepDown) {
         // Far over the target there is no time for small steps.
-        const std::int64_t next = worst > 2 * wholeShare ? percent / 4 : percent / 2;
+        const std::int64_t next = worst > 2 * wholePercent ? percent / 4 : percent / 2;
         return next < m_settings.leastPercent ? 0 : next;
     }
-    if (worst < m_settings.safePercent && percent < wholeShare
+    if (worst < m_settings.safePercent && percent < wholePercent
         && now - changedAt >= m_settings.stepUp)
-        return std::min(wholeShare, percent + stepUpPercent);
+        return std::min(wholePercent, percent + stepUpPercent);
     return percent;
 }
 
--- a/acaciafork/decisions/jobs/TailGuard.h
+++ b/acaciafork/decisions/jobs/TailGuard.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "acaciafork/core/Core.h"
+#include "acaciafork/decisions/jobs/Types.h"
 
 namespace acaciafork::jobs {
 
--- a/acaciafork/decisions/jobs/Types.cpp
+++ b/acaciafork/decisions/jobs/Types.cpp
@@ -3,8 +3,15 @@
 #include <algorithm>
 #include <array>
 
+#include <spdlog/fmt/fmt.h>
+
 namespace acaciafork::jobs {
 
+std::string taskName(const TaskKey &task)
+{
+    return fmt::format("{:016x}.{}.{}.{}", task.job.value, task.occurrence, task.step, task.task);
+}
+
 std::vector<Duration> JobSpec::remainingPaths() const
 {
     // Steps wait for earlier ones only: walked backwards, every follower is known.
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -30,6 +30,9 @@
     auto operator<=>(const TaskKey &) const = default;
 };
 
+/// Text of a task as logs and workers have it: JOB.OCCURRENCE.STEP.TASK, the job in 16 digits.
+std::string taskName(const TaskKey &task);
+
 /// One run of one task.
 struct RunKey
 {
@@ -39,6 +42,9 @@
     auto operator<=>(const RunKey &) const = default;
 };
 
+/// A whole, in percent.
+inline constexpr std::int64_t wholePercent = 100;
+
 /// Amounts of what a worker has or a task needs.
 struct Size
 {
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -18,8 +18,6 @@
     /// Recorded in the replicated state: orders may go there.
     bool isRecorded = false;
     bool isRecording = false;
-    /// It has left, or another life has taken its place; its runs are over.
-    bool isGone = false;
     /// Its lists have been seen in this tenure; until then it may run what an earlier leader began.
     bool isKnown = false;
     std::uint64_t sequence = 0;
@@ -69,10 +67,6 @@
     /// Share at which the tasks that fill work here, and when it was last set.
     std::int64_t fillPercent = 100;
     Timestamp pacedAt = longAgo();
-    /// When a serving task here was last seen over its target.
-    Timestamp tailOverAt = longAgo();
-    /// Speed against estimates of what ran here: below 1 it is slower than its peers.
-    double speed = 1;
 
     static constexpr Timestamp longAgo() { return timestampFromMicroseconds(INT64_MIN / 4); }
     [[nodiscard]] Size room() const
--- a/daemons/control/main.cpp
+++ b/daemons/control/main.cpp
@@ -5,30 +5,14 @@
 
 #include "acaciafork/control/Control.h"
 #include "daemons/common/CommandLine.h"
+#include "daemons/common/ProcessName.h"
+#include "daemons/common/Reload.h"
 #include "platform/Platform.h"
 
 using namespace acaciafork;
 
 namespace {
 
-/// Takes over what may change while the process runs; the rest waits for a restart.
-void reloadSettings(const std::string &file, control::ControlProcess *process)
-{
-    leaf::try_handle_all(
-            [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(ini, readFile(file));
-                BOOST_LEAF_AUTO(settings, control::readControlSettings(ini, file));
-                return process->reload(settings);
-            },
-            [](const SettingsProblems &problems) {
-                spdlog::error("event=reload-refused problems=\"{}\"", describe(problems));
-            },
-            [](const Failure &failure) {
-                spdlog::error("event=reload-refused detail=\"{}\"", failure.detail);
-            },
-            [] { spdlog::error("event=reload-refused"); });
-}
-
 Result<void> runControl(const CommandLine &commandLine)
 {
     BOOST_LEAF_AUTO(ini, readFile(commandLine.settingsFile));
@@ -37,7 +21,7 @@
         return {};
 
     initLogging({ .json = settings.logFormat == "json", .level = settings.logLevel },
-                "acaciafork-control", ProcessId { static_cast<std::uint32_t>(settings.id) });
+                processName("acaciafork-control", settings.id, settings.listenPeers));
     net::Loop loop;
     control::ControlProcess process(&loop, settings);
     std::unique_ptr<platform::ControlBinding> binding;
@@ -52,7 +36,7 @@
     }
     loop.onSignal([&](int signal) {
         if (signal == SIGHUP)
-            reloadSettings(commandLine.settingsFile, &process);
+            reloadSettings(commandLine.settingsFile, &process, control::readControlSettings);
         else
             process.drain();
     });
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -5,30 +5,14 @@
 
 #include "acaciafork/entry/Entry.h"
 #include "daemons/common/CommandLine.h"
+#include "daemons/common/ProcessName.h"
+#include "daemons/common/Reload.h"
 #include "platform/Platform.h"
 
 using namespace acaciafork;
 
 namespace {
 
-/// Takes over what may change while the process runs; the rest waits for a restart.
-void reloadSettings(const std::string &file, entry::EntryProcess *process)
-{
-    leaf::try_handle_all(
-            [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(ini, readFile(file));
-                BOOST_LEAF_AUTO(settings, entry::readEntrySettings(ini, file));
-                return process->reload(settings);
-            },
-            [](const SettingsProblems &problems) {
-                spdlog::error("event=reload-refused problems=\"{}\"", describe(problems));
-            },
-            [](const Failure &failure) {
-                spdlog::error("event=reload-refused detail=\"{}\"", failure.detail);
-            },
-            [] { spdlog::error("event=reload-refused"); });
-}
-
 Result<void> runEntry(const CommandLine &commandLine)
 {
     BOOST_LEAF_AUTO(ini, readFile(commandLine.settingsFile));
@@ -37,7 +21,7 @@
         return {};
 
     initLogging({ .json = settings.logFormat == "json", .level = settings.logLevel },
-                "acaciafork-entry", ProcessId { static_cast<std::uint32_t>(settings.id) });
+                processName("acaciafork-entry", settings.id, settings.listenPeers));
     net::Loop loop;
     entry::EntryProcess process(&loop, settings);
     BOOST_LEAF_CHECK(process.start());
@@ -49,7 +33,7 @@
         BOOST_LEAF_CHECK(binding.start());
         loop.onSignal([&](int signal) {
             if (signal == SIGHUP)
-                reloadSettings(commandLine.settingsFile, &process);
+                reloadSettings(commandLine.settingsFile, &process, entry::readEntrySettings);
             else
                 binding.drain();
         });
@@ -59,7 +43,7 @@
     }
     loop.onSignal([&](int signal) {
         if (signal == SIGHUP)
-            reloadSettings(commandLine.settingsFile, &process);
+            reloadSettings(commandLine.settingsFile, &process, entry::readEntrySettings);
         else
             process.drain();
     });
