--- a/acaciafork/core/LogWords.h
+++ b/acaciafork/core/LogWords.h
@@ -5,9 +5,23 @@
 
 namespace acaciafork {
 
+/// Where the quote that closes a value stands, in a line that begins with the quote that opens it:
+/// the first one before another `key=` word, else the last of the line; its length without one.
+inline std::size_t findClosingQuote(std::string_view line)
+{
+    for (std::size_t it = line.find("\" ", 1); it != std::string_view::npos;
+         it = line.find("\" ", it + 1)) {
+        const std::string_view rest = line.substr(it + 2);
+        if (rest.substr(0, rest.find(' ')).find('=') != std::string_view::npos)
+            return it;
+    }
+    const std::size_t last = line.rfind('"');
+    return last == 0 ? line.size() : last;
+}
+
 /// Calls `take(key, value)` for each `key=value` word of a log line, in order. A value in double
-/// quotes goes on to the quote before the next word or the line's end, and comes without its
-/// quotes. A word without a key comes with an empty one.
+/// quotes may hold blanks and quotes, and comes without its own. A word without a key comes with an
+/// empty one.
 template <typename Take>
 void forEachLogWord(std::string_view line, Take take)
 {
@@ -25,14 +39,13 @@
         }
         const std::string_view key = line.substr(0, equals);
         line.remove_prefix(equals + 1);
-        const std::size_t length = std::min(line.find(' '), line.size());
-        if (line.starts_with('"') && line.size() > 1) {
-            const std::size_t close = std::min(line.find("\" ", 1), line.size());
-            const std::size_t last = close == line.size() && line.back() == '"' ? close - 1 : close;
-            take(key, line.substr(1, last - 1));
-            line.remove_prefix(std::min(last + 1, line.size()));
+        if (line.starts_with('"')) {
+            const std::size_t close = findClosingQuote(line);
+            take(key, line.substr(1, close - 1));
+            line.remove_prefix(std::min(close + 1, line.size()));
             continue;
         }
+        const std::size_t length = std::min(line.find(' '), line.size());
         take(key, line.substr(0, length));
         line.remove_prefix(length);
     }
--- a/acaciafork/peers/LinkWatch.cpp
+++ b/acaciafork/peers/LinkWatch.cpp
@@ -1,17 +1,20 @@
 #include "acaciafork/peers/LinkWatch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acaciafork::peers {
 
-void LinkWatch::heard(Timestamp now, ProcessId peer)
+bool LinkWatch::heard(Timestamp now, ProcessId peer)
 {
-    m_peers[peer].heardAt = now;
+    Peer &it = m_peers[peer];
+    it.heardAt = now;
+    return std::exchange(it.isSilent, false);
 }
 
-std::vector<ProcessId> LinkWatch::silent(Timestamp now, const std::vector<ProcessId> &expected)
+std::vector<SilentPeer> LinkWatch::silent(Timestamp now, const std::vector<ProcessId> &expected)
 {
-    std::vector<ProcessId> found;
+    std::vector<SilentPeer> found;
     for (const ProcessId it : expected) {
         const auto [peer, isNew] = m_peers.try_emplace(it, Peer { now, now });
         if (isNew)
@@ -20,7 +23,7 @@
         if (now - since < m_settings.silence)
             continue;
         peer->second.redialledAt = now;
-        found.push_back(it);
+        found.push_back({ .process = it, .isNew = !std::exchange(peer->second.isSilent, true) });
     }
     return found;
 }
--- a/acaciafork/peers/LinkWatch.h
+++ b/acaciafork/peers/LinkWatch.h
@@ -17,6 +17,14 @@
     Duration forgetAfter = std::chrono::seconds(15);
 };
 
+/// A peer whose connection is to be made anew.
+struct SilentPeer
+{
+    ProcessId process;
+    /// Its silence has just been noticed; false while it goes on.
+    bool isNew = false;
+};
+
 /// Watches which peers are heard from. Pure: it is told what was heard and when.
 class LinkWatch
 {
@@ -26,9 +34,11 @@
     { }
 
     /// A peer has spoken, or a connection to it has just been made.
-    void heard(Timestamp now, ProcessId peer);
-    /// Peers among those expected to speak whose connections are to be made anew now.
-    std::vector<ProcessId> silent(Timestamp now, const std::vector<ProcessId> &expected);
+    /// @return true when it had been silent
+    bool heard(Timestamp now, ProcessId peer);
+    /// Peers among those expected to speak whose connections are to be made anew now; one that
+    /// stays silent is among them again after the same time.
+    std::vector<SilentPeer> silent(Timestamp now, const std::vector<ProcessId> &expected);
     /// Peers that have been silent for so long that they are gone; forgets them.
     std::vector<ProcessId> gone(Timestamp now);
 
@@ -38,6 +48,7 @@
     {
         Timestamp heardAt;
         Timestamp redialledAt;
+        bool isSilent = false;
     };
 
     LinkWatchSettings m_settings;
--- a/acaciafork/peers/MemberFinder.cpp
+++ b/acaciafork/peers/MemberFinder.cpp
@@ -47,7 +47,8 @@
     const ProcessId sender { envelope.sender() };
     if (m_directory.seeds().empty() || sender == m_link->identity().process)
         return;
-    m_watch.heard(at.now, sender);
+    if (m_watch.heard(at.now, sender))
+        spdlog::info("event=peer-heard peer={}", sender.value);
     m_directory.noteAlive(at.now, sender);
     if (envelope.body_case() != wire::Envelope::kIntroduction)
         return;
@@ -91,11 +92,12 @@
     std::vector<ProcessId> expected;
     for (const auto &[process, member] : m_directory.members())
         expected.push_back(process);
-    for (const ProcessId it : m_watch.silent(now, expected)) {
-        const DirectoryMember &member = m_directory.members().at(it);
-        spdlog::info("event=link-silent peer={} address={}", it.value, member.address);
-        m_messages->removePeer(it);
-        dial(it, member.address);
+    for (const SilentPeer &it : m_watch.silent(now, expected)) {
+        const DirectoryMember &member = m_directory.members().at(it.process);
+        if (it.isNew)
+            spdlog::info("event=peer-silent peer={} address={}", it.process.value, member.address);
+        m_messages->removePeer(it.process);
+        dial(it.process, member.address);
     }
     for (const ProcessId it : m_watch.gone(now)) {
         if (!m_directory.members().contains(it))
--- a/daemons/ctl/main.cpp
+++ b/daemons/ctl/main.cpp
@@ -5,6 +5,7 @@
 #include <random>
 #include <thread>
 
+#include <boost/json/serialize.hpp>
 #include <boost/program_options.hpp>
 
 #include "Configure.h"
@@ -13,6 +14,7 @@
 #include "acaciafork/operators/client/BeastTransport.h"
 #include "acaciafork/operators/client/ControlClient.h"
 #include "acaciafork/operators/client/CtlCommand.h"
+#include "acaciafork/operators/client/Explain.h"
 
 namespace {
 
@@ -35,6 +37,8 @@
     std::uint64_t expectedVersion = 0;
     bool hasExpectedVersion = false;
     std::int64_t deadlineSeconds = 0;
+    /// Files with the processes' logs.
+    std::vector<std::string> logs;
     operators::CtlArguments arguments;
 };
 
@@ -76,6 +80,8 @@
     add("member-address", po::value(&arguments.memberAddress), "its host:port for peers");
     add("replaced", po::value(&arguments.replaced), "id of the member that goes");
     add("query", po::value(&arguments.query), "field of the query, key=value");
+    add("logs", po::value(&options->logs)->multitoken(),
+        "explain: files with the logs of the processes");
     add("chrome", po::bool_switch(&arguments.chrome), "time line as Chrome trace-event JSON");
     return description;
 }
@@ -89,6 +95,7 @@
         std::cout << line << it.meaning << '\n';
     }
     std::cout << "  timeline                  events of all processes, in order of cause\n"
+              << "  explain ID --logs FILE... what became of a job, and why, from the logs\n"
               << "  configure                 the questionnaire; writes settings for every role\n\n"
               << description;
 }
@@ -160,6 +167,24 @@
     return {};
 }
 
+/// Explains a job from log files.
+Result<void> explainJob(const CtlOptions &options)
+{
+    if (options.arguments.words.size() != 2 || options.logs.empty())
+        return fail(FailureKind::InvalidArgument, "explain takes the id of a job and --logs");
+    std::vector<std::string> logs;
+    for (const std::string &it : options.logs) {
+        BOOST_LEAF_AUTO(text, readFile(it));
+        logs.push_back(std::move(text));
+    }
+    const operators::Explanation explanation =
+            operators::explain(options.arguments.words.back(), logs);
+    std::cout << (options.output == "json"
+                          ? boost::json::serialize(operators::explanationJson(explanation)) + '\n'
+                          : operators::explanationText(explanation));
+    return {};
+}
+
 Result<int> run(CtlOptions options)
 {
     if (options.arguments.words == std::vector<std::string> { "configure" }) {
@@ -171,6 +196,11 @@
         return settled.error();
     if (options.checkSettings)
         return 0;
+    if (!options.arguments.words.empty() && options.arguments.words.front() == "explain") {
+        if (auto done = explainJob(options); !done)
+            return done.error();
+        return 0;
+    }
     if (auto done = runRemote(std::move(options)); !done)
         return done.error();
     return 0;
--- a/tests/peers/DirectoryTest.cpp
+++ b/tests/peers/DirectoryTest.cpp
@@ -88,9 +88,15 @@
     CHECK(watch.silent(start + 1400ms, expected).empty());
     CHECK(watch.silent(start + 1500ms, expected).size() == 1);
     CHECK(watch.silent(start + 1600ms, expected).empty());
-    CHECK(watch.silent(start + 3s, expected).size() == 1);
-    watch.heard(start + 3s, { 2 });
+    const std::vector<SilentPeer> again = watch.silent(start + 3s, expected);
+    REQUIRE(again.size() == 1);
+    CHECK_FALSE(again.front().isNew);
+    CHECK(watch.heard(start + 3s, { 2 }));
+    CHECK_FALSE(watch.heard(start + 3s, { 2 }));
     CHECK(watch.silent(start + 4s, expected).empty());
+    const std::vector<SilentPeer> second = watch.silent(start + 5s, expected);
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().isNew);
 }
 
 TEST_CASE("a call that no leader was known for is refused, one that was sent twice is marked")
