Mend gangs: one count of failures, one checkpoint, broken at once; test gangs, labels, occurrences

JobWorld now plays gangs (whole or not at work, broken, alone), labels, racks and times, and checks labels, most tasks on one worker, due times and the members' checkpoints.

--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -31,6 +31,8 @@
     Size roomBefore;
     /// How long the task had been ready.
     Duration waited {};
+    /// Without an answer by then the start counts as unanswered.
+    Duration timeout {};
 };
 
 /// Stops a run. JobScheduler::stopAnswered() follows.
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -106,9 +106,9 @@
     job->isInherited = isInherited;
     if (!isInherited)
         job->acceptedAt = at.now;
-    job->objectiveAt = job->acceptedAt + job->objective;
     std::uint32_t tasks = 0;
     for (Step &it : job->steps) {
+        it.dueAt = job->acceptedAt;
         it.image = m_interference.intern(it.spec->image);
         tasks += it.spec->count;
     }
@@ -134,14 +134,17 @@
 void JobScheduler::startDueOccurrences(Moment at)
 {
     while (!m_due.empty() && m_due.begin()->first <= at.wallMicroseconds) {
+        const std::int64_t dueUs = m_due.begin()->first;
         const Due due = m_due.begin()->second;
         m_due.erase(m_due.begin());
         Job *job = m_jobs.find(due.job);
         if (job == nullptr || job->phase != JobPhase::Active)
             continue;
         for (Step &it : job->steps) {
-            if (it.occurrence == due.occurrence)
-                it.isHeld = false;
+            if (it.occurrence != due.occurrence)
+                continue;
+            it.isHeld = false;
+            it.dueAt = at.now - Duration(at.wallMicroseconds - dueUs);
         }
         openSteps(at.now, job, due.occurrence);
     }
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -29,6 +29,9 @@
     Duration watchedHoldWait = std::chrono::milliseconds(500);
     /// Pause before ends are confirmed to a worker that runs nothing.
     Duration idleConfirm = std::chrono::milliseconds(500);
+    /// Longest wait for the answer to a start. Workers answer within milliseconds or not at all,
+    /// and a start without an answer is stopped before its task goes elsewhere.
+    Duration startTimeout = std::chrono::milliseconds(400);
     /// Pause before an unanswered renewal or stop is sent again.
     Duration retryPause = std::chrono::milliseconds(200);
     /// Longest time that a worker takes for a stop; until then a run that it does not list may
@@ -163,6 +166,8 @@
 
     void takeEnd(Timestamp now, Worker *worker, const EndedRow &row);
     void taskDone(Timestamp now, TaskRef task, RunNumber run, Worker *worker);
+    void markDone(Timestamp now, TaskRef task, RunNumber run, Worker *worker);
+    void dropFromReady(TaskRef task);
     void taskFailed(Timestamp now, TaskRef task, RunNumber run, Worker *worker);
     void takeRunning(Timestamp now, Worker *worker, const HoldAnswer &answer);
     void settleUnlisted(Timestamp now, Worker *worker, const HoldAnswer &answer);
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -55,15 +55,28 @@
     worker->isLifeSure = worker->isLifeSure && !worker->runs.empty();
     worker->runs.push_back(run);
     worker->reserve(*ref.step);
+    ref.step->rack = worker->life.rack;
     ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     ++m_counts.started;
     m_commands.emplace_back(StartRun { .target = targetOf(*worker),
                                        .run = run.key(),
                                        .leaseEndMs = worker->lease.grant(now, m_settings.lease),
-                                       .checkpoint = task.checkpoint,
+                                       .checkpoint = ref.step->checkpointOf(task),
                                        .roomBefore = roomBefore,
-                                       .waited = now - ref.step->readyAt });
+                                       .waited = now - ref.step->readyAt,
+                                       .timeout = m_settings.startTimeout });
+}
+
+void JobScheduler::dropFromReady(TaskRef ref)
+{
+    Task &task = ref.get();
+    if (!task.isReady)
+        return;
+    task.isReady = false;
+    std::erase(ref.step->ready, ref.task);
+    if (ref.step->ready.empty())
+        m_order.erase(ref.step);
 }
 
 bool JobScheduler::adoptRun(Timestamp now, TaskRef ref, const RunningRow &row, Worker *worker)
@@ -81,12 +94,8 @@
                         .startedAt = now,
                         .confirmedAt = now };
     task.lastRun = std::max(task.lastRun, row.run.run);
-    if (task.isReady) {
-        task.isReady = false;
-        std::erase(ref.step->ready, ref.task);
-        if (ref.step->ready.empty())
-            m_order.erase(ref.step);
-    }
+    ref.step->noteCheckpoint(&task, row.checkpoint);
+    dropFromReady(ref);
     worker->runs.push_back({ .task = ref, .slot = slot });
     worker->reserve(*ref.step);
     ref.step->job->hasBegun = true;
@@ -150,6 +159,9 @@
         ++m_counts.unanswered;
         worker->avoidUntil = std::max(worker->avoidUntil, now + m_settings.avoidAfterRefusal);
         requestStop(now, ref, "start-unanswered");
+        // The others would wait in vain until their workers give up.
+        if (ref.task.step->spec->gang)
+            breakGang(now, ref.task.step, "member-unanswered");
         return;
     }
 
@@ -202,8 +214,9 @@
     if (row.end != RunEnd::Done || !task.get().done)
         note("run-ended", row.run, worker,
              "end=" + std::string(runEndName(row.end)) + " number=" + std::to_string(row.number));
-    if (!row.checkpoint.empty() && isOurs)
-        task.get().checkpoint = row.checkpoint;
+    // Also of a run that an earlier leader began, if no later one is known.
+    if (isOurs || row.run.run >= task.get().lastRun)
+        task.step->noteCheckpoint(&task.get(), row.checkpoint);
     task.get().lastRun = std::max(task.get().lastRun, row.run.run);
 
     Step *step = task.step;
@@ -242,30 +255,14 @@
         requeue(now, ref);
         return;
     }
-    if (step->spec->gang) {
-        for (std::uint32_t it = 0; it < step->tasks.size(); ++it) {
-            Task &member = step->tasks[it];
-            if (member.done || it == ref.task)
-                continue;
-            member.done = true;
-            --step->left;
-            --job->tasksLeft;
-            recordEnd(now, { .task = step->key(it), .run = run }, false, worker);
-        }
-    }
     Task &task = ref.get();
     if (task.done)
         return;
-    task.done = true;
-    ++m_counts.done;
-    --step->left;
-    --job->tasksLeft;
-    recordEnd(now, { .task = ref.key(), .run = run }, false, worker);
-    if (task.isReady) {
-        task.isReady = false;
-        std::erase(step->ready, ref.task);
-        if (step->ready.empty())
-            m_order.erase(step);
+    markDone(now, ref, run, worker);
+    // One member's end tells of all.
+    for (std::uint32_t it = 0; step->spec->gang && it < step->tasks.size(); ++it) {
+        if (!step->tasks[it].done)
+            markDone(now, { .step = step, .task = it }, run, worker);
     }
     for (std::size_t slot = 0; slot < mostRuns; ++slot) {
         const RunRef other { .task = ref, .slot = slot };
@@ -290,6 +287,16 @@
     }
 }
 
+void JobScheduler::markDone(Timestamp now, TaskRef ref, RunNumber run, Worker *worker)
+{
+    ref.get().done = true;
+    ++m_counts.done;
+    --ref.step->left;
+    --ref.step->job->tasksLeft;
+    recordEnd(now, { .task = ref.key(), .run = run }, false, worker);
+    dropFromReady(ref);
+}
+
 void JobScheduler::taskFailed(Timestamp now, TaskRef ref, RunNumber run, Worker *worker)
 {
     Task &task = ref.get();
@@ -321,6 +328,15 @@
     }
     task.failedRuns.push_back(run.value);
     recordEnd(now, { .task = ref.key(), .run = run }, true, worker);
+    if (step->spec->gang) {
+        // The gang has failed as a whole: whichever member it was next time, it counts for all.
+        for (std::uint32_t it = 0; it < step->tasks.size(); ++it) {
+            if (it == ref.task)
+                continue;
+            step->tasks[it].failedRuns.push_back(run.value);
+            recordEnd(now, { .task = step->key(it), .run = run }, true, worker);
+        }
+    }
     if (task.failedRuns.size() < job->mostAttempts) {
         requeue(now, ref);
         return;
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -267,8 +267,7 @@
             run.confirmedAt = std::max(run.confirmedAt, answer.sentAt);
         run.load = row.load;
         run.progress = row.percent;
-        if (!row.checkpoint.empty())
-            task.get().checkpoint = row.checkpoint;
+        task.step->noteCheckpoint(&task.get(), row.checkpoint);
     }
 }
 
--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -9,6 +9,15 @@
     return { .job = job->id, .occurrence = occurrence, .step = number, .task = task };
 }
 
+void Step::noteCheckpoint(Task *task, const std::string &checkpoint)
+{
+    if (checkpoint.empty())
+        return;
+    task->checkpoint = checkpoint;
+    if (spec->gang)
+        gangCheckpoint = checkpoint;
+}
+
 Duration objectiveOf(const JobSpec &spec, const QueueSpec &queue)
 {
     const auto chain = static_cast<double>(spec.criticalPath().count());
@@ -28,7 +37,6 @@
     const Duration age = std::max(Duration {}, Duration(wallUs - view.submittedUs));
     job->acceptedAt = now - age;
     job->objective = objectiveOf(*view.spec, queue);
-    job->objectiveAt = job->acceptedAt + job->objective;
 
     const std::vector<Duration> paths = view.spec->remainingPaths();
     const std::uint32_t occurrences = view.spec->occurrences();
@@ -43,6 +51,7 @@
             step.occurrence = occurrence;
             step.number = number;
             step.readyAt = now;
+            step.dueAt = job->acceptedAt;
             step.remainingPath = paths[number];
             step.tasks.resize(spec.count);
             for (Task &it : step.tasks) {
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -88,6 +88,12 @@
     bool isHeld = false;
     /// Since when its tasks may start.
     Timestamp readyAt;
+    /// When its occurrence became due; of a job that runs once, when the job was accepted.
+    Timestamp dueAt;
+    /// Of a gang: newest checkpoint of any member, which all members start from.
+    std::string gangCheckpoint;
+    /// Where its first task of late went, for steps that belong on one rack; empty for nowhere.
+    RackName rack;
     std::vector<Task> tasks;
     /// Numbers of tasks that wait for a worker.
     std::deque<std::uint32_t> ready;
@@ -101,6 +107,13 @@
 
     [[nodiscard]] bool mayStart() const { return awaited == 0 && !isHeld; }
     [[nodiscard]] TaskKey key(std::uint32_t task) const;
+    /// What the next run of a task goes on from; empty for its beginning.
+    [[nodiscard]] const std::string &checkpointOf(const Task &task) const
+    {
+        return spec->gang ? gangCheckpoint : task.checkpoint;
+    }
+    /// A run of a task has shown a checkpoint; empty ones say nothing.
+    void noteCheckpoint(Task *task, const std::string &checkpoint);
 };
 
 /// Where a job stands for the scheduler.
@@ -124,8 +137,7 @@
     JobPhase phase = JobPhase::Active;
     /// When it was accepted, on this process's clock.
     Timestamp acceptedAt;
-    /// When its objective is reached or missed; of a scheduled job that of the first occurrence.
-    Timestamp objectiveAt;
+    /// Time that it has from its acceptance, or from each time that it is due.
     Duration objective {};
     /// It was accepted before this tenure: its tasks may run somewhere already.
     bool isInherited = false;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -107,6 +107,8 @@
         score -= disturbancePenalty * disturbance(worker, step);
     if (!spec.dataRack.value.empty() && worker.life.rack != spec.dataRack)
         score -= wrongRackPenalty;
+    if (spec.sameRack && !step.rack.value.empty() && worker.life.rack != step.rack)
+        score -= wrongRackPenalty;
     if (task.failedAt == worker.id)
         score -= failedHerePenalty;
     if (worker.failuresInRow >= m_settings.suspectAfter)
--- a/acaciafork/decisions/jobs/StepOrder.cpp
+++ b/acaciafork/decisions/jobs/StepOrder.cpp
@@ -8,14 +8,14 @@
     Place place { .band = 0,
                   .priority = job.priority,
                   .lasts = step.spec->longRunning,
-                  .startBy = job.objectiveAt - step.remainingPath,
+                  .startBy = step.dueAt + job.objective - step.remainingPath,
                   .job = job.id,
                   .step = static_cast<std::uint32_t>(&step - job.steps.data()) };
     // A task that lasts earns from its start on and is never too late.
-    if (step.spec->longRunning || step.occurrence > 0)
+    if (step.spec->longRunning)
         return place;
     if (now > place.startBy) {
-        const Timestamp worthless = job.acceptedAt + job.objective * lateFactor;
+        const Timestamp worthless = step.dueAt + job.objective * lateFactor;
         place.band = now + step.remainingPath <= worthless ? 1 : 2;
     }
     return place;
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -13,6 +13,10 @@
 constexpr Duration commitDelay = 6ms;
 constexpr Duration beatInterval = 1100ms;
 constexpr Duration orderTimeout = 800ms;
+/// A member of a gang waits this long for the others.
+constexpr Duration gangTimeout = 3s;
+/// A task may start this long before it is due.
+constexpr std::int64_t earlyUs = 250'000;
 /// A stop takes this long; a run that stops is on no list meanwhile.
 constexpr Duration stopLength = 390ms;
 /// A draining worker may get a start that was on its way; later ones are a breach.
@@ -65,6 +69,8 @@
                        .born = { born },
                        .pool = "pool",
                        .address = name,
+                       .labels = labels,
+                       .rack = { labels.empty() ? std::string() : labels.back() },
                        .capacity = capacity,
                        .draining = draining },
              .sequence = ++sequence,
@@ -74,8 +80,10 @@
 void FakeWorker::end(const jobs::TaskKey &task, jobs::RunEnd how)
 {
     const auto it = running.find(task);
-    ended.push_back(
-            { .number = ++lastEnd, .run = { .task = task, .run = it->second.run }, .end = how });
+    ended.push_back({ .number = ++lastEnd,
+                      .run = { .task = task, .run = it->second.run },
+                      .end = how,
+                      .checkpoint = it->second.checkpoint });
     if (how == jobs::RunEnd::Done)
         done.push_back(task);
     running.erase(it);
@@ -85,7 +93,8 @@
 {
     std::vector<jobs::TaskKey> over;
     for (const auto &[task, it] : running) {
-        if ((!it.lasts || it.stopping) && now >= it.endsAt)
+        const bool endsByItself = !it.lasts && !it.isMember;
+        if ((endsByItself || it.stopping) && now >= it.endsAt)
             over.push_back(task);
     }
     for (const jobs::TaskKey &it : over) {
@@ -118,6 +127,8 @@
                                              jobs::Size { .millicores = options.workerMillicores,
                                                           .memoryMb = options.workerMemoryMb }));
         m_workers.back()->bornAt = m_now;
+        m_workers.back()->labels = { it % 2 == 0 ? "even" : "odd",
+                                     "rack-" + std::to_string(it / 2) };
     }
     newDriver();
     m_driver->start(moment());
@@ -199,6 +210,7 @@
             m_done.insert(it->done.begin(), it->done.end());
             it->done.clear();
         }
+        advanceGangs();
         while (!m_events.empty() && m_events.begin()->first <= m_now) {
             const auto fn = std::move(m_events.begin()->second);
             m_events.erase(m_events.begin());
@@ -314,6 +326,7 @@
     auto worker =
             std::make_unique<FakeWorker>(old.name, old.born + 100'000, old.clockRate, old.capacity);
     worker->bornAt = m_now;
+    worker->labels = old.labels;
     m_workers[i] = std::move(worker);
 }
 
@@ -377,7 +390,7 @@
 {
     const WorkerAnswer answer { .worker = command.target.worker, .tenure = tenure };
     order(
-            command.target, orderTimeout,
+            command.target, command.timeout,
             [this, command, tenure](FakeWorker &worker) {
                 return startAt(worker, command, tenure);
             },
@@ -425,7 +438,11 @@
                              .endsAt = m_now + std::chrono::milliseconds(taskStep.estimate_ms()),
                              .size = size,
                              .fails = chance(m_options.faults.runFails),
-                             .lasts = taskStep.long_running() };
+                             .lasts = taskStep.long_running(),
+                             .isMember = taskStep.gang(),
+                             .isAtWork = !taskStep.gang(),
+                             .waitsUntil = m_now + gangTimeout,
+                             .checkpoint = command.checkpoint };
     return jobs::OrderOutcome::Done;
 }
 
@@ -507,6 +524,7 @@
                 for (const auto &[task, it] : worker.running) {
                     if (!it.stopping)
                         lists->running.push_back({ .run = { .task = task, .run = it.run },
+                                                   .checkpoint = it.checkpoint,
                                                    .percent = it.lasts ? 100 : 0 });
                 }
                 return jobs::OrderOutcome::Done;
@@ -518,6 +536,58 @@
             });
 }
 
+// ---- gangs
+
+void JobWorld::advanceGangs()
+{
+    /// A member and where it runs.
+    struct Member
+    {
+        FakeWorker *worker;
+        jobs::TaskKey task;
+        FakeWorker::Running *run;
+    };
+    std::map<std::pair<jobs::TaskKey, std::uint64_t>, std::vector<Member>> gangs;
+    for (const auto &worker : m_workers) {
+        for (auto &[task, it] : worker->running) {
+            if (!worker->isUp || !it.isMember || it.stopping)
+                continue;
+            jobs::TaskKey first = task;
+            first.task = 0;
+            gangs[{ first, it.run.value }].push_back({ worker.get(), task, &it });
+        }
+    }
+    for (auto &[key, members] : gangs) {
+        const wire::JobSpec &spec = m_specs.at(key.first.job.value);
+        const wire::JobStep &taskStep = spec.steps(static_cast<int>(key.first.step));
+        const bool isWhole = members.size() == taskStep.count();
+        const bool isAtWork =
+                std::ranges::any_of(members, [](const Member &it) { return it.run->isAtWork; });
+        const bool fails =
+                std::ranges::any_of(members, [](const Member &it) { return it.run->fails; });
+        for (const Member &it : members) {
+            if (isAtWork && !isWhole) {
+                it.worker->end(it.task, jobs::RunEnd::Broken);
+            } else if (!isAtWork && isWhole) {
+                it.run->isAtWork = true;
+                it.run->endsAt = m_now + std::chrono::milliseconds(taskStep.estimate_ms());
+            } else if (isAtWork && m_now >= it.run->endsAt) {
+                const bool isCulprit = it.run->fails;
+                it.worker->end(it.task,
+                               isCulprit       ? jobs::RunEnd::Failed
+                                       : fails ? jobs::RunEnd::Broken
+                                               : jobs::RunEnd::Done);
+            } else if (!isAtWork && m_now >= it.run->waitsUntil) {
+                ++m_aloneEnds;
+                it.worker->end(it.task, jobs::RunEnd::Alone);
+            } else if (isAtWork) {
+                // Each member shows the gang's progress in words of its own.
+                it.run->checkpoint = fmt::format("{}@{}", it.task.task, it.run->run.value);
+            }
+        }
+    }
+}
+
 // ---- what must hold
 
 void JobWorld::breach(std::string what)
@@ -545,6 +615,15 @@
                 breach("start of " + nameOf(task) + " before " + nameOf(key));
         }
     }
+    checkStep(worker, task, spec);
+    if (taskStep.gang()) {
+        jobs::TaskKey gang = task;
+        gang.task = 0;
+        const auto [it, isFirst] =
+                m_gangCheckpoints.try_emplace({ gang, command.run.run.value }, command.checkpoint);
+        if (!isFirst && it->second != command.checkpoint)
+            breach("members of " + nameOf(gang) + " go on from different checkpoints");
+    }
     const auto failures = m_failuresNoted.find(task);
     if (failures != m_failuresNoted.end()
         && failures->second.size() >= m_attempts.at(task.job.value))
@@ -557,4 +636,24 @@
         breach("start of " + nameOf(task) + " on draining " + worker.name);
 }
 
+void JobWorld::checkStep(const FakeWorker &worker, const jobs::TaskKey &task,
+                         const wire::JobSpec &spec)
+{
+    const wire::JobStep &taskStep = spec.steps(static_cast<int>(task.step));
+    if (!taskStep.label().empty()
+        && std::ranges::find(worker.labels, taskStep.label()) == worker.labels.end())
+        breach("start of " + nameOf(task) + " on " + worker.name + " without its label");
+    const auto sameStep = [&](const auto &it) {
+        return it.first.job == task.job && it.first.occurrence == task.occurrence
+                && it.first.step == task.step && it.first.task != task.task;
+    };
+    if (taskStep.most_per_worker() > 0
+        && std::ranges::count_if(worker.running, sameStep) >= taskStep.most_per_worker())
+        breach("start of " + nameOf(task) + " beside too many of its step");
+    const std::int64_t dueUs =
+            (spec.schedule().first_ms() + spec.schedule().interval_ms() * task.occurrence) * 1000;
+    if (spec.has_schedule() && m_wallUs < dueUs - earlyUs)
+        breach("start of " + nameOf(task) + " before its time");
+}
+
 } // namespace acaciafork::control
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -50,6 +50,11 @@
         jobs::Size size;
         bool fails = false;
         bool lasts = false;
+        /// A member of a gang: it works once all are there, and waits for them until `waitsUntil`.
+        bool isMember = false;
+        bool isAtWork = true;
+        Timestamp waitsUntil;
+        std::string checkpoint;
         /// It was told to stop and ends at `endsAt`; no list shows it until then.
         bool stopping = false;
         std::int64_t percent = 100;
@@ -77,6 +82,7 @@
     bool hasLease = false;
     std::map<jobs::TaskKey, Running> running;
     std::map<jobs::TaskKey, std::uint64_t> lastRun;
+    std::vector<std::string> labels;
     std::vector<jobs::EndedRow> ended;
     std::uint64_t lastEnd = 0;
     /// Tasks that have ended as done since the world last looked.
@@ -128,6 +134,8 @@
     /// How often runs of a task have ended as done.
     [[nodiscard]] int doneEnds(const jobs::TaskKey &task) const;
     [[nodiscard]] std::uint64_t starts() const { return m_starts; }
+    /// Runs of gangs that ended since the others did not come.
+    [[nodiscard]] int aloneEnds() const { return m_aloneEnds; }
     [[nodiscard]] std::uint64_t rejectedForRoom() const { return m_noRoom; }
 
 private:
@@ -157,6 +165,9 @@
     jobs::OrderOutcome startAt(FakeWorker &worker, const jobs::StartRun &order,
                                jobs::Tenure tenure);
     void checkStart(const FakeWorker &worker, const jobs::StartRun &order);
+    void checkStep(const FakeWorker &worker, const jobs::TaskKey &task, const wire::JobSpec &spec);
+    /// Lets gangs begin that are whole, and ends those that are done, broken or alone.
+    void advanceGangs();
     void breach(std::string what);
     void beat();
 
@@ -181,9 +192,12 @@
     std::set<jobs::TaskKey> m_done;
     std::map<jobs::TaskKey, int> m_doneEnds;
     std::map<jobs::TaskKey, std::set<std::uint64_t>> m_failuresNoted;
+    /// What the members of each run of a gang went on from.
+    std::map<std::pair<jobs::TaskKey, std::uint64_t>, std::string> m_gangCheckpoints;
     std::vector<std::string> m_breaches;
     std::uint64_t m_starts = 0;
     std::uint64_t m_noRoom = 0;
+    int m_aloneEnds = 0;
     Timestamp m_nextBeat;
 };
 
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -21,6 +21,13 @@
     return spec;
 }
 
+wire::JobSpec gangOf(std::uint32_t count, std::uint64_t millicores, std::uint32_t estimateMs)
+{
+    wire::JobSpec spec = simpleJob(count, millicores, estimateMs);
+    spec.mutable_steps(0)->set_gang(true);
+    return spec;
+}
+
 std::string joined(const std::vector<std::string> &breaches)
 {
     std::string text;
@@ -235,6 +242,142 @@
     }
 }
 
+TEST_CASE("a gang runs together or not at all, and its failures count for all")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .seed = seed });
+        world.run(2s);
+        world.submit(7, gangOf(5, 2000, 600));
+        world.run(3s);
+        CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
+        CHECK(world.starts() == 5);
+        CHECK(world.aloneEnds() == 0);
+
+        // A gang that always fails is over after as many runs of it as its queue allows.
+        world.faults().runFails = 1;
+        world.submit(8, gangOf(3, 2000, 200));
+        world.run(10s);
+        CHECK(world.stateOf(8) == wire::JOB_STATE_FAILED);
+        CHECK(world.starts() == 5 + 3 * 4);
+        CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+    }
+}
+
+TEST_CASE("a gang that does not fit waits, and takes nothing meanwhile")
+{
+    JobWorld world({ .workers = 3 });
+    world.run(2s);
+    world.submit(1, simpleJob(3, 5000, 2000));
+    world.run(100ms);
+    world.submit(2, gangOf(6, 4000, 300));
+    world.run(1s);
+    CHECK(world.starts() == 3);
+    world.run(4s);
+    CHECK(world.stateOf(2) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.aloneEnds() == 0);
+    CHECK(world.rejectedForRoom() == 0);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("a gang whose member gets no answer is broken at once, not after its members have waited")
+{
+    JobWorld world({ .workers = 4 });
+    world.run(2s);
+    world.cut(1, true);
+    world.submit(7, gangOf(4, 6000, 300));
+    world.run(3500ms);
+    CHECK(world.aloneEnds() == 0);
+    world.cut(1, false);
+    world.run(10s);
+    CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("a task starts only where its label is, and no more of a step than allowed on one worker")
+{
+    JobWorld world({});
+    world.run(2s);
+    wire::JobSpec spec = simpleJob(9, 1000, 300);
+    spec.mutable_steps(0)->set_label("odd");
+    spec.mutable_steps(0)->set_most_per_worker(2);
+    world.submit(7, spec);
+    world.run(3s);
+    CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.starts() == 9);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("a scheduled job runs at each of its times, also under another leader")
+{
+    JobWorld world({});
+    world.run(2s);
+    wire::JobSpec spec = twoSteps(200);
+    const std::int64_t firstMs = world.moment().wallMicroseconds / 1000 + 1000;
+    spec.mutable_schedule()->set_first_ms(firstMs);
+    spec.mutable_schedule()->set_interval_ms(1500);
+    spec.mutable_schedule()->set_times(4);
+    world.submit(7, spec);
+    world.run(900ms);
+    CHECK(world.starts() == 0);
+    world.run(1s);
+    CHECK(world.starts() == 6);
+    world.changeLeader(500ms);
+    world.run(2s);
+    CHECK(world.stateOf(7) == wire::JOB_STATE_ACTIVE);
+    world.run(6s);
+    CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.starts() == 24);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("gangs, labels and occurrences hold under faults and changes of leader")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .faults = { .answerLost = 0.03,
+                                     .carriedOutLate = 0.03,
+                                     .orderLost = 0.02,
+                                     .runFails = 0.02 },
+                         .seed = seed });
+        RandomGenerator random(seed * 104'729);
+        const auto draw = [&](std::uint64_t n) { return random() % n; };
+        world.run(2s);
+        std::uint64_t id = 0;
+        for (int round = 0; round < 20; ++round) {
+            wire::JobSpec spec = gangOf(2 + static_cast<std::uint32_t>(draw(5)), 1500, 400);
+            if (draw(3) == 0)
+                spec.mutable_steps(0)->set_label("even");
+            if (draw(3) == 0) {
+                wire::JobSchedule *schedule = spec.mutable_schedule();
+                schedule->set_first_ms(world.moment().wallMicroseconds / 1000 + 500);
+                schedule->set_interval_ms(700);
+                schedule->set_times(3);
+            }
+            world.submit(++id, spec);
+            if (draw(6) == 0)
+                world.crash(draw(6));
+            if (draw(5) == 0) {
+                world.changeLeader(300ms + Duration(draw(1'000'000)));
+                world.run(2s);
+            }
+            world.run(Duration(200'000 + draw(400'000)));
+        }
+        world.faults() = {};
+        for (std::size_t it = 0; it < 6; ++it) {
+            if (!world.worker(it).isUp)
+                world.revive(it);
+        }
+        world.run(40s);
+        for (std::uint64_t it = 1; it <= id; ++it) {
+            CAPTURE(it);
+            if (world.statusOf(it) == 200)
+                CHECK(world.stateOf(it) != wire::JOB_STATE_ACTIVE);
+        }
+        CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+    }
+}
+
 TEST_CASE("a run that is told to stop counts as at work until it has had the time to stop")
 {
     // Found by a hunt on furiko-ops (scale-1 seed 172074392308): a start was not answered, its stop
--- a/tests/decisions/jobs/PolicyTest.cpp
+++ b/tests/decisions/jobs/PolicyTest.cpp
@@ -174,8 +174,8 @@
 
 TEST_CASE("filling tasks take what serving ones leave on average, at a pool full of reservations")
 {
-    // scale-1 of furiko-ops: 1,500 of 1,600 cores were reserved by serving tasks, filling ones waited
-    // with a third of the cores idle.
+    // scale-1 of furiko-ops: 1,500 of 1,600 cores were reserved by serving tasks, filling ones
+    // waited with a third of the cores idle.
     TailInterference interference;
     const Placer placer({}, &interference);
     JobTable jobs;
