Ask an advisor where steps of a queue may run, and show its permits to workers

Cause: a queue whose policy only an outside advisor knows was scheduled without permits; every start of it would have been refused. Change: StepPermits (pure: whom to ask, what was answered, per life of a worker and time), two questions at a time since the advisor works on one, workers that were refused not named again; AdvisorClient in platform/; StartRun carries the permit; a refused permit is asked for again. Ruled out: asking for all workers at once (its answer takes longer for each) and asking when a job is accepted (permits may end before a later step begins).

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -72,6 +72,7 @@
     m_views = std::make_unique<ControlViews>(m_settings.cluster, self(), m_node.get(),
                                              m_timeline.get(), &m_counters);
     m_node->jobs().setOrders(m_orders);
+    m_node->jobs().setAdvisor(m_advisor);
     m_views->setStatus([this] { return m_replica->status(net::Loop::now()); });
     m_api = std::make_unique<operators::OperatorApi>(
             operators::tokenDigest(operators::trimmedToken(token)), m_node->state(), *m_views);
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -35,6 +35,8 @@
     /// @{
     /// Where orders to the workers of jobs go; set before start().
     void setWorkerOrders(WorkerOrders *orders) { m_orders = orders; }
+    /// Who is asked which workers may run a step; before start().
+    void setAdvisor(PlacementAdvisor *advisor) { m_advisor = advisor; }
     /// host:port under which other members name this one to operators and workers; set before
     /// start().
     void setControlAddress(std::string address) { m_controlAddress = std::move(address); }
@@ -95,6 +97,7 @@
     ProcessId m_self;
     bool m_mayFound = false;
     WorkerOrders *m_orders = nullptr;
+    PlacementAdvisor *m_advisor = nullptr;
     std::string m_controlAddress;
     Incarnation m_incarnation;
     CounterRegistry m_counters;
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -34,6 +34,8 @@
     /// `host:port` of the binding's interfaces, where it is not the product's own.
     std::string bindingControl;
     std::string bindingMetrics;
+    /// `host:port` of the advisor on where steps may run; empty for none.
+    std::string bindingAdvisor;
 
     /// Timing of the agreement, and when a lost member is replaced: sections of their own.
     consensus::NodeSettings agreement;
--- a/acaciafork/control/JobCodec.cpp
+++ b/acaciafork/control/JobCodec.cpp
@@ -47,12 +47,17 @@
 
 jobs::QueueSpec toJobs(const wire::Queue &queue)
 {
-    return { .name = queue.name(),
-             .pool = queue.pool(),
-             .priority = queue.priority(),
-             .mostAttempts = queue.most_attempts(),
-             .stretch = queue.stretch(),
-             .objective = std::chrono::milliseconds(queue.objective_ms()) };
+    jobs::QueueSpec spec { .name = queue.name(),
+                           .pool = queue.pool(),
+                           .priority = queue.priority(),
+                           .mostAttempts = queue.most_attempts(),
+                           .stretch = queue.stretch(),
+                           .objective = std::chrono::milliseconds(queue.objective_ms()) };
+    if (queue.has_advice())
+        spec.advice = { .decision = std::chrono::milliseconds(queue.advice().decision_ms()),
+                        .perWorker = std::chrono::milliseconds(queue.advice().per_worker_ms()),
+                        .validity = std::chrono::milliseconds(queue.advice().validity_ms()) };
+    return spec;
 }
 
 jobs::JobView toJobs(const state::Job &job)
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -73,6 +73,15 @@
     {
         driver.m_orders->hold(command, driver.m_tenure);
     }
+    void operator()(const jobs::AskPermits &command) const
+    {
+        if (driver.m_advisor != nullptr) {
+            driver.m_advisor->ask(command, driver.m_tenure);
+            return;
+        }
+        spdlog::warn("event=advisor-missing job={:016x}", command.step.job.value);
+        driver.permitsAnswered(at, { .step = command.step, .tenure = driver.m_tenure });
+    }
     void operator()(const jobs::RecordEnds &command) const
     {
         wire::Command proposal;
@@ -481,4 +490,11 @@
         m_scheduler.holdAnswered(at, answer.worker, wasQuick, answer.outcome, lists);
 }
 
+void JobDriver::permitsAnswered(Moment at, const PermitAnswer &answer)
+{
+    if (isOf(answer.tenure))
+        m_scheduler.permitsAnswered(at, answer.step, answer.isAnswered ? &answer.good : nullptr,
+                                    answer.validity);
+}
+
 } // namespace acaciafork::control
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -31,6 +31,9 @@
     /// Where orders go; without one nothing is scheduled.
     void setOrders(WorkerOrders *orders) { m_orders = orders; }
 
+    /// Who knows which workers may run a step; without one, queues with such a policy wait.
+    void setAdvisor(PlacementAdvisor *advisor) { m_advisor = advisor; }
+
     /// This member leads from now on; the scheduler begins once its tenure is committed.
     void start(Moment at);
     void stop();
@@ -61,6 +64,7 @@
     void startAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run);
     void stopAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run);
     void holdAnswered(Moment at, WorkerAnswer answer, bool wasQuick, const jobs::HoldAnswer *lists);
+    void permitsAnswered(Moment at, const PermitAnswer &answer);
     /// @}
 
     [[nodiscard]] const jobs::JobScheduler &scheduler() const { return m_scheduler; }
@@ -80,6 +84,7 @@
     const state::StateMachine *m_state;
     Propose m_propose;
     WorkerOrders *m_orders = nullptr;
+    PlacementAdvisor *m_advisor = nullptr;
     jobs::JobScheduler m_scheduler;
     jobs::Tenure m_tenure;
     bool m_isActive = false;
--- a/acaciafork/control/JobPorts.h
+++ b/acaciafork/control/JobPorts.h
@@ -3,6 +3,8 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "acaciafork/decisions/jobs/Jobs.h"
 
@@ -32,4 +34,27 @@
     virtual void hold(const jobs::HoldWorker &order, jobs::Tenure tenure) = 0;
 };
 
+/// Answer of the advisor to a question.
+struct PermitAnswer
+{
+    /// Step that was asked about, by its first task.
+    jobs::TaskKey step;
+    jobs::Tenure tenure;
+    bool isAnswered = false;
+    /// Workers that are allowed, with their permits.
+    std::vector<std::pair<WorkerName, std::string>> good;
+    /// How long the permits hold; zero where the answer does not say.
+    Duration validity {};
+};
+
+/// The advisor outside that knows which workers may run a step. Each question's answer goes back to
+/// the JobDriver, once.
+class PlacementAdvisor
+{
+public:
+    virtual ~PlacementAdvisor() = default;
+
+    virtual void ask(const jobs::AskPermits &question, jobs::Tenure tenure) = 0;
+};
+
 } // namespace acaciafork::control
--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -27,6 +27,8 @@
     std::int64_t leaseEndMs = 0;
     /// Where the task goes on from; empty for its beginning.
     std::string checkpoint;
+    /// What the worker wants to see of the queue's policy; empty for none.
+    std::string permit;
     /// Why this worker, for the log: free millicores and memory there before the start.
     Size roomBefore;
     /// How long the task had been ready.
@@ -65,6 +67,16 @@
     bool isQuick = false;
 };
 
+/// Asks the advisor which workers may run a step. JobScheduler::permitsAnswered() follows.
+struct AskPermits
+{
+    /// The step, by its first task.
+    TaskKey step;
+    std::vector<WorkerName> workers;
+    /// Without an answer by then the question counts as unanswered.
+    Duration timeout {};
+};
+
 /// Durable record of how a task ended.
 struct TaskEnd
 {
@@ -118,8 +130,8 @@
 };
 
 /// What the scheduler wants done, in order.
-using Command = std::variant<StartRun, StopRun, PaceRun, HoldWorker, RecordEnds, RecordWorkers,
-                             RecordDisturbance, JobOver, Note>;
+using Command = std::variant<StartRun, StopRun, PaceRun, HoldWorker, AskPermits, RecordEnds,
+                             RecordWorkers, RecordDisturbance, JobOver, Note>;
 using Commands = std::vector<Command>;
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -65,6 +65,7 @@
     m_commands.clear();
     m_isFenced = false;
     m_isTakingOver = false;
+    m_questions = 0;
     m_tenure = {};
 }
 
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -55,6 +55,10 @@
     Duration placementPause = std::chrono::milliseconds(20);
     /// Steps without a worker that are passed over in one round of placement.
     std::size_t mostMisses = 48;
+    /// Most questions to the advisor at a time; it works on one.
+    std::size_t mostQuestions = 2;
+    /// Wait for an answer of the advisor beyond what it takes to decide.
+    Duration adviceSlack = std::chrono::seconds(1);
     PlacerSettings placer;
     TailGuardSettings tails;
 };
@@ -115,6 +119,12 @@
                       const HoldAnswer *answer);
     /// @}
 
+    /// The advisor has answered a question, or has not.
+    /// @param[in] good workers that are allowed, with their permits; null when it has not answered
+    void permitsAnswered(Moment at, const TaskKey &step,
+                         const std::vector<std::pair<WorkerName, std::string>> *good,
+                         Duration validity);
+
     /// Time has passed; every 10 ms.
     void tick(Moment at);
     /// Places what can be placed and hands out everything to be done; once a turn.
@@ -195,6 +205,7 @@
     bool place(Timestamp now);
     bool placeStep(Timestamp now, Step *step);
     bool placeTogether(Timestamp now, Step *step, const RackName *rack);
+    void askPermits(Timestamp now, Step *step);
     void breakGang(Timestamp now, Step *step, std::string_view reason);
 
     JobSchedulerSettings m_settings;
@@ -210,6 +221,8 @@
     StepOrder m_order;
     /// Occurrences by their time on the wall clock.
     std::multimap<std::int64_t, Due> m_due;
+    /// Questions to the advisor that are on their way.
+    std::size_t m_questions = 0;
     bool m_placementDue = false;
     Timestamp m_nextPlacement;
 
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -50,7 +50,7 @@
         if (placeStep(now, step))
             continue;
         ++missed;
-        if (isPlain(*step->spec))
+        if (isPlain(*step->spec) && step->permits == nullptr)
             misses.push_back({ .pool = step->job->pool,
                                .fills = step->spec->fills,
                                .image = step->spec->image,
@@ -79,8 +79,10 @@
     while (!step->ready.empty()) {
         const TaskRef task { .step = step, .task = step->ready.front() };
         Worker *worker = m_placer.choose(now, m_workers, *step, task.get());
-        if (worker == nullptr)
+        if (worker == nullptr) {
+            askPermits(now, step);
             return false;
+        }
         step->ready.pop_front();
         task.get().isReady = false;
         startRun(now, task, worker, nextRun(task.get()));
@@ -89,6 +91,46 @@
     return true;
 }
 
+void JobScheduler::askPermits(Timestamp now, Step *step)
+{
+    if (step->permits == nullptr || m_questions >= m_settings.mostQuestions)
+        return;
+    std::vector<WorkerName> names = step->permits->chooseAsked(now, m_workers, m_placer, *step);
+    if (names.empty())
+        return;
+    ++m_questions;
+    step->permits->asked(names, m_workers);
+    const AdvicePolicy &advice = *step->job->advice;
+    const auto count = static_cast<std::int64_t>(names.size());
+    // Questions before this one are answered first.
+    const Duration work = (advice.decision + advice.perWorker * count)
+            * static_cast<std::int64_t>(m_settings.mostQuestions);
+    note("permits-asked", { .task = step->key(0), .run = {} }, nullptr,
+         "workers=" + std::to_string(count));
+    m_commands.emplace_back(AskPermits { .step = step->key(0),
+                                         .workers = std::move(names),
+                                         .timeout = work + m_settings.adviceSlack });
+}
+
+void JobScheduler::permitsAnswered(Moment at, const TaskKey &key,
+                                   const std::vector<std::pair<WorkerName, std::string>> *good,
+                                   Duration validity)
+{
+    m_questions -= std::min<std::size_t>(m_questions, 1);
+    const TaskRef task = m_jobs.find(key);
+    note("permits-answered", { .task = key, .run = {} }, nullptr,
+         good == nullptr ? "outcome=unanswered" : "good=" + std::to_string(good->size()));
+    m_placementDue = true;
+    if (!task || task.step->permits == nullptr)
+        return;
+    if (good == nullptr)
+        task.step->permits->unanswered(at.now);
+    else
+        task.step->permits->answered(at.now, *good,
+                                     validity > Duration {} ? validity
+                                                            : task.step->job->advice->validity);
+}
+
 bool JobScheduler::placeTogether(Timestamp now, Step *step, const RackName *rack)
 {
     // All members or none: what was begun in vain is taken back before anything is sent.
@@ -118,6 +160,7 @@
     m_commands.erase(m_commands.begin() + static_cast<std::ptrdiff_t>(commandsBefore),
                      m_commands.end());
     m_counts.started = startedBefore;
+    askPermits(now, step);
     return false;
 }
 
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -59,10 +59,13 @@
     ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     ++m_counts.started;
+    const Permit *permit =
+            ref.step->permits == nullptr ? nullptr : ref.step->permits->find(*worker, now);
     m_commands.emplace_back(StartRun { .target = targetOf(*worker),
                                        .run = run.key(),
                                        .leaseEndMs = worker->lease.grant(now, m_settings.lease),
                                        .checkpoint = ref.step->checkpointOf(task),
+                                       .permit = permit == nullptr ? std::string() : permit->text,
                                        .roomBefore = roomBefore,
                                        .waited = now - ref.step->readyAt,
                                        .timeout = m_settings.startTimeout });
@@ -170,7 +173,9 @@
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Stopping) {
         Step *step = ref.task.step;
         releaseRun(ref);
-        if (outcome == OrderOutcome::OtherLife)
+        if (outcome == OrderOutcome::NoPermit && step->permits != nullptr)
+            step->permits->drop(worker->life.name);
+        else if (outcome == OrderOutcome::OtherLife)
             worker->avoidUntil = now + m_settings.avoidAfterFailures;
         else if (outcome != OrderOutcome::OldRun)
             worker->avoidUntil = now + m_settings.avoidAfterRefusal;
--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -32,6 +32,7 @@
     job->priority = queue.priority;
     job->mostAttempts = std::max<std::uint32_t>(queue.mostAttempts, 1);
     job->pool = queue.pool;
+    job->advice = queue.advice;
     job->spec = view.spec;
     // The age of an inherited job, by wall clocks that may differ; never younger than new.
     const Duration age = std::max(Duration {}, Duration(wallUs - view.submittedUs));
@@ -52,6 +53,8 @@
             step.number = number;
             step.readyAt = now;
             step.dueAt = job->acceptedAt;
+            if (queue.advice)
+                step.permits = std::make_unique<StepPermits>();
             step.remainingPath = paths[number];
             step.tasks.resize(spec.count);
             for (Task &it : step.tasks) {
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "acaciafork/decisions/batch/Batch.h"
+#include "acaciafork/decisions/jobs/StepPermits.h"
 #include "acaciafork/decisions/jobs/Types.h"
 
 namespace acaciafork::jobs {
@@ -82,6 +83,8 @@
     std::uint32_t number = 0;
     /// Steps before it that are not done yet.
     std::uint32_t awaited = 0;
+    /// Where it may run; null where its queue's policy sets no bounds.
+    std::unique_ptr<StepPermits> permits;
     /// Tasks that are not done.
     std::uint32_t left = 0;
     /// Its occurrence is not due yet.
@@ -139,6 +142,7 @@
     Timestamp acceptedAt;
     /// Time that it has from its acceptance, or from each time that it is due.
     Duration objective {};
+    std::optional<AdvicePolicy> advice;
     /// It was accepted before this tenure: its tasks may run somewhere already.
     bool isInherited = false;
     std::uint32_t tasksLeft = 0;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -30,6 +30,12 @@
             && now - worker.heardAt < m_settings.silence;
 }
 
+bool Placer::couldHold(const Worker &worker, const Step &step)
+{
+    return worker.life.pool == step.job->pool && hasLabel(worker.life, step.spec->label)
+            && step.spec->reserved().fitsIn(worker.life.capacity);
+}
+
 bool Placer::couldEverFit(const WorkerTable &workers, const std::string &pool, const StepSpec &step)
 {
     return std::ranges::any_of(workers.all(), [&](const auto &it) {
@@ -127,6 +133,8 @@
             continue;
         if (rack != nullptr && worker->life.rack != *rack)
             continue;
+        if (step.permits != nullptr && step.permits->find(*worker, now) == nullptr)
+            continue;
         // A copy runs elsewhere than the first run.
         const bool runsHere = std::ranges::any_of(task.runs, [&](const Run &run) {
             return run.exists() && run.worker == worker->id;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -45,6 +45,9 @@
     [[nodiscard]] static bool couldEverFit(const WorkerTable &workers, const std::string &pool,
                                            const StepSpec &step);
 
+    /// True when a task of the step could run on the worker if nothing else did.
+    [[nodiscard]] static bool couldHold(const Worker &worker, const Step &step);
+
 private:
     [[nodiscard]] bool fits(const Worker &worker, const Step &step) const;
     [[nodiscard]] double score(const Worker &worker, const Step &step, const Task &task) const;
--- a/acaciafork/decisions/jobs/Types.cpp
+++ b/acaciafork/decisions/jobs/Types.cpp
@@ -39,9 +39,9 @@
 
 std::string_view orderOutcomeName(OrderOutcome outcome)
 {
-    static constexpr std::array<std::string_view, 10> names {
-        "done", "unanswered", "not-sent",    "fenced",     "old-run",
-        "late", "no-room",    "not-healthy", "other-life", "refused"
+    static constexpr std::array<std::string_view, 11> names {
+        "done",    "unanswered",  "not-sent",  "fenced",     "old-run", "late",
+        "no-room", "not-healthy", "no-permit", "other-life", "refused"
     };
     return names.at(static_cast<std::size_t>(outcome));
 }
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -136,6 +137,15 @@
     [[nodiscard]] std::vector<Duration> remainingPaths() const;
 };
 
+/// How the advisor of a queue answers: after `decision`, and `perWorker` more for each worker that
+/// it is asked about. Its permits hold for `validity`.
+struct AdvicePolicy
+{
+    Duration decision {};
+    Duration perWorker {};
+    Duration validity {};
+};
+
 /// A queue and how its jobs run.
 struct QueueSpec
 {
@@ -145,6 +155,8 @@
     std::uint32_t mostAttempts = 1;
     double stretch = 1;
     Duration objective {};
+    /// Set where only an outside advisor knows which workers may run a step.
+    std::optional<AdvicePolicy> advice;
 };
 
 /// A job as the replicated state holds it.
@@ -245,6 +257,7 @@
     Late, ///< its deadline had passed
     NoRoom, ///< it does not fit
     NotHealthy, ///< the worker refuses work for now
+    NoPermit, ///< without a permit that holds there
     OtherLife, ///< another incarnation answers at the address
     Refused, ///< refused for a reason of another kind
 };
--- a/daemons/control/main.cpp
+++ b/daemons/control/main.cpp
@@ -29,7 +29,8 @@
         binding = std::make_unique<platform::ControlBinding>(
                 &loop, &process,
                 platform::ControlBindingSettings { .control = settings.bindingControl,
-                                                   .metrics = settings.bindingMetrics });
+                                                   .metrics = settings.bindingMetrics,
+                                                   .advisor = settings.bindingAdvisor });
     BOOST_LEAF_CHECK(process.start());
     if (binding) {
         BOOST_LEAF_CHECK(binding->start());
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -15,6 +15,9 @@
 constexpr Duration orderTimeout = 800ms;
 /// A member of a gang waits this long for the others.
 constexpr Duration gangTimeout = 3s;
+constexpr Duration decisionTime = 20ms;
+constexpr Duration decisionTimePerWorker = 5ms;
+constexpr Duration permitValidity = 2s;
 /// A task may start this long before it is due.
 constexpr std::int64_t earlyUs = 250'000;
 /// A stop takes this long; a run that stops is on no list meanwhile.
@@ -142,6 +145,13 @@
     queue->set_most_attempts(4);
     queue->set_stretch(2);
     queue->set_objective_ms(1000);
+    wire::Queue *advised = config.add_queues();
+    *advised = *queue;
+    advised->set_name("advised");
+    advised->set_path_prefix("/a/");
+    advised->mutable_advice()->set_decision_ms(decisionTime / 1ms);
+    advised->mutable_advice()->set_per_worker_ms(decisionTimePerWorker / 1ms);
+    advised->mutable_advice()->set_validity_ms(permitValidity / 1ms);
     wire::Command command;
     *command.mutable_propose_queues()->mutable_config() = config;
     propose(moment(), command, [](Moment, const state::ApplyResult *) {});
@@ -160,6 +170,7 @@
             },
             &m_counters);
     m_driver->setOrders(this);
+    m_driver->setAdvisor(this);
 }
 
 bool JobWorld::chance(double probability)
@@ -246,14 +257,17 @@
 
 // ---- clients
 
-void JobWorld::submit(std::uint64_t id, const wire::JobSpec &spec, std::uint32_t attempts)
+void JobWorld::submit(std::uint64_t id, const wire::JobSpec &spec, std::uint32_t attempts,
+                      std::string_view path)
 {
+    if (path == "/a/")
+        m_advised.insert(id);
     m_specs[id] = spec;
     m_attempts[id] = attempts;
     wire::JobCall call;
     call.set_action(wire::JobCall::SUBMIT);
     call.set_host("host");
-    call.set_path(fmt::format("/q/{:016x}", id));
+    call.set_path(fmt::format("{}{:016x}", path, id));
     call.set_spec(spec.SerializeAsString());
     if (m_driver)
         m_driver->call(moment(), call, [this, id](const peers::ApiAnswer &answer) {
@@ -430,6 +444,16 @@
         ++m_noRoom;
         return jobs::OrderOutcome::NoRoom;
     }
+    if (m_advised.contains(task.job.value)) {
+        jobs::TaskKey first = task;
+        first.task = 0;
+        const auto it = m_grants.find(command.permit);
+        if (it == m_grants.end() || it->second.step != first || it->second.worker != worker.name
+            || it->second.born != worker.born || m_now > it->second.until) {
+            ++m_noPermit;
+            return jobs::OrderOutcome::NoPermit;
+        }
+    }
     checkStart(worker, command);
     ++m_starts;
     worker.hasLease = true;
@@ -536,6 +560,40 @@
             });
 }
 
+// ---- the advisor
+
+void JobWorld::ask(const jobs::AskPermits &question, jobs::Tenure tenure)
+{
+    PermitAnswer answer { .step = question.step, .tenure = tenure };
+    m_askedWorkers += question.workers.size();
+    const auto count = static_cast<std::int64_t>(question.workers.size());
+    Timestamp answeredAt = m_now + question.timeout;
+    if (!m_isAdvisorDown) {
+        // It takes one question after the other.
+        m_advisorFreeAt =
+                std::max(m_advisorFreeAt, m_now) + decisionTime + decisionTimePerWorker * count;
+        answeredAt = m_advisorFreeAt;
+        answer.isAnswered = true;
+        for (const WorkerName &it : question.workers) {
+            const FakeWorker *worker = find(it);
+            // Every other worker, each step other ones.
+            const bool isAllowed = (worker->name.back() + question.step.step) % 2 == 0;
+            if (!isAllowed)
+                continue;
+            const std::string text = fmt::format("{}.{}", nameOf(question.step), m_grants.size());
+            m_grants[text] = { .step = question.step,
+                               .worker = worker->name,
+                               .born = worker->born,
+                               .until = answeredAt + permitValidity };
+            answer.good.emplace_back(it, text);
+        }
+    }
+    at(answeredAt, [this, generation = m_generation, answer] {
+        if (generation == m_generation)
+            m_driver->permitsAnswered(moment(), answer);
+    });
+}
+
 // ---- gangs
 
 void JobWorld::advanceGangs()
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -95,7 +95,7 @@
 
 /// A leader's driver of jobs, the replicated state, and workers, in virtual time. After every event
 /// it checks what must hold; breaches() lists what did not.
-class JobWorld : private WorkerOrders
+class JobWorld : private WorkerOrders, private PlacementAdvisor
 {
 public:
     explicit JobWorld(const WorldOptions &options);
@@ -110,7 +110,9 @@
     /// @name What clients do
     /// @{
     /// Hands a job in; @return its status once it is answered, 0 while it is not.
-    void submit(std::uint64_t id, const wire::JobSpec &spec, std::uint32_t attempts = 4);
+    /// @param[in] path of its queue: /q/, or /a/ where an advisor knows who may run a step
+    void submit(std::uint64_t id, const wire::JobSpec &spec, std::uint32_t attempts = 4,
+                std::string_view path = "/q/");
     void cancel(std::uint64_t id);
     [[nodiscard]] wire::JobState stateOf(std::uint64_t id) const;
     [[nodiscard]] int statusOf(std::uint64_t id) const;
@@ -125,6 +127,7 @@
     void revive(std::size_t worker);
     void cut(std::size_t worker, bool isCut) { m_workers[worker]->isCut = isCut; }
     void drain(std::size_t worker);
+    void setAdvisorDown(bool isDown) { m_isAdvisorDown = isDown; }
     WorldFaults &faults() { return m_options.faults; }
     /// @}
 
@@ -136,6 +139,9 @@
     [[nodiscard]] std::uint64_t starts() const { return m_starts; }
     /// Runs of gangs that ended since the others did not come.
     [[nodiscard]] int aloneEnds() const { return m_aloneEnds; }
+    /// Workers named to the advisor, and starts refused for want of a permit.
+    [[nodiscard]] std::uint64_t asked() const { return m_askedWorkers; }
+    [[nodiscard]] std::uint64_t rejectedForPermit() const { return m_noPermit; }
     [[nodiscard]] std::uint64_t rejectedForRoom() const { return m_noRoom; }
 
 private:
@@ -150,6 +156,7 @@
     void stop(const jobs::StopRun &order, jobs::Tenure tenure) override;
     void pace(const jobs::PaceRun &order, jobs::Tenure tenure) override;
     void hold(const jobs::HoldWorker &order, jobs::Tenure tenure) override;
+    void ask(const jobs::AskPermits &question, jobs::Tenure tenure) override;
 
     void newDriver();
     bool propose(Moment at, wire::Command command, ProposalTable::Handler handler);
@@ -198,6 +205,21 @@
     std::uint64_t m_starts = 0;
     std::uint64_t m_noRoom = 0;
     int m_aloneEnds = 0;
+
+    /// A permit that the advisor has given.
+    struct Grant
+    {
+        jobs::TaskKey step;
+        std::string worker;
+        std::uint64_t born = 0;
+        Timestamp until;
+    };
+    std::map<std::string, Grant> m_grants;
+    std::set<std::uint64_t> m_advised;
+    bool m_isAdvisorDown = false;
+    Timestamp m_advisorFreeAt;
+    std::uint64_t m_askedWorkers = 0;
+    std::uint64_t m_noPermit = 0;
     Timestamp m_nextBeat;
 };
 
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -378,6 +378,79 @@
     }
 }
 
+TEST_CASE("where an advisor knows who may run a step, starts carry its permits")
+{
+    JobWorld world({});
+    world.run(2s);
+    world.submit(7, twoSteps(300), 4, "/a/");
+    world.run(3s);
+    CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.starts() == 6);
+    CHECK(world.rejectedForPermit() == 0);
+    // Once for each of its steps and workers, no more.
+    CHECK(world.asked() <= 12);
+
+    // Permits end, and work goes on with new ones for workers that are known to be allowed.
+    world.submit(8, simpleJob(30, 4000, 900), 4, "/a/");
+    world.run(12s);
+    CHECK(world.stateOf(8) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.rejectedForPermit() == 0);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("an advisor that is away holds only its own queue up, and is asked again")
+{
+    JobWorld world({});
+    world.run(2s);
+    world.setAdvisorDown(true);
+    world.submit(1, simpleJob(3, 1000, 300), 4, "/a/");
+    world.submit(2, simpleJob(3, 1000, 300));
+    world.run(4s);
+    CHECK(world.stateOf(1) == wire::JOB_STATE_ACTIVE);
+    CHECK(world.stateOf(2) == wire::JOB_STATE_COMPLETED);
+    world.setAdvisorDown(false);
+    world.run(3s);
+    CHECK(world.stateOf(1) == wire::JOB_STATE_COMPLETED);
+}
+
+TEST_CASE("permits hold for one life of a worker, under faults and changes of leader")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        JobWorld world(
+                { .faults = { .answerLost = 0.03, .carriedOutLate = 0.03, .orderLost = 0.02 },
+                  .seed = seed });
+        RandomGenerator random(seed * 15'485'863);
+        const auto draw = [&](std::uint64_t n) { return random() % n; };
+        world.run(2s);
+        std::uint64_t id = 0;
+        for (int round = 0; round < 20; ++round) {
+            world.submit(++id, draw(2) == 0 ? twoSteps(300) : gangOf(3, 1500, 300), 4, "/a/");
+            const std::uint64_t worker = draw(6);
+            if (draw(4) == 0) {
+                // It comes back under its name at once, and knows none of its permits.
+                world.crash(worker);
+                world.revive(worker);
+            }
+            world.setAdvisorDown(draw(6) == 0);
+            if (draw(6) == 0) {
+                world.changeLeader(300ms + Duration(draw(1'000'000)));
+                world.run(2s);
+            }
+            world.run(Duration(200'000 + draw(400'000)));
+        }
+        world.faults() = {};
+        world.setAdvisorDown(false);
+        world.run(40s);
+        for (std::uint64_t it = 1; it <= id; ++it) {
+            CAPTURE(it);
+            if (world.statusOf(it) == 200)
+                CHECK(world.stateOf(it) != wire::JOB_STATE_ACTIVE);
+        }
+        CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+    }
+}
+
 TEST_CASE("a run that is told to stop counts as at work until it has had the time to stop")
 {
     // Found by a hunt on furiko-ops (scale-1 seed 172074392308): a start was not answered, its stop
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -175,3 +175,54 @@
     CHECK(encodeJobAnswer(R"({"pending":12})") == R"({"pending":12})");
     CHECK(encodeJobAnswer("{}") == "{}");
 }
+
+TEST_CASE("a question to the advisor and its answer")
+{
+    jobs::AskPermits question;
+    question.step = { .job = { 0x5c0e7a21d94b36f8 }, .occurrence = 2, .step = 1 };
+    question.workers = { WorkerName { "i-1" }, WorkerName { "i-2" } };
+    CHECK(encodeQuestion(question) == R"({"step":"5c0e7a21d94b36f8.2.1","workers":["i-1","i-2"]})");
+
+    control::PermitAnswer answer;
+    REQUIRE(decodePermits(R"({"good":[["i-2","c81e"]],"validityMs":3000})", &answer));
+    CHECK(answer.isAnswered);
+    REQUIRE(answer.good.size() == 1);
+    CHECK(answer.good[0].first == WorkerName { "i-2" });
+    CHECK(answer.good[0].second == "c81e");
+    CHECK(answer.validity == std::chrono::seconds(3));
+
+    for (const char *it : { "", "{", "[]", "{}", R"({"good":7})", R"({"good":[["i-2"]]})",
+                            R"({"good":[["i-2",7]]})", R"({"good":[],"validityMs":"x"})" }) {
+        CAPTURE(it);
+        control::PermitAnswer none;
+        CHECK_FALSE(decodePermits(it, &none));
+        CHECK_FALSE(none.isAnswered);
+    }
+}
+
+TEST_CASE("a start carries its permit, and a refusal of it is told from others")
+{
+    jobs::StartRun order;
+    order.permit = "c81e-7a";
+    CHECK(encodeStart(order, "text", { 7 }).find(R"("ticket":"c81e-7a")") != std::string::npos);
+    order.permit.clear();
+    CHECK(encodeStart(order, "text", { 7 }).find("ticket") == std::string::npos);
+    CHECK(decodeOutcome(409, R"({"clockMs":1,"reason":"ticket"})") == jobs::OrderOutcome::NoPermit);
+}
+
+TEST_CASE("a queue's policy is read with its times")
+{
+    const auto queues = decoded<wire::QueueConfig>([] {
+        return decodeQueues(replaced(
+                config, R"("timeoutMs":3000)",
+                R"("timeoutMs":3000,"advice":{"decisionMs":80,"periodMs":4,"validityMs":2500})"));
+    });
+    REQUIRE(queues.queues(0).has_advice());
+    CHECK(queues.queues(0).advice().decision_ms() == 80);
+    CHECK(queues.queues(0).advice().per_worker_ms() == 4);
+    CHECK(queues.queues(0).advice().validity_ms() == 2500);
+    CHECK_FALSE(takes([&] {
+        return decodeQueues(replaced(config, R"("timeoutMs":3000)",
+                                     R"("timeoutMs":3000,"advice":{"decisionMs":"80"})"));
+    }));
+}
