Read the platform's messages with the reader of JSON that the project has

Cause: platform/Fields was a second copy of net::JsonReader, and five decoders parsed a body by hand where net had a call for it. Change: JsonReader gains counts, reals, flags, objects and refuse(); findJsonObject() for bodies that may be missing; Fields is gone. A job or queue that is refused now names its field. Stricter than before: a number over 32 bits where the product has 32 is refused, it was cut to its low bits; a negative real is refused; names have 256 bytes at most, prefixes of paths 16 KiB.

--- a/acaciafork/net/JsonReader.cpp
+++ b/acaciafork/net/JsonReader.cpp
@@ -21,12 +21,22 @@
     return std::move(value.get_object());
 }
 
+std::optional<json::object> findJsonObject(std::string_view text)
+{
+    return leaf::try_handle_all(
+            [&]() -> Result<std::optional<json::object>> {
+                BOOST_LEAF_AUTO(object, parseJsonObject(text));
+                return std::optional(std::move(object));
+            },
+            [] { return std::optional<json::object>(); });
+}
+
 const json::value *JsonReader::find(std::string_view key)
 {
     return m_object.if_contains(key);
 }
 
-void JsonReader::note(std::string_view key, std::string_view allowed)
+void JsonReader::refuse(std::string_view key, std::string_view allowed)
 {
     if (m_problem.empty())
         m_problem = "field " + std::string(key) + ": allowed is " + std::string(allowed);
@@ -36,7 +46,7 @@
 {
     std::string found = optionalText(key, most);
     if (found.empty())
-        note(key, "text of 1 to " + std::to_string(most) + " bytes");
+        refuse(key, "text of 1 to " + std::to_string(most) + " bytes");
     return found;
 }
 
@@ -46,7 +56,7 @@
     if (value == nullptr)
         return {};
     if (!value->is_string() || value->get_string().size() > most) {
-        note(key, "text of at most " + std::to_string(most) + " bytes");
+        refuse(key, "text of at most " + std::to_string(most) + " bytes");
         return {};
     }
     return std::string(value->get_string());
@@ -58,7 +68,7 @@
     boost::system::error_code ec;
     const std::int64_t n = value != nullptr ? value->to_number<std::int64_t>(ec) : 0;
     if (value == nullptr || ec || n < least || n > most) {
-        note(key, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        refuse(key, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
         return least;
     }
     return n;
@@ -70,12 +80,37 @@
     return find(key) == nullptr ? absent : number(key, least, most);
 }
 
+double JsonReader::optionalReal(std::string_view key, double absent)
+{
+    const json::value *value = find(key);
+    if (value == nullptr)
+        return absent;
+    const double n = value->is_number() ? value->to_number<double>() : -1;
+    if (n < 0) {
+        refuse(key, "a number from 0 on");
+        return absent;
+    }
+    return n;
+}
+
+bool JsonReader::optionalFlag(std::string_view key)
+{
+    const json::value *value = find(key);
+    if (value == nullptr)
+        return false;
+    if (!value->is_bool()) {
+        refuse(key, "true or false");
+        return false;
+    }
+    return value->get_bool();
+}
+
 Address JsonReader::address(std::string_view key)
 {
     const std::string found = text(key);
     return leaf::try_handle_all([&]() -> Result<Address> { return parseAddress(found); },
                                 [&] {
-                                    note(key, "an IP number and port");
+                                    refuse(key, "an IP number and port");
                                     return Address();
                                 });
 }
@@ -89,7 +124,7 @@
     std::string allowed;
     for (const auto word : words)
         allowed += (allowed.empty() ? "" : " or ") + std::string(word);
-    note(key, allowed);
+    refuse(key, allowed);
     return 0;
 }
 
@@ -99,15 +134,27 @@
     if (value == nullptr)
         return nullptr;
     if (!value->is_array()) {
-        note(key, "an array");
+        refuse(key, "an array");
         return nullptr;
     }
     return &value->get_array();
 }
 
+const json::object *JsonReader::optionalObject(std::string_view key)
+{
+    const json::value *value = find(key);
+    if (value == nullptr)
+        return nullptr;
+    if (!value->is_object()) {
+        refuse(key, "an object");
+        return nullptr;
+    }
+    return &value->get_object();
+}
+
 Result<void> JsonReader::check() const
 {
-    if (!m_problem.empty())
+    if (!isGood())
         return fail(FailureKind::InvalidArgument, m_problem);
     return {};
 }
--- a/acaciafork/net/JsonReader.h
+++ b/acaciafork/net/JsonReader.h
@@ -2,10 +2,11 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
-#include <boost/json/fwd.hpp>
+#include <boost/json/object.hpp>
 
 #include "acaciafork/core/Failure.h"
 #include "acaciafork/net/Address.h"
@@ -15,6 +16,9 @@
 /// Parses a JSON object. Fails with Failure InvalidArgument.
 Result<boost::json::object> parseJsonObject(std::string_view text);
 
+/// The object, or none when the text is no JSON object: for answers of which only some have a body.
+std::optional<boost::json::object> findJsonObject(std::string_view text);
+
 /// Reads typed fields out of one JSON object. The first thing wrong is kept and names its field, so
 /// that a decoder reads all fields in a row and checks once.
 class JsonReader
@@ -34,19 +38,34 @@
     /// Whole number that is `absent` when the key is not there.
     std::int64_t optionalNumber(std::string_view key, std::int64_t least, std::int64_t most,
                                 std::int64_t absent);
+    /// Whole number from 0 to `most`; 0 when absent.
+    std::int64_t optionalCount(std::string_view key, std::int64_t most = INT64_MAX)
+    {
+        return optionalNumber(key, 0, most, 0);
+    }
+    /// Number from 0 on, whole or not; `absent` when the key is not there.
+    double optionalReal(std::string_view key, double absent = 0);
+    /// False when absent.
+    bool optionalFlag(std::string_view key);
     /// IP number and port.
     Address address(std::string_view key);
     /// Index of the word that stands there among those allowed.
     std::size_t choice(std::string_view key, std::initializer_list<std::string_view> words);
     /// Array, or null when it is absent.
     const boost::json::array *optionalArray(std::string_view key);
+    /// Object, or null when it is absent.
+    const boost::json::object *optionalObject(std::string_view key);
+
+    /// Keeps a field as wrong for a reason that its reader alone knows.
+    void refuse(std::string_view key, std::string_view allowed);
 
+    /// True while nothing wrong was met.
+    [[nodiscard]] bool isGood() const { return m_problem.empty(); }
     /// Fails with the first Failure met, InvalidArgument.
     Result<void> check() const;
 
 private:
     const boost::json::value *find(std::string_view key);
-    void note(std::string_view key, std::string_view allowed);
 
     const boost::json::object &m_object;
     std::string m_problem;
