Drop the leader that introductions told and nobody asked for

Cause: Directory kept a hint of the leader, fed through MemberFinder, both processes, EntryNode and the wire; no caller read it, the entries follow the members' own answers. Both processes took new seeds over by the same three lines; MemberFinder::reload() has them now.

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -166,10 +166,7 @@
 
 Result<void> ControlProcess::reload(const ControlSettings &settings)
 {
-    BOOST_LEAF_AUTO(seeds, peers::seedPeers(settings));
-    spdlog::info("event=reloaded seeds={}", seeds.size());
-    m_finder->setSeeds(std::move(seeds));
-    return {};
+    return m_finder->reload(settings);
 }
 
 Result<void> ControlProcess::connectPeers()
@@ -257,7 +254,7 @@
 
 void ControlProcess::findMembers()
 {
-    if (!m_finder->tick(moment(), m_replica->leader()))
+    if (!m_finder->tick(moment()))
         return;
     std::vector<ProcessId> members;
     for (const auto &[process, member] : m_finder->directory().members()) {
@@ -358,7 +355,7 @@
 {
     learnAddress(envelope);
     const Moment at = moment();
-    m_finder->heard(at, envelope, m_replica->leader());
+    m_finder->heard(at, envelope);
     m_replica->noteAlive({ envelope.sender() });
     switch (envelope.body_case()) {
     case wire::Envelope::kAgreement:
--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -84,12 +84,6 @@
     void drain(Moment at);
     /// True when a draining entry has nothing left to finish or to tell.
     [[nodiscard]] bool drained() const;
-    /// Control member that is taken for the leader; none while no leader has answered.
-    [[nodiscard]] ProcessId knownLeader() const
-    {
-        return m_leader.confirmed() ? m_leader.target() : ProcessId {};
-    }
-
     /// Version of the configuration that runs here.
     [[nodiscard]] ConfigVersion configVersion() const { return m_config.version(); }
     /// Requests without their final answer.
--- a/acaciafork/entry/EntryProcess.cpp
+++ b/acaciafork/entry/EntryProcess.cpp
@@ -118,13 +118,13 @@
 void EntryProcess::onMessage(const wire::Envelope &envelope)
 {
     const Moment at = moment();
-    m_finder->heard(at, envelope, m_node->knownLeader());
+    m_finder->heard(at, envelope);
     m_node->peerMessage(at, envelope);
 }
 
 void EntryProcess::findMembers()
 {
-    if (!m_finder->tick(moment(), m_node->knownLeader()))
+    if (!m_finder->tick(moment()))
         return;
     std::vector<ProcessId> members;
     for (const auto &[process, member] : m_finder->directory().members())
@@ -134,10 +134,7 @@
 
 Result<void> EntryProcess::reload(const EntrySettings &settings)
 {
-    BOOST_LEAF_AUTO(seeds, peers::seedPeers(settings));
-    spdlog::info("event=reloaded seeds={}", seeds.size());
-    m_finder->setSeeds(std::move(seeds));
-    return {};
+    return m_finder->reload(settings);
 }
 
 Result<void> EntryProcess::connectPeers()
--- a/acaciafork/peers/Directory.cpp
+++ b/acaciafork/peers/Directory.cpp
@@ -17,15 +17,13 @@
     , m_seeds(std::move(seeds))
 { }
 
-wire::Introduction Directory::introduce(Timestamp now, std::string dialled, bool wantsAnswer,
-                                        ProcessId leader) const
+wire::Introduction Directory::introduce(Timestamp now, std::string dialled, bool wantsAnswer) const
 {
     wire::Introduction message;
     message.set_dialled(std::move(dialled));
     message.set_wants_answer(wantsAnswer);
     message.set_zone(m_identity.zone);
     message.set_control_address(m_identity.controlAddress);
-    message.set_leader(leader.value);
     for (const auto &[process, it] : m_members) {
         wire::KnownMember *member = message.add_members();
         member->set_process(process.value);
@@ -39,15 +37,11 @@
 
 std::vector<DirectoryMessage> Directory::heard(Timestamp now, ProcessId sender,
                                                std::string_view senderAddress,
-                                               const wire::Introduction &introduction,
-                                               ProcessId leader)
+                                               const wire::Introduction &introduction)
 {
-    if (!introduction.control_address().empty()) {
+    if (!introduction.control_address().empty())
         learn(sender, std::string(senderAddress), introduction.control_address(),
               introduction.zone(), now);
-        if (introduction.leader() != 0)
-            m_leaderHint = { introduction.leader() };
-    }
     int n = 0;
     for (const wire::KnownMember &it : introduction.members()) {
         if (++n > mostTold)
@@ -58,7 +52,7 @@
     }
     if (!introduction.wants_answer())
         return {};
-    return { { .to = sender, .introduction = introduce(now, {}, false, leader) } };
+    return { { .to = sender, .introduction = introduce(now, {}, false) } };
 }
 
 void Directory::learn(ProcessId process, const std::string &address,
@@ -95,7 +89,7 @@
         it->second.heardAt = now;
 }
 
-std::vector<DirectoryMessage> Directory::tick(Timestamp now, ProcessId leader)
+std::vector<DirectoryMessage> Directory::tick(Timestamp now)
 {
     const std::size_t dropped = std::erase_if(m_members, [&](const auto &it) {
         return now - it.second.heardAt > m_settings.forgetAfter;
@@ -110,15 +104,14 @@
                     m_members, [&](const auto &it) { return it.second.address == m_seeds[i]; });
             if (isKnown || m_seeds[i] == m_identity.address)
                 continue;
-            messages.push_back({ .to = contactOf(i),
-                                 .introduction = introduce(now, m_seeds[i], true, leader) });
+            messages.push_back(
+                    { .to = contactOf(i), .introduction = introduce(now, m_seeds[i], true) });
         }
     }
     if (now >= m_nextGossip) {
         m_nextGossip = now + m_settings.gossipInterval;
         for (const auto &[process, it] : m_members)
-            messages.push_back(
-                    { .to = process, .introduction = introduce(now, it.address, true, leader) });
+            messages.push_back({ .to = process, .introduction = introduce(now, it.address, true) });
     }
     return messages;
 }
--- a/acaciafork/peers/Directory.h
+++ b/acaciafork/peers/Directory.h
@@ -71,28 +71,25 @@
     void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
 
     /// An introduction has come.
-    /// @param[in] leader what this process may tell of the leader; none when unknown
     /// @return the answer, if one is wanted
     std::vector<DirectoryMessage> heard(Timestamp now, ProcessId sender,
                                         std::string_view senderAddress,
-                                        const wire::Introduction &introduction, ProcessId leader);
+                                        const wire::Introduction &introduction);
 
     /// A member has spoken in some other way.
     void noteAlive(Timestamp now, ProcessId member);
 
     /// What is due to be sent.
-    std::vector<DirectoryMessage> tick(Timestamp now, ProcessId leader);
+    std::vector<DirectoryMessage> tick(Timestamp now);
 
     /// Control members by process id; this one is not among them.
     [[nodiscard]] const std::map<ProcessId, DirectoryMember> &members() const { return m_members; }
-    /// Leader as the others last told; none while unknown.
-    [[nodiscard]] ProcessId leaderHint() const { return m_leaderHint; }
     /// Grows whenever a member is added, dropped or moved.
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
 
 private:
-    [[nodiscard]] wire::Introduction introduce(Timestamp now, std::string dialled, bool wantsAnswer,
-                                               ProcessId leader) const;
+    [[nodiscard]] wire::Introduction introduce(Timestamp now, std::string dialled,
+                                               bool wantsAnswer) const;
     void learn(ProcessId process, const std::string &address, const std::string &controlAddress,
                const std::string &zone, Timestamp heardAt);
 
@@ -100,7 +97,6 @@
     DirectoryIdentity m_identity;
     std::vector<std::string> m_seeds;
     std::map<ProcessId, DirectoryMember> m_members;
-    ProcessId m_leaderHint;
     Timestamp m_nextSeeds;
     Timestamp m_nextGossip;
     std::uint64_t m_revision = 0;
--- a/acaciafork/peers/MemberFinder.cpp
+++ b/acaciafork/peers/MemberFinder.cpp
@@ -42,7 +42,7 @@
         dial(Directory::contactOf(i), m_dialledSeeds[i]);
 }
 
-void MemberFinder::heard(Moment at, const wire::Envelope &envelope, ProcessId leader)
+void MemberFinder::heard(Moment at, const wire::Envelope &envelope)
 {
     const ProcessId sender { envelope.sender() };
     if (m_directory.seeds().empty() || sender == m_link->identity().process)
@@ -53,9 +53,7 @@
     if (envelope.body_case() != wire::Envelope::kIntroduction)
         return;
     dial(sender, envelope.sender_address());
-    send(at,
-         m_directory.heard(at.now, sender, envelope.sender_address(), envelope.introduction(),
-                           leader));
+    send(at, m_directory.heard(at.now, sender, envelope.sender_address(), envelope.introduction()));
 }
 
 void MemberFinder::send(Moment at, std::vector<DirectoryMessage> messages)
@@ -67,12 +65,12 @@
     }
 }
 
-bool MemberFinder::tick(Moment at, ProcessId leader)
+bool MemberFinder::tick(Moment at)
 {
     if (m_directory.seeds().empty())
         return false;
     dialSeeds();
-    send(at, m_directory.tick(at.now, leader));
+    send(at, m_directory.tick(at.now));
     if (at.now >= m_nextWatch) {
         m_nextWatch = at.now + watchInterval;
         redialSilent(at.now);
@@ -105,4 +103,12 @@
     }
 }
 
+Result<void> MemberFinder::reload(const ProcessSettings &settings)
+{
+    BOOST_LEAF_AUTO(seeds, seedPeers(settings));
+    spdlog::info("event=reloaded seeds={}", seeds.size());
+    m_directory.setSeeds(std::move(seeds));
+    return {};
+}
+
 } // namespace acaciafork::peers
--- a/acaciafork/peers/MemberFinder.h
+++ b/acaciafork/peers/MemberFinder.h
@@ -8,6 +8,7 @@
 #include "acaciafork/peers/Directory.h"
 #include "acaciafork/peers/LinkWatch.h"
 #include "acaciafork/peers/PeerLink.h"
+#include "acaciafork/peers/ProcessSettings.h"
 
 namespace acaciafork::peers {
 
@@ -23,15 +24,14 @@
                  net::MessageLink *messages, PeerLink *link);
 
     /// Takes any message from a peer in, after the link has checked it.
-    /// @param[in] leader the leader as this process knows it; none when unknown
-    void heard(Moment at, const wire::Envelope &envelope, ProcessId leader);
+    void heard(Moment at, const wire::Envelope &envelope);
 
     /// Sends what is due.
     /// @return true when the known members have changed
-    bool tick(Moment at, ProcessId leader);
+    bool tick(Moment at);
 
-    /// Replaces the seeds, as when the settings have changed.
-    void setSeeds(std::vector<std::string> seeds) { m_directory.setSeeds(std::move(seeds)); }
+    /// Takes the seeds over from settings that have changed. Fails with Failure InvalidArgument.
+    Result<void> reload(const ProcessSettings &settings);
 
     [[nodiscard]] const Directory &directory() const { return m_directory; }
 
--- a/tests/peers/DirectoryTest.cpp
+++ b/tests/peers/DirectoryTest.cpp
@@ -29,22 +29,22 @@
     Directory first = member(1, seeds);
     Directory second = member(2, seeds);
     Directory third = member(3, seeds);
-    CHECK(first.tick(start, {}).empty());
+    CHECK(first.tick(start).empty());
     for (auto *it : { &second, &third }) {
-        const auto messages = it->tick(start, {});
+        const auto messages = it->tick(start);
         REQUIRE(messages.size() == 1);
         CHECK(messages[0].to == Directory::contactOf(0));
         const std::uint32_t id = it == &second ? 2 : 3;
         const auto answers = first.heard(start, { id }, "10.0.0." + std::to_string(id) + ":7000",
-                                         messages[0].introduction, {});
+                                         messages[0].introduction);
         REQUIRE(answers.size() == 1);
         CHECK(answers[0].to == ProcessId { id });
-        it->heard(start, { 1 }, "10.0.0.1:7000", answers[0].introduction, {});
+        it->heard(start, { 1 }, "10.0.0.1:7000", answers[0].introduction);
     }
     // The third has been told of the second, and the seed is asked as a contact no more.
     CHECK(third.members().contains(ProcessId { 2 }));
     CHECK(third.members().at(ProcessId { 2 }).controlAddress == "10.0.0.2:8000");
-    for (const DirectoryMessage &it : third.tick(start + 1s, {}))
+    for (const DirectoryMessage &it : third.tick(start + 1s))
         CHECK(it.to.value < Directory::firstContact);
 }
 
@@ -53,8 +53,8 @@
     Directory directory = member(1, {});
     wire::Introduction hello;
     hello.set_control_address("10.0.0.9:8000");
-    directory.heard(start, { 9 }, "10.0.0.9:7000", hello, {});
-    directory.heard(start + 1s, { 10 }, "10.0.0.9:7000", hello, {});
+    directory.heard(start, { 9 }, "10.0.0.9:7000", hello);
+    directory.heard(start + 1s, { 10 }, "10.0.0.9:7000", hello);
     CHECK(directory.members().size() == 1);
     CHECK(directory.members().contains(ProcessId { 10 }));
     // Old news of the one before does not bring it back.
@@ -64,7 +64,7 @@
     old->set_process(9);
     old->set_address("10.0.0.9:7000");
     old->set_age_ms(3000);
-    directory.heard(start + 2s, { 5 }, "10.0.0.5:7000", gossip, {});
+    directory.heard(start + 2s, { 5 }, "10.0.0.5:7000", gossip);
     CHECK_FALSE(directory.members().contains(ProcessId { 9 }));
 }
 
@@ -73,10 +73,10 @@
     Directory directory = member(1, {});
     wire::Introduction hello;
     hello.set_control_address("10.0.0.9:8000");
-    directory.heard(start, { 9 }, "10.0.0.9:7000", hello, {});
-    directory.tick(start + 14s, {});
+    directory.heard(start, { 9 }, "10.0.0.9:7000", hello);
+    directory.tick(start + 14s);
     CHECK(directory.members().size() == 1);
-    directory.tick(start + 16s, {});
+    directory.tick(start + 16s);
     CHECK(directory.members().empty());
 }
 
