--- a/acaciafork/callers/CallerServer.cpp
+++ b/acaciafork/callers/CallerServer.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "acaciafork/core/Counters.h"
+
 namespace acaciafork::callers {
 
 namespace {
@@ -26,7 +28,7 @@
         const HealthAnswer health = m_handler.health();
         exchange->answer(health.isReady ? 200 : 503, {}, health.state);
     } else if (target == "/metrics") {
-        const net::Header type { .name = "content-type", .value = "text/plain; version=0.0.4" };
+        const net::Header type { .name = "content-type", .value = prometheusContentType };
         exchange->answer(200, { &type, 1 }, m_handler.metrics());
     } else if (target.starts_with(apiPrefix)) {
         m_handler.onApi(exchange);
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -16,6 +16,17 @@
 constexpr std::string_view notNow = R"({"error":{"kind":"not-ready"},"retryAfterMs":1000})";
 constexpr std::size_t jobIdDigits = 16;
 
+peers::ApiAnswer refusedForNow()
+{
+    return { .status = 503, .body = std::string(notNow) };
+}
+
+/// An answer that its status tells all of.
+peers::ApiAnswer plain(int status)
+{
+    return { .status = status, .body = "{}" };
+}
+
 /// A job's id from its text; false for any other text.
 bool parseJobId(std::string_view text, std::uint64_t *id)
 {
@@ -181,7 +192,7 @@
     m_unrecorded.clear();
     m_unrecordedWorkers.clear();
     for (const auto &[name, reply] : m_leaving)
-        reply({ .status = 503, .body = std::string(notNow) });
+        reply(refusedForNow());
     m_leaving.clear();
     m_scheduler.end();
 }
@@ -283,7 +294,7 @@
 {
     const wire::QueueConfig &config = m_state->queues().current();
     if (!m_isActive || config.version() == 0) {
-        reply({ .status = 503, .body = std::string(notNow) });
+        reply(refusedForNow());
         return;
     }
     const wire::Queue *queue = findQueue(config, call.host(), call.path());
@@ -320,7 +331,7 @@
                        const wire::JobCall &call, const Reply &reply)
 {
     if (m_state->jobs().find(id) != nullptr) {
-        reply({ .status = 200, .body = "{}" });
+        reply(plain(200));
         return;
     }
     wire::Command proposal;
@@ -339,7 +350,7 @@
                     return;
                 if (state::succeeded(*result)) {
                     m_commitTime->observe(when.now - began);
-                    reply({ .status = 200, .body = "{}" });
+                    reply(plain(200));
                     return;
                 }
                 spdlog::info("event=job-refused job={:016x} outcome={} detail=\"{}\"", id,
@@ -347,13 +358,13 @@
                 if (result->outcome() == wire::OUTCOME_INVALID)
                     reply(peers::failureAnswer(FailureKind::InvalidArgument, result->detail()));
                 else
-                    reply({ .status = 503, .body = std::string(notNow) });
+                    reply(refusedForNow());
             });
     if (!accepted) {
         m_refused->add();
         spdlog::info("event=job-refused job={:016x} queue={} reason=cannot-propose", id,
                      queue.name());
-        reply({ .status = 503, .body = std::string(notNow) });
+        reply(refusedForNow());
     }
 }
 
@@ -361,7 +372,7 @@
 {
     const state::Job *job = m_state->jobs().find(id);
     if (job == nullptr) {
-        reply({ .status = 410, .body = "{}" });
+        reply(plain(410));
         return;
     }
     std::string_view word = "waiting";
@@ -389,7 +400,7 @@
 {
     const state::Job *job = m_state->jobs().find(id);
     if (job == nullptr || job->state != wire::JOB_STATE_ACTIVE) {
-        reply({ .status = job == nullptr ? 410 : 200, .body = "{}" });
+        reply(plain(job == nullptr ? 410 : 200));
         return;
     }
     wire::Command proposal;
@@ -397,10 +408,10 @@
     const bool accepted =
             m_propose(at, std::move(proposal), [reply](Moment, const state::ApplyResult *result) {
                 if (result != nullptr)
-                    reply({ .status = 200, .body = "{}" });
+                    reply(plain(200));
             });
     if (!accepted)
-        reply({ .status = 503, .body = std::string(notNow) });
+        reply(refusedForNow());
 }
 
 void JobDriver::configure(Moment at, wire::QueueConfig config, const Reply &reply)
@@ -409,7 +420,7 @@
     if (version <= m_state->queues().version()) {
         spdlog::info("event=queues-overtaken version={} held={}", version,
                      m_state->queues().version());
-        reply({ .status = 200, .body = "{}" });
+        reply(plain(200));
         return;
     }
     wire::Command proposal;
@@ -417,24 +428,24 @@
     const bool accepted = m_propose(
             at, std::move(proposal), [reply, version](Moment, const state::ApplyResult *result) {
                 if (result == nullptr) {
-                    reply({ .status = 503, .body = std::string(notNow) });
+                    reply(refusedForNow());
                     return;
                 }
                 spdlog::info("event=queues-proposed version={} outcome={}", version,
                              state::outcomeName(result->outcome()));
                 if (state::succeeded(*result))
-                    reply({ .status = 200, .body = "{}" });
+                    reply(plain(200));
                 else
                     reply(peers::failureAnswer(FailureKind::InvalidArgument, result->detail()));
             });
     if (!accepted)
-        reply({ .status = 503, .body = std::string(notNow) });
+        reply(refusedForNow());
 }
 
 void JobDriver::workerReported(Moment at, const jobs::WorkerReport &report, const Reply &reply)
 {
     if (!m_isActive) {
-        reply({ .status = 503, .body = std::string(notNow) });
+        reply(refusedForNow());
         return;
     }
     m_scheduler.workerReported(at, report);
@@ -443,7 +454,7 @@
     const bool isRecorded = it != recorded.end() && it->second.draining()
             && it->second.born() == report.life.born.value;
     if (!report.life.draining || isRecorded)
-        reply({ .status = 200, .body = "{}" });
+        reply(plain(200));
     else
         m_leaving.emplace(report.life.name, reply);
 }
@@ -457,7 +468,7 @@
             continue;
         const auto [first, last] = m_leaving.equal_range(it.name);
         for (auto waiting = first; waiting != last; ++waiting)
-            waiting->second({ .status = 200, .body = "{}" });
+            waiting->second(plain(200));
         m_leaving.erase(first, last);
     }
     m_scheduler.workersRecorded(at, names);
--- a/acaciafork/core/Counters.h
+++ b/acaciafork/core/Counters.h
@@ -9,6 +9,9 @@
 
 namespace acaciafork {
 
+/// Content type of CounterRegistry::prometheusText().
+inline constexpr std::string_view prometheusContentType = "text/plain; version=0.0.4";
+
 /// Kind of a metric, as the Prometheus text format names it.
 enum class MetricKind : std::uint8_t { Counter, Gauge };
 
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -170,6 +170,8 @@
     [[nodiscard]] RunNumber nextRun(const Task &task) const;
     void startRun(Timestamp now, TaskRef task, Worker *worker, RunNumber number);
     bool adoptRun(Timestamp now, TaskRef task, const RunningRow &row, Worker *worker);
+    /// Run that an answer of a worker is about; none when it is over here.
+    RunRef findAnswered(WorkerId id, const RunKey &run, OrderOutcome outcome);
     void requestStop(Timestamp now, const RunRef &run, std::string_view reason);
     void releaseRun(const RunRef &run);
     [[nodiscard]] static RunRef findRun(TaskRef task, RunNumber number);
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -138,15 +138,22 @@
     dropIfIdle(job);
 }
 
-void JobScheduler::startAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
+RunRef JobScheduler::findAnswered(WorkerId id, const RunKey &key, OrderOutcome outcome)
 {
-    const Timestamp now = at.now;
-    Worker *worker = m_workers.find(id);
-    const RunRef ref = findRun(m_jobs.find(key.task), key.run);
     if (outcome == OrderOutcome::Fenced)
         m_isFenced = true;
-    if (worker == nullptr || !ref.task || ref.get().worker != id)
+    const RunRef ref = findRun(m_jobs.find(key.task), key.run);
+    const bool isThere = ref.task && ref.get().worker == id && m_workers.find(id) != nullptr;
+    return isThere ? ref : RunRef {};
+}
+
+void JobScheduler::startAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
+{
+    const Timestamp now = at.now;
+    const RunRef ref = findAnswered(id, key, outcome);
+    if (!ref.task)
         return;
+    Worker *worker = m_workers.find(id);
     Run &run = ref.get();
     if (outcome == OrderOutcome::Done) {
         worker->heardAt = now;
@@ -187,11 +194,8 @@
 
 void JobScheduler::stopAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
 {
-    Worker *worker = m_workers.find(id);
-    const RunRef ref = findRun(m_jobs.find(key.task), key.run);
-    if (outcome == OrderOutcome::Fenced)
-        m_isFenced = true;
-    if (worker == nullptr || !ref.task || ref.get().worker != id)
+    const RunRef ref = findAnswered(id, key, outcome);
+    if (!ref.task)
         return;
     Run &run = ref.get();
     run.stopInFlight = false;
@@ -202,6 +206,7 @@
     run.stopConfirmed = true;
     run.confirmedAt = at.now;
     // Its end, if it ran, is listed by then; a run that never began is settled by its absence.
+    Worker *worker = m_workers.find(id);
     worker->quickHoldAt = std::min(worker->quickHoldAt,
                                    at.now + m_settings.stopTimeout + 3 * m_settings.recordPause);
 }
--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -15,8 +15,6 @@
 void JobScheduler::readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails)
 {
     // Figures cover half a second: what changed within it can't be told apart.
-    const auto whole =
-            static_cast<double>(std::max<std::int64_t>(worker->life.capacity.millicores, 1));
     bool isSteady = now - worker->pacedAt > tailWindow;
     std::vector<FillingNeighbour> neighbours;
     for (const RunRef &it : worker->runs) {
@@ -25,7 +23,7 @@
         isSteady = isSteady && now - it.get().startedAt > tailWindow;
         neighbours.push_back(
                 { .image = it.task.step->spec->image,
-                  .share = static_cast<double>(std::max<std::int64_t>(it.get().load, 0)) / whole });
+                  .share = shareOf(*worker, std::max<std::int64_t>(it.get().load, 0)) });
     }
     for (const RunRef &it : worker->runs) {
         const StepSpec &spec = *it.task.step->spec;
@@ -68,7 +66,7 @@
 void JobScheduler::guardTails(Timestamp now, Worker *worker)
 {
     if (worker->fillMillicores == 0) {
-        worker->fillPercent = 100;
+        worker->fillPercent = wholePercent;
         return;
     }
     std::vector<TailReading> tails;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -36,15 +36,6 @@
             && step.spec->reserved().fitsIn(worker.life.capacity);
 }
 
-bool Placer::couldEverFit(const WorkerTable &workers, const std::string &pool, const StepSpec &step)
-{
-    return std::ranges::any_of(workers.all(), [&](const auto &it) {
-        const WorkerLife &life = it.second->life;
-        return life.pool == pool && hasLabel(life, step.label)
-                && step.reserved().fitsIn(life.capacity);
-    });
-}
-
 bool Placer::fits(const Worker &worker, const Step &step) const
 {
     const StepSpec &spec = *step.spec;
@@ -99,9 +90,7 @@
 double Placer::score(const Worker &worker, const Step &step, const Task &task) const
 {
     const StepSpec &spec = *step.spec;
-    const auto whole =
-            static_cast<double>(std::max<std::int64_t>(worker.life.capacity.millicores, 1));
-    const double left = static_cast<double>(worker.leftover()) / whole;
+    const double left = shareOf(worker, worker.leftover());
     double score = 0;
     if (spec.fills)
         score = left - (isHarmless(worker, step) ? 0 : unknownPairPenalty);
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -41,10 +41,6 @@
     /// True when the worker may get new work at all.
     [[nodiscard]] bool isUsable(Timestamp now, const Worker &worker) const;
 
-    /// True when some worker of the pool could ever hold a task of the step.
-    [[nodiscard]] static bool couldEverFit(const WorkerTable &workers, const std::string &pool,
-                                           const StepSpec &step);
-
     /// True when a task of the step could run on the worker if nothing else did.
     [[nodiscard]] static bool couldHold(const Worker &worker, const Step &step);
 
--- a/acaciafork/decisions/jobs/TailGuard.h
+++ b/acaciafork/decisions/jobs/TailGuard.h
@@ -53,7 +53,8 @@
     /// True when the tail is near its target or over it.
     [[nodiscard]] bool isInDanger(const TailReading &tail) const
     {
-        return tail.targetMs > 0 && tail.tailMs * 100 > tail.targetMs * m_settings.dangerPercent;
+        return tail.targetMs > 0
+                && tail.tailMs * wholePercent > tail.targetMs * m_settings.dangerPercent;
     }
 
 private:
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -10,12 +10,17 @@
             std::ranges::count_if(runs, [step](const RunRef &it) { return it.task.step == step; }));
 }
 
-double shareOf(const Worker &worker, const StepSpec &spec)
+double shareOf(const Worker &worker, std::int64_t millicores)
 {
-    return static_cast<double>(spec.size.millicores)
+    return static_cast<double>(millicores)
             / static_cast<double>(std::max<std::int64_t>(worker.life.capacity.millicores, 1));
 }
 
+double shareOf(const Worker &worker, const StepSpec &spec)
+{
+    return shareOf(worker, spec.size.millicores);
+}
+
 void Worker::reserve(const Step &step)
 {
     const StepSpec &spec = *step.spec;
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -81,7 +81,8 @@
     /// Millicores that nothing here is reckoned to use.
     [[nodiscard]] std::int64_t leftover() const
     {
-        const std::int64_t unusedByServing = servingMillicores * (100 - servingUsePercent) / 100;
+        const std::int64_t unusedByServing =
+                servingMillicores * (wholePercent - servingUsePercent) / wholePercent;
         return life.capacity.millicores - used.millicores + unusedByServing - fillMillicores;
     }
     /// Images that are served here, and by how many tasks.
@@ -93,7 +94,8 @@
     [[nodiscard]] std::uint32_t runsOf(const Step *step) const;
 };
 
-/// Share of a worker's processors that a task of the step would like.
+/// Share of a worker's processors that an amount is, or that a task of the step would like.
+double shareOf(const Worker &worker, std::int64_t millicores);
 double shareOf(const Worker &worker, const StepSpec &spec);
 
 /// The workers by id and by name.
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -25,25 +25,20 @@
     net::Loop loop;
     entry::EntryProcess process(&loop, settings);
     BOOST_LEAF_CHECK(process.start());
+    std::unique_ptr<platform::EntryBinding> binding;
     if (settings.binding == "platform") {
-        platform::EntryBinding binding(&loop, &process,
-                                       { .clients = settings.bindingClients,
-                                         .ready = settings.bindingReady,
-                                         .metrics = settings.bindingMetrics });
-        BOOST_LEAF_CHECK(binding.start());
-        loop.onSignal([&](int signal) {
-            if (signal == SIGHUP)
-                reloadSettings(commandLine.settingsFile, &process, entry::readEntrySettings);
-            else
-                binding.drain();
-        });
-        loop.run();
-        flushLog();
-        return {};
+        binding = std::make_unique<platform::EntryBinding>(
+                &loop, &process,
+                platform::EntryBindingSettings { .clients = settings.bindingClients,
+                                                 .ready = settings.bindingReady,
+                                                 .metrics = settings.bindingMetrics });
+        BOOST_LEAF_CHECK(binding->start());
     }
     loop.onSignal([&](int signal) {
         if (signal == SIGHUP)
             reloadSettings(commandLine.settingsFile, &process, entry::readEntrySettings);
+        else if (binding)
+            binding->drain();
         else
             process.drain();
     });
