Refuse a worker whose address nobody can dial

Cause: found on reading: a heartbeat's address was taken as any text. Such a worker was recorded and got work; the order failed on its address and told the driver nothing, though each order has one answer, so that its tasks hung until the lease was over and its renewals for ever.

--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -130,6 +130,11 @@
     CHECK_FALSE(takes([&] { return decodeHeartbeat("i", replaced(beat, "draining", "busy")); }));
     CHECK_FALSE(takes([&] { return decodeHeartbeat("i", replaced(beat, "4,", "\"4\",")); }));
     CHECK_FALSE(takes([&] { return decodeHeartbeat("i", "\xff\xfe"); }));
+    // Nobody could send it an order.
+    for (const char *it : { "10.0.0.9", "worker:80", "10.0.0.9:", ":80" }) {
+        CAPTURE(it);
+        CHECK_FALSE(takes([&] { return decodeHeartbeat("i", replaced(beat, "10.0.0.9:80", it)); }));
+    }
 }
 
 TEST_CASE("orders carry the tenure, and answers say what became of them")
