Bound the connections of the HTTP client and pause accepting without descriptors

A listener at EMFILE stays readable, so the loop turned without a pause and without a word.

Ruled out: a lower idle time alone, since one burst fills the descriptors within a second.

Change: a limit on calls in progress at one address (later ones wait their turn), a limit on all connections (idle ones of the addresses unused for longest are closed first), and a pause of 100 ms with a log line where no descriptor is left.

--- a/acaciafork/net/HttpCall.cpp
+++ b/acaciafork/net/HttpCall.cpp
@@ -74,7 +74,7 @@
     }
 };
 
-void HttpCall::begin(const HttpRequest &request, st_h2o_socketpool_t *pool)
+void HttpCall::begin(const HttpRequest &request, AddressPool *pool)
 {
     Loop &loop = m_owner->loop;
     const auto self = shared_from_this();
@@ -95,10 +95,29 @@
         });
     }
     m_stallTimeout = request.stallTimeout;
+    m_pool = pool;
+    connect();
+}
+
+void HttpCall::connect()
+{
+    const auto self = shared_from_this();
+    Loop &loop = m_owner->loop;
+    if (!m_pool->enter()) {
+        m_pool->wait(self);
+        return;
+    }
+    m_hasPlace = true;
+    if (!m_owner->makeRoom(*m_pool)) {
+        loop.post([self] {
+            self->failWith(FailureKind::Overloaded, "the limit on connections is reached");
+        });
+        return;
+    }
 
     // A kept connection is used at once; a new one has its own bound until it stands.
     m_isInCallback = true;
-    h2o_http1client_connect_with_pool(&m_client, this, &m_owner->context, pool,
+    h2o_http1client_connect_with_pool(&m_client, this, &m_owner->context, m_pool->native(),
                                       Callbacks::connected);
     m_isInCallback = false;
     if (m_phase == CallPhase::NotConnected && m_sink != nullptr) {
@@ -358,6 +377,10 @@
 {
     for (auto *it : { &m_deadline, &m_headDeadline, &m_stallTimer, &m_connectDeadline })
         m_owner->loop.cancel(std::exchange(*it, {}));
+    if (std::exchange(m_hasPlace, false)) {
+        m_pool->leave();
+        m_owner->beginNext(m_pool);
+    }
     m_owner->calls.erase(this);
 }
 
--- a/acaciafork/net/HttpCall.h
+++ b/acaciafork/net/HttpCall.h
@@ -10,10 +10,11 @@
 struct st_h2o_header_t;
 struct st_h2o_http1client_t;
 struct st_h2o_socket_t;
-struct st_h2o_socketpool_t;
 
 namespace acaciafork::net {
 
+class AddressPool;
+
 /// One request of a client and the answer to it.
 class HttpCall : public std::enable_shared_from_this<HttpCall>
 {
@@ -41,7 +42,9 @@
         : m_sink(sink)
     { }
 
-    void begin(const HttpRequest &request, st_h2o_socketpool_t *pool);
+    void begin(const HttpRequest &request, AddressPool *pool);
+    /// Takes or makes a connection, or waits for a place at the address.
+    void connect();
     void buildRequest(const HttpRequest &request);
     void failWith(FailureKind kind, std::string detail);
     void end(const CallEnd &end);
@@ -62,6 +65,9 @@
     /// The sink, where it belongs to the call; it goes with the call's end.
     std::shared_ptr<HttpCallSink> m_ownSink;
     HttpClient::Impl *m_owner = nullptr;
+    AddressPool *m_pool = nullptr;
+    /// The call is in progress at its address; it gives the place back at its end.
+    bool m_hasPlace = false;
     st_h2o_http1client_t *m_client = nullptr;
     CallPhase m_phase = CallPhase::NotConnected;
     bool m_isHeadMethod = false;
--- a/acaciafork/net/HttpClient.cpp
+++ b/acaciafork/net/HttpClient.cpp
@@ -2,8 +2,11 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
+#include <spdlog/spdlog.h>
+
 #include "acaciafork/net/HttpClientImpl.h"
 #include "acaciafork/net/TcpStream.h"
 
@@ -15,6 +18,10 @@
 // hours, so this one is as good as none.
 constexpr std::uint64_t noIoTimeoutMs = 1'000ULL * 3'600 * 24 * 365;
 
+/// At the limit on connections, one in so many is closed.
+constexpr std::size_t roomShare = 8;
+constexpr Duration budgetLogInterval = std::chrono::seconds(10);
+
 /// Collects an answer for HttpClient::call().
 class Collector : public HttpCallSink
 {
@@ -103,29 +110,24 @@
     calls.clear();
     for (const auto &[raw, call] : open)
         call->cancel();
-    for (const auto &[address, pool] : m_pools) {
-        h2o_socketpool_dispose(pool);
-        delete pool;
-    }
+    m_pools.clear();
     h2o_timeout_dispose(loop.native(), &m_ioTimeout);
 }
 
-h2o_socketpool_t *HttpClient::Impl::poolFor(const Address &address)
+AddressPool *HttpClient::Impl::poolFor(const Address &address)
 {
-    const auto it = m_pools.find(address);
-    if (it != m_pools.end())
-        return it->second;
-    sockaddr_storage storage;
-    const auto length = toSocketAddress(address, &storage);
-    if (length == 0)
-        return nullptr;
-    auto *pool = new h2o_socketpool_t {};
-    h2o_socketpool_init_by_address(pool, reinterpret_cast<sockaddr *>(&storage), length, 0,
-                                   static_cast<std::size_t>(settings.mostIdlePerAddress));
-    h2o_socketpool_set_timeout(pool, loop.native(),
-                               static_cast<std::uint64_t>(settings.idleTimeout.count() / 1'000));
-    m_pools.emplace(address, pool);
-    return pool;
+    auto it = m_pools.find(address);
+    if (it == m_pools.end()) {
+        sockaddr_storage storage;
+        const auto length = toSocketAddress(address, &storage);
+        if (length == 0)
+            return nullptr;
+        it = m_pools.emplace(address,
+                             std::make_unique<AddressPool>(loop, storage, length, settings))
+                     .first;
+    }
+    it->second->lastCall = ++m_lastCall;
+    return it->second.get();
 }
 
 void HttpClient::Impl::forget(const Address &address)
@@ -134,17 +136,82 @@
     const auto it = m_pools.find(address);
     if (it == m_pools.end())
         return;
-    for (const auto &[raw, call] : calls) {
-        if (call->m_client != nullptr && call->m_client->sockpool.pool == it->second) {
-            loop.after(std::chrono::seconds(1), [this, address] { forget(address); });
-            return;
-        }
+    if (!it->second->isUnused()) {
+        loop.after(std::chrono::seconds(1), [this, address, isAlive = std::weak_ptr(m_isAlive)] {
+            if (!isAlive.expired())
+                forget(address);
+        });
+        return;
     }
-    h2o_socketpool_dispose(it->second);
-    delete it->second;
     m_pools.erase(it);
 }
 
+std::size_t HttpClient::Impl::countConnections() const
+{
+    std::size_t open = 0;
+    for (const auto &[address, pool] : m_pools)
+        open += pool->open();
+    return open;
+}
+
+bool HttpClient::Impl::makeRoom(const AddressPool &pool)
+{
+    const auto most = static_cast<std::size_t>(settings.mostConnections);
+    if (most == 0 || pool.hasIdle())
+        return true;
+    if (m_openAtMost >= most) {
+        m_openAtMost = countConnections();
+        if (m_openAtMost >= most)
+            closeUnused();
+    }
+    if (m_openAtMost < most) {
+        ++m_openAtMost;
+        return true;
+    }
+    ++counts.callsRefused;
+    return false;
+}
+
+void HttpClient::Impl::closeUnused()
+{
+    // Some room at once, since the search looks at every address.
+    const auto most = static_cast<std::size_t>(settings.mostConnections);
+    const std::size_t wanted = most - most / roomShare;
+    std::vector<AddressPool *> idle;
+    for (const auto &[address, pool] : m_pools) {
+        if (pool->hasIdle())
+            idle.push_back(pool.get());
+    }
+    std::ranges::sort(idle, {}, &AddressPool::lastCall);
+    for (AddressPool *it : idle) {
+        if (m_openAtMost <= wanted)
+            break;
+        const std::size_t before = it->open();
+        it->closeIdle();
+        m_openAtMost -= std::min(before - it->open(), m_openAtMost);
+        ++counts.poolsClosed;
+    }
+    const Timestamp now = Loop::now();
+    if (now < m_nextBudgetLog)
+        return;
+    m_nextBudgetLog = now + budgetLogInterval;
+    spdlog::warn("event=connection-limit-reached limit={} open={} addresses={} refused={}", most,
+                 m_openAtMost, m_pools.size(), counts.callsRefused);
+}
+
+void HttpClient::Impl::beginNext(AddressPool *pool)
+{
+    if (!pool->hasWaiting())
+        return;
+    // The pool stays while calls wait in it.
+    loop.post([pool, isAlive = std::weak_ptr(m_isAlive)] {
+        if (isAlive.expired())
+            return;
+        while (const auto call = pool->next())
+            call->connect();
+    });
+}
+
 HttpClient::HttpClient(Loop &loop, HttpClientSettings settings)
     : m_impl(std::make_unique<Impl>(loop, settings))
 { }
@@ -184,4 +251,14 @@
     return m_impl->calls.size();
 }
 
+std::size_t HttpClient::connections() const
+{
+    return m_impl->countConnections();
+}
+
+const HttpClientCounts &HttpClient::counts() const
+{
+    return m_impl->counts;
+}
+
 } // namespace acaciafork::net
--- a/acaciafork/net/HttpClient.h
+++ b/acaciafork/net/HttpClient.h
@@ -42,6 +42,13 @@
     Duration idleTimeout = std::chrono::seconds(30);
     /// Most idle connections kept to one address.
     std::int64_t mostIdlePerAddress = 1'000;
+    /// Most calls in progress at one address, and so most connections to it; later calls wait for
+    /// their turn. Zero is no limit.
+    std::int64_t mostCallsPerAddress = 0;
+    /// Most connections to all addresses. At the limit, idle connections to the addresses that were
+    /// not called for longest are closed; a call that still finds no room fails as Overloaded
+    /// before it is sent. Zero is no limit.
+    std::int64_t mostConnections = 0;
     /// Bytes of an answer that the kernel may hold for a connection; a paused call reads no more.
     std::int64_t receiveBufferBytes = 256LL * 1024;
     /// Most bytes of an answer that call() collects.
@@ -99,6 +106,14 @@
     virtual void onUpgraded(std::unique_ptr<TcpStream> stream);
 };
 
+/// What a client has counted since its start.
+struct HttpClientCounts
+{
+    /// Idle connections' addresses closed, and calls refused, at the limit on connections.
+    std::uint64_t poolsClosed = 0;
+    std::uint64_t callsRefused = 0;
+};
+
 /// Whole answer of HttpClient::call().
 struct HttpReply
 {
@@ -130,6 +145,11 @@
     /// Calls begun and not ended.
     [[nodiscard]] std::size_t inProgress() const;
 
+    /// Connections that are open or being made.
+    [[nodiscard]] std::size_t connections() const;
+
+    [[nodiscard]] const HttpClientCounts &counts() const;
+
 private:
     friend class HttpCall;
     class Impl;
--- a/acaciafork/net/HttpServer.cpp
+++ b/acaciafork/net/HttpServer.cpp
@@ -2,6 +2,10 @@
 
 #include <sys/socket.h>
 
+#include <cerrno>
+
+#include <spdlog/spdlog.h>
+
 #include "acaciafork/net/HttpServerImpl.h"
 #include "acaciafork/net/TcpListener.h"
 
@@ -11,6 +15,8 @@
 
 // Connections taken in one turn, so that a burst of them does not hold up requests.
 constexpr int acceptsPerTurn = 32;
+// How long nothing is accepted once no descriptor was left.
+constexpr Duration acceptPause = std::chrono::milliseconds(100);
 // How often the watch over unfinished requests looks.
 constexpr Duration tickPeriod = std::chrono::milliseconds(10);
 
@@ -150,18 +156,37 @@
         return;
     auto *self = static_cast<Impl *>(listener->data);
     for (int i = 0; i != acceptsPerTurn; ++i) {
+        errno = 0;
         h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
-        if (socket == nullptr)
+        if (socket == nullptr) {
+            if (errno == EMFILE || errno == ENFILE)
+                self->pauseAccepting();
             return;
+        }
         self->accept(socket);
     }
 }
 
+// A listener stays readable while no descriptor is left for what waits there, so the loop would
+// turn without a pause.
+void HttpServer::Impl::pauseAccepting()
+{
+    ++counts.acceptsFailed;
+    spdlog::error("event=accept-failed reason=no-descriptor connections={}", connections.size());
+    h2o_socket_read_stop(m_listener);
+    loop.after(acceptPause, [this, isAlive = std::weak_ptr(m_isAlive)] {
+        if (!isAlive.expired() && m_listener != nullptr)
+            h2o_socket_read_start(m_listener, handleReadable);
+    });
+}
+
 void HttpServer::Impl::accept(h2o_socket_t *socket)
 {
     ++counts.accepted;
     if (connections.size() >= static_cast<std::size_t>(settings.mostConnections)) {
-        ++counts.refused;
+        if (counts.refused++ == 0)
+            spdlog::warn("event=connection-limit-reached side=server limit={}",
+                         settings.mostConnections);
         h2o_socket_close(socket);
         return;
     }
--- a/acaciafork/net/HttpServer.h
+++ b/acaciafork/net/HttpServer.h
@@ -43,6 +43,8 @@
     std::uint64_t requests = 0;
     /// Requests refused before they were whole: bad head, too large, too slow, over the budget.
     std::uint64_t refused = 0;
+    /// Times that no descriptor was left for a connection.
+    std::uint64_t acceptsFailed = 0;
 };
 
 /// HTTP/1.1 server on one listening address, over h2o's.
--- a/acaciafork/net/HttpServerImpl.h
+++ b/acaciafork/net/HttpServerImpl.h
@@ -63,6 +63,7 @@
     static int handleRequest(h2o_handler_t *self, h2o_req_t *req);
     static void handleErrorAnswer(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot);
     void stopListening();
+    void pauseAccepting();
     void requestShutdown();
     void accept(h2o_socket_t *socket);
     void begin(h2o_req_t *req, ServerConnection &connection);
--- a/acaciafork/net/TcpListener.cpp
+++ b/acaciafork/net/TcpListener.cpp
@@ -7,9 +7,18 @@
 #include <cstring>
 #include <utility>
 
+#include <spdlog/spdlog.h>
+
 #include "acaciafork/net/H2o.h"
 
 namespace acaciafork::net {
+namespace {
+
+/// How long nothing is accepted once no descriptor was left: the descriptor stays readable, so the
+/// loop would turn without a pause.
+constexpr Duration acceptPause = std::chrono::milliseconds(100);
+
+} // namespace
 
 Result<int> openListeningSocket(const Address &address, std::uint16_t *port)
 {
@@ -43,7 +52,9 @@
 {
     if (m_fd < 0)
         return;
-    m_loop.unwatch(m_watch);
+    m_loop.cancel(m_resume);
+    if (m_watch.socket != nullptr)
+        m_loop.unwatch(m_watch);
     ::close(m_fd);
 }
 
@@ -58,9 +69,21 @@
 void TcpListener::accept()
 {
     const int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0)
+    if (fd < 0) {
+        if (errno == EMFILE || errno == ENFILE)
+            pause();
         return;
+    }
     m_handler(std::make_unique<TcpStream>(h2o_evloop_socket_create(m_loop.native(), fd, 0)));
 }
 
+void TcpListener::pause()
+{
+    spdlog::error("event=accept-failed reason=no-descriptor");
+    m_loop.unwatch(m_watch);
+    m_watch = {};
+    m_resume = m_loop.after(acceptPause,
+                            [this] { m_watch = m_loop.watchReadable(m_fd, [this] { accept(); }); });
+}
+
 } // namespace acaciafork::net
--- a/acaciafork/net/TcpListener.h
+++ b/acaciafork/net/TcpListener.h
@@ -29,11 +29,13 @@
 
 private:
     void accept();
+    void pause();
 
     Loop &m_loop;
     Handler m_handler;
     int m_fd = -1;
     WatchId m_watch;
+    TimerId m_resume;
 };
 
 /// Opens a listening socket that does not block.
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -1,3 +1,5 @@
+#include <array>
+
 #include "NetFixtures.h"
 
 namespace acaciafork::net::test {
@@ -295,4 +297,98 @@
     CHECK(replies[1].end.failure->kind == FailureKind::TooLarge);
 }
 
+TEST_CASE("calls beyond the limit of an address wait for their turn, in order")
+{
+    // Every start of a burst used to open a connection of its own, which then stayed.
+    Loop loop;
+    HttpClient client(loop, { .mostCallsPerAddress = 2 });
+    std::vector<std::string> arrived;
+    std::vector<TcpStream *> open;
+    RawServer server(loop, [&](TcpStream &it, const std::string &request) {
+        arrived.push_back(request.substr(5, 1));
+        open.push_back(&it);
+    });
+    std::vector<int> statuses;
+    for (const char *it : { "/0", "/1", "/2", "/3", "/4" })
+        client.call({ .address = server.address(), .target = it },
+                    [&](const HttpReply &reply) { statuses.push_back(reply.status); });
+    runUntil(loop, [&] { return arrived.size() == 2; });
+    for (int i = 0; i != 10; ++i)
+        loop.runOnce(1ms);
+    CHECK(arrived.size() == 2);
+    for (std::size_t answered = 0; answered != 5; ++answered) {
+        open[answered]->write(wholeAnswer);
+        const std::size_t next = std::min<std::size_t>(answered + 3, 5);
+        runUntil(loop, [&] { return arrived.size() == next; });
+    }
+    runUntil(loop, [&] { return statuses.size() == 5; });
+    // The first two went out on connections of their own, which may overtake each other.
+    std::sort(arrived.begin(), arrived.begin() + 2);
+    CHECK(arrived == std::vector<std::string> { "0", "1", "2", "3", "4" });
+    CHECK(server.accepted() == 2);
+    CHECK(client.inProgress() == 0);
+}
+
+TEST_CASE("a call whose time is over while it waits for its turn was not sent")
+{
+    Loop loop;
+    HttpClient client(loop, { .mostCallsPerAddress = 1 });
+    RawServer server(loop, [](TcpStream &, const std::string &) {});
+    RecordingSink first;
+    const auto held = client.start({ .address = server.address() }, first);
+    const auto late = callOnce(loop, client, server.address(), 50ms);
+    CHECK(late->end->phase == CallPhase::NotConnected);
+    CHECK(late->end->failure->kind == FailureKind::Timeout);
+    held->cancel();
+    // The place is free again.
+    RecordingSink next;
+    const auto call = client.start({ .address = server.address() }, next);
+    runUntil(loop, [&] { return call->phase() == CallPhase::Sent; });
+    call->cancel();
+}
+
+TEST_CASE("at the limit on connections idle ones are closed, the longest unused first")
+{
+    Loop loop;
+    HttpClient client(loop, { .mostConnections = 8 });
+    std::vector<std::unique_ptr<RawServer>> servers;
+    for (int i = 0; i != 20; ++i)
+        servers.push_back(std::make_unique<RawServer>(
+                loop, [](TcpStream &it, const std::string &) { it.write(wholeAnswer); }));
+    for (const auto &it : servers) {
+        CHECK_FALSE(callOnce(loop, client, it->address())->end->failure);
+        CHECK(client.connections() <= 8);
+    }
+    CHECK(client.counts().callsRefused == 0);
+    CHECK(client.counts().poolsClosed >= 12);
+    // The latest address still has its connection.
+    CHECK_FALSE(callOnce(loop, client, servers.back()->address())->end->failure);
+    CHECK(servers.back()->accepted() == 1);
+    CHECK_FALSE(callOnce(loop, client, servers.front()->address())->end->failure);
+    CHECK(servers.front()->accepted() == 2);
+}
+
+TEST_CASE("a call that finds the limit on connections taken by calls in progress was not sent")
+{
+    Loop loop;
+    HttpClient client(loop, { .mostConnections = 2 });
+    std::vector<std::unique_ptr<RawServer>> servers;
+    for (int i = 0; i != 3; ++i)
+        servers.push_back(
+                std::make_unique<RawServer>(loop, [](TcpStream &, const std::string &) {}));
+    std::array<RecordingSink, 2> sinks;
+    std::vector<std::shared_ptr<HttpCall>> calls;
+    for (std::size_t i = 0; i != 2; ++i)
+        calls.push_back(client.start({ .address = servers[i]->address() }, sinks[i]));
+    const auto refused = callOnce(loop, client, servers[2]->address());
+    CHECK(refused->end->phase == CallPhase::NotConnected);
+    CHECK(refused->end->failure->kind == FailureKind::Overloaded);
+    CHECK(client.counts().callsRefused == 1);
+    for (const auto &it : calls)
+        it->cancel();
+    const auto later = client.start({ .address = servers[2]->address() }, sinks[0]);
+    runUntil(loop, [&] { return later->phase() == CallPhase::Sent; });
+    later->cancel();
+}
+
 } // namespace acaciafork::net::test
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -1,4 +1,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <arpa/inet.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "NetFixtures.h"
 
 namespace acaciafork::net::test {
@@ -384,4 +389,38 @@
     peer.exchange("", " after the end");
 }
 
+TEST_CASE("a server without a descriptor left pauses, and takes what waits once there is one")
+{
+    // The listener stays readable meanwhile: the loop used to turn without a pause.
+    Fixture fixture;
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    REQUIRE(fd >= 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(fixture.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+    const std::string request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    REQUIRE(::send(fd, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+
+    // A new descriptor is the lowest free one, so none is left below the limit.
+    rlimit limit {};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    rlimit lowered = limit;
+    lowered.rlim_cur = static_cast<rlim_t>(fd) + 1;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    int turns = 0;
+    fixture.loop.onTurnEnd([&] { ++turns; });
+    const Timestamp end = Loop::now() + std::chrono::milliseconds(250);
+    while (Loop::now() < end)
+        fixture.loop.runOnce(std::chrono::milliseconds(20));
+    CHECK(turns < 100);
+    CHECK(fixture.exchanges.empty());
+    CHECK(fixture.server.counts().acceptsFailed > 0);
+
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    fixture.next()->answerJson(200, "{}");
+    ::close(fd);
+}
+
 } // namespace acaciafork::net::test
