Never refuse a submission of which another copy may be accepted

Cause: two ways in which a 503, which says that a job was not accepted, could be untrue. A leader that held a submission in its log refused the second copy of the same call when it could not propose another entry. A member that passes a call on asked two leaders when the leadership changed, and its reply did not say so: the refusal of one reached the client while the other accepted.

Ruled out: the entry's own repetitions, which it marks and answers as unknown.

Change: calls about a submission in progress share its outcome; a reply tells whether the call was forwarded more than once (ApiReply.forwarded_again).

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -372,7 +372,8 @@
         if (!envelope.api_reply().no_leader())
             m_relays.end(envelope.api_reply().call(),
                          { .status = static_cast<int>(envelope.api_reply().status()),
-                           .body = envelope.api_reply().body() });
+                           .body = envelope.api_reply().body(),
+                           .isRepeated = envelope.api_reply().forwarded_again() });
         break;
     default:
         m_node->peerMessage(at, envelope);
@@ -405,6 +406,7 @@
                 reply.mutable_api_reply()->set_call(number);
                 reply.mutable_api_reply()->set_status(static_cast<std::uint32_t>(answer.status));
                 reply.mutable_api_reply()->set_body(answer.body);
+                reply.mutable_api_reply()->set_forwarded_again(answer.isRepeated);
                 m_link->send(sender, &reply, net::Loop::wallMicroseconds());
             });
 }
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -191,6 +191,8 @@
     m_tenure = {};
     m_unrecorded.clear();
     m_unrecordedWorkers.clear();
+    // Whether these will be accepted is not known: they get no answer.
+    m_submissions.clear();
     for (const auto &[name, reply] : m_leaving)
         reply(refusedForNow());
     m_leaving.clear();
@@ -334,40 +336,53 @@
         reply(plain(200));
         return;
     }
+    const auto [submission, isFirst] = m_submissions.try_emplace(id);
+    submission->second.push_back(reply);
+    if (!isFirst)
+        return;
     wire::Command proposal;
     wire::SubmitJob *job = proposal.mutable_submit_job();
     if (call.malformed() || !job->mutable_spec()->ParseFromString(call.spec())) {
-        reply(peers::failureAnswer(FailureKind::InvalidArgument, "the body is not a job"));
+        answerSubmission(
+                id, peers::failureAnswer(FailureKind::InvalidArgument, "the body is not a job"));
         return;
     }
     job->set_job(id);
     *job->mutable_queue() = queue;
+    const std::uint64_t leadership = m_leadership;
     const bool accepted = m_propose(
             at, std::move(proposal),
-            [this, reply, id, began = at.now](Moment when, const state::ApplyResult *result) {
+            [this, id, leadership, began = at.now](Moment when, const state::ApplyResult *result) {
                 // Not known whether it is accepted: whoever asked asks the next leader.
-                if (result == nullptr)
+                if (result == nullptr || leadership != m_leadership)
                     return;
                 if (state::succeeded(*result)) {
                     m_commitTime->observe(when.now - began);
-                    reply(plain(200));
+                    answerSubmission(id, plain(200));
                     return;
                 }
                 spdlog::info("event=job-refused job={:016x} outcome={} detail=\"{}\"", id,
                              state::outcomeName(result->outcome()), result->detail());
-                if (result->outcome() == wire::OUTCOME_INVALID)
-                    reply(peers::failureAnswer(FailureKind::InvalidArgument, result->detail()));
-                else
-                    reply(refusedForNow());
+                answerSubmission(id,
+                                 result->outcome() == wire::OUTCOME_INVALID ? peers::failureAnswer(
+                                         FailureKind::InvalidArgument, result->detail())
+                                                                            : refusedForNow());
             });
     if (!accepted) {
         m_refused->add();
         spdlog::info("event=job-refused job={:016x} queue={} reason=cannot-propose", id,
                      queue.name());
-        reply(refusedForNow());
+        answerSubmission(id, refusedForNow());
     }
 }
 
+void JobDriver::answerSubmission(std::uint64_t id, const peers::ApiAnswer &answer)
+{
+    const auto node = m_submissions.extract(id);
+    for (const Reply &it : node.mapped())
+        it(answer);
+}
+
 void JobDriver::tell(std::uint64_t id, const Reply &reply) const
 {
     const state::Job *job = m_state->jobs().find(id);
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -78,6 +78,7 @@
     void workersRecorded(Moment at, const jobs::RecordWorkers &command);
     void submit(Moment at, const wire::Queue &queue, std::uint64_t id, const wire::JobCall &call,
                 const Reply &reply);
+    void answerSubmission(std::uint64_t id, const peers::ApiAnswer &answer);
     void tell(std::uint64_t id, const Reply &reply) const;
     void cancel(Moment at, std::uint64_t id, const Reply &reply);
     [[nodiscard]] bool isOf(jobs::Tenure tenure) const { return m_isActive && tenure == m_tenure; }
@@ -94,6 +95,9 @@
     /// Records that could not be proposed yet.
     std::vector<jobs::RecordEnds> m_unrecorded;
     std::vector<jobs::RecordWorkers> m_unrecordedWorkers;
+    /// Submissions that are proposed and not committed, with all that wait for the outcome. A call
+    /// that repeats one gets the same answer: a refusal of the repetition would be untrue.
+    std::map<std::uint64_t, std::vector<Reply>> m_submissions;
     /// Workers whose word that they leave is not recorded yet, and who waits for it.
     std::multimap<WorkerName, Reply> m_leaving;
     /// Leadership that this member is in; answers of proposals of another one are stale.
--- a/acaciafork/entry/EntryNode.cpp
+++ b/acaciafork/entry/EntryNode.cpp
@@ -391,7 +391,10 @@
     // Without a leader nothing was done: the call goes out again until it times out.
     if (reply.no_leader())
         return;
-    m_calls.end(reply.call(), { .status = static_cast<int>(reply.status()), .body = reply.body() });
+    m_calls.end(reply.call(),
+                { .status = static_cast<int>(reply.status()),
+                  .body = reply.body(),
+                  .isRepeated = reply.forwarded_again() });
     (void)at;
 }
 
--- a/acaciafork/peers/CallTable.cpp
+++ b/acaciafork/peers/CallTable.cpp
@@ -35,7 +35,7 @@
     // The handler may begin another call: the table is left in order before it runs.
     const Handler handler = std::move(it->second.handler);
     ApiAnswer marked = answer;
-    marked.isRepeated = it->second.sends > 1;
+    marked.isRepeated = answer.isRepeated || it->second.sends > 1;
     m_calls.erase(it);
     handler(marked);
 }
--- a/tests/peers/PeersTest.cpp
+++ b/tests/peers/PeersTest.cpp
@@ -54,6 +54,18 @@
     CHECK_FALSE(tracker.confirmed());
 }
 
+TEST_CASE("a refusal of a call that its receiver passed on twice is marked as one of several")
+{
+    // A follower that asks two leaders gets a refusal from one while the other may accept.
+    CallTable table({}, 1);
+    bool isRepeated = false;
+    const std::uint64_t call = table.begin(
+            at(0), {}, [&](const ApiAnswer &answer) { isRepeated = answer.isRepeated; });
+    CHECK(table.due(at(0)).size() == 1);
+    table.end(call, { .status = 503, .isRepeated = true });
+    CHECK(isRepeated);
+}
+
 TEST_CASE("a call ends exactly once, is sent again while silent, and times out")
 {
     CallTable table({}, 100);
