Let an entry wait for three heartbeats before it leaves its leader

Cause: an entry sent a heartbeat each 500 ms and left its leader after 600 ms of silence, so a reply that took 100 ms longer than the one before ended the leadership for it, and it refused calls.

Change: heartbeats each 300 ms, silence 900 ms, and answers to calls count as signs of life of a leader. Events leader-found and leader-lost.

--- a/acaciafork/entry/EntryNode.cpp
+++ b/acaciafork/entry/EntryNode.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include <spdlog/spdlog.h>
+
 namespace acaciafork::entry {
 namespace {
 
@@ -227,6 +229,13 @@
     m_leader.tick(at.now);
     if (m_leader.confirmed())
         m_leaderKnownAt = at.now;
+    if (m_leader.confirmed() != m_isLeaderShown) {
+        m_isLeaderShown = m_leader.confirmed();
+        if (m_isLeaderShown)
+            spdlog::info("event=leader-found leader={} term={}", m_leader.target().value, m_term);
+        else
+            spdlog::info("event=leader-lost term={} calls={}", m_term, m_calls.size());
+    }
     if (m_controlKnown && !m_leader.confirmed()) {
         m_controlKnown = false;
         Commands commands;
@@ -391,11 +400,11 @@
     // Without a leader nothing was done: the call goes out again until it times out.
     if (reply.no_leader())
         return;
+    m_leader.heardTarget(at.now, ProcessId { envelope.sender() });
     m_calls.end(reply.call(),
                 { .status = static_cast<int>(reply.status()),
                   .body = reply.body(),
                   .isRepeated = reply.forwarded_again() });
-    (void)at;
 }
 
 void EntryNode::onCreditGrant(Moment at, const wire::Envelope &envelope)
--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -25,11 +25,12 @@
     /// Control members known at start.
     std::vector<ProcessId> controlMembers;
     /// Pause between two heartbeats.
-    Duration heartbeatInterval = std::chrono::milliseconds(500);
+    Duration heartbeatInterval = std::chrono::milliseconds(300);
     ConfigFollowerSettings config;
     routing::CreditSettings credit = peers::creditTiming();
     LedgerOutboxSettings ledger;
-    peers::LeaderTrackerSettings leader;
+    /// Three heartbeats: a leader under load may take some hundred milliseconds to answer one.
+    peers::LeaderTrackerSettings leader { .silence = std::chrono::milliseconds(900) };
     peers::CallTableSettings calls;
     std::uint64_t seed = 1;
 };
@@ -132,6 +133,8 @@
     Timestamp m_leaderKnownAt;
     bool m_draining = false;
     Timestamp m_heartbeatAt;
+    /// Whether the log last told of a known leader.
+    bool m_isLeaderShown = false;
 
     Counter *m_accepted;
     Counter *m_refusedNotReady;
--- a/acaciafork/peers/LeaderTracker.cpp
+++ b/acaciafork/peers/LeaderTracker.cpp
@@ -18,6 +18,12 @@
     m_lastHeard = now;
 }
 
+void LeaderTracker::heardTarget(Timestamp now, ProcessId from)
+{
+    if (m_confirmed && from == target())
+        m_lastHeard = now;
+}
+
 void LeaderTracker::heardNotLeader(Timestamp now, ProcessId from, ProcessId leader)
 {
     // News from a member that is not asked any more changes nothing.
--- a/acaciafork/peers/LeaderTracker.h
+++ b/acaciafork/peers/LeaderTracker.h
@@ -30,6 +30,9 @@
     /// True when the target has answered as leader and has not been silent since.
     [[nodiscard]] bool confirmed() const { return m_confirmed; }
 
+    /// `from` has answered something else; it counts as a sign of life of a confirmed target.
+    void heardTarget(Timestamp now, ProcessId from);
+
     /// `from` has answered as the leader.
     void heardLeader(Timestamp now, ProcessId from);
 
--- a/tests/entry/EntryTest.cpp
+++ b/tests/entry/EntryTest.cpp
@@ -1,6 +1,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <vector>
+
 #include "acaciafork/entry/EntryNode.h"
 #include "wire/state.pb.h"
 
@@ -99,3 +101,53 @@
     CHECK(node.allowedTime({ "loopdraw" }, milliseconds(500)) == milliseconds(500));
     CHECK(node.allowedTime({ "loopdraw" }, milliseconds(60'000)) == milliseconds(9000));
 }
+
+TEST_CASE("an entry keeps a leader whose answers take up to 350 ms, and leaves a silent one")
+{
+    // Found on quiet-1 of wft-layout-large: under load the leader's replies took more than the
+    // 100 ms between heartbeat and silence, and entries refused a fifth of the submissions.
+    Timeline timeline(ProcessId { 11 }, 16);
+    CounterRegistry counters;
+    std::vector<std::pair<Timestamp, std::uint64_t>> heartbeats;
+    Timestamp now = at(0);
+    peers::PeerLink link(
+            { .process = { 11 }, .incarnation = { 5 }, .cluster = "c", .cell = { 1 } }, &timeline,
+            &counters,
+            [&](ProcessId to, std::span<const std::byte> bytes) {
+                wire::Envelope envelope;
+                envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+                if (to == ProcessId { 1 } && envelope.has_entry_heartbeat())
+                    heartbeats.emplace_back(now, envelope.entry_heartbeat().sequence());
+            },
+            [](const wire::Envelope &) {});
+    EntryNode node({ .zone = { "a" },
+                     .controlMembers = { ProcessId { 1 }, ProcessId { 2 } },
+                     .calls = { .unsentTimeout = std::chrono::milliseconds(150) } },
+                   &link, nullptr, &timeline, &counters);
+    const auto runUntil = [&](Timestamp end, bool isAnswering, int *refused) {
+        for (; now < end; now += std::chrono::milliseconds(10)) {
+            // Every second answer is quick.
+            const std::chrono::milliseconds delay(
+                    !heartbeats.empty() && heartbeats.front().second % 2 == 0 ? 350 : 20);
+            while (isAnswering && !heartbeats.empty() && now - heartbeats.front().first >= delay) {
+                wire::Envelope reply;
+                reply.set_sender(1);
+                reply.mutable_heartbeat_reply()->set_sequence(heartbeats.front().second);
+                reply.mutable_heartbeat_reply()->set_term(1);
+                heartbeats.erase(heartbeats.begin());
+                node.peerMessage({ .now = now }, reply);
+            }
+            node.tick({ .now = now });
+            node.apiCall({ .now = now }, {}, [refused](const peers::ApiAnswer &answer) {
+                *refused += answer.status == 503 ? 1 : 0;
+            });
+        }
+    };
+    int refused = 0;
+    runUntil(at(1000), true, &refused);
+    refused = 0;
+    runUntil(at(4000), true, &refused);
+    CHECK(refused == 0);
+    runUntil(at(5500), false, &refused);
+    CHECK(refused > 0);
+}
