Carry orders to workers and take their reports through all control members

It ran out of descriptors in the first burst (10,301 wanted of 6,424) and of processor time at the peaks; four members and 147 entries were idle.

Ruled out: entries as relays (a turn's orders split over 147 messages), several groups of members; see docs/design/relays.md.

Change: OrderRouter on the leader batches orders for the member in the worker's zone, OrderRelay carries them out, any member takes reports, and the limits of the HTTP client are drawn from the descriptors in the settings. With fewer than 256 workers the leader carries its orders itself.

Tests: 40 seeds of relays that die, freeze, come back and lose, double and delay messages; a relay that gets nothing; a planted relay that carries late renewals out, which the checks find.

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "acaciafork/control/OrderCodec.h"
 #include "acaciafork/control/PlatformRecords.h"
 
 namespace acaciafork::control {
@@ -12,6 +13,16 @@
 /// File that says that the folder was emptied by its own process, which must not found a cluster.
 constexpr std::string_view rejoinMarker = "rejoin";
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
+/// A member that was silent for longer may not hear this one either.
+constexpr Duration longestMemberSilence = std::chrono::milliseconds(700);
+/// Reports of workers gather for so long before the leader gets them.
+constexpr Duration reportInterval = std::chrono::milliseconds(50);
+/// Answers of workers gather for so long before the leader gets them.
+constexpr Duration answerDelay = std::chrono::milliseconds(3);
+constexpr Duration relayUpdateInterval = std::chrono::milliseconds(50);
+/// A tick that comes so late is told in the log, at most once in an interval.
+constexpr Duration notableLag = std::chrono::milliseconds(100);
+constexpr Duration lagLogInterval = std::chrono::seconds(1);
 constexpr std::string_view workersPath = "/acaciafork/v1/workers/";
 constexpr std::string_view usageSuffix = "/usage";
 /// Longest wait for a leadership transfer before a draining member ends all the same.
@@ -40,8 +51,15 @@
     , m_incarnation { static_cast<std::uint64_t>(net::Loop::wallMicroseconds()) }
     , m_messages(*loop, {})
     , m_workers(*loop, {})
+    , m_orderRelay(
+              {},
+              [this](ProcessId leader, wire::Envelope *answers) {
+                  m_link->send(leader, answers, net::Loop::wallMicroseconds());
+              },
+              &m_counters)
     , m_relays({}, m_incarnation.value)
     , m_committed(&m_counters.counter("control_commit_index", MetricKind::Gauge))
+    , m_lag(&m_counters.histogram("control_loop_lag_seconds"))
 { }
 
 ControlProcess::~ControlProcess() = default;
@@ -72,7 +90,17 @@
                                            &m_counters);
     m_views = std::make_unique<ControlViews>(m_settings.cluster, self(), m_node.get(),
                                              m_timeline.get(), &m_counters);
-    m_node->jobs().setOrders(m_orders);
+    m_router = std::make_unique<OrderRouter>(
+            jobs::RelaySettings { .fromWorkers =
+                                          static_cast<std::size_t>(m_settings.relayFromWorkers) },
+            self(), m_settings.zone,
+            [this](ProcessId relay, wire::Envelope *orders) {
+                m_link->send(relay, orders, net::Loop::wallMicroseconds());
+            },
+            net::Loop::bootMicroseconds, &m_counters);
+    m_router->setLocal(m_orders);
+    m_router->setDriver(&m_node->jobs());
+    m_node->jobs().setOrders(m_orders == nullptr ? nullptr : m_router.get());
     m_node->jobs().setAdvisor(m_advisor);
     m_views->setStatus([this] { return m_replica->status(net::Loop::now()); });
     m_api = std::make_unique<operators::OperatorApi>(
@@ -94,10 +122,7 @@
 
     // All writes of a turn are synced together, once, at its end.
     m_loop->every(tickInterval, [this] { tick(); });
-    m_loop->onTurnEnd([this] {
-        m_node->turnEnded(moment());
-        m_replica->flush(net::Loop::now());
-    });
+    m_loop->onTurnEnd([this] { endTurn(); });
     m_timeline->record(net::Loop::wallMicroseconds(), EventKind::ProcessStarted, "control");
     spdlog::info("event=started role=control id={} operators={} peers={}", m_self.value,
                  m_operatorsAddress, m_peersAddress);
@@ -232,9 +257,23 @@
             [] {});
 }
 
+void ControlProcess::noteLag(Timestamp now)
+{
+    const Duration late = std::max(now - m_tickedAt - tickInterval, Duration {});
+    if (m_tickedAt != Timestamp {})
+        m_lag->observe(late);
+    m_tickedAt = now;
+    if (late < notableLag || now < m_nextLagLog)
+        return;
+    m_nextLagLog = now + lagLogInterval;
+    spdlog::warn("event=loop-late late-ms={} leader={}", late / std::chrono::milliseconds(1),
+                 m_replica->isLeader());
+}
+
 void ControlProcess::tick()
 {
     const Moment at = moment();
+    noteLag(at.now);
     findMembers();
     flushLog();
     m_replica->tick(at.now);
@@ -242,6 +281,8 @@
     m_committed->set(static_cast<std::int64_t>(m_node->state().appliedIndex()));
     sendRelays();
     m_relays.expire(at.now);
+    sendReports();
+    updateRelays();
     endIfBroken();
     if (at.now >= m_nextMembershipLook) {
         m_nextMembershipLook = at.now + membershipLookInterval;
@@ -357,6 +398,8 @@
     const Moment at = moment();
     m_finder->heard(at, envelope);
     m_replica->noteAlive({ envelope.sender() });
+    if (m_finder->directory().members().contains({ envelope.sender() }))
+        m_heardAt[{ envelope.sender() }] = at.now;
     switch (envelope.body_case()) {
     case wire::Envelope::kAgreement:
         leaf::try_handle_all(
@@ -375,6 +418,16 @@
                            .body = envelope.api_reply().body(),
                            .isRepeated = envelope.api_reply().forwarded_again() });
         break;
+    case wire::Envelope::kWorkerReports:
+        onWorkerReports(envelope);
+        break;
+    case wire::Envelope::kWorkerOrders:
+        m_orderRelay.ordersArrived({ envelope.sender() }, envelope.worker_orders(),
+                                   net::Loop::bootMicroseconds());
+        break;
+    case wire::Envelope::kWorkerAnswers:
+        m_router->answersArrived(at, { envelope.sender() }, envelope.worker_answers());
+        break;
     default:
         m_node->peerMessage(at, envelope);
         break;
@@ -411,6 +464,120 @@
             });
 }
 
+// ---- workers of jobs
+
+void ControlProcess::OwnAnswers::startAnswered(Moment at, WorkerAnswer answer,
+                                               const jobs::RunKey &run)
+{
+    m_process->m_router->startAnswered(at, answer, run);
+}
+
+void ControlProcess::OwnAnswers::stopAnswered(Moment at, WorkerAnswer answer,
+                                              const jobs::RunKey &run)
+{
+    m_process->m_router->stopAnswered(at, answer, run);
+}
+
+void ControlProcess::OwnAnswers::renewalAnswered(Moment at, WorkerAnswer answer, bool wasImmediate,
+                                                 const jobs::RenewalAnswer *lists)
+{
+    m_process->m_router->renewalAnswered(at, answer, wasImmediate, lists);
+}
+
+void ControlProcess::setWorkerOrders(WorkerOrders *own, WorkerOrders *relayed)
+{
+    m_orders = own;
+    m_orderRelay.setOrders(relayed);
+}
+
+bool ControlProcess::isHeard(ProcessId member) const
+{
+    const auto it = m_heardAt.find(member);
+    return it != m_heardAt.end() && net::Loop::now() - it->second <= longestMemberSilence;
+}
+
+bool ControlProcess::hearsLeader() const
+{
+    return isHeard(m_replica->leader());
+}
+
+bool ControlProcess::takeReport(const jobs::WorkerReport &report, const Reply &reply)
+{
+    if (leadsJobs()) {
+        m_node->jobs().workerReported(moment(), report, reply);
+        return true;
+    }
+    // Word that a worker leaves must be recorded before it is answered.
+    if (report.life.draining || !hearsLeader())
+        return false;
+    encodeReport(report, m_reports.mutable_worker_reports()->add_reports());
+    reply({ .status = 200, .body = "{}" });
+    return true;
+}
+
+std::string ControlProcess::reportAddress(std::string_view zone) const
+{
+    if (zone == m_settings.zone)
+        return m_controlAddress;
+    for (const auto &[process, member] : m_finder->directory().members()) {
+        if (member.zone == zone && !member.controlAddress.empty() && isHeard(process))
+            return member.controlAddress;
+    }
+    return m_controlAddress;
+}
+
+void ControlProcess::sendReports()
+{
+    const Timestamp now = net::Loop::now();
+    if (!m_reports.has_worker_reports() || now < m_nextReports)
+        return;
+    m_nextReports = now + reportInterval;
+    if (leader() && leader() != self())
+        m_link->send(leader(), &m_reports, net::Loop::wallMicroseconds());
+    m_reports.Clear();
+}
+
+void ControlProcess::onWorkerReports(const wire::Envelope &envelope)
+{
+    if (!leadsJobs())
+        return;
+    const Moment at = moment();
+    for (const wire::WorkerReport &it : envelope.worker_reports().reports())
+        m_node->jobs().workerReported(at, decodeReport(it), [](const peers::ApiAnswer &) {});
+}
+
+void ControlProcess::updateRelays()
+{
+    const Moment at = moment();
+    if (at.now < m_nextRelayUpdate)
+        return;
+    m_nextRelayUpdate = at.now + relayUpdateInterval;
+    if (!leadsJobs())
+        return;
+    std::vector<RelayMember> members;
+    for (const auto &[process, member] : m_finder->directory().members())
+        members.push_back({ .process = process, .zone = member.zone });
+    const JobDriver &driver = m_node->jobs();
+    m_router->update(at, driver.tenure(), members, driver.scheduler().workers().all().size());
+    m_router->expire(at);
+}
+
+void ControlProcess::endTurn()
+{
+    const Moment at = moment();
+    m_router->beginTurn(at);
+    m_node->turnEnded(at);
+    m_router->flush();
+    m_replica->flush(at.now);
+    if (!m_orderRelay.hasAnswers() || m_isAnswerFlushDue)
+        return;
+    m_isAnswerFlushDue = true;
+    m_loop->after(answerDelay, [this] {
+        m_isAnswerFlushDue = false;
+        m_orderRelay.flush();
+    });
+}
+
 // ---- calls of the JSON interface
 
 void ControlProcess::callApi(const peers::ApiCall &call, const Reply &reply)
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -7,6 +8,8 @@
 #include "acaciafork/control/ControlNode.h"
 #include "acaciafork/control/ControlSettings.h"
 #include "acaciafork/control/ControlViews.h"
+#include "acaciafork/control/OrderRelay.h"
+#include "acaciafork/control/OrderRouter.h"
 #include "acaciafork/net/Net.h"
 #include "acaciafork/operators/Operators.h"
 #include "acaciafork/workers/Workers.h"
@@ -33,8 +36,17 @@
 
     /// @name For the binding of another interface beside this process's own
     /// @{
-    /// Where orders to the workers of jobs go; set before start().
-    void setWorkerOrders(WorkerOrders *orders) { m_orders = orders; }
+    /// What carries orders to the workers of jobs: those of this member as the leader, whose
+    /// answers go to ownAnswers(), and those of another leader, whose answers go to
+    /// relayedAnswers(). Set before start().
+    void setWorkerOrders(WorkerOrders *own, WorkerOrders *relayed);
+    [[nodiscard]] WorkerAnswers *ownAnswers() { return &m_ownAnswers; }
+    [[nodiscard]] WorkerAnswers *relayedAnswers() { return &m_orderRelay; }
+    /// Takes a worker's report, here or for the leader.
+    /// @return false when it must be sent to the leader itself, since its answer has to wait there
+    bool takeReport(const jobs::WorkerReport &report, const peers::CallTable::Handler &reply);
+    /// Address of the control member to which a worker in the zone should report from now on.
+    [[nodiscard]] std::string reportAddress(std::string_view zone) const;
     /// Who is asked which workers may run a step; before start().
     void setAdvisor(PlacementAdvisor *advisor) { m_advisor = advisor; }
     /// host:port under which other members name this one to operators and workers; set before
@@ -55,6 +67,22 @@
 private:
     using Reply = peers::CallTable::Handler;
 
+    /// Hands answers on to the router, which there is from start() on.
+    class OwnAnswers : public WorkerAnswers
+    {
+    public:
+        explicit OwnAnswers(ControlProcess *process)
+            : m_process(process)
+        { }
+        void startAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run) override;
+        void stopAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run) override;
+        void renewalAnswered(Moment at, WorkerAnswer answer, bool wasImmediate,
+                             const jobs::RenewalAnswer *lists) override;
+
+    private:
+        ControlProcess *m_process;
+    };
+
     Result<consensus::LogPosition> propose(Timestamp now, std::string command) override;
     [[nodiscard]] bool canActAsLeader(Timestamp now) const override;
     [[nodiscard]] ProcessId leader() const override;
@@ -78,6 +106,7 @@
     void onMessage(const wire::Envelope &envelope);
     void onApiRequest(const wire::Envelope &envelope);
     void tick();
+    void noteLag(Timestamp now);
     void endIfBroken();
     void showMembership();
     void rejoinIfDisplaced(Timestamp now);
@@ -92,6 +121,17 @@
     void sendRelays();
     void carryOutRelays();
 
+    /// @name Workers of jobs
+    /// @{
+    void onWorkerReports(const wire::Envelope &envelope);
+    /// True when the leader was heard so recently that it surely gets what is sent to it now.
+    [[nodiscard]] bool hearsLeader() const;
+    [[nodiscard]] bool isHeard(ProcessId member) const;
+    void sendReports();
+    void updateRelays();
+    void endTurn();
+    /// @}
+
     net::Loop *m_loop;
     ControlSettings m_settings;
     ProcessId m_self;
@@ -104,6 +144,16 @@
     std::unique_ptr<Timeline> m_timeline;
     net::MessageLink m_messages;
     workers::WorkerClient m_workers;
+    OwnAnswers m_ownAnswers { this };
+    std::unique_ptr<OrderRouter> m_router;
+    OrderRelay m_orderRelay;
+    bool m_isAnswerFlushDue = false;
+    /// When each control member's last message arrived here.
+    std::map<ProcessId, Timestamp> m_heardAt;
+    /// Reports for the leader that have gathered.
+    wire::Envelope m_reports;
+    Timestamp m_nextReports;
+    Timestamp m_nextRelayUpdate;
     std::string m_peersAddress;
     std::string m_operatorsAddress;
     std::unique_ptr<peers::PeerLink> m_link;
@@ -120,6 +170,10 @@
     bool m_draining = false;
     bool m_isBroken = false;
     Counter *m_committed;
+    /// How much later than due the ticks came.
+    Histogram *m_lag;
+    Timestamp m_tickedAt;
+    Timestamp m_nextLagLog;
 };
 
 } // namespace acaciafork::control
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -28,6 +28,8 @@
     Duration stopTimeout = std::chrono::milliseconds(400);
     /// Time over its target after which a serving task's tail counts as harmed by what fills.
     Duration tailHarm = std::chrono::milliseconds(4000);
+    /// Number of workers from which on other control members carry orders to them; 0 is never.
+    std::int64_t relayFromWorkers = 256;
     /// Lease of the tasks of jobs.
     Duration jobLease = std::chrono::milliseconds(5800);
 
@@ -39,6 +41,9 @@
     /// `host:port` of the advisor on where steps may run; empty for none.
     std::string bindingAdvisor;
 
+    /// Descriptors that this process may have open.
+    std::int64_t descriptors = 4096;
+
     /// Timing of the agreement, and when a lost member is replaced: sections of their own.
     consensus::NodeSettings agreement;
     consensus::ReplacementSettings replacement;
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -17,7 +17,7 @@
 
 /// Runs the scheduler of jobs on the leader: brings it the changes of the replicated state, makes
 /// durable what it decides, hands its orders to the workers' port, and answers calls about jobs.
-class JobDriver
+class JobDriver : public WorkerAnswers
 {
 public:
     /// Proposes a command; see ControlNode::propose().
@@ -61,13 +61,14 @@
 
     /// @name Answers of workers
     /// @{
-    void startAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run);
-    void stopAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run);
+    void startAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run) override;
+    void stopAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run) override;
     void renewalAnswered(Moment at, WorkerAnswer answer, bool wasImmediate,
-                         const jobs::RenewalAnswer *lists);
+                         const jobs::RenewalAnswer *lists) override;
     void permitsAnswered(Moment at, const PermitAnswer &answer);
     /// @}
 
+    [[nodiscard]] jobs::Tenure tenure() const { return m_tenure; }
     [[nodiscard]] const jobs::JobScheduler &scheduler() const { return m_scheduler; }
     [[nodiscard]] const state::StateMachine &state() const { return *m_state; }
 
--- a/acaciafork/control/JobPorts.h
+++ b/acaciafork/control/JobPorts.h
@@ -17,10 +17,25 @@
     /// Tenure in which the order was given; answers to an earlier one are dropped.
     jobs::Tenure tenure;
     jobs::OrderOutcome outcome = jobs::OrderOutcome::Unanswered;
+    /// Number of the order at a relay, see jobs::OrderTarget.
+    std::uint64_t order = 0;
 };
 
-/// Orders to workers, as the scheduler of jobs gives them. Each call's answer goes back to the
-/// JobDriver, once.
+/// Gets the answers to orders, each once.
+class WorkerAnswers
+{
+public:
+    virtual ~WorkerAnswers() = default;
+
+    virtual void startAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run) = 0;
+    virtual void stopAnswered(Moment at, WorkerAnswer answer, const jobs::RunKey &run) = 0;
+    /// @param[in] lists what the worker runs; read only where the outcome is Done
+    virtual void renewalAnswered(Moment at, WorkerAnswer answer, bool wasImmediate,
+                                 const jobs::RenewalAnswer *lists) = 0;
+};
+
+/// Orders to workers, as the scheduler of jobs gives them. The answer to each but a pace goes to
+/// the WorkerAnswers of whoever carries them, once.
 class WorkerOrders
 {
 public:
--- /dev/null
+++ b/acaciafork/control/OrderRelay.cpp
@@ -0,0 +1,108 @@
+#include "acaciafork/control/OrderRelay.h"
+
+#include <algorithm>
+
+#include <spdlog/spdlog.h>
+
+#include "acaciafork/control/OrderCodec.h"
+
+namespace acaciafork::control {
+
+OrderRelay::OrderRelay(const OrderRelaySettings &settings, Send send, CounterRegistry *counters)
+    : m_settings(settings)
+    , m_send(std::move(send))
+    , m_carried(&counters->counter("relay_orders_total{outcome=\"carried\"}"))
+    , m_late(&counters->counter("relay_orders_total{outcome=\"late\"}"))
+{ }
+
+bool OrderRelay::isLate(const wire::WorkerOrders &orders, std::int64_t clockUs)
+{
+    // The clocks of the two machines differ by an unknown amount, and the orders that were fastest
+    // on their way come closest to it.
+    const std::int64_t offsetUs = clockUs - orders.sent_us();
+    m_leastOffsetUs = std::min(m_leastOffsetUs, offsetUs);
+    return Duration(offsetUs - m_leastOffsetUs) > m_settings.maxDelay;
+}
+
+void OrderRelay::ordersArrived(ProcessId leader, const wire::WorkerOrders &orders,
+                               std::int64_t clockUs)
+{
+    if (m_orders == nullptr || orders.tenure() < m_tenure.value)
+        return;
+    if (orders.tenure() > m_tenure.value) {
+        m_answers.Clear();
+        m_tenure = { orders.tenure() };
+        m_leader = leader;
+        m_leastOffsetUs = clockUs - orders.sent_us();
+        spdlog::info("event=relay-began leader={} tenure={}", leader.value, m_tenure.value);
+    }
+    if (isLate(orders, clockUs)) {
+        m_late->add(orders.orders_size());
+        spdlog::warn("event=relay-orders-late leader={} orders={} delay-ms={}", leader.value,
+                     orders.orders_size(), (clockUs - orders.sent_us() - m_leastOffsetUs) / 1000);
+        return;
+    }
+    m_carried->add(orders.orders_size());
+    // An empty batch asks whether this relay still answers.
+    m_answers.mutable_worker_answers()->set_tenure(m_tenure.value);
+    for (const wire::WorkerOrder &it : orders.orders()) {
+        switch (it.body_case()) {
+        case wire::WorkerOrder::kStart:
+            m_orders->start(decodeStart(it), it.start().payload(), m_tenure);
+            break;
+        case wire::WorkerOrder::kStop:
+            m_orders->stop(decodeStop(it), m_tenure);
+            break;
+        case wire::WorkerOrder::kPace:
+            m_orders->pace(decodePace(it), m_tenure);
+            break;
+        case wire::WorkerOrder::kRenewal:
+            m_orders->hold(decodeRenewal(it), m_tenure);
+            break;
+        default:
+            break;
+        }
+    }
+}
+
+wire::WorkerAnswer *OrderRelay::add(const WorkerAnswer &answer)
+{
+    wire::WorkerAnswers *answers = m_answers.mutable_worker_answers();
+    answers->set_tenure(m_tenure.value);
+    wire::WorkerAnswer *message = answers->add_answers();
+    message->set_number(answer.order);
+    message->set_outcome(static_cast<std::uint32_t>(answer.outcome));
+    return message;
+}
+
+void OrderRelay::startAnswered(Moment, WorkerAnswer answer, const jobs::RunKey &)
+{
+    if (answer.tenure == m_tenure)
+        add(answer);
+}
+
+void OrderRelay::stopAnswered(Moment, WorkerAnswer answer, const jobs::RunKey &)
+{
+    if (answer.tenure == m_tenure)
+        add(answer);
+}
+
+void OrderRelay::renewalAnswered(Moment, WorkerAnswer answer, bool,
+                                 const jobs::RenewalAnswer *lists)
+{
+    if (answer.tenure != m_tenure)
+        return;
+    wire::WorkerAnswer *message = add(answer);
+    if (answer.outcome == jobs::OrderOutcome::Done)
+        encodeLists(*lists, message->mutable_lists());
+}
+
+void OrderRelay::flush()
+{
+    if (!hasAnswers())
+        return;
+    m_send(m_leader, &m_answers);
+    m_answers.Clear();
+}
+
+} // namespace acaciafork::control
--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -16,6 +16,9 @@
     WorkerName name;
     Incarnation born;
     std::string address;
+    std::string zone;
+    /// Number of the order where another control member carries it; its answer repeats it.
+    std::uint64_t order = 0;
 };
 
 /// Starts a run. The answer goes to JobScheduler::startAnswered().
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -30,7 +30,8 @@
     return { .worker = worker.id,
              .name = worker.life.name,
              .born = worker.life.born,
-             .address = worker.life.address };
+             .address = worker.life.address,
+             .zone = worker.life.zone };
 }
 
 RunNumber JobScheduler::nextRunNumber(const Task &task) const
--- a/acaciafork/decisions/jobs/Jobs.h
+++ b/acaciafork/decisions/jobs/Jobs.h
@@ -9,6 +9,7 @@
 #include "acaciafork/decisions/jobs/LeaseClock.h"
 #include "acaciafork/decisions/jobs/PlacementRound.h"
 #include "acaciafork/decisions/jobs/Placer.h"
+#include "acaciafork/decisions/jobs/RelayTable.h"
 #include "acaciafork/decisions/jobs/StepOrder.h"
 #include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/Types.h"
--- a/acaciafork/net/Loop.cpp
+++ b/acaciafork/net/Loop.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -65,6 +66,13 @@
             std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+std::int64_t Loop::bootMicroseconds()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return Duration(std::chrono::seconds(time.tv_sec)).count() + time.tv_nsec / 1'000;
+}
+
 std::int64_t Loop::wallMicroseconds()
 {
     return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())
--- a/acaciafork/net/Loop.h
+++ b/acaciafork/net/Loop.h
@@ -43,6 +43,9 @@
     /// The monotonic clock, read now.
     [[nodiscard]] static Timestamp now();
 
+    /// Microseconds since the machine started, the time for which it was suspended included.
+    [[nodiscard]] static std::int64_t bootMicroseconds();
+
     /// Microseconds since 1970 by the wall clock, for time lines only.
     [[nodiscard]] static std::int64_t wallMicroseconds();
 
--- a/daemons/control/main.cpp
+++ b/daemons/control/main.cpp
@@ -30,7 +30,8 @@
                 &loop, &process,
                 platform::ControlBindingSettings { .control = settings.bindingControl,
                                                    .metrics = settings.bindingMetrics,
-                                                   .advisor = settings.bindingAdvisor });
+                                                   .advisor = settings.bindingAdvisor,
+                                                   .descriptors = settings.descriptors });
     BOOST_LEAF_CHECK(process.start());
     if (binding) {
         BOOST_LEAF_CHECK(binding->start());
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -9,6 +9,9 @@
 
 using namespace std::chrono_literals;
 
+constexpr ProcessId leaderProcess { 1 };
+/// The clocks of the leader's machine and of the relays' differ by this.
+constexpr std::int64_t clockOffsetUs = 123'456'789;
 constexpr Duration step = 2ms;
 constexpr Duration commitDelay = 6ms;
 constexpr Duration beatInterval = 1100ms;
@@ -133,6 +136,11 @@
         m_workers.back()->labels = { it % 2 == 0 ? "even" : "odd",
                                      "rack-" + std::to_string(it / 2) };
     }
+    m_relays.resize(options.relays);
+    for (std::size_t it = 0; it < options.relays; ++it) {
+        m_relays[it].process = { static_cast<std::uint32_t>(it + 2) };
+        newRelay(&m_relays[it]);
+    }
     newDriver();
     m_driver->start(moment());
     wire::QueueConfig config;
@@ -169,10 +177,113 @@
                 return propose(when, std::move(command), std::move(handler));
             },
             &m_counters);
-    m_driver->setOrders(this);
+    m_carrier = std::make_unique<Carrier>(this, nullptr);
+    m_router = std::make_unique<OrderRouter>(
+            jobs::RelaySettings { .fromWorkers = m_options.relays > 0 ? 1U : 0U }, leaderProcess,
+            "zone",
+            [this](ProcessId relay, wire::Envelope *envelope) {
+                const auto node = std::ranges::find(m_relays, relay, &RelayNode::process);
+                sendBetweenMembers([this, node, orders = envelope->worker_orders()] {
+                    const auto arrive = [this, node, orders] {
+                        node->relay->ordersArrived(leaderProcess, orders,
+                                                   m_now.time_since_epoch() / 1us + clockOffsetUs);
+                    };
+                    if (node->isDeaf)
+                        return;
+                    if (node->isFrozen)
+                        node->inbox.emplace_back(arrive);
+                    else if (node->isUp)
+                        arrive();
+                });
+            },
+            [this] { return m_now.time_since_epoch() / 1us; }, &m_counters);
+    m_carrier->answers = m_router.get();
+    m_router->setLocal(m_carrier.get());
+    m_router->setDriver(m_driver.get());
+    m_driver->setOrders(m_router.get());
     m_driver->setAdvisor(this);
 }
 
+void JobWorld::newRelay(RelayNode *node)
+{
+    const Duration maxDelay = m_options.relaysTakeLateOrders ? Duration(1h) : Duration(300ms);
+    node->relay = std::make_unique<OrderRelay>(
+            OrderRelaySettings { .maxDelay = maxDelay },
+            [this, process = node->process](ProcessId, wire::Envelope *envelope) {
+                sendBetweenMembers([this, process, answers = envelope->worker_answers()] {
+                    if (m_driver)
+                        m_router->answersArrived(moment(), process, answers);
+                });
+            },
+            &m_counters);
+    node->carrier = std::make_unique<Carrier>(this, node->relay.get());
+    node->relay->setOrders(node->carrier.get());
+}
+
+void JobWorld::sendBetweenMembers(const std::function<void()> &arrive)
+{
+    const WorldFaults &faults = m_options.faults;
+    if (chance(faults.relayMessageLost))
+        return;
+    Duration delay = latency();
+    if (chance(faults.relayMessageSlow))
+        delay += Duration(std::uniform_int_distribution<std::int64_t>(0, 2'000'000)(m_random));
+    at(m_now + delay, arrive);
+    if (chance(faults.relayMessageDoubled))
+        at(m_now + delay + latency(), arrive);
+}
+
+void JobWorld::tickRelays()
+{
+    std::vector<RelayMember> members;
+    for (RelayNode &it : m_relays) {
+        if (it.isUp && !it.isFrozen)
+            it.relay->flush();
+        members.push_back({ .process = it.process, .zone = "zone" });
+    }
+    if (m_driver && m_driver->isActive()) {
+        m_router->update(moment(), m_driver->tenure(), members, m_workers.size());
+        m_router->expire(moment());
+    }
+}
+
+void JobWorld::crashRelay(std::size_t relay)
+{
+    RelayNode &node = m_relays[relay];
+    node.isUp = false;
+    node.isFrozen = false;
+    node.inbox.clear();
+    ++node.carrier->life;
+}
+
+void JobWorld::reviveRelay(std::size_t relay)
+{
+    RelayNode &node = m_relays[relay];
+    if (node.isUp)
+        return;
+    // Orders on their way end with the old process, which stays so that they find it.
+    m_deadRelays.push_back({ std::move(node.relay), std::move(node.carrier) });
+    newRelay(&node);
+    node.isUp = true;
+}
+
+void JobWorld::freezeRelay(std::size_t relay, bool isFrozen)
+{
+    RelayNode &node = m_relays[relay];
+    node.isFrozen = isFrozen && node.isUp;
+    if (node.isFrozen)
+        return;
+    std::vector<std::function<void()>> inbox;
+    inbox.swap(node.inbox);
+    for (const auto &it : inbox)
+        it();
+}
+
+std::int64_t JobWorld::relayed()
+{
+    return m_counters.counter("worker_orders_relayed_total").value;
+}
+
 bool JobWorld::chance(double probability)
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
@@ -190,6 +301,8 @@
 
 bool JobWorld::propose(Moment when, wire::Command command, ProposalTable::Handler handler)
 {
+    if (m_refusesProposals)
+        return false;
     command.set_cell(1);
     command.set_time_us(when.wallMicroseconds);
     m_log.push_back({ m_now + commitDelay, std::move(command), std::move(handler) });
@@ -229,9 +342,12 @@
         }
         beat();
         commitDue(false);
+        tickRelays();
         if (m_driver) {
             m_driver->tick(moment());
+            m_router->beginTurn(moment());
             m_driver->carryOut(moment());
+            m_router->flush();
         }
     }
 }
@@ -311,7 +427,8 @@
 void JobWorld::changeLeader(Duration pause)
 {
     m_driver->stop();
-    m_driver.reset();
+    ++m_carrier->life;
+    m_deadLeaders.push_back({ std::move(m_driver), std::move(m_router), std::move(m_carrier) });
     ++m_generation;
     // The last proposals reach a majority or not; those before a lost one are not lost.
     while (!m_log.empty() && chance(0.5))
@@ -359,14 +476,14 @@
     return it == m_workers.end() ? nullptr : it->get();
 }
 
-void JobWorld::order(const jobs::OrderTarget &target, Duration timeout,
+void JobWorld::order(Carrier *carrier, const jobs::OrderTarget &target, Duration timeout,
                      const std::function<jobs::OrderOutcome(FakeWorker &)> &act,
                      const std::function<void(jobs::OrderOutcome)> &answer)
 {
-    const std::uint64_t generation = m_generation;
-    const auto reply = [this, generation, answer](Timestamp when, jobs::OrderOutcome outcome) {
-        at(when, [this, generation, answer, outcome] {
-            if (generation == m_generation)
+    const auto reply = [this, carrier, life = carrier->life, answer](Timestamp when,
+                                                                     jobs::OrderOutcome outcome) {
+        at(when, [carrier, life, answer, outcome] {
+            if (life == carrier->life)
                 answer(outcome);
         });
     };
@@ -400,18 +517,21 @@
     });
 }
 
-void JobWorld::start(const jobs::StartRun &command, std::string_view, jobs::Tenure tenure)
+void JobWorld::Carrier::start(const jobs::StartRun &command, std::string_view, jobs::Tenure tenure)
 {
-    const WorkerAnswer answer { .worker = command.target.worker, .tenure = tenure };
-    order(
-            command.target, command.timeout,
-            [this, command, tenure](FakeWorker &worker) {
-                return startAt(worker, command, tenure);
+    const WorkerAnswer answer { .worker = command.target.worker,
+                                .tenure = tenure,
+                                .order = command.target.order };
+    JobWorld *world = m_world;
+    world->order(
+            this, command.target, command.timeout,
+            [world, command, tenure](FakeWorker &worker) {
+                return world->startAt(worker, command, tenure);
             },
             [this, answer, run = command.run](jobs::OrderOutcome outcome) {
                 WorkerAnswer it = answer;
                 it.outcome = outcome;
-                m_driver->startAnswered(moment(), it, run);
+                answers->startAnswered(m_world->moment(), it, run);
             });
 }
 
@@ -470,12 +590,15 @@
     return jobs::OrderOutcome::Done;
 }
 
-void JobWorld::stop(const jobs::StopRun &command, jobs::Tenure tenure)
+void JobWorld::Carrier::stop(const jobs::StopRun &command, jobs::Tenure tenure)
 {
-    const WorkerAnswer answer { .worker = command.target.worker, .tenure = tenure };
-    order(
-            command.target, orderTimeout,
-            [this, command, tenure](FakeWorker &worker) {
+    const WorkerAnswer answer { .worker = command.target.worker,
+                                .tenure = tenure,
+                                .order = command.target.order };
+    JobWorld *world = m_world;
+    world->order(
+            this, command.target, orderTimeout,
+            [world, command, tenure](FakeWorker &worker) {
                 if (tenure.value < worker.fence)
                     return jobs::OrderOutcome::Fenced;
                 worker.fence = tenure.value;
@@ -485,20 +608,20 @@
                 if (it != worker.running.end() && it->second.run == command.run.run
                     && !it->second.stopping) {
                     it->second.stopping = true;
-                    it->second.endsAt = m_now + stopLength;
+                    it->second.endsAt = world->m_now + stopLength;
                 }
                 return jobs::OrderOutcome::Done;
             },
             [this, answer, run = command.run](jobs::OrderOutcome outcome) {
                 WorkerAnswer it = answer;
                 it.outcome = outcome;
-                m_driver->stopAnswered(moment(), it, run);
+                answers->stopAnswered(m_world->moment(), it, run);
             });
 }
 
-void JobWorld::pace(const jobs::PaceRun &command, jobs::Tenure)
+void JobWorld::Carrier::pace(const jobs::PaceRun &command, jobs::Tenure)
 {
-    FakeWorker *worker = find(command.target.name);
+    FakeWorker *worker = m_world->find(command.target.name);
     if (worker == nullptr)
         return;
     const auto it = worker->running.find(command.run.task);
@@ -506,21 +629,25 @@
         it->second.percent = command.percent;
 }
 
-void JobWorld::hold(const jobs::RenewWorkerLease &command, jobs::Tenure tenure)
+void JobWorld::Carrier::hold(const jobs::RenewWorkerLease &command, jobs::Tenure tenure)
 {
-    const WorkerAnswer answer { .worker = command.target.worker, .tenure = tenure };
+    const WorkerAnswer answer { .worker = command.target.worker,
+                                .tenure = tenure,
+                                .order = command.target.order };
     const auto lists = std::make_shared<jobs::RenewalAnswer>();
-    lists->sentAt = m_now;
-    order(
-            command.target, orderTimeout,
-            [this, command, tenure, lists](FakeWorker &worker) {
+    JobWorld *world = m_world;
+    lists->sentAt = world->m_now;
+    world->order(
+            this, command.target, orderTimeout,
+            [world, command, tenure, lists](FakeWorker &worker) {
                 if (tenure.value < worker.fence)
                     return jobs::OrderOutcome::Fenced;
                 worker.fence = tenure.value;
                 if (command.leaseEndMs > 0)
-                    worker.leaseEndMs = std::max(
-                            worker.leaseEndMs,
-                            std::min(command.leaseEndMs, worker.clockMs(m_now) + mostHoldMs));
+                    worker.leaseEndMs =
+                            std::max(worker.leaseEndMs,
+                                     std::min(command.leaseEndMs,
+                                              worker.clockMs(world->m_now) + mostHoldMs));
                 for (const jobs::EndedRow &it : worker.ended) {
                     if (it.number > command.recordedEnds || it.number <= worker.noted)
                         continue;
@@ -528,21 +655,21 @@
                     if (it.number <= worker.lapsedAfterEnd)
                         continue;
                     if (it.end == jobs::RunEnd::Done) {
-                        m_doneNoted.insert(it.run.task);
-                        ++m_doneEnds[it.run.task];
+                        world->m_doneNoted.insert(it.run.task);
+                        ++world->m_doneEnds[it.run.task];
                     }
                     if (it.end == jobs::RunEnd::Failed)
-                        m_failuresNoted[it.run.task].insert(it.run.run.value);
+                        world->m_failuresNoted[it.run.task].insert(it.run.run.value);
                 }
                 worker.noted = std::max(worker.noted, command.recordedEnds);
                 std::erase_if(worker.ended, [&](const jobs::EndedRow &it) {
                     return it.number <= command.recordedEnds;
                 });
                 lists->born = { worker.born };
-                lists->clockMs = worker.clockMs(m_now);
+                lists->clockMs = worker.clockMs(world->m_now);
                 lists->ended = worker.ended;
                 for (jobs::EndedRow &it : lists->ended) {
-                    if (m_options.tellsDoneAsStopped && it.end == jobs::RunEnd::Done)
+                    if (world->m_options.tellsDoneAsStopped && it.end == jobs::RunEnd::Done)
                         it.end = jobs::RunEnd::Stopped;
                 }
                 for (const auto &[task, it] : worker.running) {
@@ -556,7 +683,7 @@
             [this, answer, lists, isImmediate = command.isImmediate](jobs::OrderOutcome outcome) {
                 WorkerAnswer it = answer;
                 it.outcome = outcome;
-                m_driver->renewalAnswered(moment(), it, isImmediate, lists.get());
+                answers->renewalAnswered(m_world->moment(), it, isImmediate, lists.get());
             });
 }
 
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -22,18 +22,26 @@
     double orderLost = 0;
     /// A run fails.
     double runFails = 0;
+    /// A message between the leader and a relay is lost, arrives twice, or takes up to 2 s.
+    double relayMessageLost = 0;
+    double relayMessageDoubled = 0;
+    double relayMessageSlow = 0;
 };
 
 /// How a world is set up.
 struct WorldOptions
 {
     std::size_t workers = 6;
+    /// Members that carry the leader's orders beside it; none carries them all itself.
+    std::size_t relays = 0;
     std::int64_t workerMillicores = 8000;
     std::int64_t workerMemoryMb = 32'000;
     WorldFaults faults;
     std::uint64_t seed = 1;
     /// Faults planted in the scheduler's surroundings, to see that the checks catch them.
     bool tellsDoneAsStopped = false;
+    /// Relays carry out orders however late they come.
+    bool relaysTakeLateOrders = false;
     /// Rate of every second worker's clock; the interface allows down to 0.98.
     double slowClock = 0.98;
 };
@@ -95,7 +103,7 @@
 
 /// A leader's driver of jobs, the replicated state, and workers, in virtual time. After every event
 /// it checks what must hold; breaches() lists what did not.
-class JobWorld : private WorkerOrders, private PlacementAdvisor
+class JobWorld : private PlacementAdvisor
 {
 public:
     explicit JobWorld(const WorldOptions &options);
@@ -127,6 +135,15 @@
     void revive(std::size_t worker);
     void cut(std::size_t worker, bool isCut) { m_workers[worker]->isCut = isCut; }
     void drain(std::size_t worker);
+    /// A relay dies with all that it was about to do; it comes back knowing nothing.
+    void crashRelay(std::size_t relay);
+    void reviveRelay(std::size_t relay);
+    /// A frozen relay does nothing; when it wakes, what was sent to it arrives.
+    void freezeRelay(std::size_t relay, bool isFrozen);
+    /// A deaf relay is heard and gets nothing.
+    void deafenRelay(std::size_t relay, bool isDeaf) { m_relays[relay].isDeaf = isDeaf; }
+    /// The leader can propose nothing, as with a full disk.
+    void refuseProposals(bool isRefusing) { m_refusesProposals = isRefusing; }
     void setAdvisorDown(bool isDown) { m_isAdvisorDown = isDown; }
     WorldFaults &faults() { return m_options.faults; }
     /// @}
@@ -143,6 +160,8 @@
     [[nodiscard]] std::uint64_t asked() const { return m_askedWorkers; }
     [[nodiscard]] std::uint64_t rejectedForPermit() const { return m_noPermit; }
     [[nodiscard]] std::uint64_t rejectedForRoom() const { return m_noRoom; }
+    /// Orders that the leader gave to relays.
+    [[nodiscard]] std::int64_t relayed();
 
 private:
     struct Proposal
@@ -152,13 +171,48 @@
         ProposalTable::Handler handler;
     };
 
-    void start(const jobs::StartRun &order, std::string_view payload, jobs::Tenure tenure) override;
-    void stop(const jobs::StopRun &order, jobs::Tenure tenure) override;
-    void pace(const jobs::PaceRun &order, jobs::Tenure tenure) override;
-    void hold(const jobs::RenewWorkerLease &order, jobs::Tenure tenure) override;
+    /// A process that sends orders to the workers, as long as it lives.
+    class Carrier : public WorkerOrders
+    {
+    public:
+        Carrier(JobWorld *world, WorkerAnswers *sink)
+            : answers(sink)
+            , m_world(world)
+        { }
+        void start(const jobs::StartRun &order, std::string_view payload,
+                   jobs::Tenure tenure) override;
+        void stop(const jobs::StopRun &order, jobs::Tenure tenure) override;
+        void pace(const jobs::PaceRun &order, jobs::Tenure tenure) override;
+        void hold(const jobs::RenewWorkerLease &order, jobs::Tenure tenure) override;
+
+        WorkerAnswers *answers;
+        /// Grows when the process dies: answers to an earlier life reach nobody.
+        std::uint64_t life = 0;
+
+    private:
+        JobWorld *m_world;
+    };
+
+    /// A member that carries orders for the leader.
+    struct RelayNode
+    {
+        ProcessId process;
+        std::unique_ptr<OrderRelay> relay;
+        std::unique_ptr<Carrier> carrier;
+        bool isUp = true;
+        bool isFrozen = false;
+        bool isDeaf = false;
+        /// What arrived while it was frozen.
+        std::vector<std::function<void()>> inbox;
+    };
+
     void ask(const jobs::RequestPermits &question, jobs::Tenure tenure) override;
 
     void newDriver();
+    void newRelay(RelayNode *node);
+    /// Sends a message between the leader and a relay through the faults.
+    void sendBetweenMembers(const std::function<void()> &arrive);
+    void tickRelays();
     bool propose(Moment at, wire::Command command, ProposalTable::Handler handler);
     void commitDue(bool all);
     void at(Timestamp when, std::function<void()> fn);
@@ -166,7 +220,7 @@
     [[nodiscard]] Duration latency();
     [[nodiscard]] FakeWorker *find(const WorkerName &name);
     /// Sends an order through the faults; `act` carries it out and gives its outcome.
-    void order(const jobs::OrderTarget &target, Duration timeout,
+    void order(Carrier *carrier, const jobs::OrderTarget &target, Duration timeout,
                const std::function<jobs::OrderOutcome(FakeWorker &)> &act,
                const std::function<void(jobs::OrderOutcome)> &answer);
     jobs::OrderOutcome startAt(FakeWorker &worker, const jobs::StartRun &order,
@@ -186,6 +240,23 @@
     state::StateMachine m_machine;
     std::uint64_t m_index = 0;
     std::unique_ptr<JobDriver> m_driver;
+    std::unique_ptr<OrderRouter> m_router;
+    std::unique_ptr<Carrier> m_carrier;
+    std::vector<RelayNode> m_relays;
+    /// Processes that have died. Orders and answers on their way still name them.
+    struct DeadRelay
+    {
+        std::unique_ptr<OrderRelay> relay;
+        std::unique_ptr<Carrier> carrier;
+    };
+    struct DeadLeader
+    {
+        std::unique_ptr<JobDriver> driver;
+        std::unique_ptr<OrderRouter> router;
+        std::unique_ptr<Carrier> carrier;
+    };
+    std::vector<DeadRelay> m_deadRelays;
+    std::vector<DeadLeader> m_deadLeaders;
     std::uint64_t m_generation = 0;
     std::vector<Proposal> m_log;
     std::multimap<Timestamp, std::function<void()>> m_events;
@@ -217,6 +288,7 @@
     std::map<std::string, Grant> m_grants;
     std::set<std::uint64_t> m_advised;
     bool m_isAdvisorDown = false;
+    bool m_refusesProposals = false;
     Timestamp m_advisorFreeAt;
     std::uint64_t m_askedWorkers = 0;
     std::uint64_t m_noPermit = 0;
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -84,6 +84,22 @@
     CHECK(world.starts() == 3);
 }
 
+TEST_CASE("a submission that is repeated before its commit is not refused")
+{
+    // The first copy of a call is on its way through the log: a refusal of the second copy would
+    // say of a job that runs that it never will.
+    JobWorld world({});
+    world.run(2s);
+    world.submit(7, simpleJob(3, 1000, 200));
+    world.refuseProposals(true);
+    world.submit(7, simpleJob(3, 1000, 200));
+    CHECK(world.statusOf(7) == 0);
+    world.run(50ms);
+    CHECK(world.statusOf(7) == 200);
+    world.submit(8, simpleJob(3, 1000, 200));
+    CHECK(world.statusOf(8) == 503);
+}
+
 TEST_CASE("a cancelled job is gone from its workers at once")
 {
     JobWorld world({});
@@ -249,6 +265,165 @@
     }
 }
 
+namespace {
+
+/// Drives a world through faults of its relays, workers and leaders, drawn from the seed.
+void disturbRelays(JobWorld *world, std::uint64_t seed, std::uint64_t *lastJob)
+{
+    RandomGenerator random(seed * 6271);
+    const auto draw = [&](std::uint64_t n) { return random() % n; };
+    world->run(2s);
+    for (int round = 0; round < 40; ++round) {
+        world->submit(++*lastJob, draw(2) == 0 ? twoSteps(300) : simpleJob(5, 1500, 500));
+        if (draw(8) == 0 && *lastJob > 3)
+            world->cancel(*lastJob - 2);
+        switch (draw(16)) {
+        case 0:
+            world->crashRelay(draw(3));
+            break;
+        case 1:
+        case 2:
+            world->reviveRelay(draw(3));
+            break;
+        case 3:
+            world->freezeRelay(draw(3), true);
+            break;
+        case 4:
+        case 5:
+            world->freezeRelay(draw(3), false);
+            break;
+        case 6:
+            world->crash(draw(6));
+            break;
+        case 7: {
+            const std::uint64_t worker = draw(6);
+            if (!world->worker(worker).isUp)
+                world->revive(worker);
+            break;
+        }
+        case 8:
+            world->changeLeader(300ms + Duration(draw(1'500'000)));
+            world->run(2s);
+            break;
+        default:
+            break;
+        }
+        world->run(Duration(100'000 + draw(300'000)));
+    }
+    for (std::size_t it = 0; it < 3; ++it) {
+        world->freezeRelay(it, false);
+        world->reviveRelay(it);
+    }
+}
+
+constexpr WorldFaults relayFaults { .answerLost = 0.02,
+                                    .carriedOutLate = 0.03,
+                                    .orderLost = 0.01,
+                                    .runFails = 0.03,
+                                    .relayMessageLost = 0.03,
+                                    .relayMessageDoubled = 0.05,
+                                    .relayMessageSlow = 0.02 };
+
+} // namespace
+
+TEST_CASE("relays carry the orders, and a job ends as it does without them")
+{
+    JobWorld world({ .relays = 3 });
+    world.run(2s);
+    world.submit(7, twoSteps(300));
+    world.run(3s);
+    CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.starts() == 6);
+    CHECK(world.relayed() > 6);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("tasks go on while the relay of their workers is lost, and no worker's lease ends")
+{
+    JobWorld world({ .relays = 3 });
+    world.run(2s);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        world.submit(id, simpleJob(4, 1000, 8000));
+    world.run(1s);
+    const std::uint64_t before = world.starts();
+    for (std::size_t it = 0; it < 3; ++it) {
+        world.crashRelay(it);
+        world.run(1500ms);
+        world.reviveRelay(it);
+        world.run(500ms);
+    }
+    world.run(4s);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        CHECK(world.stateOf(id) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.starts() == before);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("a relay that is heard and gets no orders is left for others before leases end")
+{
+    JobWorld world({ .relays = 3 });
+    world.run(2s);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        world.submit(id, simpleJob(4, 1000, 8000));
+    world.run(1s);
+    const std::uint64_t before = world.starts();
+    world.deafenRelay(1, true);
+    world.run(9s);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        CHECK(world.stateOf(id) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.starts() == before);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("through relays that die, freeze and come back, and messages lost, slow and doubled, all "
+          "holds")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .relays = 3, .faults = relayFaults, .seed = seed });
+        std::uint64_t lastJob = 0;
+        disturbRelays(&world, seed, &lastJob);
+        checkAllEnd(&world, lastJob);
+    }
+}
+
+TEST_CASE("a renewal that a relay held back confirms nothing to another life of its worker")
+{
+    // The renewal names ends of the worker's earlier life by number. The checks have to see a relay
+    // that carries it out.
+    for (const bool takesLate : { false, true }) {
+        std::size_t breached = 0;
+        for (int wait = 0; wait < 30; ++wait) {
+            CAPTURE(wait);
+            JobWorld world({ .relays = 3, .relaysTakeLateOrders = takesLate });
+            world.run(2s);
+            for (std::uint64_t id = 1; id <= 8; ++id)
+                world.submit(id, simpleJob(12, 1000, 200));
+            world.run(2s);
+            world.submit(9, simpleJob(24, 1000, 20'000));
+            world.run(200ms);
+            for (std::size_t it = 0; it < 3; ++it)
+                world.freezeRelay(it, true);
+            world.run(600ms);
+            for (std::size_t it = 0; it < 6; ++it) {
+                world.crash(it);
+                world.revive(it);
+            }
+            world.run(2s);
+            for (std::uint64_t id = 10; id <= 12; ++id)
+                world.submit(id, simpleJob(8, 500, 400));
+            world.run(200ms + wait * 10ms);
+            for (std::size_t it = 0; it < 3; ++it)
+                world.freezeRelay(it, false);
+            world.run(8s);
+            breached += world.breaches().empty() ? 0 : 1;
+            if (!takesLate)
+                CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+        }
+        CHECK((breached > 0) == takesLate);
+    }
+}
+
 TEST_CASE("a gang runs together or not at all, and its failures count for all")
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
