--- a/acaciafork/entry/EntryNode.h
+++ b/acaciafork/entry/EntryNode.h
@@ -25,12 +25,12 @@
     /// Control members known at start.
     std::vector<ProcessId> controlMembers;
     /// Pause between two heartbeats.
-    Duration heartbeatInterval = std::chrono::milliseconds(300);
+    Duration heartbeatInterval = std::chrono::milliseconds(200);
     ConfigFollowerSettings config;
     routing::CreditSettings credit = peers::creditTiming();
     LedgerOutboxSettings ledger;
-    /// Three heartbeats: a leader under load may take some hundred milliseconds to answer one.
-    peers::LeaderTrackerSettings leader { .silence = std::chrono::milliseconds(900) };
+    /// Over three heartbeats: a leader under load may take some hundred milliseconds to answer one.
+    peers::LeaderTrackerSettings leader { .silence = std::chrono::milliseconds(700) };
     peers::CallTableSettings calls;
     std::uint64_t seed = 1;
 };
