--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -116,10 +116,8 @@
         wire::ChangeWorkers *change = proposal.mutable_change_workers();
         for (const jobs::WorkerLife &it : command.put)
             *change->add_put() = toState(it);
-        for (const WorkerName &it : command.removed) {
+        for (const WorkerName &it : command.removed)
             change->add_removed(it.value);
-            driver.answerEnding(it);
-        }
         const std::uint64_t leadership = driver.m_leadership;
         const bool accepted =
                 driver.m_propose(at, std::move(proposal),
@@ -242,6 +240,7 @@
     if (!m_isActive)
         return;
     m_scheduler.tick(at);
+    answerEndingWorkers();
 
     // What could not be proposed, as while the disk is full, is proposed again.
     std::vector<jobs::RecordEnds> ends;
@@ -479,12 +478,16 @@
         m_leaving.emplace(report.life.name, reply);
 }
 
-void JobDriver::answerEnding(const WorkerName &name)
+void JobDriver::answerEndingWorkers()
 {
-    const auto [first, last] = m_ending.equal_range(name);
-    for (auto it = first; it != last; ++it)
+    for (auto it = m_ending.begin(); it != m_ending.end();) {
+        if (m_scheduler.isLeaving(it->first)) {
+            ++it;
+            continue;
+        }
         it->second(plain(200));
-    m_ending.erase(first, last);
+        it = m_ending.erase(it);
+    }
 }
 
 void JobDriver::workersRecorded(Moment at, const jobs::RecordWorkers &command)
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -80,7 +80,8 @@
     void workersRecorded(Moment at, const jobs::RecordWorkers &command);
     void submit(Moment at, const wire::Queue &queue, std::uint64_t id, const wire::JobCall &call,
                 const Reply &reply);
-    void answerEnding(const WorkerName &name);
+    /// Answers the workers that the scheduler has let go.
+    void answerEndingWorkers();
     void answerSubmission(std::uint64_t id, const peers::ApiAnswer &answer);
     void tell(std::uint64_t id, const Reply &reply) const;
     void cancel(Moment at, std::uint64_t id, const Reply &reply);
--- a/acaciafork/control/OrderCodec.cpp
+++ b/acaciafork/control/OrderCodec.cpp
@@ -132,7 +132,7 @@
     }
 }
 
-jobs::RenewalAnswer decodeLists(const wire::WorkerLists &message)
+Result<jobs::RenewalAnswer> decodeLists(const wire::WorkerLists &message)
 {
     jobs::RenewalAnswer lists { .born = { message.born() }, .clockMs = message.clock_ms() };
     lists.hasMore = message.has_more();
@@ -143,11 +143,17 @@
                                   .percent = it.percent(),
                                   .load = it.load() });
     lists.ended.reserve(static_cast<std::size_t>(message.ended_size()));
-    for (const wire::EndedTask &it : message.ended())
+    for (const wire::EndedTask &it : message.ended()) {
+        if (it.end() > static_cast<std::uint32_t>(jobs::RunEnd::Alone))
+            return fail(FailureKind::Protocol,
+                        "expected a kind of end up to "
+                                + std::to_string(static_cast<int>(jobs::RunEnd::Alone)) + ", got "
+                                + std::to_string(it.end()));
         lists.ended.push_back({ .number = it.number(),
                                 .run = decodeRun(it.run()),
                                 .end = static_cast<jobs::RunEnd>(it.end()),
                                 .checkpoint = it.checkpoint() });
+    }
     return lists;
 }
 
--- a/acaciafork/control/OrderCodec.h
+++ b/acaciafork/control/OrderCodec.h
@@ -20,9 +20,10 @@
 jobs::RenewWorkerLease decodeRenewal(const wire::WorkerOrder &message);
 /// @}
 
-/// A worker's lists of runs; `sentAt` is not part of the message.
+/// A worker's lists of runs; `sentAt` is not part of the message. Decoding fails with Failure
+/// Protocol where a run has ended in a way that is not known here.
 void encodeLists(const jobs::RenewalAnswer &lists, wire::WorkerLists *message);
-jobs::RenewalAnswer decodeLists(const wire::WorkerLists &message);
+Result<jobs::RenewalAnswer> decodeLists(const wire::WorkerLists &message);
 
 /// Outcome of an order; a number that is no outcome becomes Unanswered.
 jobs::OrderOutcome decodeOutcome(std::uint32_t number);
--- a/acaciafork/control/OrderRelay.cpp
+++ b/acaciafork/control/OrderRelay.cpp
@@ -12,6 +12,7 @@
     : m_settings(settings)
     , m_send(std::move(send))
     , m_carried(&counters->counter("relay_orders_total{outcome=\"carried\"}"))
+    , m_superseded(&counters->counter("relay_orders_total{outcome=\"superseded\"}"))
     , m_late(&counters->counter("relay_orders_total{outcome=\"late\"}"))
 { }
 
@@ -27,8 +28,10 @@
 void OrderRelay::ordersArrived(ProcessId leader, const wire::WorkerOrders &orders,
                                std::int64_t clockUs)
 {
-    if (m_orders == nullptr || orders.tenure() < m_tenure.value)
+    if (m_orders == nullptr || orders.tenure() < m_tenure.value) {
+        m_superseded->add(orders.orders_size());
         return;
+    }
     if (orders.tenure() > m_tenure.value) {
         m_answers.Clear();
         m_tenure = { orders.tenure() };
--- a/acaciafork/control/OrderRelay.h
+++ b/acaciafork/control/OrderRelay.h
@@ -59,6 +59,7 @@
     std::int64_t m_leastOffsetUs = 0;
     wire::Envelope m_answers;
     Counter *m_carried;
+    Counter *m_superseded;
     Counter *m_late;
 };
 
--- a/acaciafork/control/OrderRouter.cpp
+++ b/acaciafork/control/OrderRouter.cpp
@@ -179,7 +179,18 @@
         const bool needsLists = kind == Kind::Renewal || kind == Kind::ImmediateRenewal;
         if (needsLists && outcome == jobs::OrderOutcome::Done && !it.has_lists())
             outcome = jobs::OrderOutcome::Unanswered;
-        jobs::RenewalAnswer lists = decodeLists(it.lists());
+        jobs::RenewalAnswer lists;
+        leaf::try_handle_all(
+                [&]() -> Result<void> {
+                    BOOST_LEAF_ASSIGN(lists, decodeLists(it.lists()));
+                    return {};
+                },
+                [&](const Failure &failure) {
+                    spdlog::warn("event=relayed-lists-unreadable relay={} detail=\"{}\"",
+                                 relay.value, failure.detail);
+                    outcome = jobs::OrderOutcome::Unanswered;
+                },
+                [&] { outcome = jobs::OrderOutcome::Unanswered; });
         settle(at, node.mapped(), outcome, &lists);
     }
 }
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -119,8 +119,10 @@
     void workerReported(Moment at, const WorkerReport &report);
     /// A worker has said that it ends. Its lists are asked for once more, since its latest run ends
     /// may not be known.
-    /// @return true when the worker may end now; else the removal follows in a RecordWorkers
+    /// @return true when the worker may end now; else it may once isLeaving() is false
     bool workerLeft(Moment at, const WorkerName &name, Incarnation born);
+    /// True while the last lists of a worker that has said that it ends are awaited.
+    [[nodiscard]] bool isLeaving(const WorkerName &name) const;
     void startAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome);
     void stopAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome);
     /// @param[in] answer null unless the outcome is Done
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -104,6 +104,7 @@
     worker->unansweredRenewals = 0;
     worker->consecutiveFailures = 0;
     worker->backfillPercent = 100;
+    worker->leftAt = Timestamp::max();
     worker->immediateRenewalAt = now;
     recordWorker(worker);
 }
@@ -125,6 +126,12 @@
     return false;
 }
 
+bool JobScheduler::isLeaving(const WorkerName &name) const
+{
+    const Worker *worker = m_workers.find(name);
+    return worker != nullptr && worker->leftAt != Timestamp::max();
+}
+
 void JobScheduler::removeLeft(Timestamp now, Worker *worker)
 {
     note("worker-left", {}, worker, "runs=" + std::to_string(worker->runs.size()));
@@ -258,7 +265,7 @@
     if (!answer->hasMore)
         releaseUnlisted(now, worker, *answer);
     worker->isKnown = worker->isKnown || !answer->hasMore;
-    if (answer->sentAt >= worker->leftAt) {
+    if (answer->sentAt >= worker->leftAt && !answer->hasMore) {
         removeLeft(now, worker);
         return;
     }
--- a/acaciafork/net/HttpServer.cpp
+++ b/acaciafork/net/HttpServer.cpp
@@ -184,7 +184,8 @@
 {
     ++counts.accepted;
     if (connections.size() >= static_cast<std::size_t>(settings.mostConnections)) {
-        if (counts.refused++ == 0)
+        ++counts.refused;
+        if (counts.overLimit++ == 0)
             spdlog::warn("event=connection-limit-reached side=server limit={}",
                          settings.mostConnections);
         h2o_socket_close(socket);
--- a/acaciafork/net/HttpServer.h
+++ b/acaciafork/net/HttpServer.h
@@ -43,6 +43,8 @@
     std::uint64_t requests = 0;
     /// Requests refused before they were whole: bad head, too large, too slow, over the budget.
     std::uint64_t refused = 0;
+    /// Connections closed at once, over the limit.
+    std::uint64_t overLimit = 0;
     /// Times that no descriptor was left for a connection.
     std::uint64_t acceptsFailed = 0;
 };
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -206,9 +206,11 @@
 
 void JobWorld::newRelay(RelayNode *node)
 {
-    const Duration maxDelay = m_options.relaysTakeLateOrders ? Duration(1h) : Duration(300ms);
+    OrderRelaySettings settings;
+    if (m_options.relaysTakeLateOrders)
+        settings.maxDelay = 1h;
     node->relay = std::make_unique<OrderRelay>(
-            OrderRelaySettings { .maxDelay = maxDelay },
+            settings,
             [this, process = node->process](ProcessId, wire::Envelope *envelope) {
                 sendBetweenMembers([this, process, answers = envelope->worker_answers()] {
                     if (m_driver)
@@ -473,7 +475,10 @@
 {
     FakeWorker &worker = *m_workers[i];
     m_driver->workerLeft(moment(), { worker.name }, { worker.born },
-                         [this, i](const peers::ApiAnswer &) { crash(i); });
+                         [this, i, born = worker.born](const peers::ApiAnswer &) {
+                             if (m_workers[i]->born == born)
+                                 crash(i);
+                         });
 }
 
 // ---- orders
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -213,6 +213,39 @@
     CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
 }
 
+TEST_CASE("a worker that says that it leaves and starts again at once is not let go")
+{
+    // The time for its last lists belongs to the life that left. Its next report comes at another
+    // moment of that time in each world.
+    std::size_t reported = 0;
+    for (int wait = 0; wait < 12; ++wait) {
+        CAPTURE(wait);
+        JobWorld world({ .workers = 2 });
+        world.run(2s);
+        world.submit(7, simpleJob(8, 1000, 3000));
+        world.run(500ms + wait * 100ms);
+        world.cut(0, true);
+        world.leave(0);
+        world.run(10ms);
+        world.revive(0);
+        const Incarnation born { world.worker(0).born };
+        bool isKnown = false;
+        for (int it = 0; it < 100; ++it) {
+            world.run(10ms);
+            const jobs::Worker *worker = world.driver().scheduler().workers().find({ "w0" });
+            const bool isNew = worker != nullptr && worker->life.born == born;
+            CHECK((isNew || !isKnown));
+            isKnown = isNew;
+        }
+        reported += isKnown ? 1 : 0;
+        world.run(12s);
+        CHECK(world.worker(0).isUp);
+        CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
+        CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+    }
+    CHECK(reported > 6);
+}
+
 TEST_CASE("a failed run that two leaders see counts once")
 {
     // Found on scale-1 of furiko-ops: a job was shown as failed after three of four attempts.
--- a/tests/control/OrderRouterTest.cpp
+++ b/tests/control/OrderRouterTest.cpp
@@ -180,3 +180,34 @@
     fixture.router.answersArrived(fixture.at, other, fixture.answers.back());
     CHECK(fixture.driver.outcomes.size() == 1);
 }
+
+TEST_CASE("lists with an end of a kind that is not known count as no answer")
+{
+    // A member of another version may send one; taken for a known kind it would end a run.
+    RouterFixture fixture;
+    fixture.update(fixture.at.now);
+    fixture.hold(1);
+    fixture.router.flush();
+    wire::WorkerAnswers answers;
+    answers.set_tenure(tenure.value);
+    wire::WorkerAnswer *answer = answers.add_answers();
+    answer->set_number(fixture.batches.front().orders(0).number());
+    answer->set_outcome(static_cast<std::uint32_t>(jobs::OrderOutcome::Done));
+    answer->mutable_lists()->add_ended()->set_end(99);
+    fixture.router.answersArrived(fixture.at, other, answers);
+    REQUIRE(fixture.driver.outcomes.size() == 1);
+    CHECK(fixture.driver.outcomes.front() == jobs::OrderOutcome::Unanswered);
+}
+
+TEST_CASE("a relay carries nothing for a leader whose tenure is over")
+{
+    RouterFixture fixture;
+    wire::WorkerOrders orders;
+    orders.set_tenure(5);
+    fixture.relay.ordersArrived(other, orders, 5);
+    orders.set_tenure(4);
+    orders.add_orders()->mutable_stop();
+    fixture.relay.ordersArrived(self, orders, 5);
+    CHECK(fixture.relayed.orders == 0);
+    CHECK(fixture.counters.counter("relay_orders_total{outcome=\"superseded\"}").value == 1);
+}
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -423,4 +423,22 @@
     ::close(fd);
 }
 
+TEST_CASE("connections over the limit are counted apart from requests that are refused")
+{
+    // The log tells of the first one; a bad request before it used to keep that from the log.
+    Fixture fixture({ .mostConnections = 1 });
+    {
+        RawPeer bad(fixture.loop, fixture.port);
+        bad.stream->write("not a request\r\n\r\n");
+        runUntil(fixture.loop, [&] { return bad.isEnded; });
+    }
+    runUntil(fixture.loop, [&] { return fixture.server.connections() == 0; });
+    CHECK(fixture.server.counts().overLimit == 0);
+    RawPeer first(fixture.loop, fixture.port);
+    runUntil(fixture.loop, [&] { return fixture.server.connections() == 1; });
+    RawPeer second(fixture.loop, fixture.port);
+    runUntil(fixture.loop, [&] { return second.isEnded; });
+    CHECK(fixture.server.counts().overLimit == 1);
+}
+
 } // namespace acaciafork::net::test
