Log and count the steps that wait for a worker for long

An incident showed hundreds of ready tasks and free workers, and nothing told why no worker was chosen. Placer::findObstacle() names what excludes a worker, fits() asks it; every 2 s the leader logs for the three steps that have waited for longest how long, when a round last tried them, and how many workers each obstacle excludes (step-blocked). fleet tells of unknown workers, a take-over, the longest start and stop in progress and requests for permits; gauges show the longest wait and the blocked steps.

No decision changes.

--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -117,6 +117,8 @@
     Counter *m_failed;
     Counter *m_lost;
     Counter *m_unanswered;
+    Counter *m_longestWait;
+    Counter *m_blockedSteps;
     /// From a submission to its commit.
     Histogram *m_commitTime;
     /// From the moment that a task may start to its start.
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -16,7 +16,6 @@
 /// Interval between records of the interference estimates: bounds what a new leader may have to
 /// learn again.
 constexpr Duration interferenceRecordInterval = std::chrono::seconds(3);
-constexpr std::int64_t millicoresPerCore = 1000;
 /// Maximum number of run ends in one record.
 constexpr std::size_t maxEndsPerRecord = 2000;
 
@@ -181,6 +180,8 @@
         || step->job->phase != JobPhase::Active)
         return;
     task.isReady = true;
+    if (step->ready.empty())
+        step->waitingSince = now;
     step->ready.push_back(ref.task);
     m_order.insert(now, step);
     m_placementDue = true;
@@ -303,6 +304,7 @@
     if (at.now >= m_nextSummary) {
         m_nextSummary = at.now + summaryInterval;
         logSummary(at.now);
+        logBlockedSteps(at.now);
     }
     recordInterference(at.now);
 }
@@ -317,40 +319,6 @@
         m_commands.emplace_back(RecordDisturbance { .pairs = std::move(pairs) });
 }
 
-void JobScheduler::logSummary(Timestamp now)
-{
-    std::int64_t capacity = 0;
-    std::int64_t serving = 0;
-    std::int64_t filling = 0;
-    std::int64_t other = 0;
-    std::size_t usable = 0;
-    std::size_t paced = 0;
-    std::size_t stoppingRuns = 0;
-    for (const auto &[id, worker] : m_workers.all()) {
-        capacity += worker->life.capacity.millicores;
-        serving += worker->servingMillicores;
-        filling += worker->backfillMillicores;
-        other += worker->used.millicores - worker->servingMillicores;
-        usable += m_placer.isUsable(now, *worker) ? 1 : 0;
-        paced += worker->backfillPercent < 100 ? 1 : 0;
-        for (const RunRef &it : worker->runs)
-            stoppingRuns += it.get().phase == RunPhase::Stopping ? 1 : 0;
-    }
-    std::map<std::string_view, std::size_t> ready;
-    for (const auto &[rank, step] : m_order.steps())
-        ready[step->job->queue] += step->ready.size();
-    std::string detail = "workers=" + std::to_string(m_workers.all().size())
-            + " usable=" + std::to_string(usable) + " paced=" + std::to_string(paced)
-            + " stopping=" + std::to_string(stoppingRuns)
-            + " cores=" + std::to_string(capacity / millicoresPerCore)
-            + " serving=" + std::to_string(serving / millicoresPerCore)
-            + " filling=" + std::to_string(filling / millicoresPerCore)
-            + " other=" + std::to_string(other / millicoresPerCore);
-    for (const auto &[queue, count] : ready)
-        detail += " ready." + std::string(queue) + '=' + std::to_string(count);
-    note("fleet", {}, nullptr, std::move(detail));
-}
-
 Commands JobScheduler::takeCommands(Moment at)
 {
     if (m_placementDue && !m_isFenced && at.now >= m_nextPlacement) {
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -78,6 +78,10 @@
     std::uint64_t unanswered = 0;
     std::uint64_t refused = 0;
     std::uint64_t copies = 0;
+    /// Longest time for which tasks of a step have waited without any start, and the number of
+    /// steps that have waited for long; as of the last summary.
+    Duration longestWait {};
+    std::size_t blockedSteps = 0;
 };
 
 /// Assigns tasks to workers, renews leases, and tracks every run to its end. Runs on the leader
@@ -208,6 +212,7 @@
     void checkTakeover(Timestamp now);
     void startDueOccurrences(Moment at);
     void logSummary(Timestamp now);
+    void logBlockedSteps(Timestamp now);
     void recordInterference(Timestamp now);
     void startSpeculativeCopies(Timestamp now);
     void throttleBackfill(Timestamp now, Worker *worker);
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -51,6 +51,7 @@
         ++it;
         if ((m_isTakingOver && step->job->isInherited) || cannotFit(failedPlacements, *step))
             continue;
+        step->lastTriedAt = now;
         if (placeStep(now, step))
             continue;
         ++failedCount;
--- /dev/null
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -0,0 +1,104 @@
+#include <algorithm>
+#include <array>
+
+#include "acaciafork/decisions/jobs/JobScheduler.h"
+
+// Periodic log events: the state of the fleet, and the steps that wait for long.
+
+namespace acaciafork::jobs {
+namespace {
+
+constexpr std::int64_t millicoresPerCore = 1000;
+/// A step counts as blocked when none of its waiting tasks has started for this long.
+constexpr Duration blockedAfter = std::chrono::seconds(3);
+/// Maximum number of blocked steps logged at a time.
+constexpr std::size_t maxLoggedSteps = 3;
+
+} // namespace
+
+void JobScheduler::logSummary(Timestamp now)
+{
+    std::int64_t capacity = 0;
+    std::int64_t serving = 0;
+    std::int64_t filling = 0;
+    std::int64_t other = 0;
+    std::size_t usable = 0;
+    std::size_t paced = 0;
+    std::size_t unknown = 0;
+    std::size_t stoppingRuns = 0;
+    Duration longestStart {};
+    Duration longestStop {};
+    for (const auto &[id, worker] : m_workers.all()) {
+        capacity += worker->life.capacity.millicores;
+        serving += worker->servingMillicores;
+        filling += worker->backfillMillicores;
+        other += worker->used.millicores - worker->servingMillicores;
+        usable += m_placer.isUsable(now, *worker) ? 1 : 0;
+        paced += worker->backfillPercent < 100 ? 1 : 0;
+        unknown += worker->isKnown ? 0 : 1;
+        for (const RunRef &it : worker->runs) {
+            const Run &run = it.get();
+            if (run.phase == RunPhase::Starting)
+                longestStart = std::max(longestStart, now - run.startedAt);
+            if (run.phase != RunPhase::Stopping)
+                continue;
+            ++stoppingRuns;
+            longestStop = std::max(longestStop, now - run.stoppingSince);
+        }
+    }
+    std::map<std::string_view, std::size_t> ready;
+    for (const auto &[rank, step] : m_order.steps())
+        ready[step->job->queue] += step->ready.size();
+    std::string detail = "workers=" + std::to_string(m_workers.all().size())
+            + " usable=" + std::to_string(usable) + " paced=" + std::to_string(paced)
+            + " stopping=" + std::to_string(stoppingRuns)
+            + " cores=" + std::to_string(capacity / millicoresPerCore)
+            + " serving=" + std::to_string(serving / millicoresPerCore)
+            + " filling=" + std::to_string(filling / millicoresPerCore) + " other="
+            + std::to_string(other / millicoresPerCore) + " unknown=" + std::to_string(unknown)
+            + " taking-over=" + std::to_string(m_isTakingOver ? 1 : 0)
+            + " longest-start-ms=" + std::to_string(longestStart / std::chrono::milliseconds(1))
+            + " longest-stop-ms=" + std::to_string(longestStop / std::chrono::milliseconds(1))
+            + " permit-requests=" + std::to_string(m_permitRequestsInFlight);
+    for (const auto &[queue, count] : ready)
+        detail += " ready." + std::string(queue) + '=' + std::to_string(count);
+    note("fleet", {}, nullptr, std::move(detail));
+}
+
+void JobScheduler::logBlockedSteps(Timestamp now)
+{
+    std::vector<const Step *> blocked;
+    m_counts.longestWait = {};
+    for (const auto &[rank, step] : m_order.steps()) {
+        const Duration waited = now - step->waitingSince;
+        m_counts.longestWait = std::max(m_counts.longestWait, waited);
+        if (waited >= blockedAfter)
+            blocked.push_back(step);
+    }
+    m_counts.blockedSteps = blocked.size();
+    const std::size_t n = std::min(maxLoggedSteps, blocked.size());
+    std::ranges::partial_sort(blocked, blocked.begin() + static_cast<std::ptrdiff_t>(n), {},
+                              &Step::waitingSince);
+    blocked.resize(n);
+    for (const Step *step : blocked) {
+        std::array<std::size_t, placementObstacleCount> workers {};
+        for (const auto &[id, worker] : m_workers.all())
+            ++workers.at(static_cast<std::size_t>(m_placer.findObstacle(now, *worker, *step)));
+        std::string detail = "waited-ms="
+                + std::to_string((now - step->waitingSince) / std::chrono::milliseconds(1))
+                + " tried-ms-ago="
+                + std::to_string((now - step->lastTriedAt) / std::chrono::milliseconds(1))
+                + " ready=" + std::to_string(step->ready.size())
+                + " remaining=" + std::to_string(step->remainingTasks)
+                + " blocked-steps=" + std::to_string(m_counts.blockedSteps);
+        for (std::size_t it = 0; it < workers.size(); ++it) {
+            if (workers.at(it) > 0)
+                detail += " workers." + std::string(placementObstacleName(PlacementObstacle(it)))
+                        + '=' + std::to_string(workers.at(it));
+        }
+        note("step-blocked", { .task = step->key(step->ready.front()), .run = {} }, nullptr,
+             std::move(detail));
+    }
+}
+
+} // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -59,6 +59,7 @@
     worker->runs.push_back(run);
     worker->reserve(*ref.step);
     ref.step->rack = worker->life.rack;
+    ref.step->waitingSince = now;
     ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     ++m_counts.started;
@@ -113,6 +114,8 @@
 void JobScheduler::requestStop(Timestamp now, const RunRef &ref, std::string_view reason)
 {
     Run &run = ref.get();
+    if (run.phase != RunPhase::Stopping)
+        run.stoppingSince = now;
     run.phase = RunPhase::Stopping;
     if (run.stopInFlight || run.stopConfirmed)
         return;
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -37,6 +37,8 @@
     /// A stop order is in flight.
     bool stopInFlight = false;
     Timestamp stopRetryAt;
+    /// When its stop was first ordered; valid in RunPhase::Stopping.
+    Timestamp stoppingSince;
     /// Share of its processor time that it may use, in percent, as last ordered.
     std::int64_t percent = 100;
     /// Progress in percent according to the worker's last list; for a long-running task, 100 while
@@ -103,6 +105,10 @@
     std::vector<Task> tasks;
     /// Indices of the tasks that wait for a worker.
     std::deque<std::uint32_t> ready;
+    /// While tasks wait: when the first of them began to wait or a task of the step last started.
+    Timestamp waitingSince;
+    /// When a placement round last tried the step. A round may end before it reaches all steps.
+    Timestamp lastTriedAt;
     /// Longest chain of estimated durations from its start to the end of the job.
     Duration remainingPath {};
     /// The step is in the StepOrder.
--- a/acaciafork/decisions/jobs/Jobs.h
+++ b/acaciafork/decisions/jobs/Jobs.h
@@ -7,6 +7,7 @@
 #include "acaciafork/decisions/jobs/JobScheduler.h"
 #include "acaciafork/decisions/jobs/JobTable.h"
 #include "acaciafork/decisions/jobs/LeaseClock.h"
+#include "acaciafork/decisions/jobs/PlacementObstacle.h"
 #include "acaciafork/decisions/jobs/PlacementRound.h"
 #include "acaciafork/decisions/jobs/Placer.h"
 #include "acaciafork/decisions/jobs/RelayTable.h"
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -37,21 +37,47 @@
             && step.spec->reserved().fitsIn(worker.life.capacity);
 }
 
-bool Placer::fits(const Worker &worker, const Step &step) const
+PlacementObstacle Placer::findObstacle(Timestamp now, const Worker &worker, const Step &step) const
+{
+    if (worker.life.pool == step.job->pool && !isUsable(now, worker))
+        return PlacementObstacle::NotUsable;
+    const PlacementObstacle obstacle = findObstacle(worker, step);
+    if (obstacle == PlacementObstacle::None && step.permits != nullptr
+        && step.permits->find(worker, now) == nullptr)
+        return PlacementObstacle::Permit;
+    return obstacle;
+}
+
+PlacementObstacle Placer::findObstacle(const Worker &worker, const Step &step) const
 {
     const StepSpec &spec = *step.spec;
-    if (worker.life.pool != step.job->pool || !hasLabel(worker.life, spec.label)
-        || !spec.reserved().fitsIn(worker.freeCapacity()))
-        return false;
-    // Backfill tasks share the unused processor time; at least half of what the task asks for must
-    // be available.
-    if (spec.fills
-        && (worker.unusedMillicores() < spec.size.millicores / 2
-            || expectedInterference(worker, step) > m_settings.maxInterference
-            || worker.backfillPercent == 0
-            || (worker.backfillPercent < wholePercent && !isHarmless(worker, step))))
-        return false;
-    return spec.maxPerWorker == 0 || worker.runsOf(&step) < spec.maxPerWorker;
+    if (worker.life.pool != step.job->pool)
+        return PlacementObstacle::OtherPool;
+    if (!hasLabel(worker.life, spec.label))
+        return PlacementObstacle::Label;
+    const Size reserved = spec.reserved();
+    const Size free = worker.freeCapacity();
+    if (reserved.millicores > free.millicores)
+        return PlacementObstacle::Processor;
+    if (reserved.memoryMb > free.memoryMb)
+        return PlacementObstacle::Memory;
+    if (reserved.accelerators > free.accelerators)
+        return PlacementObstacle::Accelerators;
+    if (spec.fills) {
+        // Backfill tasks share the unused processor time; at least half of what the task asks for
+        // must be available.
+        if (worker.unusedMillicores() < spec.size.millicores / 2)
+            return PlacementObstacle::Processor;
+        if (expectedInterference(worker, step) > m_settings.maxInterference)
+            return PlacementObstacle::Interference;
+        if (worker.backfillPercent == 0)
+            return PlacementObstacle::Paused;
+        if (worker.backfillPercent < wholePercent && !isHarmless(worker, step))
+            return PlacementObstacle::Throttled;
+    }
+    if (spec.maxPerWorker > 0 && worker.runsOf(&step) >= spec.maxPerWorker)
+        return PlacementObstacle::Spread;
+    return PlacementObstacle::None;
 }
 
 double Placer::colocationBonus(const Worker &worker, const Step &step)
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciafork/decisions/jobs/PlacementObstacle.h"
 #include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/WorkerTable.h"
 
@@ -47,13 +48,21 @@
     [[nodiscard]] static bool canEverFit(const Worker &worker, const Step &step);
 
     /// True when a task of the step fits on the worker beside what runs there.
-    [[nodiscard]] bool fits(const Worker &worker, const Step &step) const;
+    [[nodiscard]] bool fits(const Worker &worker, const Step &step) const
+    {
+        return findObstacle(worker, step) == PlacementObstacle::None;
+    }
+    /// What keeps the worker from getting a task of the step now.
+    [[nodiscard]] PlacementObstacle findObstacle(Timestamp now, const Worker &worker,
+                                                 const Step &step) const;
     /// How good the worker is for tasks of the step; the highest score wins.
     [[nodiscard]] double score(const Worker &worker, const Step &step) const;
     /// Amount by which the score is lower for this task of the step; zero for most tasks.
     [[nodiscard]] static double taskPenalty(const Worker &worker, const Task &task);
 
 private:
+    /// What keeps a usable worker from getting a task of the step, apart from permits.
+    [[nodiscard]] PlacementObstacle findObstacle(const Worker &worker, const Step &step) const;
     [[nodiscard]] static double colocationBonus(const Worker &worker, const Step &step);
     [[nodiscard]] bool isHarmless(const Worker &worker, const Step &step) const;
     [[nodiscard]] double expectedInterference(const Worker &worker, const Step &step) const;
