Add failing tests of backfill steps and late steps that wait for ever

A step whose image is believed to disturb the serving task of each worker gets no worker as long as the estimate stands, and the estimate can't change without a run beside them: no start in 3 s of virtual time, nor later, while the serving tasks' tail latencies are low. A step that fits gets no worker when 48 steps before it fit nowhere, since each placement round ends after 48 failures and begins with the same steps: the same.

The bound is the 3 s for which a job that could run may have nothing running.

--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -16,6 +16,16 @@
     SchedulerFixture()
     {
         scheduler.begin(at, { 1 }, {}, {}, {});
+        report();
+        const std::array names { WorkerName { "w0" }, WorkerName { "w1" } };
+        scheduler.workersRecorded(at, names);
+        (void)scheduler.takeCommands(at);
+    }
+
+    /// Both workers report about themselves.
+    void report()
+    {
+        ++sequence;
         for (int it = 0; it < 2; ++it) {
             scheduler.workerReported(at,
                                      { .life = { .name = { "w" + std::to_string(it) },
@@ -23,12 +33,9 @@
                                                  .pool = "pool",
                                                  .address = "w",
                                                  .capacity = { 32'000, 128'000, 0 } },
-                                       .sequence = 1,
+                                       .sequence = sequence,
                                        .clockMs = 1000 });
         }
-        const std::array names { WorkerName { "w0" }, WorkerName { "w1" } };
-        scheduler.workersRecorded(at, names);
-        (void)scheduler.takeCommands(at);
     }
 
     void acceptJob(std::uint64_t id, const StepSpec &step)
@@ -61,6 +68,7 @@
 
     Moment at { timestampFromMicroseconds(10'000'000), 1'000'000'000 };
     JobScheduler scheduler;
+    std::uint64_t sequence = 0;
 };
 
 const StepSpec serving { .count = 1,
@@ -108,32 +116,28 @@
     return colocated;
 }
 
-} // namespace
-
-TEST_CASE("backfill tasks without a worker do not block those of another image")
+/// Places a serving task on each of the two workers, and backfill tasks of job 3 beside them until
+/// the readings of both workers have shown that "fill" slows down "serve".
+void learnInterference(SchedulerFixture *fixture)
 {
-    // Guards against idle capacity: 700 tasks waited while 300 of 1,000 cores were free, because
-    // tasks of one image that found no worker also held back other images.
-    SchedulerFixture fixture;
     StepSpec spread = serving;
     spread.count = 2;
     spread.maxPerWorker = 1;
-    fixture.acceptJob(1, spread);
-    const auto services = fixture.take<StartRun>();
+    fixture->acceptJob(1, spread);
+    const auto services = fixture->take<StartRun>();
     REQUIRE(services.size() == 2);
     for (const StartRun &it : services)
-        fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run, OrderOutcome::Done);
+        fixture->scheduler.startAnswered(fixture->at, it.target.worker, it.run, OrderOutcome::Done);
 
-    // Both workers' readings show that "fill" slows down their serving tasks.
-    fixture.acceptJob(3, filling);
-    const auto fills = fixture.take<StartRun>();
+    fixture->acceptJob(3, filling);
+    const auto fills = fixture->take<StartRun>();
     REQUIRE(fills.size() == 3);
     for (const StartRun &it : fills)
-        fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run, OrderOutcome::Done);
+        fixture->scheduler.startAnswered(fixture->at, it.target.worker, it.run, OrderOutcome::Done);
     for (int round = 0; round < 16; ++round) {
-        fixture.advance(700ms);
+        fixture->advance(700ms);
         for (std::uint32_t worker = 1; worker <= 2; ++worker) {
-            RenewalAnswer renewalAnswer { .sentAt = fixture.at.now,
+            RenewalAnswer renewalAnswer { .sentAt = fixture->at.now,
                                           .born = { 1 },
                                           .clockMs = 1000 };
             for (const auto *runs : { &services, &fills }) {
@@ -152,11 +156,36 @@
                 else if (round >= 7)
                     it.load = 0;
             }
-            fixture.scheduler.renewalAnswered(fixture.at, { worker }, false, OrderOutcome::Done,
-                                              &renewalAnswer);
+            fixture->scheduler.renewalAnswered(fixture->at, { worker }, false, OrderOutcome::Done,
+                                               &renewalAnswer);
+        }
+        (void)fixture->scheduler.takeCommands(fixture->at);
+    }
+}
+
+/// Passes time in which both workers report, and returns the runs of a job that start meanwhile.
+std::vector<StartRun> startsWithin(SchedulerFixture *fixture, Duration length, JobId job)
+{
+    std::vector<StartRun> starts;
+    for (Duration passed {}; passed < length; passed += 100ms) {
+        fixture->advance(100ms);
+        fixture->report();
+        for (const StartRun &it : fixture->take<StartRun>()) {
+            if (it.run.task.job == job)
+                starts.push_back(it);
         }
-        (void)fixture.scheduler.takeCommands(fixture.at);
     }
+    return starts;
+}
+
+} // namespace
+
+TEST_CASE("backfill tasks without a worker do not block those of another image")
+{
+    // Guards against idle capacity: 700 tasks waited while 300 of 1,000 cores were free, because
+    // tasks of one image that found no worker also held back other images.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
     fixture.advance(2s);
     StepSpec other = filling;
     other.image = "other";
@@ -218,3 +247,27 @@
     for (const RunKey &it : colocated.filling)
         CHECK(stopped.contains(it));
 }
+
+TEST_CASE("a backfill step believed to disturb every serving task starts again in bounded time")
+{
+    // Guards against jobs that wait for ever: an estimate of interference that keeps the image away
+    // from the serving tasks is never corrected by what they would show.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    fixture.advance(2s);
+    fixture.acceptJob(4, filling);
+    CHECK_FALSE(startsWithin(&fixture, 3s, { 4 }).empty());
+}
+
+TEST_CASE("a step that fits is not held up by many steps before it that fit nowhere")
+{
+    // Guards against jobs that wait for ever: a placement round ended after the first steps that
+    // found no worker, and began with the same steps each time.
+    SchedulerFixture fixture;
+    StepSpec impossible { .count = 1, .size = { 1000, 1000, 0 }, .label = "no-such-label" };
+    for (std::uint64_t it = 1; it <= 100; ++it)
+        fixture.acceptJob(it, impossible);
+    fixture.advance(100ms);
+    fixture.acceptJob(1000, { .count = 1, .size = { 1000, 1000, 0 } });
+    CHECK_FALSE(startsWithin(&fixture, 3s, { 1000 }).empty());
+}
