Start overdue backfill tasks at an acceptable share instead of never

Cause: an estimate of interference above the limit keeps a backfill image away from a serving image. Only readings of the two beside each other correct the estimate, and the estimate prevents them, so it stands for ever; it is recorded and outlives the leader. On the workers left over, smaller tasks take processor time as soon as it is unused, so larger ones may find none there (suspected: seen are starts at 1.3 to 5 free cores, while the task that waited needed 2.4).

Ruled out by the added logs: runs without news, a take-over that does not end, unusable workers.

Change: a backfill step whose job has nothing running for 1.8 s starts one task (a gang: all its tasks) on the worker where the least interference is expected, at a share at which the expected increase stays below 0.15 of the target, at least 15 %, and as long as any processor time is unused there. The share follows the estimate, which readings correct meanwhile. Eviction, throttling and the pause of a worker whose tail latencies stay over their target act on these tasks as before, so harm stays bounded.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -299,6 +299,7 @@
     checkExpiredLeases(at.now);
     checkTakeover(at.now);
     startSpeculativeCopies(at.now);
+    placeOverdueSteps(at.now);
     m_order.refresh(at.now);
     m_placementDue = true;
     if (at.now >= m_nextSummary) {
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -60,6 +60,11 @@
     Duration placementInterval = std::chrono::milliseconds(20);
     /// A placement round ends after this many steps that could not be placed.
     std::size_t maxFailedPlacements = 48;
+    /// A step is overdue when no task of its job runs and none has started for this long. Jobs that
+    /// could run may have nothing running for 3 s.
+    Duration overdueAfter = std::chrono::milliseconds(1800);
+    /// Maximum number of overdue steps tried in one check.
+    std::size_t maxOverdueTries = 16;
     /// Maximum number of requests to the advisor in flight; it processes one at a time.
     std::size_t maxPermitRequests = 2;
     /// Time allowed for an answer of the advisor in addition to its decision time.
@@ -185,7 +190,8 @@
     void removeIfFinished(Job *job);
 
     [[nodiscard]] RunNumber nextRunNumber(const Task &task) const;
-    void startRun(Timestamp now, TaskRef task, Worker *worker, RunNumber number);
+    void startRun(Timestamp now, TaskRef task, Worker *worker, RunNumber number,
+                  PlacementMode mode = PlacementMode::Usual);
     bool adoptRun(Timestamp now, TaskRef task, const RunningRow &row, Worker *worker);
     /// Run that a worker's answer refers to; none when that run is already over.
     RunRef findAnswered(WorkerId id, const RunKey &run, OrderOutcome outcome);
@@ -225,7 +231,13 @@
     void moveLongRunningTasks(Timestamp now, Worker *worker);
     bool place(Timestamp now);
     bool placeStep(Timestamp now, Step *step);
-    bool placeGang(Timestamp now, Step *step, const RackName *rack);
+    bool placeGang(Timestamp now, Step *step, PlacementMode mode);
+    bool placeGang(Timestamp now, Step *step, const RackName *rack, PlacementMode mode);
+    /// Steps that are overdue, those first whose last try as such was longest ago.
+    [[nodiscard]] std::vector<Step *> overdueSteps(Timestamp now) const;
+    void placeOverdueSteps(Timestamp now);
+    bool placeOverdueTask(Timestamp now, Step *step);
+    void paceOverdueRuns(Timestamp now, Worker *worker);
     void requestPermits(Timestamp now, Step *step);
     void stopGang(Timestamp now, Step *step, std::string_view reason);
 
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -66,21 +66,8 @@
 
 bool JobScheduler::placeStep(Timestamp now, Step *step)
 {
-    if (step->spec->gang) {
-        // The gang waits until all its unfinished members are ready.
-        if (step->ready.size() < step->remainingTasks)
-            return true;
-        std::set<RackName> racks;
-        if (step->spec->sameRack) {
-            for (const auto &[id, worker] : m_workers.all())
-                racks.insert(worker->life.rack);
-        }
-        for (const RackName &it : racks) {
-            if (placeGang(now, step, &it))
-                return true;
-        }
-        return placeGang(now, step, nullptr);
-    }
+    if (step->spec->gang)
+        return placeGang(now, step, PlacementMode::Usual);
     m_round.rank(now, m_workers, *step);
     while (!step->ready.empty()) {
         const TaskRef task { .step = step, .task = step->ready.front() };
@@ -98,6 +85,57 @@
     return true;
 }
 
+std::vector<Step *> JobScheduler::overdueSteps(Timestamp now) const
+{
+    std::vector<Step *> steps;
+    for (const auto &[rank, step] : m_order.steps()) {
+        const bool isBackfill = step->spec->fills && step->job->runCount == 0;
+        if (isBackfill && now - step->waitingSince >= m_settings.overdueAfter
+            && !(m_isTakingOver && step->job->isInherited))
+            steps.push_back(step);
+    }
+    const std::size_t n = std::min(m_settings.maxOverdueTries, steps.size());
+    std::ranges::partial_sort(steps, steps.begin() + static_cast<std::ptrdiff_t>(n), {},
+                              &Step::lastTriedOverdueAt);
+    steps.resize(n);
+    return steps;
+}
+
+void JobScheduler::placeOverdueSteps(Timestamp now)
+{
+    if (m_isFenced)
+        return;
+    for (Step *step : overdueSteps(now)) {
+        step->lastTriedOverdueAt = now;
+        // A step before this one may have started a task of the same job.
+        if (step->job->runCount > 0)
+            continue;
+        if (step->spec->gang)
+            placeGang(now, step, PlacementMode::Overdue);
+        else
+            placeOverdueTask(now, step);
+    }
+}
+
+bool JobScheduler::placeOverdueTask(Timestamp now, Step *step)
+{
+    const TaskRef task { .step = step, .task = step->ready.front() };
+    Worker *worker =
+            m_placer.choose(now, m_workers, *step, task.get(), nullptr, PlacementMode::Overdue);
+    if (worker == nullptr) {
+        requestPermits(now, step);
+        return false;
+    }
+    const Duration waited = now - step->waitingSince;
+    dropFromReady(task);
+    startRun(now, task, worker, nextRunNumber(task.get()), PlacementMode::Overdue);
+    const RunRef run { .task = task, .slot = 0 };
+    note("overdue-started", run.key(), worker,
+         "waited-ms=" + std::to_string(waited / std::chrono::milliseconds(1))
+                 + " percent=" + std::to_string(run.get().percent));
+    return true;
+}
+
 void JobScheduler::requestPermits(Timestamp now, Step *step)
 {
     if (step->permits == nullptr || m_permitRequestsInFlight >= m_settings.maxPermitRequests)
@@ -139,7 +177,24 @@
                 validity > Duration {} ? validity : task.step->job->advice->validity);
 }
 
-bool JobScheduler::placeGang(Timestamp now, Step *step, const RackName *rack)
+bool JobScheduler::placeGang(Timestamp now, Step *step, PlacementMode mode)
+{
+    // The gang waits until all its unfinished members are ready.
+    if (step->ready.size() < step->remainingTasks)
+        return true;
+    std::set<RackName> racks;
+    if (step->spec->sameRack) {
+        for (const auto &[id, worker] : m_workers.all())
+            racks.insert(worker->life.rack);
+    }
+    for (const RackName &it : racks) {
+        if (placeGang(now, step, &it, mode))
+            return true;
+    }
+    return placeGang(now, step, nullptr, mode);
+}
+
+bool JobScheduler::placeGang(Timestamp now, Step *step, const RackName *rack, PlacementMode mode)
 {
     // The gang is placed as a whole or not at all: starts of an incomplete gang are undone before
     // any command is sent.
@@ -151,10 +206,10 @@
     std::vector<TaskRef> begun;
     for (const std::uint32_t it : step->ready) {
         const TaskRef task { .step = step, .task = it };
-        Worker *worker = m_placer.choose(now, m_workers, *step, task.get(), rack);
+        Worker *worker = m_placer.choose(now, m_workers, *step, task.get(), rack, mode);
         if (worker == nullptr)
             break;
-        startRun(now, task, worker, number);
+        startRun(now, task, worker, number, mode);
         begun.push_back(task);
     }
     if (begun.size() == step->ready.size()) {
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -40,7 +40,8 @@
     return { std::max(task.lastRun.value, base) + 1 };
 }
 
-void JobScheduler::startRun(Timestamp now, TaskRef ref, Worker *worker, RunNumber number)
+void JobScheduler::startRun(Timestamp now, TaskRef ref, Worker *worker, RunNumber number,
+                            PlacementMode mode)
 {
     Task &task = ref.get();
     const std::size_t slot = task.runs[0].exists() ? 1 : 0;
@@ -53,6 +54,11 @@
         .number = number, .phase = RunPhase::Starting, .worker = worker->id, .startedAt = now
     };
     const RunRef run { .task = ref, .slot = slot };
+    if (mode == PlacementMode::Overdue && ref.step->spec->fills) {
+        run.get().isOverdue = true;
+        run.get().percent =
+                std::min(worker->backfillPercent, m_placer.acceptablePercent(*worker, *ref.step));
+    }
     // No renewals are sent to a worker without runs, so a change of its incarnation would have gone
     // unnoticed.
     worker->isIncarnationConfirmed = worker->isIncarnationConfirmed && !worker->runs.empty();
@@ -166,6 +172,12 @@
         run.confirmedAt = now;
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Running;
+        // Workers start every task at its full share.
+        if (run.isOverdue && run.phase == RunPhase::Running && run.percent < wholePercent) {
+            worker->pacedAt = now;
+            m_commands.emplace_back(
+                    PaceRun { .target = targetOf(*worker), .run = key, .percent = run.percent });
+        }
         return;
     }
     worker->isIncarnationConfirmed = false;
--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdlib>
 
 #include "acaciafork/decisions/jobs/JobScheduler.h"
 
@@ -9,6 +10,8 @@
 
 /// Time span that a worker's load readings cover.
 constexpr Duration tailWindow = std::chrono::milliseconds(500);
+/// Smaller changes of the share of an overdue task are not ordered, in percentage points.
+constexpr std::int64_t minShareChange = 5;
 
 } // namespace
 
@@ -52,7 +55,9 @@
         const StepSpec &spec = *it.task.step->spec;
         if (!spec.fills || it.get().phase != RunPhase::Running)
             continue;
-        const double share = shareOf(*worker, spec);
+        double share = shareOf(*worker, spec);
+        if (it.get().isOverdue)
+            share = share * static_cast<double>(it.get().percent) / wholePercent;
         const bool disturbs = std::ranges::any_of(tails, [&](const TailReading &tail) {
             return m_throttle.isInDanger(tail)
                     && m_interference.expected(tail.image, spec.image, share)
@@ -77,6 +82,7 @@
     const bool moved = evictInterferingTasks(now, worker, tails);
     if (pauseIfOverTarget(now, worker) || moved)
         return;
+    paceOverdueRuns(now, worker);
     const std::int64_t before = worker->backfillPercent;
     const std::int64_t percent = m_throttle.decide(now, before, worker->pacedAt, tails);
     if (percent == before)
@@ -86,7 +92,8 @@
     for (const RunRef &it : worker->runs) {
         Run &run = it.get();
         if (!it.task.step->spec->fills || run.phase != RunPhase::Running
-            || (percent < before ? isHarmless(*worker, it, tails) : run.percent >= percent))
+            || (percent < before ? isHarmless(*worker, it, tails) : run.percent >= percent)
+            || (run.isOverdue && run.percent <= percent))
             continue;
         ++pacedTasks;
         run.percent = percent;
@@ -102,6 +109,26 @@
     worker->pacedAt = now;
 }
 
+void JobScheduler::paceOverdueRuns(Timestamp now, Worker *worker)
+{
+    // Readings between two changes show the interference at one share.
+    if (now - worker->pacedAt < m_settings.throttle.increaseInterval)
+        return;
+    for (const RunRef &it : worker->runs) {
+        Run &run = it.get();
+        if (!run.isOverdue || run.phase != RunPhase::Running)
+            continue;
+        const std::int64_t percent = std::min(worker->backfillPercent,
+                                              m_placer.acceptablePercent(*worker, *it.task.step));
+        if (std::abs(percent - run.percent) < minShareChange)
+            continue;
+        worker->pacedAt = now;
+        run.percent = percent;
+        m_commands.emplace_back(
+                PaceRun { .target = targetOf(*worker), .run = it.key(), .percent = percent });
+    }
+}
+
 bool JobScheduler::pauseIfOverTarget(Timestamp now, Worker *worker)
 {
     // A tail latency that stays over its target pauses all backfill tasks, whatever their estimated
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -41,6 +41,9 @@
     Timestamp stoppingSince;
     /// Share of its processor time that it may use, in percent, as last ordered.
     std::int64_t percent = 100;
+    /// A backfill task that was started beside serving tasks that it may disturb, since its job had
+    /// waited for too long; it runs at Placer::acceptablePercent() or less.
+    bool isOverdue = false;
     /// Progress in percent according to the worker's last list; for a long-running task, 100 while
     /// it is working.
     std::int64_t progress = 0;
@@ -109,6 +112,8 @@
     Timestamp waitingSince;
     /// When a placement round last tried the step. A round may end before it reaches all steps.
     Timestamp lastTriedAt;
+    /// When the step was last tried as an overdue one.
+    Timestamp lastTriedOverdueAt;
     /// Longest chain of estimated durations from its start to the end of the job.
     Duration remainingPath {};
     /// The step is in the StepOrder.
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -22,6 +22,18 @@
     return label.empty() || std::ranges::find(life.labels, label) != life.labels.end();
 }
 
+/// Processor time that throttled and paused backfill tasks leave to others.
+std::int64_t throttledMillicores(const Worker &worker)
+{
+    std::int64_t sum = 0;
+    for (const RunRef &it : worker.runs) {
+        const StepSpec &spec = *it.task.step->spec;
+        if (spec.fills)
+            sum += spec.size.millicores * (wholePercent - it.get().percent) / wholePercent;
+    }
+    return sum;
+}
+
 } // namespace
 
 bool Placer::isUsable(Timestamp now, const Worker &worker) const
@@ -41,14 +53,15 @@
 {
     if (worker.life.pool == step.job->pool && !isUsable(now, worker))
         return PlacementObstacle::NotUsable;
-    const PlacementObstacle obstacle = findObstacle(worker, step);
+    const PlacementObstacle obstacle = findObstacle(worker, step, PlacementMode::Usual);
     if (obstacle == PlacementObstacle::None && step.permits != nullptr
         && step.permits->find(worker, now) == nullptr)
         return PlacementObstacle::Permit;
     return obstacle;
 }
 
-PlacementObstacle Placer::findObstacle(const Worker &worker, const Step &step) const
+PlacementObstacle Placer::findObstacle(const Worker &worker, const Step &step,
+                                       PlacementMode mode) const
 {
     const StepSpec &spec = *step.spec;
     if (worker.life.pool != step.job->pool)
@@ -63,7 +76,12 @@
         return PlacementObstacle::Memory;
     if (reserved.accelerators > free.accelerators)
         return PlacementObstacle::Accelerators;
-    if (spec.fills) {
+    if (spec.fills && mode == PlacementMode::Overdue) {
+        if (worker.unusedMillicores() + throttledMillicores(worker) <= 0)
+            return PlacementObstacle::Processor;
+        if (worker.backfillPercent == 0)
+            return PlacementObstacle::Paused;
+    } else if (spec.fills) {
         // Backfill tasks share the unused processor time; at least half of what the task asks for
         // must be available.
         if (worker.unusedMillicores() < spec.size.millicores / 2)
@@ -116,6 +134,27 @@
     return worst;
 }
 
+double Placer::overdueInterference(const Worker &worker) const
+{
+    double sum = 0;
+    for (const RunRef &it : worker.runs) {
+        const Run &run = it.get();
+        if (run.isOverdue)
+            sum += expectedInterference(worker, *it.task.step) * static_cast<double>(run.percent)
+                    / static_cast<double>(wholePercent);
+    }
+    return sum;
+}
+
+std::int64_t Placer::acceptablePercent(const Worker &worker, const Step &step) const
+{
+    const double expected = expectedInterference(worker, step);
+    if (expected <= m_settings.maxOverdueInterference)
+        return wholePercent;
+    const double percent = m_settings.maxOverdueInterference / expected * wholePercent;
+    return std::max(static_cast<std::int64_t>(percent), m_settings.minOverduePercent);
+}
+
 double Placer::score(const Worker &worker, const Step &step) const
 {
     const StepSpec &spec = *step.spec;
@@ -144,13 +183,13 @@
 }
 
 Worker *Placer::choose(Timestamp now, const WorkerTable &workers, const Step &step,
-                       const Task &task, const RackName *rack) const
+                       const Task &task, const RackName *rack, PlacementMode mode) const
 {
     Worker *best = nullptr;
     double bestScore = 0;
     for (const auto &it : workers.all()) {
         Worker *worker = it.second.get();
-        if (!isUsable(now, *worker) || !fits(*worker, step))
+        if (!isUsable(now, *worker) || findObstacle(*worker, step, mode) != PlacementObstacle::None)
             continue;
         if (rack != nullptr && worker->life.rack != *rack)
             continue;
@@ -162,7 +201,9 @@
         });
         if (runsHere)
             continue;
-        const double value = score(*worker, step) - taskPenalty(*worker, task);
+        double value = score(*worker, step) - taskPenalty(*worker, task);
+        if (mode == PlacementMode::Overdue)
+            value -= interferencePenalty * overdueInterference(*worker);
         if (best == nullptr || value > bestScore) {
             best = worker;
             bestScore = value;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -18,6 +18,18 @@
     /// its target. Without interference, tail latencies vary between a quarter and four fifths of
     /// the target.
     double maxInterference = 0.35;
+    /// The same for an overdue backfill task, which no longer gains from a high share.
+    double maxOverdueInterference = 0.15;
+    /// Lowest share at which an overdue backfill task starts, in percent.
+    std::int64_t minOverduePercent = 15;
+};
+
+/// How strictly a worker is judged.
+enum class PlacementMode : std::uint8_t {
+    Usual,
+    /// For a backfill task of a step that has waited for too long: any unused processor time is
+    /// enough, and expected interference does not exclude a worker.
+    Overdue,
 };
 
 /// Chooses workers for tasks.
@@ -39,7 +51,12 @@
     /// Best worker for the task, or null when none has enough free capacity now.
     /// @param[in] rack restricts the choice to this rack; null for any rack
     [[nodiscard]] Worker *choose(Timestamp now, const WorkerTable &workers, const Step &step,
-                                 const Task &task, const RackName *rack = nullptr) const;
+                                 const Task &task, const RackName *rack = nullptr,
+                                 PlacementMode mode = PlacementMode::Usual) const;
+
+    /// Share of its processor time, in percent, at which the interference that a backfill task of
+    /// the step is expected to cause on the worker stays acceptable.
+    [[nodiscard]] std::int64_t acceptablePercent(const Worker &worker, const Step &step) const;
 
     /// True when the worker may get new work.
     [[nodiscard]] bool isUsable(Timestamp now, const Worker &worker) const;
@@ -50,7 +67,7 @@
     /// True when a task of the step fits on the worker beside what runs there.
     [[nodiscard]] bool fits(const Worker &worker, const Step &step) const
     {
-        return findObstacle(worker, step) == PlacementObstacle::None;
+        return findObstacle(worker, step, PlacementMode::Usual) == PlacementObstacle::None;
     }
     /// What keeps the worker from getting a task of the step now.
     [[nodiscard]] PlacementObstacle findObstacle(Timestamp now, const Worker &worker,
@@ -62,10 +79,13 @@
 
 private:
     /// What keeps a usable worker from getting a task of the step, apart from permits.
-    [[nodiscard]] PlacementObstacle findObstacle(const Worker &worker, const Step &step) const;
+    [[nodiscard]] PlacementObstacle findObstacle(const Worker &worker, const Step &step,
+                                                 PlacementMode mode) const;
     [[nodiscard]] static double colocationBonus(const Worker &worker, const Step &step);
     [[nodiscard]] bool isHarmless(const Worker &worker, const Step &step) const;
     [[nodiscard]] double expectedInterference(const Worker &worker, const Step &step) const;
+    /// Interference expected of the overdue tasks that run on the worker, at their shares.
+    [[nodiscard]] double overdueInterference(const Worker &worker) const;
 
     PlacerSettings m_settings;
     const TailInterference *m_interference;
--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -259,6 +259,28 @@
     CHECK_FALSE(startsWithin(&fixture, 3s, { 4 }).empty());
 }
 
+TEST_CASE("an overdue backfill task runs at a share at which it should disturb nobody")
+{
+    // Guards against harm by the tasks that are started despite the interference expected of them.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    fixture.advance(2s);
+    StepSpec small = filling;
+    small.size.millicores = 1500;
+    fixture.acceptJob(4, small);
+    const std::vector<StartRun> starts = startsWithin(&fixture, 3s, { 4 });
+    REQUIRE(starts.size() == 1);
+    fixture.scheduler.startAnswered(fixture.at, starts[0].target.worker, starts[0].run,
+                                    OrderOutcome::Done);
+    const auto paces = fixture.take<PaceRun>();
+    REQUIRE(paces.size() == 1);
+    CHECK(paces[0].run == starts[0].run);
+    CHECK(paces[0].percent >= 15);
+    CHECK(paces[0].percent < 100);
+    // One task at a time, as long as nothing shows that it disturbs nobody.
+    CHECK(startsWithin(&fixture, 3s, { 4 }).empty());
+}
+
 TEST_CASE("a step that fits is not held up by many steps before it that fit nowhere")
 {
     // Guards against jobs that wait for ever: a placement round ended after the first steps that
