Try every overdue step in turn, apart from the placement rounds

What callers would see: a job that fits waits as long as 48 steps before it fit nowhere, for example steps with a label that no worker has.

Cause: a placement round ends after 48 steps that found no worker, to bound its cost, and each round begins with the same steps.

Change: each 100 ms up to 16 overdue steps are tried on their own, those first whose last try was longest ago, so that every step is tried within a bounded time whatever stands before it. Long-running tasks count as overdue one by one, whether others of their job run or not.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -60,8 +60,9 @@
     Duration placementInterval = std::chrono::milliseconds(20);
     /// A placement round ends after this many steps that could not be placed.
     std::size_t maxFailedPlacements = 48;
-    /// A step is overdue when no task of its job runs and none has started for this long. Jobs that
-    /// could run may have nothing running for 3 s.
+    /// A step is overdue when no task of its job runs, or its tasks are long-running, and none of
+    /// its tasks has started for this long. It is tried apart from the placement rounds, which may
+    /// end before they reach it. Jobs that could run may have nothing running for 3 s.
     Duration overdueAfter = std::chrono::milliseconds(1800);
     /// Maximum number of overdue steps tried in one check.
     std::size_t maxOverdueTries = 16;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -89,8 +89,9 @@
 {
     std::vector<Step *> steps;
     for (const auto &[rank, step] : m_order.steps()) {
-        const bool isBackfill = step->spec->fills && step->job->runCount == 0;
-        if (isBackfill && now - step->waitingSince >= m_settings.overdueAfter
+        // Each long-running task counts by itself, whether others of its job run or not.
+        const bool isIdle = step->job->runCount == 0 || step->spec->longRunning;
+        if (isIdle && now - step->waitingSince >= m_settings.overdueAfter
             && !(m_isTakingOver && step->job->isInherited))
             steps.push_back(step);
     }
@@ -108,12 +109,16 @@
     for (Step *step : overdueSteps(now)) {
         step->lastTriedOverdueAt = now;
         // A step before this one may have started a task of the same job.
-        if (step->job->runCount > 0)
+        if (step->job->runCount > 0 && !step->spec->longRunning)
             continue;
-        if (step->spec->gang)
+        if (step->spec->gang) {
             placeGang(now, step, PlacementMode::Overdue);
-        else
+        } else if (step->spec->fills) {
             placeOverdueTask(now, step);
+        } else {
+            m_round.reset();
+            placeStep(now, step);
+        }
     }
 }
 
