Give lost orders to pause or resume a backfill task again

What callers would see: a job shown as running whose task stands still for ever, or a serving task that a task believed to be paused goes on disturbing.

Cause: a share is ordered only when it changes, and the order has no confirmation: one that is lost, or carried out late after a newer one, stays in force. A new leader assumes the full share for every run that it adopts, while an earlier leader may have paused it.

Change: the readings in the workers' lists are the evidence. A task that uses processor time though paused, or none though it may, gets its share again once 1 s has passed since the last order: two spans of a reading. An order that changes nothing has no effect at the worker.

Evidence: the two new tests, in which all such orders are lost or the leader changes, failed before (no order followed within 9 s; the pause was ordered once) and pass now.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -239,6 +239,8 @@
     void placeOverdueSteps(Timestamp now);
     bool placeOverdueTask(Timestamp now, Step *step);
     void paceOverdueRuns(Timestamp now, Worker *worker);
+    void orderPace(Timestamp now, const Worker &worker, const RunRef &run, std::int64_t percent);
+    void repeatLostPaces(Timestamp now, const Worker &worker);
     void requestPermits(Timestamp now, Step *step);
     void stopGang(Timestamp now, Step *step, std::string_view reason);
 
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -175,8 +175,7 @@
         // Workers start every task at its full share.
         if (run.isOverdue && run.phase == RunPhase::Running && run.percent < wholePercent) {
             worker->pacedAt = now;
-            m_commands.emplace_back(
-                    PaceRun { .target = targetOf(*worker), .run = key, .percent = run.percent });
+            orderPace(now, *worker, ref, run.percent);
         }
         return;
     }
--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -10,6 +10,9 @@
 
 /// Time span that a worker's load readings cover.
 constexpr Duration tailWindow = std::chrono::milliseconds(500);
+/// A share that a worker's readings do not show is ordered again after this time: twice the span of
+/// a reading.
+constexpr Duration paceRepeatDelay = 2 * tailWindow;
 /// Smaller changes of the share of an overdue task are not ordered, in percentage points.
 constexpr std::int64_t minShareChange = 5;
 
@@ -79,6 +82,7 @@
     }
     std::vector<TailReading> tails;
     readTails(now, worker, &tails);
+    repeatLostPaces(now, *worker);
     const bool moved = evictInterferingTasks(now, worker, tails);
     if (pauseIfOverTarget(now, worker) || moved)
         return;
@@ -96,9 +100,7 @@
             || (run.isOverdue && run.percent <= percent))
             continue;
         ++pacedTasks;
-        run.percent = percent;
-        m_commands.emplace_back(
-                PaceRun { .target = targetOf(*worker), .run = it.key(), .percent = percent });
+        orderPace(now, *worker, it, percent);
     }
     if (pacedTasks == 0 && percent < before)
         return;
@@ -109,6 +111,29 @@
     worker->pacedAt = now;
 }
 
+void JobScheduler::orderPace(Timestamp now, const Worker &worker, const RunRef &ref,
+                             std::int64_t percent)
+{
+    Run &run = ref.get();
+    run.percent = percent;
+    run.pacedAt = now;
+    m_commands.emplace_back(
+            PaceRun { .target = targetOf(worker), .run = ref.key(), .percent = percent });
+}
+
+void JobScheduler::repeatLostPaces(Timestamp now, const Worker &worker)
+{
+    // Orders may be lost or carried out late, and an earlier leader may have given others.
+    for (const RunRef &it : worker.runs) {
+        const Run &run = it.get();
+        if (!it.task.step->spec->fills || run.phase != RunPhase::Running || run.load < 0)
+            continue;
+        const bool isAsOrdered = (run.load > 0) == (run.percent > 0);
+        if (!isAsOrdered && now - std::max(run.pacedAt, run.startedAt) >= paceRepeatDelay)
+            orderPace(now, worker, it, run.percent);
+    }
+}
+
 void JobScheduler::paceOverdueRuns(Timestamp now, Worker *worker)
 {
     // Readings between two changes show the interference at one share.
@@ -123,9 +148,7 @@
         if (std::abs(percent - run.percent) < minShareChange)
             continue;
         worker->pacedAt = now;
-        run.percent = percent;
-        m_commands.emplace_back(
-                PaceRun { .target = targetOf(*worker), .run = it.key(), .percent = percent });
+        orderPace(now, *worker, it, percent);
     }
 }
 
@@ -145,9 +168,7 @@
         if (!it.task.step->spec->fills || run.phase != RunPhase::Running || run.percent == 0)
             continue;
         ++paused;
-        run.percent = 0;
-        m_commands.emplace_back(
-                PaceRun { .target = targetOf(*worker), .run = it.key(), .percent = 0 });
+        orderPace(now, *worker, it, 0);
     }
     if (paused > 0)
         note("tasks-paused", {}, worker, "tasks=" + std::to_string(paused));
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -41,6 +41,8 @@
     Timestamp stoppingSince;
     /// Share of its processor time that it may use, in percent, as last ordered.
     std::int64_t percent = 100;
+    /// When that share was last ordered.
+    Timestamp pacedAt;
     /// A backfill task that was started beside serving tasks that it may disturb, since its job had
     /// waited for too long; it runs at Placer::acceptablePercent() or less.
     bool isOverdue = false;
--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -293,3 +293,60 @@
     fixture.acceptJob(1000, { .count = 1, .size = { 1000, 1000, 0 } });
     CHECK_FALSE(startsWithin(&fixture, 3s, { 1000 }).empty());
 }
+
+TEST_CASE("a backfill task that an earlier leader has paused goes on under the next leader")
+{
+    // Guards against tasks that stand still for ever: a new leader assumes the full share of what
+    // it adopts, and orders a share only when it changes.
+    SchedulerFixture fixture;
+    ColocatedRuns colocated = placeColocatedRuns(&fixture);
+    const WorkerLife life = fixture.scheduler.workers().find(colocated.worker)->life;
+    std::vector<JobView> jobs;
+    for (const auto &[id, job] : fixture.scheduler.jobs().all())
+        jobs.push_back({ .id = id,
+                         .queue = { .name = "q", .pool = "pool", .maxAttempts = 3 },
+                         .spec = job->spec });
+    fixture.scheduler.begin(fixture.at, { 2 }, {}, jobs, std::array { life });
+    colocated.worker = fixture.scheduler.workers().find(life.name)->id;
+    bool isResumed = false;
+    for (int round = 0; round < 6; ++round) {
+        fixture.advance(500ms);
+        RenewalAnswer answer = colocated.renewalAnswer(fixture.at.now, 20);
+        for (RunningRow &it : answer.running)
+            it.load = it.run == colocated.serving ? 20 : 0;
+        fixture.scheduler.renewalAnswered(fixture.at, colocated.worker, false, OrderOutcome::Done,
+                                          &answer);
+        for (const PaceRun &it : fixture.take<PaceRun>())
+            isResumed = isResumed || it.percent == 100;
+    }
+    CHECK(isResumed);
+}
+
+TEST_CASE("a lost order to pause or to resume a backfill task is given again")
+{
+    // Guards against tasks that stand still, or disturb others, for as long as nothing else
+    // changes.
+    SchedulerFixture fixture;
+    const ColocatedRuns colocated = placeColocatedRuns(&fixture);
+    std::size_t pauses = 0;
+    std::size_t resumptions = 0;
+    // The tail latency is low for long enough to learn that the pair is harmless, then slightly
+    // over its target for 4 s, then low again; all orders are lost.
+    for (int round = 0; round < 40; ++round) {
+        fixture.advance(500ms);
+        const bool isOver = round >= 14 && round < 22;
+        RenewalAnswer answer = colocated.renewalAnswer(fixture.at.now, isOver ? 51 : 20);
+        for (RunningRow &it : answer.running) {
+            if (it.run != colocated.serving)
+                it.load = round < 22 ? 3500 : 0;
+        }
+        fixture.scheduler.renewalAnswered(fixture.at, colocated.worker, false, OrderOutcome::Done,
+                                          &answer);
+        for (const PaceRun &it : fixture.take<PaceRun>()) {
+            pauses += isOver && it.percent == 0 ? 1 : 0;
+            resumptions += round >= 30 && it.percent > 0 ? 1 : 0;
+        }
+    }
+    CHECK(pauses > colocated.filling.size());
+    CHECK(resumptions > 0);
+}
