--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -525,7 +525,9 @@
                 reply(deadline, jobs::OrderOutcome::Unanswered);
             return;
         }
-        const jobs::OrderOutcome outcome = act(*worker);
+        const double unhealthy = m_options.faults.unhealthy;
+        const jobs::OrderOutcome outcome =
+                unhealthy > 0 && chance(unhealthy) ? jobs::OrderOutcome::NotHealthy : act(*worker);
         if (!answerLost)
             reply(m_now + latency(), outcome);
     });
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -20,6 +20,8 @@
     double carriedOutLate = 0;
     /// The order is lost.
     double orderLost = 0;
+    /// The worker is unhealthy for that moment: it says so and does nothing.
+    double unhealthy = 0;
     /// A run fails.
     double runFails = 0;
     /// A message between the leader and a relay is lost, arrives twice, or takes up to 2 s.
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -36,7 +36,8 @@
     return text;
 }
 
-/// Ends all faults, and checks that every accepted job ends and that nothing was breached.
+/// Ends all faults, and checks that every accepted job ends, that nothing was breached, and that
+/// all workers can get work.
 void checkAllEnd(JobWorld *world, std::uint64_t lastJob)
 {
     world->faults() = {};
@@ -53,6 +54,16 @@
             CHECK(world->stateOf(it) != wire::JOB_STATE_ACTIVE);
     }
     CHECK_MESSAGE(world->breaches().empty(), joined(world->breaches()));
+    for (std::size_t it = 0; it < 6; ++it) {
+        const jobs::Worker *worker =
+                world->driver().scheduler().workers().find({ world->worker(it).name });
+        CAPTURE(it);
+        REQUIRE(worker != nullptr);
+        CHECK(worker->runs.empty());
+        CHECK(worker->isKnown);
+        CHECK(worker->isRecorded);
+        CHECK(worker->unansweredRenewals == 0);
+    }
 }
 
 } // namespace
@@ -703,6 +714,21 @@
     }
 }
 
+TEST_CASE("workers that were unhealthy for a moment get work again")
+{
+    // One that refused a start and a renewal at once stayed without work for the rest of its life.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .faults = { .unhealthy = 0.2 }, .seed = seed });
+        world.run(2s);
+        for (std::uint64_t id = 1; id <= 40; ++id) {
+            world.submit(id, simpleJob(2, 1000, 50));
+            world.run(250ms);
+        }
+        checkAllEnd(&world, 40);
+    }
+}
+
 TEST_CASE("the checks see a leader that takes a done task for a stopped one")
 {
     JobWorld world({ .tellsDoneAsStopped = true });
--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -1,4 +1,6 @@
+#include <array>
 #include <set>
+#include <span>
 
 #include <doctest/doctest.h>
 
@@ -59,10 +61,53 @@
         return found;
     }
 
-    Moment at { timestampFromMicroseconds(10'000'000), 1'000'000'000 };
+    /// Lets time pass in which both workers report and answer each renewal.
+    /// @param[in] ended run ends that both list until they are acknowledged
+    /// @return starts that were ordered; the first of them ends the wait
+    std::vector<StartRun> answerRenewals(Duration longest, std::span<const EndedRow> ended = {})
+    {
+        const Timestamp end = at.now + longest;
+        std::vector<StartRun> starts;
+        while (starts.empty() && at.now < end) {
+            advance(100ms);
+            ++sequence;
+            for (const char *it : { "w0", "w1" })
+                scheduler.workerReported(at,
+                                         { .life = scheduler.workers().find({ it })->life,
+                                           .sequence = sequence,
+                                           .clockMs = clockMs() });
+            for (const Command &it : scheduler.takeCommands(at)) {
+                if (const auto *start = std::get_if<StartRun>(&it))
+                    starts.push_back(*start);
+                if (const auto *renewal = std::get_if<RenewWorkerLease>(&it))
+                    answer(*renewal, ended);
+            }
+        }
+        return starts;
+    }
+
+    void answer(const RenewWorkerLease &renewal, std::span<const EndedRow> ended)
+    {
+        RenewalAnswer lists { .sentAt = at.now, .born = renewal.target.born, .clockMs = clockMs() };
+        for (const EndedRow &it : ended) {
+            if (it.number > renewal.recordedEnds)
+                lists.ended.push_back(it);
+        }
+        scheduler.renewalAnswered(at, renewal.target.worker, renewal.isImmediate,
+                                  OrderOutcome::Done, &lists);
+    }
+
+    /// Reading of the workers' clocks.
+    [[nodiscard]] std::int64_t clockMs() const { return (at.now - beganAt) / 1ms + 1000; }
+
+    const Timestamp beganAt = timestampFromMicroseconds(10'000'000);
+    Moment at { beganAt, 1'000'000'000 };
+    std::uint64_t sequence = 1;
     JobScheduler scheduler;
 };
 
+const StepSpec plain { .count = 1, .size = { 1000, 100, 0 } };
+
 const StepSpec serving { .count = 1,
                          .size = { 6400, 13'000, 0 },
                          .longRunning = true,
@@ -218,3 +263,21 @@
     for (const RunKey &it : colocated.filling)
         CHECK(stopped.contains(it));
 }
+
+TEST_CASE("a worker that refuses a start and a renewal at once gets work again when it answers")
+{
+    // A worker without runs was not asked again after a failed renewal, and no report of it
+    // counted.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, plain);
+    for (int worker = 0; worker < 2; ++worker) {
+        const auto starts = fixture.take<StartRun>();
+        REQUIRE(starts.size() == 1);
+        const WorkerId id = starts[0].target.worker;
+        fixture.advance(10ms);
+        REQUIRE(fixture.take<RenewWorkerLease>().size() == 1);
+        fixture.scheduler.startAnswered(fixture.at, id, starts[0].run, OrderOutcome::NotHealthy);
+        fixture.scheduler.renewalAnswered(fixture.at, id, false, OrderOutcome::NotHealthy, nullptr);
+    }
+    CHECK(fixture.answerRenewals(10s).size() == 1);
+}
