Ask a worker that runs nothing again after a failed renewal

Seen by callers: accepted tasks wait while an idle worker reports all the time; in the log it is one of `workers` and not of `usable`, until it starts anew or the leader changes.

Cause: a start to a worker without runs is followed by a renewal. When both fail (an unhealthy moment, no connection, the limit on connections), the start is taken back, so the worker runs nothing, and the failed renewal stays counted. A worker with a failed renewal gets no new work, only an answered renewal takes the count back, and no renewal goes to a known worker that runs nothing and has no ends to confirm. Its reports do not count.

--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -164,7 +164,8 @@
     }
     if (worker->renewalInFlight || now < worker->renewalAt)
         return;
-    if (!worker->isKnown) {
+    // A silent worker gets no new work, so it is asked until it answers, also when it runs nothing.
+    if (!worker->isKnown || (worker->runs.empty() && worker->unansweredRenewals > 0)) {
         worker->renewalInFlight = true;
         sendRenewal(now, worker, Duration {});
         return;
