Show that records of run ends and workers that had to wait overtake each other

Red on this code: the leader confirms an end to its worker that is in no state (200 ms with a disk that has room for one turn), and a draining worker is recorded as one that takes tasks.

--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -66,6 +66,13 @@
     }
 }
 
+/// Run of a task of a job of one step, which is active once.
+jobs::RunKey runOf(JobWorld *world, std::uint64_t job, std::uint32_t task)
+{
+    const jobs::Step &step = world->driver().scheduler().jobs().find(jobs::JobId { job })->steps[0];
+    return { .task = step.key(task), .run = step.tasks[task].runs[0].number };
+}
+
 } // namespace
 
 TEST_CASE("a job of two steps is accepted, run in order and shown as completed")
@@ -729,6 +736,75 @@
     }
 }
 
+TEST_CASE("no end is confirmed to a worker before it is recorded, whatever is refused meanwhile")
+{
+    // Ends that could not be proposed counted as recorded once later ones of their worker were.
+    JobWorld world({ .workers = 1 });
+    world.run(2s);
+    world.submit(7, simpleJob(2, 1000, 60'000));
+    world.run(500ms);
+    const jobs::RunKey first = runOf(&world, 7, 0);
+    const jobs::RunKey second = runOf(&world, 7, 1);
+    REQUIRE(first.run.value != 0);
+    REQUIRE(second.run.value != 0);
+
+    const auto showEnds = [&](Moment at, const std::vector<jobs::RunKey> &runs) {
+        jobs::RenewalAnswer lists { .sentAt = at.now,
+                                    .born = { world.worker(0).born },
+                                    .clockMs = world.worker(0).clockMs(at.now) };
+        for (const jobs::RunKey &it : runs)
+            lists.ended.push_back(
+                    { .number = lists.ended.size() + 1, .run = it, .end = jobs::RunEnd::Done });
+        const jobs::Worker *worker = world.driver().scheduler().workers().find({ "w0" });
+        world.driver().renewalAnswered(at,
+                                       { .worker = worker->id,
+                                         .tenure = world.driver().tenure(),
+                                         .outcome = jobs::OrderOutcome::Done },
+                                       true, &lists);
+    };
+    // The disk has room for one turn, in which no time passes.
+    Moment at = world.moment();
+    world.refuseProposals(true);
+    showEnds(at, { first });
+    at.now += 20ms;
+    world.driver().carryOut(at);
+    world.refuseProposals(false);
+    showEnds(at, { first, second });
+    world.driver().carryOut(at);
+    world.refuseProposals(true);
+    world.run(200ms);
+    const state::Job *job = world.driver().state().jobs().find(7);
+    REQUIRE(job != nullptr);
+    CHECK((world.worker(0).noted < 1 || job->done[0] != 0));
+    CHECK((world.worker(0).noted < 2 || job->done[1] != 0));
+    world.refuseProposals(false);
+    world.run(2s);
+    CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
+}
+
+TEST_CASE("a worker's record that had to wait does not replace a later one")
+{
+    // A draining worker was recorded as one that takes tasks, for the next leader to believe.
+    JobWorld world({ .workers = 1 });
+    world.run(2s);
+    FakeWorker &worker = world.worker(0);
+    const auto report = [&] {
+        world.driver().workerReported(world.moment(), worker.report(world.moment().now),
+                                      [](const peers::ApiAnswer &) {});
+        world.driver().carryOut(world.moment());
+    };
+    worker.labels = { "other" };
+    world.refuseProposals(true);
+    report();
+    world.refuseProposals(false);
+    worker.draining = true;
+    report();
+    world.run(100ms);
+    const auto &recorded = world.driver().state().workers().all();
+    REQUIRE(recorded.contains("w0"));
+    CHECK(recorded.at("w0").draining());
+}
+
 TEST_CASE("the checks see a leader that takes a done task for a stopped one")
 {
     JobWorld world({ .tellsDoneAsStopped = true });
