Propose records of run ends and workers in their order

Seen by callers: nothing yet. After a leader is lost at the wrong moment, a task that ended as done could run again, or a task start on a worker that had said that it drains.

Cause: a record that could not be proposed (disk full, too many bytes uncommitted) was proposed again at the next tick, up to 10 ms later, while the records of the turns between went ahead. The scheduler takes a committed batch for committed with all ends before it, and confirmed those to the worker; and an earlier record of a worker replaced the later one in the state, for good.

Change: while a record waits, later ones of its kind queue up behind it. The log keeps the order of proposals, so a committed batch now does mean that all before it are.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -95,6 +95,11 @@
     }
     void operator()(const jobs::RecordEnds &command) const
     {
+        // Records keep their order: the scheduler takes one for committed with all before it.
+        if (!driver.m_unrecorded.empty()) {
+            driver.m_unrecorded.push_back(command);
+            return;
+        }
         wire::Command proposal;
         *proposal.mutable_record_task_ends() = toState(command);
         const std::uint64_t leadership = driver.m_leadership;
@@ -112,6 +117,11 @@
     }
     void operator()(const jobs::RecordWorkers &command) const
     {
+        // An earlier record must not replace a later one of the same worker.
+        if (!driver.m_unrecordedWorkers.empty()) {
+            driver.m_unrecordedWorkers.push_back(command);
+            return;
+        }
         wire::Command proposal;
         wire::ChangeWorkers *change = proposal.mutable_change_workers();
         for (const jobs::WorkerLife &it : command.put)
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -96,7 +96,7 @@
     bool m_isActive = false;
     bool m_isStarting = false;
     Timestamp m_startAgainAt;
-    /// Records that could not be proposed yet.
+    /// Records that could not be proposed yet, and those after them, in order.
     std::vector<jobs::RecordEnds> m_unrecorded;
     std::vector<jobs::RecordWorkers> m_unrecordedWorkers;
     /// Submissions that are proposed and not committed, with all that wait for the outcome. A call
