--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -281,3 +281,30 @@
     }
     CHECK(fixture.answerRenewals(10s).size() == 1);
 }
+
+TEST_CASE("a step that names an earlier step twice starts once that step is done")
+{
+    // It was counted as two steps that have to end, and waited for ever.
+    SchedulerFixture fixture;
+    auto spec = std::make_shared<JobSpec>();
+    spec->steps.push_back(plain);
+    spec->steps.push_back(plain);
+    spec->steps.back().after = { 0, 0 };
+    fixture.scheduler.jobAccepted(fixture.at,
+                                  { .id = { 1 },
+                                    .queue = { .name = "q", .pool = "pool", .maxAttempts = 3 },
+                                    .spec = spec });
+    const auto first = fixture.take<StartRun>();
+    REQUIRE(first.size() == 1);
+    fixture.scheduler.startAnswered(fixture.at, first[0].target.worker, first[0].run,
+                                    OrderOutcome::Done);
+    const RenewalAnswer lists {
+        .sentAt = fixture.at.now,
+        .born = { 1 },
+        .clockMs = 1000,
+        .ended = { { .number = 1, .run = first[0].run, .end = RunEnd::Done } }
+    };
+    fixture.scheduler.renewalAnswered(fixture.at, first[0].target.worker, false, OrderOutcome::Done,
+                                      &lists);
+    CHECK(fixture.take<StartRun>().size() == 1);
+}
