Count a step that is named twice as one predecessor

Seen by callers: a job whose step has `"after":[0,0]` is accepted, and that step never starts.

Cause: each name was counted as a step that has to end, and an end takes back one. Neither the reader of jobs nor the check of the replicated state refuses such a list, nor does the interface forbid it.

Change: the names of the step are counted as a set.

--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -1,6 +1,7 @@
 #include "acaciafork/decisions/jobs/JobTable.h"
 
 #include <algorithm>
+#include <set>
 
 namespace acaciafork::jobs {
 
@@ -72,7 +73,9 @@
     }
     for (Step &it : job->steps) {
         const std::size_t base = it.occurrence * view.spec->steps.size();
-        for (const std::uint32_t before : it.spec->after)
+        // A step that is named twice ends once.
+        const std::set<std::uint32_t> predecessors(it.spec->after.begin(), it.spec->after.end());
+        for (const std::uint32_t before : predecessors)
             it.pendingPredecessors += job->steps[base + before].remainingTasks > 0 ? 1 : 0;
     }
     Job *added = job.get();
