Let a relay allow for clocks that drift apart

Seen by callers: nothing yet. On machines whose clocks nothing disciplines, orders through a relay with the faster clock stop for the rest of the tenure; the leader finds the relay silent and carries more and more itself, up to the limit on its connections to workers.

Cause: a relay tells late orders by the least difference of the two clocks in the whole tenure. That difference grows with the drift, by 300 ms in 55 minutes at 90 parts in a million, and a least value never grows.

Change: the least difference grows by 200 parts in a million of the time since the last arrival, and of one second at most, so that what was sent during a long sleep stays late.

--- a/acaciafork/control/OrderRelay.cpp
+++ b/acaciafork/control/OrderRelay.cpp
@@ -7,6 +7,15 @@
 #include "acaciafork/control/OrderCodec.h"
 
 namespace acaciafork::control {
+namespace {
+
+/// Bound on how much faster one machine's clock runs than another's, in parts per million.
+constexpr std::int64_t maxDriftPpm = 200;
+/// The bound applies to no more than this much time between two arrivals: a leader sends several
+/// batches a second, and after a long sleep all that was sent during it is late.
+constexpr std::int64_t longestDriftUs = 1'000'000;
+
+} // namespace
 
 OrderRelay::OrderRelay(const OrderRelaySettings &settings, Send send, CounterRegistry *counters)
     : m_settings(settings)
@@ -19,9 +28,13 @@
 bool OrderRelay::isLate(const wire::WorkerOrders &orders, std::int64_t clockUs)
 {
     // The clocks of the two machines differ by an unknown amount, and the orders that were fastest
-    // on their way come closest to it.
+    // on their way come closest to it. As the clocks drift apart, earlier ones say less and less.
     const std::int64_t offsetUs = clockUs - orders.sent_us();
-    m_leastOffsetUs = std::min(m_leastOffsetUs, offsetUs);
+    const std::int64_t sinceUs = std::min(clockUs - m_driftedUs, longestDriftUs);
+    const std::int64_t driftUs = sinceUs * maxDriftPpm / 1'000'000;
+    m_leastOffsetUs = std::min(m_leastOffsetUs + driftUs, offsetUs);
+    if (driftUs > 0)
+        m_driftedUs = clockUs;
     return Duration(offsetUs - m_leastOffsetUs) > m_settings.maxDelay;
 }
 
@@ -37,6 +50,7 @@
         m_tenure = { orders.tenure() };
         m_leader = leader;
         m_leastOffsetUs = clockUs - orders.sent_us();
+        m_driftedUs = clockUs;
         spdlog::info("event=relay-began leader={} tenure={}", leader.value, m_tenure.value);
     }
     if (isLate(orders, clockUs)) {
--- a/acaciafork/control/OrderRelay.h
+++ b/acaciafork/control/OrderRelay.h
@@ -55,8 +55,11 @@
     WorkerOrders *m_orders = nullptr;
     ProcessId m_leader;
     jobs::Tenure m_tenure;
-    /// Least difference between the clocks of the two machines at an arrival in this tenure.
+    /// Least difference between the clocks of the two machines at an arrival in this tenure, with
+    /// what they may have drifted apart since.
     std::int64_t m_leastOffsetUs = 0;
+    /// This machine's clock when drift was last allowed for.
+    std::int64_t m_driftedUs = 0;
     wire::Envelope m_answers;
     Counter *m_carried;
     Counter *m_superseded;
