--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <optional>
 
 #include "NetFixtures.h"
 
@@ -277,6 +278,24 @@
     CHECK(client.inProgress() == 0);
 }
 
+TEST_CASE("a call whose peer switches protocols unasked ends")
+{
+    // Its caller heard nothing, neither an answer nor an end.
+    Loop loop;
+    HttpClient client(loop, {});
+    RawServer server(loop, [](TcpStream &it, const std::string &) {
+        it.write("HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: a\r\n\r\n");
+    });
+    std::optional<HttpReply> reply;
+    client.call({ .address = server.address(), .timeout = 1s },
+                [&](const HttpReply &it) { reply = it; });
+    runUntil(loop, [&] { return client.inProgress() == 0; });
+    REQUIRE(reply.has_value());
+    CHECK(reply->end.phase == CallPhase::Headers);
+    REQUIRE(reply->end.failure.has_value());
+    CHECK(reply->end.failure->kind == FailureKind::Protocol);
+}
+
 TEST_CASE("call() collects an answer and refuses one over the bound")
 {
     Loop loop;
