End a call whose peer switches protocols unasked

Seen by callers: nothing yet. A worker that answers a start with 101 would leave its run as starting for as long as its lease is renewed, and its task would run nowhere else.

Cause: a sink that takes no switched connection closed it and got no end. Of all ways through HttpCall, AddressPool, WorkerOrdersClient, OrderRelay and OrderRouter this is the one on which an order to a worker gets no answer: calls that wait for their turn have their time limit too, and the router ends what a relay does not answer.

Workers have no reason to do so.

Change: such a sink gets the end, as a failure of the protocol after the head. All of test_net, test_control, test_entry and test_endpoints pass.

--- a/acaciafork/net/HttpClient.cpp
+++ b/acaciafork/net/HttpClient.cpp
@@ -81,6 +81,8 @@
 void HttpCallSink::onUpgraded(std::unique_ptr<TcpStream> stream)
 {
     stream->reset();
+    onEnd({ .phase = CallPhase::Headers,
+            .failure = Failure { FailureKind::Protocol, "protocol switched unasked" } });
 }
 
 HttpClient::Impl::Impl(Loop &aLoop, HttpClientSettings aSettings)
--- a/acaciafork/net/HttpClient.h
+++ b/acaciafork/net/HttpClient.h
@@ -102,7 +102,8 @@
     virtual void onBody(std::string_view bytes) = 0;
     /// The end; nothing follows it.
     virtual void onEnd(const CallEnd &end) = 0;
-    /// The peer has switched protocols: its socket, in place of body and end.
+    /// The peer has switched protocols: its socket, in place of body and end. A sink that takes
+    /// none gets the end instead, with Protocol.
     virtual void onUpgraded(std::unique_ptr<TcpStream> stream);
 };
 
