--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -736,6 +736,22 @@
     }
 }
 
+TEST_CASE("a start that its worker refused is not carried out by a copy of its message")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .relays = 3,
+                         .faults = { .unhealthy = 0.2, .relayMessageDoubled = 0.2 },
+                         .seed = seed });
+        world.run(2s);
+        for (std::uint64_t id = 1; id <= 20; ++id) {
+            world.submit(id, simpleJob(4, 1000, 400));
+            world.run(250ms);
+        }
+        checkAllEnd(&world, 20);
+    }
+}
+
 TEST_CASE("no end is confirmed to a worker before it is recorded, whatever is refused meanwhile")
 {
     // Ends that could not be proposed counted as recorded once later ones of their worker were.
--- a/tests/control/OrderRouterTest.cpp
+++ b/tests/control/OrderRouterTest.cpp
@@ -236,3 +236,23 @@
     fixture.relay.ordersArrived(self, orders, relayClock(us) + 3600 * secondUs);
     CHECK(fixture.relayed.orders == carried);
 }
+
+TEST_CASE("a batch of orders that arrives twice is carried once")
+{
+    // The worker refused the first copy of a start, so its task went elsewhere, and took the
+    // second.
+    RouterFixture fixture;
+    wire::WorkerOrders orders;
+    orders.set_tenure(5);
+    orders.add_orders()->mutable_stop();
+    std::vector<wire::WorkerOrders> batches;
+    for (int it = 1; it <= 200; ++it) {
+        orders.set_sent_us(it * 2'000);
+        batches.push_back(orders);
+        fixture.relay.ordersArrived(self, batches.back(), it * 2'000 + 300);
+        // A copy overtaken by later batches is one too.
+        fixture.relay.ordersArrived(self, batches[static_cast<std::size_t>(it) / 2],
+                                    it * 2'000 + 900);
+    }
+    CHECK(fixture.relayed.orders == 200);
+}
