Carry a batch of orders that arrives twice only once

Seen by callers: nothing yet. A task could run twice at the same time.

Cause: a relay carried out each copy of a batch. The answer to the first copy of a start counts: when the worker refuses that one, for want of room or in an unhealthy moment, the leader places the task elsewhere at once, and the second copy starts it. The design promises that a doubled message does no harm; the links of today have no known way to double one.

Change: a relay knows a batch by the time at which it was sent, remembers those that are not late yet, and drops a copy; a counter of its own shows these. The test of drifting clocks gives its late batches times of their own. All of test_control passes.

--- a/acaciafork/control/OrderRelay.cpp
+++ b/acaciafork/control/OrderRelay.cpp
@@ -22,6 +22,7 @@
     , m_send(std::move(send))
     , m_carried(&counters->counter("relay_orders_total{outcome=\"carried\"}"))
     , m_superseded(&counters->counter("relay_orders_total{outcome=\"superseded\"}"))
+    , m_doubled(&counters->counter("relay_orders_total{outcome=\"doubled\"}"))
     , m_late(&counters->counter("relay_orders_total{outcome=\"late\"}"))
 { }
 
@@ -38,6 +39,16 @@
     return Duration(offsetUs - m_leastOffsetUs) > m_settings.maxDelay;
 }
 
+bool OrderRelay::isDoubled(const wire::WorkerOrders &orders)
+{
+    // A batch is known by its time. Those that were sent well before the newest one are late.
+    if (!m_recentUs.insert(orders.sent_us()).second)
+        return true;
+    const std::int64_t oldestUs = *m_recentUs.rbegin() - 2 * m_settings.maxDelay.count();
+    m_recentUs.erase(m_recentUs.begin(), m_recentUs.lower_bound(oldestUs));
+    return false;
+}
+
 void OrderRelay::ordersArrived(ProcessId leader, const wire::WorkerOrders &orders,
                                std::int64_t clockUs)
 {
@@ -51,6 +62,7 @@
         m_leader = leader;
         m_leastOffsetUs = clockUs - orders.sent_us();
         m_driftedUs = clockUs;
+        m_recentUs.clear();
         spdlog::info("event=relay-began leader={} tenure={}", leader.value, m_tenure.value);
     }
     if (isLate(orders, clockUs)) {
@@ -59,6 +71,10 @@
                      orders.orders_size(), (clockUs - orders.sent_us() - m_leastOffsetUs) / 1000);
         return;
     }
+    if (isDoubled(orders)) {
+        m_doubled->add(orders.orders_size());
+        return;
+    }
     m_carried->add(orders.orders_size());
     // An empty batch asks whether this relay still answers.
     m_answers.mutable_worker_answers()->set_tenure(m_tenure.value);
--- a/acaciafork/control/OrderRelay.h
+++ b/acaciafork/control/OrderRelay.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 
 #include "acaciafork/control/JobPorts.h"
 #include "wire/peers.pb.h"
@@ -48,6 +49,8 @@
 
 private:
     [[nodiscard]] bool isLate(const wire::WorkerOrders &orders, std::int64_t clockUs);
+    /// True for a batch that has arrived before.
+    [[nodiscard]] bool isDoubled(const wire::WorkerOrders &orders);
     wire::WorkerAnswer *add(const WorkerAnswer &answer);
 
     OrderRelaySettings m_settings;
@@ -60,9 +63,12 @@
     std::int64_t m_leastOffsetUs = 0;
     /// This machine's clock when drift was last allowed for.
     std::int64_t m_driftedUs = 0;
+    /// Times at which the latest batches were sent.
+    std::set<std::int64_t> m_recentUs;
     wire::Envelope m_answers;
     Counter *m_carried;
     Counter *m_superseded;
+    Counter *m_doubled;
     Counter *m_late;
 };
 
--- a/tests/control/OrderRouterTest.cpp
+++ b/tests/control/OrderRouterTest.cpp
@@ -232,7 +232,9 @@
     }
     // One that is held up still counts as late, and so does one from before a long sleep.
     const int carried = fixture.relayed.orders;
+    orders.set_sent_us(us + 1);
     fixture.relay.ordersArrived(self, orders, relayClock(us) + secondUs / 2);
+    orders.set_sent_us(us + 2);
     fixture.relay.ordersArrived(self, orders, relayClock(us) + 3600 * secondUs);
     CHECK(fixture.relayed.orders == carried);
 }
