Check in the test world that no run waits for an answer that does not come

A start is settled within 800 ms and a stop within 1 s of its next try, under all faults of the worlds; the worlds with relays have unhealthy workers too.

--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -29,6 +29,10 @@
 constexpr Duration drainBound = 2000ms;
 /// A cancelled job's task may start for this long after.
 constexpr Duration cancelBound = 3000ms;
+/// A start is settled after this long, and a stop this long after its next try is due: the leader's
+/// own time limits, and what a relay may add.
+constexpr Duration startBound = 800ms;
+constexpr Duration stopBound = 1000ms;
 /// The longest that a worker holds a lease for, whatever it is told.
 constexpr std::int64_t mostHoldMs = 6000;
 
@@ -352,6 +356,7 @@
             m_router->beginTurn(moment());
             m_driver->carryOut(moment());
             m_router->flush();
+            checkOrders();
         }
     }
 }
@@ -796,6 +801,19 @@
     m_breaches.push_back(std::to_string(toMicroseconds(m_now) / 1000) + " ms: " + std::move(what));
 }
 
+void JobWorld::checkOrders()
+{
+    for (const auto &[id, worker] : m_driver->scheduler().workers().all()) {
+        for (const jobs::RunRef &it : worker->runs) {
+            const jobs::Run &run = it.get();
+            if (run.phase == jobs::RunPhase::Starting && m_now - run.startedAt > startBound)
+                breach("start of " + nameOf(it.task.key()) + " not settled");
+            if (run.stopInFlight && m_now - run.stopRetryAt > stopBound)
+                breach("stop of " + nameOf(it.task.key()) + " not settled");
+        }
+    }
+}
+
 void JobWorld::checkStart(const FakeWorker &worker, const jobs::StartRun &command)
 {
     const jobs::TaskKey &task = command.run.task;
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -230,6 +230,8 @@
                const std::function<void(jobs::OrderOutcome)> &answer);
     jobs::OrderOutcome startAt(FakeWorker &worker, const jobs::StartRun &order,
                                jobs::Tenure tenure);
+    /// Checks that no run waits for an answer that does not come.
+    void checkOrders();
     void checkStart(const FakeWorker &worker, const jobs::StartRun &order);
     void checkStep(const FakeWorker &worker, const jobs::TaskKey &task, const wire::JobSpec &spec);
     /// Lets gangs begin that are whole, and ends those that are done, broken or alone.
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -410,6 +410,7 @@
 constexpr WorldFaults relayFaults { .answerLost = 0.02,
                                     .carriedOutLate = 0.03,
                                     .orderLost = 0.01,
+                                    .unhealthy = 0.03,
                                     .runFails = 0.03,
                                     .relayMessageLost = 0.03,
                                     .relayMessageDoubled = 0.05,
