Test that steps waiting for full workers leave the advisor time for others

Fails: with 30 steps in front that wait for full workers, the advisor is never asked in 60 s about a step behind them that fits. With 20 steps in front it is.

--- /dev/null
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -0,0 +1,125 @@
+#include <map>
+
+#include <doctest/doctest.h>
+
+#include "acaciafork/decisions/jobs/Jobs.h"
+
+using namespace acaciafork;
+using namespace acaciafork::jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Scheduler with two workers whose answers the test supplies.
+struct SchedulerFixture
+{
+    SchedulerFixture()
+    {
+        scheduler.begin(at, { 1 }, {}, {}, {});
+        for (int it = 0; it < 2; ++it) {
+            scheduler.workerReported(at,
+                                     { .life = { .name = { "w" + std::to_string(it) },
+                                                 .born = { 1 },
+                                                 .pool = "pool",
+                                                 .address = "w",
+                                                 .capacity = { 32'000, 128'000, 0 } },
+                                       .sequence = 1,
+                                       .clockMs = 1000 });
+        }
+        const std::array names { WorkerName { "w0" }, WorkerName { "w1" } };
+        scheduler.workersRecorded(at, names);
+        (void)scheduler.takeCommands(at);
+    }
+
+    void acceptJob(std::uint64_t id, const StepSpec &step,
+                   const QueueSpec &queue = { .name = "q", .pool = "pool", .maxAttempts = 3 })
+    {
+        auto spec = std::make_shared<JobSpec>();
+        spec->steps.push_back(step);
+        scheduler.jobAccepted(at, { .id = { id }, .queue = queue, .spec = spec });
+    }
+
+    void advance(Duration length)
+    {
+        at.now += length;
+        at.wallMicroseconds += length.count();
+        scheduler.tick(at);
+    }
+
+    template <typename T>
+    std::vector<T> take()
+    {
+        std::vector<T> found;
+        for (const Command &it : scheduler.takeCommands(at)) {
+            if (const auto *command = std::get_if<T>(&it))
+                found.push_back(*command);
+        }
+        return found;
+    }
+
+    Moment at { timestampFromMicroseconds(10'000'000), 1'000'000'000 };
+    JobScheduler scheduler;
+};
+
+} // namespace
+
+TEST_CASE("steps that wait for full workers leave the advisor time for a step that fits")
+{
+    // Steps in front had permits for full workers renewed over and over, and it never asked.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, { .count = 2, .size = { 30'000, 100, 0 }, .maxPerWorker = 1 });
+    const auto large = fixture.take<StartRun>();
+    REQUIRE(large.size() == 2);
+    for (const StartRun &it : large)
+        fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run, OrderOutcome::Done);
+
+    QueueSpec queue { .name = "advised",
+                      .pool = "pool",
+                      .priority = 0,
+                      .maxAttempts = 3,
+                      .advice =
+                              AdvicePolicy { .decision = 80ms, .perWorker = 4ms, .validity = 2s } };
+    constexpr std::uint64_t stepsInFront = 30;
+    for (std::uint64_t it = 0; it < stepsInFront; ++it)
+        fixture.acceptJob(10 + it, { .count = 1, .size = { 8000, 100, 0 } }, queue);
+    queue.priority = 1;
+    fixture.acceptJob(100, { .count = 1, .size = { 1000, 100, 0 } }, queue);
+
+    // The advisor allows all workers, and answers one request after the other.
+    std::multimap<Timestamp, RequestPermits> requests;
+    Timestamp advisorFreeAt;
+    std::vector<StartRun> starts;
+    for (int tick = 1; tick <= 6000 && starts.empty(); ++tick) {
+        fixture.advance(10ms);
+        while (!requests.empty() && requests.begin()->first <= fixture.at.now) {
+            const auto node = requests.extract(requests.begin());
+            std::vector<std::pair<WorkerName, std::string>> allowed;
+            for (const WorkerName &it : node.mapped().workers)
+                allowed.emplace_back(it, "permit");
+            fixture.scheduler.permitsAnswered(fixture.at, node.mapped().step, &allowed, {});
+        }
+        for (const Command &it : fixture.scheduler.takeCommands(fixture.at)) {
+            if (const auto *request = std::get_if<RequestPermits>(&it)) {
+                const auto count = static_cast<std::int64_t>(request->workers.size());
+                advisorFreeAt = std::max(advisorFreeAt, fixture.at.now) + queue.advice->decision
+                        + queue.advice->perWorker * count;
+                requests.emplace(advisorFreeAt, *request);
+            }
+            if (const auto *start = std::get_if<StartRun>(&it))
+                starts.push_back(*start);
+            if (const auto *renewal = std::get_if<RenewWorkerLease>(&it)) {
+                RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 } };
+                answer.clockMs = 1000 + tick * 10;
+                for (const StartRun &run : large) {
+                    if (run.target.worker == renewal->target.worker)
+                        answer.running.push_back({ .run = run.run });
+                }
+                fixture.scheduler.renewalAnswered(fixture.at, renewal->target.worker,
+                                                  renewal->isImmediate, OrderOutcome::Done,
+                                                  &answer);
+            }
+        }
+    }
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.task.job == JobId { 100 });
+}
