Renew a permit only once a task fits on the worker

Clients would see: tasks of a queue with an advisor that fit on workers with room wait as long as enough larger steps of such queues wait in front of them.

Cause: a waiting step requests in the order of placement, and what it requests for includes workers that are full. Their permits expire unused and were requested again at once. Above about 20 steps (two workers, 88 ms for an answer, permits of 2 s) the steps in front took all of the advisor's time, and those behind never got to ask: nothing that happens to the former ends this while their workers stay full.

Not seen on a site yet.

Why it works: an unknown worker is still asked about ahead, once, since that decision holds for good; an expired permit is renewed only where a task fits, which is when it is used. A step whose tasks fit nowhere makes a bounded number of requests.

Gangs of which some members fit still renew the permits of those members.

--- a/acaciafork/decisions/jobs/StepPermits.cpp
+++ b/acaciafork/decisions/jobs/StepPermits.cpp
@@ -34,7 +34,9 @@
             continue;
         const auto it = m_decisions.find(worker->life.name);
         const bool isKnown = it != m_decisions.end() && it->second.born == worker->life.born;
-        if (isKnown && !it->second.isAllowed)
+        // A decision is worth asking for ahead, since it holds for good. A permit that will expire
+        // is of use only once a task fits.
+        if (isKnown && (!it->second.isAllowed || !placer.fits(*worker, step)))
             continue;
         candidates.emplace_back(!isKnown, -worker->freeCapacity().millicores, worker->life.name);
     }
--- a/acaciafork/decisions/jobs/StepPermits.h
+++ b/acaciafork/decisions/jobs/StepPermits.h
@@ -43,8 +43,10 @@
 /// the worker; a permit expires after some time.
 ///
 /// Designed for an advisor that answers slowly and one request at a time. Workers that have been
-/// refused are not requested again; those known to be allowed come first, then those with the most
-/// free capacity; and a request names no more workers than the waiting tasks are likely to need.
+/// refused are not requested again, nor are those known to be allowed while no task fits there;
+/// those known to be allowed come first, then those with the most free capacity; and a request
+/// names no more workers than the waiting tasks are likely to need. So a step whose tasks fit
+/// nowhere stops requesting once it knows all workers, and leaves the advisor to the others.
 class StepPermits
 {
 public:
