Test that ends that need no record are acknowledged when they may be

While an end of another worker is being recorded, the stopped run of a worker that then runs nothing is never acknowledged to it, in 30 s of reports. And the end of a gang's second member is acknowledged to its worker 1.5 s before the record of the gang's end is committed.

--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -123,3 +123,103 @@
     REQUIRE(starts.size() == 1);
     CHECK(starts[0].run.task.job == JobId { 100 });
 }
+
+TEST_CASE("an end that needs no record is acknowledged while other ends are being recorded")
+{
+    // Any later batch counted as its own, and nothing is due at a worker without runs after that.
+    SchedulerFixture fixture;
+    const auto startOne = [&](std::uint64_t job) {
+        fixture.acceptJob(job, { .count = 1, .size = { 1000, 100, 0 } });
+        const auto starts = fixture.take<StartRun>();
+        REQUIRE(starts.size() == 1);
+        fixture.scheduler.startAnswered(fixture.at, starts[0].target.worker, starts[0].run,
+                                        OrderOutcome::Done);
+        return starts[0];
+    };
+    const auto listEnd = [&](const StartRun &run, std::uint64_t number, RunEnd end) {
+        const RenewalAnswer answer { .sentAt = fixture.at.now,
+                                     .born = { 1 },
+                                     .clockMs = 1000,
+                                     .ended = { { number, run.run, end, {} } } };
+        fixture.scheduler.renewalAnswered(fixture.at, run.target.worker, false, OrderOutcome::Done,
+                                          &answer);
+    };
+    const auto recordBatch = [&] {
+        fixture.advance(20ms);
+        const auto records = fixture.take<RecordEnds>();
+        REQUIRE(records.size() == 1);
+        return records[0].batch;
+    };
+    // The second task goes to the emptier worker.
+    const StartRun first = startOne(1);
+    const StartRun second = startOne(2);
+    REQUIRE(first.target.worker != second.target.worker);
+    listEnd(first, 1, RunEnd::Done);
+    fixture.scheduler.endsRecorded(fixture.at, recordBatch());
+
+    // The first worker's second run ends by a stop, while an end of the other one is recorded.
+    const StartRun stopped = startOne(3);
+    REQUIRE(stopped.target.worker == first.target.worker);
+    fixture.scheduler.jobCancelled(fixture.at, { 3 });
+    listEnd(second, 1, RunEnd::Done);
+    const std::uint64_t open = recordBatch();
+    listEnd(stopped, 2, RunEnd::Stopped);
+    fixture.scheduler.endsRecorded(fixture.at, open);
+
+    std::uint64_t acknowledged = 0;
+    for (int tick = 1; tick <= 300; ++tick) {
+        fixture.advance(100ms);
+        fixture.scheduler.workerReported(fixture.at,
+                                         { .life = { .name = first.target.name,
+                                                     .born = { 1 },
+                                                     .pool = "pool",
+                                                     .address = "w",
+                                                     .capacity = { 32'000, 128'000, 0 } },
+                                           .sequence = static_cast<std::uint64_t>(tick + 1),
+                                           .clockMs = 1000 + tick * 100 });
+        for (const RenewWorkerLease &it : fixture.take<RenewWorkerLease>()) {
+            const bool isFirst = it.target.worker == first.target.worker;
+            acknowledged = std::max(acknowledged, isFirst ? it.recordedEnds : 0);
+            const RenewalAnswer answer { .sentAt = fixture.at.now,
+                                         .born = { 1 },
+                                         .clockMs = 1000 + tick * 100 };
+            fixture.scheduler.renewalAnswered(fixture.at, it.target.worker, it.isImmediate,
+                                              OrderOutcome::Done, &answer);
+        }
+    }
+    CHECK(acknowledged == 2);
+}
+
+TEST_CASE("an end is not acknowledged before the record that stands for it is committed")
+{
+    // One end stands for a gang: those that the other members' workers list need no other record.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, { .count = 2, .size = { 1000, 100, 0 }, .gang = true, .maxPerWorker = 1 });
+    const auto starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 2);
+    for (const StartRun &it : starts) {
+        fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run, OrderOutcome::Done);
+        const RenewalAnswer answer { .sentAt = fixture.at.now,
+                                     .born = { 1 },
+                                     .clockMs = 1000,
+                                     .ended = { { 1, it.run, RunEnd::Done, {} } } };
+        fixture.scheduler.renewalAnswered(fixture.at, it.target.worker, false, OrderOutcome::Done,
+                                          &answer);
+    }
+    std::uint64_t batch = 0;
+    std::size_t acknowledged = 0;
+    for (int tick = 1; tick <= 40; ++tick) {
+        fixture.advance(100ms);
+        if (tick == 20) {
+            CHECK(acknowledged == 0);
+            fixture.scheduler.endsRecorded(fixture.at, batch);
+        }
+        for (const Command &it : fixture.scheduler.takeCommands(fixture.at)) {
+            if (const auto *record = std::get_if<RecordEnds>(&it))
+                batch = record->batch;
+            if (const auto *renewal = std::get_if<RenewWorkerLease>(&it))
+                acknowledged += renewal->recordedEnds == 1 ? 1 : 0;
+        }
+    }
+    CHECK(acknowledged == 2);
+}
