Acknowledge ends that need no record with the batch that is open

Operators would see two things. Ends of stopped runs stay unacknowledged at a worker that runs nothing until its next run, and a busy worker's renewals are held back for up to 0.7 s each. And an end that repeats one that is being recorded, such as that of a gang's second member, is acknowledged before that record is committed: if the leader and the first worker are lost at that moment, the gang runs twice.

Cause: whether an end that needs no record is recorded was derived from the batches that are open when it arrives. For a worker with earlier records any later batch counted, and nothing looked again when that was committed; for a worker without records none counted.

Evidence: both read in renewalAnswered() and shown by the tests in virtual time; not seen on a site.

Why it works: ends that a worker lists join the newest batch that is open, as recorded ends join theirs, and its commit sets both free, whatever is recorded later.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -240,12 +240,29 @@
     if (m_ends.empty() && m_failedJobs.empty())
         m_oldestEndAt = now;
     m_ends.push_back({ .task = run.task, .run = run.run, .failed = failed });
-    if (worker == nullptr || worker->lastBatch == m_lastBatch + 1)
+    if (worker != nullptr)
+        joinNextBatch(worker);
+}
+
+void JobScheduler::joinNextBatch(Worker *worker)
+{
+    if (worker->lastBatch == m_lastBatch + 1)
         return;
     worker->lastBatch = m_lastBatch + 1;
     m_batchWorkers.push_back(worker->id);
 }
 
+void JobScheduler::joinOpenBatch(Worker *worker)
+{
+    if (!m_ends.empty() || !m_failedJobs.empty()) {
+        joinNextBatch(worker);
+    } else if (!m_batches.empty() && m_batches.rbegin()->first > worker->lastBatch) {
+        auto &[number, batch] = *m_batches.rbegin();
+        worker->lastBatch = number;
+        batch.cursors.emplace_back(worker->id, worker->life.born, worker->seenEnds);
+    }
+}
+
 void JobScheduler::flushEnds(Timestamp now)
 {
     if (m_ends.empty() && m_failedJobs.empty())
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -211,6 +211,11 @@
     void replaceIncarnation(Timestamp now, Worker *worker, const WorkerLife &life);
     void recordWorker(Worker *worker);
     void recordEnd(Timestamp now, const RunKey &run, bool failed, Worker *worker);
+    /// The worker's run ends count as recorded once the next batch is.
+    void joinNextBatch(Worker *worker);
+    /// The worker's run ends count as recorded once all that is being recorded now is: an end that
+    /// needs no record of its own may repeat one that is in it.
+    void joinOpenBatch(Worker *worker);
     void flushEnds(Timestamp now);
 
     void renewIfDue(Timestamp now, Worker *worker);
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -249,19 +249,16 @@
             std::max(worker->acknowledgedEnds,
                      wasImmediate ? worker->immediateRenewalCursor : worker->renewalCursor);
 
+    const std::uint64_t seenBefore = worker->seenEnds;
     for (const EndedRow &it : answer->ended) {
         if (it.number > worker->seenEnds)
             handleRunEnd(now, worker, it);
     }
-    // Run ends that need no record, or whose record is committed, count as recorded.
-    if (!m_batches.empty() || !m_ends.empty() || !m_failedJobs.empty()) {
-        const bool isOpen = worker->lastBatch > m_lastBatch
-                || m_batches.lower_bound(worker->lastBatch) != m_batches.end();
-        if (worker->lastBatch == 0 || !isOpen)
-            worker->recordedEnds = worker->seenEnds;
-    } else {
+    if (worker->seenEnds > seenBefore)
+        joinOpenBatch(worker);
+    const bool isOpen = worker->lastBatch > m_lastBatch || m_batches.contains(worker->lastBatch);
+    if (!isOpen)
         worker->recordedEnds = worker->seenEnds;
-    }
     reconcileRunning(now, worker, *answer);
     if (!answer->hasMore)
         releaseUnlisted(now, worker, *answer);
