Test that tasks of a worker that comes back with an earlier birth run again

Fails: the task that ran on the worker's former life is not started again in 20 s, while the worker reports, answers every renewal with an empty list, and has all its room free.

--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -223,3 +223,51 @@
     }
     CHECK(acknowledged == 2);
 }
+
+TEST_CASE("tasks of a worker that comes back with an earlier time of birth run again")
+{
+    // Its answers counted neither as answers nor as missing, and its lost runs as under lease.
+    SchedulerFixture fixture;
+    std::uint64_t sequence = 1;
+    // Runs 20 s in which only the first worker reports, and answers with what it has started.
+    const auto runAs = [&](Incarnation born) {
+        std::vector<StartRun> starts;
+        for (int tick = 0; tick < 200; ++tick) {
+            fixture.advance(100ms);
+            const std::int64_t clockMs = fixture.at.now.time_since_epoch() / 1ms;
+            fixture.scheduler.workerReported(fixture.at,
+                                             { .life = { .name = { "w0" },
+                                                         .born = born,
+                                                         .pool = "pool",
+                                                         .address = "w",
+                                                         .capacity = { 32'000, 128'000, 0 } },
+                                               .sequence = ++sequence,
+                                               .clockMs = clockMs });
+            for (const Command &it : fixture.scheduler.takeCommands(fixture.at)) {
+                if (const auto *record = std::get_if<RecordWorkers>(&it)) {
+                    for (const WorkerLife &life : record->put)
+                        fixture.scheduler.workersRecorded(fixture.at, { &life.name, 1 });
+                }
+                if (const auto *start = std::get_if<StartRun>(&it)) {
+                    starts.push_back(*start);
+                    fixture.scheduler.startAnswered(fixture.at, start->target.worker, start->run,
+                                                    OrderOutcome::Done);
+                }
+                const auto *renewal = std::get_if<RenewWorkerLease>(&it);
+                if (renewal == nullptr || renewal->target.name != WorkerName { "w0" })
+                    continue;
+                RenewalAnswer answer { .sentAt = fixture.at.now, .born = born, .clockMs = clockMs };
+                for (const StartRun &run : starts)
+                    answer.running.push_back({ .run = run.run, .percent = 100 });
+                fixture.scheduler.renewalAnswered(fixture.at, renewal->target.worker,
+                                                  renewal->isImmediate, OrderOutcome::Done,
+                                                  &answer);
+            }
+        }
+        return starts.size();
+    };
+    CHECK(runAs({ 3 }) == 0);
+    fixture.acceptJob(1, { .count = 1, .size = { 1000, 100, 0 }, .longRunning = true });
+    CHECK(runAs({ 3 }) == 1);
+    CHECK(runAs({ 2 }) == 1);
+}
