Let go of a worker's life when an earlier one answers in its place

Clients would see: tasks that ran on a worker whose clock was set back before it started again under its name stay as running for ever, and the worker gets no work.

Cause: reports and answers of an earlier time of birth were passed over as late ones. Such an answer did not count as a missing one either, so each renewal extended the lease of runs that were gone, and neither the lease nor the worker's entry could ever end.

Not seen on a site.

Why it works: the lease is no longer extended, its runs are lost when it has ended, and the entry is forgotten after 8 s without news of that life; the worker's next report adds it anew. An answer that was merely late costs one more renewal.

--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -215,6 +215,10 @@
     if (worker == nullptr)
         return;
     (wasImmediate ? worker->immediateRenewalInFlight : worker->renewalInFlight) = false;
+    // An earlier life says nothing about this one. Where it goes on answering, its clock was set
+    // back before it started: then this one is over, and is forgotten as a silent one.
+    if (answer != nullptr && answer->born && answer->born < worker->life.born)
+        outcome = OrderOutcome::OtherLife;
     if (outcome != OrderOutcome::Done || answer == nullptr) {
         if (worker->unansweredRenewals == 0)
             note("worker-silent", {}, worker,
@@ -229,8 +233,6 @@
             removeLeft(now, worker);
         return;
     }
-    if (answer->born && answer->born < worker->life.born)
-        return;
     if (answer->born && answer->born > worker->life.born) {
         WorkerLife life = worker->life;
         life.born = answer->born;
