--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -271,3 +271,45 @@
     CHECK(runAs({ 3 }) == 1);
     CHECK(runAs({ 2 }) == 1);
 }
+
+TEST_CASE("a renewal confirms no ends while the one before it has no answer")
+{
+    // The worker may have started again since: it would forget ends of its new life unread.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, { .count = 1, .size = { 1000, 100, 0 } });
+    const StartRun first = fixture.take<StartRun>().at(0);
+    const WorkerId worker = first.target.worker;
+    fixture.scheduler.startAnswered(fixture.at, worker, first.run, OrderOutcome::Done);
+    fixture.acceptJob(2, { .count = 2, .size = { 1000, 100, 0 }, .maxPerWorker = 1 });
+    const auto starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 2);
+    const StartRun &second = starts[starts[0].target.worker == worker ? 0 : 1];
+    fixture.scheduler.startAnswered(fixture.at, worker, second.run, OrderOutcome::Done);
+    fixture.advance(10ms);
+    REQUIRE_FALSE(fixture.take<RenewWorkerLease>().empty());
+    const RenewalAnswer answer { .sentAt = fixture.at.now,
+                                 .born = { 1 },
+                                 .clockMs = 1000,
+                                 .running = { { .run = second.run } },
+                                 .ended = { { 1, first.run, RunEnd::Done, {} } } };
+    fixture.scheduler.renewalAnswered(fixture.at, worker, false, OrderOutcome::Done, &answer);
+    fixture.advance(20ms);
+    const auto records = fixture.take<RecordEnds>();
+    REQUIRE(records.size() == 1);
+    fixture.scheduler.endsRecorded(fixture.at, records[0].batch);
+
+    const auto confirmedBy = [&](bool isImmediate) {
+        std::vector<std::uint64_t> confirmed;
+        for (const RenewWorkerLease &it : fixture.take<RenewWorkerLease>()) {
+            if (it.target.worker == worker && it.isImmediate == isImmediate)
+                confirmed.push_back(it.recordedEnds);
+        }
+        return confirmed;
+    };
+    REQUIRE(confirmedBy(false) == std::vector<std::uint64_t> { 1 });
+    // Its answer does not come, and a stop has its worker asked once more.
+    fixture.scheduler.jobCancelled(fixture.at, { 2 });
+    fixture.scheduler.stopAnswered(fixture.at, worker, second.run, OrderOutcome::Done);
+    fixture.advance(500ms);
+    CHECK(confirmedBy(true) == std::vector<std::uint64_t> { 0 });
+}
