Confirm no ends by a renewal while the one before it has no answer

Cause: a worker that starts again under its name numbers its ends from 1, and an order can't name its life. Ends are confirmed only while the expected life was the last to answer; but a renewal that follows a stop went out beside a long renewal, on the word of an answer that may be 2 s old. The new life then forgets ends that nobody has read, and its tasks count as lost.

Why it works: such a renewal only reads the lists; recorded ends are confirmed by the next one that goes out alone. A restart between an answer and the renewal sent at once after it remains possible, as before.

--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -190,7 +190,10 @@
 void JobScheduler::sendRenewal(Timestamp now, Worker *worker, Duration wait, bool isImmediate)
 {
     worker->lastRenewalSentAt = now;
-    const std::uint64_t cursor = worker->isIncarnationConfirmed ? worker->recordedEnds : 0;
+    // While another renewal has no answer, the worker may have started again unnoticed.
+    const bool isAlone = !isImmediate || !worker->renewalInFlight;
+    const std::uint64_t cursor =
+            worker->isIncarnationConfirmed && isAlone ? worker->recordedEnds : 0;
     (isImmediate ? worker->immediateRenewalCursor : worker->renewalCursor) = cursor;
     // The lease is not extended for a worker whose clock has not been observed or that runs
     // nothing. Nor is it for a silent worker: any lease that it may hold has to expire before its
