Give each batch of orders a time of its own

A relay drops a batch that was sent at the same time as one it has carried, and takes it for a copy. Two batches of one microsecond would be told apart by nothing; the leader now counts on.

--- a/acaciafork/control/OrderRouter.cpp
+++ b/acaciafork/control/OrderRouter.cpp
@@ -263,9 +263,10 @@
 {
     if (m_batches.empty())
         return;
-    const std::int64_t clockUs = m_clockUs();
+    // A relay tells batches apart by the time at which they were sent.
+    m_lastSentUs = std::max(m_clockUs(), m_lastSentUs + 1);
     for (auto &[relay, envelope] : m_batches) {
-        envelope.mutable_worker_orders()->set_sent_us(clockUs);
+        envelope.mutable_worker_orders()->set_sent_us(m_lastSentUs);
         m_sentAt[relay] = m_now;
         m_send(relay, &envelope);
     }
--- a/acaciafork/control/OrderRouter.h
+++ b/acaciafork/control/OrderRouter.h
@@ -112,6 +112,7 @@
     jobs::Tenure m_tenure;
     Timestamp m_tenureBeganAt;
     std::uint64_t m_lastOrder = 0;
+    std::int64_t m_lastSentUs = 0;
     std::size_t m_shownRelays = 1;
     std::map<ProcessId, wire::Envelope> m_batches;
     std::unordered_map<std::uint64_t, Outstanding> m_outstanding;
--- a/tests/control/OrderRouterTest.cpp
+++ b/tests/control/OrderRouterTest.cpp
@@ -248,7 +248,7 @@
     orders.set_tenure(5);
     orders.add_orders()->mutable_stop();
     std::vector<wire::WorkerOrders> batches;
-    for (int it = 1; it <= 200; ++it) {
+    for (std::int64_t it = 1; it <= 200; ++it) {
         orders.set_sent_us(it * 2'000);
         batches.push_back(orders);
         fixture.relay.ordersArrived(self, batches.back(), it * 2'000 + 300);
