Show the marks that a try of a gang without room leaves

Red on this code: SchedulerTest, two tests. A gang that waits for a second counts as begun and has used up ten run numbers, and an end on a worker that runs nothing is not confirmed while it waits.

--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -308,3 +308,56 @@
                                       &lists);
     CHECK(fixture.take<StartRun>().size() == 1);
 }
+
+TEST_CASE("a gang that waits for room counts as not begun and uses up no run numbers")
+{
+    // Each try counted the job as begun and raised the run numbers, which a tenure has 100,000 of.
+    SchedulerFixture fixture;
+    StepSpec gang = plain;
+    gang.count = 3;
+    gang.size.millicores = 20'000;
+    gang.gang = true;
+    fixture.acceptJob(1, gang);
+    CHECK(fixture.answerRenewals(1s).empty());
+    CHECK(fixture.scheduler.pending("q") == 1);
+
+    fixture.scheduler.workerReported(fixture.at,
+                                     { .life = { .name = { "w2" },
+                                                 .born = { 1 },
+                                                 .pool = "pool",
+                                                 .address = "w",
+                                                 .capacity = { 32'000, 128'000, 0 } },
+                                       .sequence = 1,
+                                       .clockMs = 1000 });
+    fixture.scheduler.workersRecorded(fixture.at, std::array { WorkerName { "w2" } });
+    const auto starts = fixture.answerRenewals(1s);
+    REQUIRE(starts.size() == 3);
+    for (const StartRun &it : starts)
+        CHECK(it.run.run.value == 1);
+}
+
+TEST_CASE("run ends are acknowledged while a gang waits for room")
+{
+    // Each try took it as not known which life of the worker answers, so nothing was acknowledged.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, plain);
+    const auto first = fixture.take<StartRun>();
+    REQUIRE(first.size() == 1);
+    const WorkerId id = first[0].target.worker;
+    fixture.scheduler.startAnswered(fixture.at, id, first[0].run, OrderOutcome::Done);
+    StepSpec gang = plain;
+    gang.count = 3;
+    gang.size.millicores = 20'000;
+    gang.gang = true;
+    fixture.acceptJob(2, gang);
+    const std::array ended { EndedRow { .number = 1, .run = first[0].run, .end = RunEnd::Done } };
+    fixture.advance(10ms);
+    for (const RenewWorkerLease &it : fixture.take<RenewWorkerLease>())
+        fixture.answer(it, ended);
+    fixture.advance(20ms);
+    const auto records = fixture.take<RecordEnds>();
+    REQUIRE(records.size() == 1);
+    fixture.scheduler.endsRecorded(fixture.at, records[0].batch);
+    CHECK(fixture.answerRenewals(3s, ended).empty());
+    CHECK(fixture.scheduler.workers().find(id)->acknowledgedEnds == 1);
+}
