Leave no marks when a gang finds no room

What callers would see: a job that only waits is missing from the queue's pending count and shown as running; ends on an idle worker are not confirmed while a gang waits for room; with enough tries the run numbers of a tenure run out.

Cause: a gang is tried by starting its members and taking them back when one finds no worker. Taking a run back did not undo what its start had changed in the task, the step, the job and the worker. It also set back the time since which the step waits, so that the step never counted as overdue.

Change: what a start replaces is kept and put back.

--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <ranges>
 #include <set>
 
 #include "acaciafork/decisions/jobs/JobScheduler.h"
@@ -206,26 +207,47 @@
     RunNumber number;
     for (const Task &it : step->tasks)
         number = std::max(number, nextRunNumber(it));
+    /// A member that has begun, and what its start replaced.
+    struct Member
+    {
+        TaskRef task;
+        RunNumber lastRun;
+        Worker *worker = nullptr;
+        bool wasConfirmed = false;
+    };
     const std::size_t commandsBefore = m_commands.size();
     const std::uint64_t startedBefore = m_counts.started;
-    std::vector<TaskRef> begun;
+    const bool hadBegun = step->job->hasBegun;
+    const RackName rackBefore = step->rack;
+    const Timestamp waitingSince = step->waitingSince;
+    std::vector<Member> begun;
     for (const std::uint32_t it : step->ready) {
         const TaskRef task { .step = step, .task = it };
         Worker *worker = m_placer.choose(now, m_workers, *step, task.get(), rack, mode);
         if (worker == nullptr)
             break;
+        begun.push_back({ .task = task,
+                          .lastRun = task.get().lastRun,
+                          .worker = worker,
+                          .wasConfirmed = worker->isIncarnationConfirmed });
         startRun(now, task, worker, number, mode);
-        begun.push_back(task);
     }
     if (begun.size() == step->ready.size()) {
-        for (const TaskRef &it : begun)
-            it.get().isReady = false;
+        for (const Member &it : begun)
+            it.task.get().isReady = false;
         step->ready.clear();
         m_order.erase(step);
         return true;
     }
-    for (const TaskRef &it : begun)
-        releaseRun({ .task = it, .slot = 0 });
+    // Backwards, since several members may have begun on one worker.
+    for (const Member &it : std::views::reverse(begun)) {
+        releaseRun({ .task = it.task, .slot = 0 });
+        it.task.get().lastRun = it.lastRun;
+        it.worker->isIncarnationConfirmed = it.wasConfirmed;
+    }
+    step->job->hasBegun = hadBegun;
+    step->rack = rackBefore;
+    step->waitingSince = waitingSince;
     m_commands.erase(m_commands.begin() + static_cast<std::ptrdiff_t>(commandsBefore),
                      m_commands.end());
     m_counts.started = startedBefore;
