Limit overdue backfill tasks together, and let no share or pause stand for ever

- The throttle never acted on overdue tasks, since its steps were above their shares, so only the pause after 2 s was left: its decreases now apply to their own shares in proportion, and their shares increase only while all tail latencies are safe.
- Each overdue task was judged alone, and 15 of them could start beside one serving task: their shares follow from the sum of what is expected of them, and a worker gets no further one once the sum at the lowest shares passes the usual limit.
Members of one gang count as one.
- A large overdue task was started and evicted over and over, 24 times in a minute: overdue tasks are slowed down and paused instead of evicted.
- A paused task beside a serving task whose tail settles just below its target stayed paused for ever: after 5 s it is stopped and goes on elsewhere.
- Lost orders of shares between 0 and 100 were not noticed: readings are compared with the share, and the delay doubles with each repetition, since a task may also use little because little is left.

These touch the same few functions and are in one commit for that reason.

--- a/acaciafork/decisions/jobs/BackfillThrottle.h
+++ b/acaciafork/decisions/jobs/BackfillThrottle.h
@@ -52,6 +52,8 @@
     [[nodiscard]] std::int64_t decide(Timestamp now, std::int64_t percent, Timestamp changedAt,
                                       std::span<const TailReading> tails) const;
 
+    /// True when no tail latency exceeds the safety threshold.
+    [[nodiscard]] bool isSafe(std::span<const TailReading> tails) const;
     /// True when the tail latency exceeds the danger threshold.
     [[nodiscard]] bool isInDanger(const TailReading &tail) const
     {
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -49,6 +49,8 @@
     /// long. Half of the time after which it counts as harm, since tail latencies also vary with
     /// their own load.
     Duration maxTimeOverTarget = std::chrono::milliseconds(2000);
+    /// A backfill task that has been paused for this long is stopped, to go on elsewhere.
+    Duration maxPause = std::chrono::seconds(5);
     /// A worker that ends may take this long to answer with its last lists.
     Duration leaveTimeout = std::chrono::milliseconds(600);
     /// A worker without a valid lease is forgotten after this time of silence.
@@ -243,7 +245,8 @@
     [[nodiscard]] std::vector<Step *> overdueSteps(Timestamp now) const;
     void placeOverdueSteps(Timestamp now);
     bool placeOverdueTask(Timestamp now, Step *step);
-    void paceOverdueRuns(Timestamp now, Worker *worker);
+    void paceOverdueRuns(Timestamp now, Worker *worker, std::span<const TailReading> tails);
+    void movePausedRuns(Timestamp now, const Worker &worker);
     void orderPace(Timestamp now, const Worker &worker, const RunRef &run, std::int64_t percent);
     void repeatLostPaces(Timestamp now, const Worker &worker);
     void requestPermits(Timestamp now, Step *step);
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -55,9 +55,9 @@
     };
     const RunRef run { .task = ref, .slot = slot };
     if (mode == PlacementMode::Overdue && ref.step->spec->fills) {
-        run.get().isOverdue = true;
         run.get().percent =
-                std::min(worker->backfillPercent, m_placer.acceptablePercent(*worker, *ref.step));
+                std::min(worker->backfillPercent, m_placer.acceptablePercent(*worker, ref.step));
+        run.get().isOverdue = true;
     }
     // No renewals are sent to a worker without runs, so a change of its incarnation would have gone
     // unnoticed.
--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -13,9 +13,22 @@
 /// A share that a worker's readings do not show is ordered again after this time: twice the span of
 /// a reading.
 constexpr Duration paceRepeatDelay = 2 * tailWindow;
+/// That time doubles with each repetition up to this number: a task may also use little because
+/// little is left.
+constexpr std::uint32_t maxDoublings = 5;
 /// Smaller changes of the share of an overdue task are not ordered, in percentage points.
 constexpr std::int64_t minShareChange = 5;
 
+/// True when the processor time that a task uses may result from the share last ordered. Readings
+/// are rough, and a task may get less than its share.
+bool showsShare(const Run &run, const StepSpec &spec)
+{
+    const std::int64_t allowed = spec.size.millicores * run.percent / wholePercent;
+    if (run.percent < wholePercent && run.load > 2 * allowed)
+        return false;
+    return run.percent == 0 || run.load > allowed / 3;
+}
+
 } // namespace
 
 void JobScheduler::readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails)
@@ -56,11 +69,10 @@
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
         const StepSpec &spec = *it.task.step->spec;
-        if (!spec.fills || it.get().phase != RunPhase::Running)
+        // Overdue tasks run there although they may disturb; their shares are reduced instead.
+        if (!spec.fills || it.get().phase != RunPhase::Running || it.get().isOverdue)
             continue;
-        double share = shareOf(*worker, spec);
-        if (it.get().isOverdue)
-            share = share * static_cast<double>(it.get().percent) / wholePercent;
+        const double share = shareOf(*worker, spec);
         const bool disturbs = std::ranges::any_of(tails, [&](const TailReading &tail) {
             return m_throttle.isInDanger(tail)
                     && m_interference.expected(tail.image, spec.image, share)
@@ -83,10 +95,11 @@
     std::vector<TailReading> tails;
     readTails(now, worker, &tails);
     repeatLostPaces(now, *worker);
+    movePausedRuns(now, *worker);
     const bool moved = evictInterferingTasks(now, worker, tails);
     if (pauseIfOverTarget(now, worker) || moved)
         return;
-    paceOverdueRuns(now, worker);
+    paceOverdueRuns(now, worker, tails);
     const std::int64_t before = worker->backfillPercent;
     const std::int64_t percent = m_throttle.decide(now, before, worker->pacedAt, tails);
     if (percent == before)
@@ -95,12 +108,20 @@
     std::size_t pacedTasks = 0;
     for (const RunRef &it : worker->runs) {
         Run &run = it.get();
-        if (!it.task.step->spec->fills || run.phase != RunPhase::Running
-            || (percent < before ? isHarmless(*worker, it, tails) : run.percent >= percent)
-            || (run.isOverdue && run.percent <= percent))
+        if (!it.task.step->spec->fills || run.phase != RunPhase::Running)
             continue;
+        std::int64_t next = percent;
+        if (run.isOverdue) {
+            // Reduced in proportion; paceOverdueRuns() increases the share again.
+            next = before > 0 ? run.percent * percent / before : 0;
+            next = next < m_settings.throttle.minPercent ? 0 : next;
+            if (percent > before || next == run.percent)
+                continue;
+        } else if (percent < before ? isHarmless(*worker, it, tails) : run.percent >= percent) {
+            continue;
+        }
         ++pacedTasks;
-        orderPace(now, *worker, it, percent);
+        orderPace(now, *worker, it, next);
     }
     if (pacedTasks == 0 && percent < before)
         return;
@@ -115,6 +136,11 @@
                              std::int64_t percent)
 {
     Run &run = ref.get();
+    run.paceRepeats = percent == run.percent ? run.paceRepeats + 1 : 0;
+    if (percent > 0)
+        run.pausedSince = Timestamp::max();
+    else if (run.pausedSince == Timestamp::max())
+        run.pausedSince = now;
     run.percent = percent;
     run.pacedAt = now;
     m_commands.emplace_back(
@@ -123,35 +149,50 @@
 
 void JobScheduler::repeatLostPaces(Timestamp now, const Worker &worker)
 {
-    // Orders may be lost or carried out late, and an earlier leader may have given others.
+    // Orders may be lost or carried out late, and an earlier leader may have given others. One that
+    // is already in force changes nothing at the worker.
     for (const RunRef &it : worker.runs) {
         const Run &run = it.get();
         if (!it.task.step->spec->fills || run.phase != RunPhase::Running || run.load < 0)
             continue;
-        const bool isAsOrdered = (run.load > 0) == (run.percent > 0);
-        if (!isAsOrdered && now - std::max(run.pacedAt, run.startedAt) >= paceRepeatDelay)
+        const Duration delay = paceRepeatDelay * (1 << std::min(run.paceRepeats, maxDoublings));
+        if (!showsShare(run, *it.task.step->spec)
+            && now - std::max(run.pacedAt, run.startedAt) >= delay)
             orderPace(now, worker, it, run.percent);
     }
 }
 
-void JobScheduler::paceOverdueRuns(Timestamp now, Worker *worker)
+void JobScheduler::paceOverdueRuns(Timestamp now, Worker *worker,
+                                   std::span<const TailReading> tails)
 {
     // Readings between two changes show the interference at one share.
     if (now - worker->pacedAt < m_settings.throttle.increaseInterval)
         return;
+    const bool mayIncrease = m_throttle.isSafe(tails);
+    const std::int64_t percent =
+            std::min(worker->backfillPercent, m_placer.acceptablePercent(*worker, nullptr));
     for (const RunRef &it : worker->runs) {
-        Run &run = it.get();
-        if (!run.isOverdue || run.phase != RunPhase::Running)
-            continue;
-        const std::int64_t percent = std::min(worker->backfillPercent,
-                                              m_placer.acceptablePercent(*worker, *it.task.step));
-        if (std::abs(percent - run.percent) < minShareChange)
+        const Run &run = it.get();
+        if (!run.isOverdue || run.phase != RunPhase::Running
+            || std::abs(percent - run.percent) < minShareChange
+            || (percent > run.percent && !mayIncrease))
             continue;
         worker->pacedAt = now;
         orderPace(now, *worker, it, percent);
     }
 }
 
+void JobScheduler::movePausedRuns(Timestamp now, const Worker &worker)
+{
+    const std::vector<RunRef> runs = worker.runs;
+    for (const RunRef &it : runs) {
+        const Run &run = it.get();
+        if (run.phase == RunPhase::Running && run.pausedSince != Timestamp::max()
+            && now - run.pausedSince >= m_settings.maxPause)
+            requestStop(now, it, "paused");
+    }
+}
+
 bool JobScheduler::pauseIfOverTarget(Timestamp now, Worker *worker)
 {
     // A tail latency that stays over its target pauses all backfill tasks, whatever their estimated
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -41,10 +41,13 @@
     Timestamp stoppingSince;
     /// Share of its processor time that it may use, in percent, as last ordered.
     std::int64_t percent = 100;
-    /// When that share was last ordered.
+    /// When that share was last ordered, and how often it was given again since it changed.
     Timestamp pacedAt;
-    /// A backfill task that was started beside serving tasks that it may disturb, since its job had
-    /// waited for too long; it runs at Placer::acceptablePercent() or less.
+    std::uint32_t paceRepeats = 0;
+    /// Time since which the run is paused; Timestamp::max() while it is not.
+    Timestamp pausedSince = Timestamp::max();
+    /// The run was started by PlacementMode::Overdue: it may disturb serving tasks beside it, and
+    /// its share is limited to Placer::acceptablePercent().
     bool isOverdue = false;
     /// Progress in percent according to the worker's last list; for a long-running task, 100 while
     /// it is working.
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -81,6 +81,12 @@
             return PlacementObstacle::Processor;
         if (worker.backfillPercent == 0)
             return PlacementObstacle::Paused;
+        // Even at their lowest shares, several tasks may disturb more than one may.
+        const double others = overdueInterference(worker, &step);
+        const double lowest = (others + expectedInterference(worker, step))
+                * static_cast<double>(m_settings.minOverduePercent) / wholePercent;
+        if (others > 0 && lowest > m_settings.maxInterference)
+            return PlacementObstacle::Interference;
     } else if (spec.fills) {
         // Backfill tasks share the unused processor time; at least half of what the task asks for
         // must be available.
@@ -134,21 +140,20 @@
     return worst;
 }
 
-double Placer::overdueInterference(const Worker &worker) const
+double Placer::overdueInterference(const Worker &worker, const Step *except) const
 {
     double sum = 0;
     for (const RunRef &it : worker.runs) {
-        const Run &run = it.get();
-        if (run.isOverdue)
-            sum += expectedInterference(worker, *it.task.step) * static_cast<double>(run.percent)
-                    / static_cast<double>(wholePercent);
+        if (it.get().isOverdue && it.task.step != except)
+            sum += expectedInterference(worker, *it.task.step);
     }
     return sum;
 }
 
-std::int64_t Placer::acceptablePercent(const Worker &worker, const Step &step) const
+std::int64_t Placer::acceptablePercent(const Worker &worker, const Step *added) const
 {
-    const double expected = expectedInterference(worker, step);
+    const double expected = overdueInterference(worker)
+            + (added == nullptr ? 0 : expectedInterference(worker, *added));
     if (expected <= m_settings.maxOverdueInterference)
         return wholePercent;
     const double percent = m_settings.maxOverdueInterference / expected * wholePercent;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -54,9 +54,10 @@
                                  const Task &task, const RackName *rack = nullptr,
                                  PlacementMode mode = PlacementMode::Usual) const;
 
-    /// Share of its processor time, in percent, at which the interference that a backfill task of
-    /// the step is expected to cause on the worker stays acceptable.
-    [[nodiscard]] std::int64_t acceptablePercent(const Worker &worker, const Step &step) const;
+    /// Share of its processor time, in percent, at which the interference expected of the overdue
+    /// tasks on the worker stays acceptable.
+    /// @param[in] added step of one more overdue task, or null
+    [[nodiscard]] std::int64_t acceptablePercent(const Worker &worker, const Step *added) const;
 
     /// True when the worker may get new work.
     [[nodiscard]] bool isUsable(Timestamp now, const Worker &worker) const;
@@ -84,8 +85,10 @@
     [[nodiscard]] static double colocationBonus(const Worker &worker, const Step &step);
     [[nodiscard]] bool isHarmless(const Worker &worker, const Step &step) const;
     [[nodiscard]] double expectedInterference(const Worker &worker, const Step &step) const;
-    /// Interference expected of the overdue tasks that run on the worker, at their shares.
-    [[nodiscard]] double overdueInterference(const Worker &worker) const;
+    /// Sum of the interference expected of the overdue tasks on the worker at their full shares.
+    /// @param[in] except tasks of this step do not count, which may be members of one gang; or null
+    [[nodiscard]] double overdueInterference(const Worker &worker,
+                                             const Step *except = nullptr) const;
 
     PlacerSettings m_settings;
     const TailInterference *m_interference;
--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -1,3 +1,4 @@
+#include <map>
 #include <set>
 
 #include <doctest/doctest.h>
@@ -271,3 +272,270 @@
     CHECK(pauses > colocated.filling.size());
     CHECK(resumptions > 0);
 }
+
+TEST_CASE("a lone overdue backfill task is slowed down while a tail latency is in danger")
+{
+    // Guards against harm: each step of the throttle was above the share of the overdue task, so
+    // no order was given, and the throttle's own share stayed at 100.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    fixture.advance(2s);
+    StepSpec one = filling;
+    one.count = 1;
+    fixture.acceptJob(4, one);
+    const std::vector<StartRun> starts = fixture.startsWithin(3s, { 4 });
+    REQUIRE(starts.size() == 1);
+    const WorkerId worker = starts[0].target.worker;
+    fixture.scheduler.startAnswered(fixture.at, worker, starts[0].run, OrderOutcome::Done);
+    const auto first = fixture.take<PaceRun>();
+    REQUIRE(first.size() == 1);
+    RunKey service;
+    for (const RunRef &it : fixture.scheduler.workers().find(worker)->runs) {
+        if (it.task.step->spec->serves())
+            service = it.key();
+    }
+    // The tail latency is 60 % over its target for 1.9 s.
+    bool isSlowedOrStopped = false;
+    for (int round = 0; round < 5; ++round) {
+        fixture.advance(450ms);
+        RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
+        answer.running.push_back({ .run = service, .percent = 100, .load = 80 });
+        answer.running.push_back(
+                { .run = starts[0].run, .percent = 20, .load = 35 * first[0].percent });
+        fixture.scheduler.renewalAnswered(fixture.at, worker, false, OrderOutcome::Done, &answer);
+        for (const Command &it : fixture.scheduler.takeCommands(fixture.at)) {
+            const auto *pace = std::get_if<PaceRun>(&it);
+            const auto *stop = std::get_if<StopRun>(&it);
+            isSlowedOrStopped = isSlowedOrStopped || stop != nullptr
+                    || (pace != nullptr && pace->percent < first[0].percent);
+        }
+    }
+    CHECK(isSlowedOrStopped);
+}
+
+TEST_CASE("a lost order that slows an overdue backfill task down is given again")
+{
+    // Guards against harm: the task starts at its full share; when the order that slows it down is
+    // lost, its reading shows that, but any reading above 0 counts as ordered.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    fixture.advance(2s);
+    StepSpec one = filling;
+    one.count = 1;
+    fixture.acceptJob(4, one);
+    const std::vector<StartRun> starts = fixture.startsWithin(3s, { 4 });
+    REQUIRE(starts.size() == 1);
+    const WorkerId worker = starts[0].target.worker;
+    fixture.scheduler.startAnswered(fixture.at, worker, starts[0].run, OrderOutcome::Done);
+    const auto first = fixture.take<PaceRun>();
+    REQUIRE(first.size() == 1);
+    REQUIRE(first[0].percent < 100);
+    RunKey service;
+    for (const RunRef &it : fixture.scheduler.workers().find(worker)->runs) {
+        if (it.task.step->spec->serves())
+            service = it.key();
+    }
+    std::size_t again = 0;
+    for (int round = 0; round < 10; ++round) {
+        fixture.advance(500ms);
+        RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
+        // Between the thresholds: in no danger, so that nothing else is ordered.
+        answer.running.push_back({ .run = service, .percent = 100, .load = 48 });
+        answer.running.push_back({ .run = starts[0].run, .percent = 20, .load = 3500 });
+        fixture.scheduler.renewalAnswered(fixture.at, worker, false, OrderOutcome::Done, &answer);
+        again += fixture.take<PaceRun>().size();
+    }
+    CHECK(again > 0);
+}
+
+TEST_CASE("a backfill task that an earlier leader has slowed down gets its share back")
+{
+    // As the test of a paused one, but with a quarter of the share.
+    SchedulerFixture fixture;
+    ColocatedRuns colocated = placeColocatedRuns(&fixture);
+    const WorkerLife life = fixture.scheduler.workers().find(colocated.worker)->life;
+    std::vector<JobView> jobs;
+    for (const auto &[id, job] : fixture.scheduler.jobs().all())
+        jobs.push_back({ .id = id,
+                         .queue = { .name = "q", .pool = "pool", .maxAttempts = 3 },
+                         .spec = job->spec });
+    fixture.scheduler.begin(fixture.at, { 2 }, {}, jobs, std::array { life });
+    colocated.worker = fixture.scheduler.workers().find(life.name)->id;
+    bool isResumed = false;
+    for (int round = 0; round < 40; ++round) {
+        fixture.advance(500ms);
+        RenewalAnswer answer = colocated.renewalAnswer(fixture.at.now, 20);
+        for (RunningRow &it : answer.running)
+            it.load = it.run == colocated.serving ? 20 : 875;
+        fixture.scheduler.renewalAnswered(fixture.at, colocated.worker, false, OrderOutcome::Done,
+                                          &answer);
+        for (const PaceRun &it : fixture.take<PaceRun>())
+            isResumed = isResumed || it.percent == 100;
+    }
+    CHECK(isResumed);
+}
+
+TEST_CASE("a paused backfill task goes on beside a serving task that is just below its target")
+{
+    // Paused for a tail latency over the target; afterwards the tail latency stays between the
+    // thresholds of safety and danger without any backfill task at work.
+    SchedulerFixture fixture;
+    const ColocatedRuns colocated = placeColocatedRuns(&fixture);
+    bool isFreed = false;
+    for (int round = 0; round < 240; ++round) {
+        fixture.advance(500ms);
+        fixture.report();
+        const bool isOver = round >= 14 && round < 22;
+        const std::int64_t tail = round < 14 ? 20 : isOver ? 51 : 46;
+        RenewalAnswer answer = colocated.renewalAnswer(fixture.at.now, tail);
+        for (RunningRow &it : answer.running) {
+            if (it.run != colocated.serving)
+                it.load = round < 20 ? 3500 : 0;
+        }
+        fixture.scheduler.renewalAnswered(fixture.at, colocated.worker, false, OrderOutcome::Done,
+                                          &answer);
+        for (const Command &it : fixture.scheduler.takeCommands(fixture.at)) {
+            const auto *pace = std::get_if<PaceRun>(&it);
+            const bool resumes = round > 24 && pace != nullptr && pace->percent > 0;
+            isFreed = isFreed || resumes || std::get_if<StopRun>(&it) != nullptr;
+        }
+    }
+    CHECK(isFreed);
+}
+
+TEST_CASE("the overdue backfill tasks beside one serving task are few")
+{
+    // Each is started at a share at which it alone stays below 0.15 of the target; their sum has no
+    // limit.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    fixture.advance(2s);
+    StepSpec one = filling;
+    one.count = 1;
+    for (std::uint64_t it = 100; it < 140; ++it)
+        fixture.acceptJob(it, one);
+    std::map<std::uint32_t, std::int64_t> percents;
+    std::map<std::uint32_t, int> counts;
+    for (int it = 0; it < 50; ++it) {
+        fixture.advance(100ms);
+        fixture.report();
+        std::vector<StartRun> starts;
+        for (const Command &command : fixture.scheduler.takeCommands(fixture.at)) {
+            if (const auto *start = std::get_if<StartRun>(&command))
+                starts.push_back(*start);
+            if (const auto *pace = std::get_if<PaceRun>(&command))
+                percents[pace->target.worker.value] += pace->percent;
+        }
+        for (const StartRun &start : starts) {
+            ++counts[start.target.worker.value];
+            fixture.scheduler.startAnswered(fixture.at, start.target.worker, start.run,
+                                            OrderOutcome::Done);
+        }
+    }
+    for (const auto &[worker, count] : counts) {
+        CHECK(count <= 3);
+    }
+}
+
+TEST_CASE("an overdue gang of backfill tasks starts although one member fits as usual")
+{
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    fixture.advance(2s);
+    const auto join = [&] {
+        static std::uint64_t sequence = 0;
+        fixture.scheduler.workerReported(fixture.at,
+                                         { .life = { .name = { "w2" },
+                                                     .born = { 1 },
+                                                     .pool = "pool",
+                                                     .address = "w",
+                                                     .capacity = { 4000, 7000, 0 } },
+                                           .sequence = ++sequence,
+                                           .clockMs = 1000 });
+    };
+    join();
+    const std::array names { WorkerName { "w2" } };
+    fixture.scheduler.workersRecorded(fixture.at, names);
+    (void)fixture.scheduler.takeCommands(fixture.at);
+    StepSpec gang = filling;
+    gang.gang = true;
+    fixture.acceptJob(4, gang);
+    bool isStarted = false;
+    for (int it = 0; it < 100; ++it) {
+        join();
+        isStarted = isStarted || !fixture.startsWithin(100ms, { 4 }).empty();
+    }
+    CHECK(isStarted);
+}
+
+TEST_CASE("an overdue backfill task is not started where it would be stopped at once")
+{
+    // The lowest share may still be expected to disturb by more than the limit for eviction: the
+    // task started, was stopped at the first reading in danger, and started there again.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    fixture.advance(2s);
+    StepSpec one = filling;
+    one.count = 1;
+    one.size.millicores = 16'000;
+    fixture.acceptJob(4, one);
+    std::map<std::uint32_t, std::vector<EndedRow>> ended;
+    // The stops of job 3 have not been answered so far.
+    for (const auto &[id, worker] : fixture.scheduler.workers().all()) {
+        for (const RunRef &run : worker->runs) {
+            auto &rows = ended[id.value];
+            if (run.task.step->spec->fills)
+                rows.push_back(
+                        { .number = rows.size() + 1000, .run = run.key(), .end = RunEnd::Stopped });
+        }
+    }
+    int starts = 0;
+    int stops = 0;
+    fixture.scheduler.jobCancelled(fixture.at, { 3 });
+    for (Duration passed {}; passed < 60s; passed += 100ms) {
+        fixture.advance(100ms);
+        fixture.report();
+        for (const Command &it : fixture.scheduler.takeCommands(fixture.at)) {
+            if (const auto *start = std::get_if<StartRun>(&it)) {
+                starts += start->run.task.job == JobId { 4 } ? 1 : 0;
+                fixture.scheduler.startAnswered(fixture.at, start->target.worker, start->run,
+                                                OrderOutcome::Done);
+            }
+            if (const auto *stop = std::get_if<StopRun>(&it)) {
+                stops += stop->run.task.job == JobId { 4 } ? 1 : 0;
+                auto &rows = ended[stop->target.worker.value];
+                rows.push_back(
+                        { .number = rows.size() + 1000, .run = stop->run, .end = RunEnd::Stopped });
+                fixture.scheduler.stopAnswered(fixture.at, stop->target.worker, stop->run,
+                                               OrderOutcome::Done);
+            }
+            if (const auto *record = std::get_if<RecordEnds>(&it))
+                fixture.scheduler.endsRecorded(fixture.at, record->batch);
+        }
+        for (std::uint32_t id = 1; id <= 2; ++id) {
+            if (passed % 500ms != 0ms)
+                continue;
+            RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
+            answer.clockMs += passed / 1ms;
+            answer.ended = ended[id];
+            const Worker &worker = *fixture.scheduler.workers().find(WorkerId { id });
+            const bool isDisturbed = std::ranges::any_of(worker.runs, [](const RunRef &run) {
+                return run.task.step->spec->fills && run.get().percent > 0;
+            });
+            for (const RunRef &run : worker.runs) {
+                const bool isEnded = std::ranges::any_of(
+                        answer.ended, [&](const EndedRow &row) { return row.run == run.key(); });
+                const bool serves = run.task.step->spec->serves();
+                if (!isEnded)
+                    answer.running.push_back({ .run = run.key(),
+                                               .percent = 20,
+                                               .load = !serves       ? 2400
+                                                       : isDisturbed ? 55
+                                                                     : 25 });
+            }
+            fixture.scheduler.renewalAnswered(fixture.at, WorkerId { id }, false,
+                                              OrderOutcome::Done, &answer);
+        }
+    }
+    CHECK(stops <= 3);
+}
