Restore an endpoint whose probe succeeds after its ejection

What callers would see: an endpoint that works again gets no request until its entry restarts.

Cause: a suspect is probed while it serves. When failures eject it meanwhile and the probe then succeeds, the monitor took it off the list of ejected endpoints, while its health stayed ejected, since only an endpoint in the state of probing took the result: in no list, it was never probed again.

The test failed before and passes now.

Change: a successful probe restores an ejected endpoint whenever the probe was sent; a failed one of before the ejection says nothing new.

--- a/acaciafork/decisions/routing/EndpointHealth.cpp
+++ b/acaciafork/decisions/routing/EndpointHealth.cpp
@@ -37,7 +37,8 @@
 
 void EndpointHealth::probeEnded(Timestamp now, bool reached, const ServiceSettings &settings)
 {
-    if (m_state != State::Probing)
+    // A probe sent before the ejection may end after it; only its success says something new.
+    if (m_state == State::Serving || (m_state == State::Ejected && !reached))
         return;
     if (!reached) {
         eject(now, settings);
--- a/tests/decisions/routing/EntryTest.cpp
+++ b/tests/decisions/routing/EntryTest.cpp
@@ -294,4 +294,51 @@
     CHECK_FALSE(limit.limited());
 }
 
+TEST_CASE("an endpoint that is ejected while a probe is on its way gets requests again")
+{
+    // The probe of a suspect ends well after failures have ejected the endpoint: it left the list
+    // of ejected endpoints but stayed ejected, so that it was never probed again.
+    EntryFixture entry;
+    const auto slow = entry.arrive(entry.request(false));
+    REQUIRE(slow);
+    const std::string suspect(slow->endpoint);
+    // The other one stays free of failures.
+    entry.advance(milliseconds(1500));
+    REQUIRE(entry.sent<ProbeEndpoint>());
+    REQUIRE(entry.sent<ProbeEndpoint>()->endpoint == suspect);
+    bool isEjected = false;
+    for (int it = 0; it < 60 && !isEjected; ++it) {
+        std::vector<StartAttempt> attempts;
+        for (int n = 0; n < 3; ++n) {
+            if (const auto attempt = entry.arrive(entry.request(false)))
+                attempts.push_back(*attempt);
+        }
+        for (const StartAttempt &attempt : attempts) {
+            const bool fails = attempt.endpoint == suspect;
+            entry.end(attempt.attempt, AttemptPhase::Headers,
+                      fails ? AttemptOutcome::EndpointError : AttemptOutcome::Ok);
+            isEjected = isEjected || entry.sent<RecordEvent>();
+        }
+    }
+    REQUIRE(isEjected);
+    entry.commands.clear();
+    entry.scheduler.probeEnded(entry.now, EndpointName { suspect }, true, &entry.commands);
+    // Ten minutes in which each probe succeeds.
+    for (int it = 0; it < 600; ++it) {
+        entry.advance(seconds(1));
+        if (const auto *probe = entry.sent<ProbeEndpoint>()) {
+            const EndpointName name { std::string(probe->endpoint) };
+            entry.commands.clear();
+            entry.scheduler.probeEnded(entry.now, name, true, &entry.commands);
+        }
+        entry.grant("endpoint-0", 2);
+        entry.grant("endpoint-1", 2);
+    }
+    bool isUsed = false;
+    for (int n = 0; n < 3; ++n) {
+        const auto attempt = entry.arrive(entry.request(false));
+        isUsed = isUsed || (attempt && attempt->endpoint == suspect);
+    }
+    CHECK(isUsed);
+}
 } // namespace acaciafork::routing::fake
