--- a/tests/decisions/batch/PolicyTest.cpp
+++ b/tests/decisions/batch/PolicyTest.cpp
@@ -280,3 +280,79 @@
     session.run(5s);
     CHECK(leasedCount(session, "model", 4) == 4);
 }
+
+TEST_CASE("jobs that failed on all workers run once the workers have recovered"
+          * doctest::should_fail())
+{
+    // Only a job that never failed may probe a quarantined worker. When all workers are quarantined
+    // and each waiting job has failed once, none is probed.
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 2);
+    for (const auto &it : session.workers)
+        it->setFailsEverything(true);
+    session.run(2s);
+    submitJobs(&session, "job", 8, { .work = 30s });
+    session.run(5min);
+    for (const auto &it : session.workers)
+        it->setFailsEverything(false);
+    session.run(12h);
+    CHECK(session.state.finished + session.state.failed == 8);
+}
+
+namespace {
+
+/// Two workers that are quarantined after failures of 16 jobs and have recovered since.
+void quarantineBoth(Session *session)
+{
+    addRack(session, "r1", "old", "a", 2);
+    for (const auto &it : session->workers)
+        it->setFailsEverything(true);
+    session->run(2s);
+    submitJobs(session, "job", 16, { .work = 30s });
+    session->run(5min);
+    REQUIRE(session->scheduler().counters().quarantines == 2);
+    for (const auto &it : session->workers)
+        it->setFailsEverything(false);
+}
+
+} // namespace
+
+TEST_CASE("a job that failed before does not keep those behind it from probing workers"
+          * doctest::should_fail())
+{
+    // The first job of a size may not probe, and its size then counts as unplaceable.
+    Session session(Session::Options {});
+    quarantineBoth(&session);
+    submitJobs(&session, "later", 20, { .work = 30s });
+    session.run(12h);
+    CHECK(session.state.finished >= 20);
+}
+
+TEST_CASE("a service that waits for a worker does not keep jobs from probing workers"
+          * doctest::should_fail())
+{
+    // A size that no worker has room for now also ends the search for a quarantined worker to
+    // probe.
+    Session session(Session::Options {});
+    quarantineBoth(&session);
+    for (int it = 0; it < 16; ++it)
+        session.cancel({ "job" + std::to_string(it) });
+    session.run(1min);
+    putService(&session, "service", 1,
+               { .millicores = 1000, .memoryMb = 1000, .accelerators = 0, .slots = 1 });
+    submitJobs(&session, "later", 20, { .work = 30s });
+    session.run(12h);
+    CHECK(session.state.finished >= 20);
+}
+
+TEST_CASE("jobs that never failed probe quarantined workers")
+{
+    Session session(Session::Options {});
+    quarantineBoth(&session);
+    for (int it = 0; it < 16; ++it)
+        session.cancel({ "job" + std::to_string(it) });
+    session.run(1min);
+    submitJobs(&session, "later", 20, { .work = 30s });
+    session.run(12h);
+    CHECK(session.state.finished >= 20);
+}
