--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -62,9 +62,10 @@
     Duration placementInterval = std::chrono::milliseconds(20);
     /// A placement round ends after this many steps that could not be placed.
     std::size_t maxFailedPlacements = 48;
-    /// A step is overdue when no task of its job runs, or its tasks are long-running, and none of
-    /// its tasks has started for this long. It is tried apart from the placement rounds, which may
-    /// end before they reach it. Jobs that could run may have nothing running for 3 s.
+    /// A step with waiting tasks is overdue when none of its tasks has started for this long and no
+    /// task of its job runs; for long-running tasks, whether others run or not. It is tried apart
+    /// from the placement rounds, which may end before they reach it. Jobs that could run may have
+    /// nothing running for 3 s.
     Duration overdueAfter = std::chrono::milliseconds(1800);
     /// Maximum number of overdue steps tried in one check.
     std::size_t maxOverdueTries = 16;
@@ -244,7 +245,7 @@
     /// Steps that are overdue, those first whose last try as such was longest ago.
     [[nodiscard]] std::vector<Step *> overdueSteps(Timestamp now) const;
     void placeOverdueSteps(Timestamp now);
-    bool placeOverdueTask(Timestamp now, Step *step);
+    void placeOverdueTask(Timestamp now, Step *step);
     void paceOverdueRuns(Timestamp now, Worker *worker, std::span<const TailReading> tails);
     void movePausedRuns(Timestamp now, const Worker &worker);
     void orderPace(Timestamp now, const Worker &worker, const RunRef &run, std::int64_t percent);
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <ranges>
 #include <set>
 
 #include "acaciafork/decisions/jobs/JobScheduler.h"
@@ -123,14 +122,14 @@
     }
 }
 
-bool JobScheduler::placeOverdueTask(Timestamp now, Step *step)
+void JobScheduler::placeOverdueTask(Timestamp now, Step *step)
 {
     const TaskRef task { .step = step, .task = step->ready.front() };
     Worker *worker =
             m_placer.choose(now, m_workers, *step, task.get(), nullptr, PlacementMode::Overdue);
     if (worker == nullptr) {
         requestPermits(now, step);
-        return false;
+        return;
     }
     const Duration waited = now - step->waitingSince;
     dropFromReady(task);
@@ -139,7 +138,6 @@
     note("overdue-started", run.key(), worker,
          "waited-ms=" + std::to_string(waited / std::chrono::milliseconds(1))
                  + " percent=" + std::to_string(run.get().percent));
-    return true;
 }
 
 void JobScheduler::requestPermits(Timestamp now, Step *step)
@@ -240,7 +238,8 @@
         return true;
     }
     // Backwards, since several members may have begun on one worker.
-    for (const Member &it : std::views::reverse(begun)) {
+    for (; !begun.empty(); begun.pop_back()) {
+        const Member &it = begun.back();
         releaseRun({ .task = it.task, .slot = 0 });
         it.task.get().lastRun = it.lastRun;
         it.worker->isIncarnationConfirmed = it.wasConfirmed;
