--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -537,5 +537,6 @@
                                               OrderOutcome::Done, &answer);
         }
     }
+    CHECK(starts > 0);
     CHECK(stops <= 3);
 }
