--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -64,8 +64,8 @@
     std::size_t maxFailedPlacements = 48;
     /// A step with waiting tasks is overdue when none of its tasks has started for this long and no
     /// task of its job runs; for long-running tasks, whether others run or not. It is tried apart
-    /// from the placement rounds, which may end before they reach it. Jobs that could run may have
-    /// nothing running for 3 s.
+    /// from the placement rounds, which may end before they reach it. A job that could run counts
+    /// as lost to its caller after 3 s without any run.
     Duration overdueAfter = std::chrono::milliseconds(1800);
     /// Maximum number of overdue steps tried in one check.
     std::size_t maxOverdueTries = 16;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -18,7 +18,8 @@
     /// its target. Without interference, tail latencies vary between a quarter and four fifths of
     /// the target.
     double maxInterference = 0.35;
-    /// The same for an overdue backfill task, which no longer gains from a high share.
+    /// The same for all overdue tasks on a worker together. Lower, since their jobs are late
+    /// already while the serving tasks are on time.
     double maxOverdueInterference = 0.15;
     /// Lowest share at which an overdue backfill task starts, in percent.
     std::int64_t minOverduePercent = 15;
