--- a/acaciafork/consensus/Replica.cpp
+++ b/acaciafork/consensus/Replica.cpp
@@ -145,8 +145,14 @@
 
 bool Replica::write(Timestamp now, const NodeOutput &output)
 {
+    const Timestamp began = m_settings.clock ? m_settings.clock() : now;
     const Outcome outcome =
             outcomeOf([&] { return m_folder->write(output.hardState, output.entries); });
+    if (m_settings.clock) {
+        const Duration took = m_settings.clock() - began;
+        m_syncTime += took;
+        m_counters.syncTime.observe(took);
+    }
     m_diskFull = outcome == Outcome::Full;
     if (outcome == Outcome::Done) {
         m_counters.groupCommits.add();
--- a/acaciafork/consensus/Replica.h
+++ b/acaciafork/consensus/Replica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -48,6 +49,8 @@
     std::uint64_t seed = 0;
     /// Registry for the replica's counters; must outlive it. Null uses a registry of its own.
     CounterRegistry *counters = nullptr;
+    /// Reads the steady clock, to measure writes; without one they are not measured.
+    std::function<Timestamp()> clock;
 };
 
 /// State of a replica, shown to operators.
@@ -109,6 +112,10 @@
     /// Adds processes that may know the group. See Node::addContacts().
     void addContacts(std::span<const ProcessId> contacts) { m_node.addContacts(contacts); }
 
+    /// Groups of writes so far that were synced, and the time that all writes took.
+    [[nodiscard]] std::int64_t syncs() const { return m_counters.groupCommits.value; }
+    [[nodiscard]] Duration syncTime() const { return m_syncTime; }
+
     /// The underlying node, for tests and benchmarks.
     [[nodiscard]] const Node &node() const { return m_node; }
 
@@ -137,6 +144,7 @@
     ReplacementPolicy m_replacement;
     Timestamp m_nextReplacementCheck = distantPast;
     bool m_diskFull = false;
+    Duration m_syncTime {};
     /// When a chunk of the stored snapshot was last requested.
     Timestamp m_lastFetchAt = distantPast;
     Role m_role = Role::Follower;
--- a/acaciafork/consensus/ReplicaCounters.h
+++ b/acaciafork/consensus/ReplicaCounters.h
@@ -23,6 +23,7 @@
         , full(registry->counter("consensus_disk_full", MetricKind::Gauge))
         , broken(registry->counter("consensus_disk_broken", MetricKind::Gauge))
         , faultsTolerated(registry->counter("consensus_faults_tolerated", MetricKind::Gauge))
+        , syncTime(registry->histogram("consensus_sync_seconds"))
     { }
 
     Counter &groupCommits;
@@ -42,6 +43,8 @@
     Counter &broken;
     /// Computed on the leader only; 0 on other members.
     Counter &faultsTolerated;
+    /// From the write of a group to the end of its sync.
+    Histogram &syncTime;
 };
 
 } // namespace acaciafork::consensus
--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -162,7 +162,8 @@
                                           .node = m_settings.agreement,
                                           .replacement = m_settings.replacement,
                                           .seed = m_incarnation.value,
-                                          .counters = &m_counters };
+                                          .counters = &m_counters,
+                                          .clock = net::Loop::now };
     for (const peers::PeerAddress &it : m_settings.members)
         settings.identity.initialMembers.push_back(
                 { .id = it.process, .zone = it.zone, .voter = true });
@@ -252,8 +253,10 @@
 void ControlProcess::noteLag(Timestamp now)
 {
     const Duration late = std::max(now - m_tickedAt - tickInterval, Duration {});
-    if (m_tickedAt != Timestamp {})
+    if (m_tickedAt != Timestamp {}) {
         m_lag->observe(late);
+        m_load.addLag(late);
+    }
     m_tickedAt = now;
     if (late < notableLag || now < m_nextLagLog)
         return;
@@ -266,6 +269,7 @@
 {
     const Moment at = moment();
     noteLag(at.now);
+    m_load.logIfDue(at.now, m_replica->isLeader(), m_replica->syncs(), m_replica->syncTime());
     findMembers();
     flushLog();
     m_replica->tick(at.now);
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -8,6 +8,7 @@
 #include "acaciafork/control/ControlNode.h"
 #include "acaciafork/control/ControlSettings.h"
 #include "acaciafork/control/ControlViews.h"
+#include "acaciafork/control/LoopLoad.h"
 #include "acaciafork/control/OrderRelay.h"
 #include "acaciafork/control/OrderRouter.h"
 #include "acaciafork/net/Net.h"
@@ -174,6 +175,7 @@
     Histogram *m_lag;
     Timestamp m_tickedAt;
     Timestamp m_nextLagLog;
+    LoopLoad m_load;
 };
 
 } // namespace acaciafork::control
--- a/acaciafork/control/ControlProcessWorkers.cpp
+++ b/acaciafork/control/ControlProcessWorkers.cpp
@@ -123,7 +123,9 @@
     m_router->beginTurn(at);
     m_node->turnEnded(at);
     m_router->flush();
+    const Timestamp decided = net::Loop::now();
     m_replica->flush(at.now);
+    m_load.addTurn(decided - at.now, net::Loop::now() - decided);
     if (!m_orderRelay.hasAnswers() || m_isAnswerFlushDue)
         return;
     m_isAnswerFlushDue = true;
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -240,9 +240,12 @@
         return;
     const RunRef ref = findRun(task, row.run.run);
     const bool isOurs = ref.task && ref.get().worker == worker->id;
-    if (row.end != RunEnd::Done || !task.get().done)
+    if (row.end != RunEnd::Done || !task.get().done) {
+        const Duration took = isOurs ? now - ref.get().startedAt : Duration {};
         note("run-ended", row.run, worker,
-             "end=" + std::string(runEndName(row.end)) + " number=" + std::to_string(row.number));
+             "end=" + std::string(runEndName(row.end)) + " number=" + std::to_string(row.number)
+                     + " took-ms=" + std::to_string(took / std::chrono::milliseconds(1)));
+    }
     // Also accepts the checkpoint of a run that an earlier leader started, unless a later run is
     // known.
     if (isOurs || row.run.run >= task.get().lastRun)
