Measure how long messages between processes are on their way

The hypotheses don't cover where a message waits between two processes: its sender's loop, its transport's threads or its receiver's loop. Envelopes carry their time of sending; the delay beyond the fastest message of the same sender goes into peer_message_delay_seconds and loop-load. No change of logic.

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -269,7 +269,8 @@
 {
     const Moment at = moment();
     noteLag(at.now);
-    m_load.logIfDue(at.now, m_replica->isLeader(), m_replica->syncs(), m_replica->syncTime());
+    m_load.logIfDue(at.now, m_replica->isLeader(), m_replica->syncs(), m_replica->syncTime(),
+                    m_link.get());
     findMembers();
     flushLog();
     m_replica->tick(at.now);
--- a/acaciafork/control/LoopLoad.h
+++ b/acaciafork/control/LoopLoad.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "acaciafork/core/Core.h"
+#include "acaciafork/peers/Peers.h"
 
 namespace acaciafork::control {
 
@@ -18,7 +19,9 @@
 
     /// Logs the sums and starts anew, every 2 s.
     /// @param[in] syncs, syncTime writes of the agreement so far and the time they took
-    void logIfDue(Timestamp now, bool isLeader, std::int64_t syncs, Duration syncTime);
+    /// @param[in] link its message delays are taken when the log is due
+    void logIfDue(Timestamp now, bool isLeader, std::int64_t syncs, Duration syncTime,
+                  peers::PeerLink *link);
 
 private:
     /// Sums since the last summary.
--- a/acaciafork/peers/PeerLink.cpp
+++ b/acaciafork/peers/PeerLink.cpp
@@ -1,5 +1,7 @@
 #include "acaciafork/peers/PeerLink.h"
 
+#include <algorithm>
+
 namespace acaciafork::peers {
 
 PeerLink::PeerLink(PeerIdentity identity, Timeline *timeline, CounterRegistry *counters,
@@ -13,6 +15,7 @@
     , m_received(&counters->counter("peer_messages_received_total"))
     , m_malformed(&counters->counter("peer_messages_dropped_total{reason=\"malformed\"}"))
     , m_foreign(&counters->counter("peer_messages_dropped_total{reason=\"foreign\"}"))
+    , m_delay(&counters->histogram("peer_message_delay_seconds"))
 { }
 
 void PeerLink::send(ProcessId to, wire::Envelope *envelope, std::int64_t wallMicroseconds)
@@ -58,10 +61,22 @@
     }
 
     m_received->add();
+    noteDelay({ envelope.sender() }, Duration(wallMicroseconds - envelope.time().wall_us()));
     const HybridTime time { .wallMicroseconds = envelope.time().wall_us(),
                             .logical = envelope.time().logical() };
     m_timeline->clock().observe(time, wallMicroseconds);
     m_handler(envelope);
 }
 
+void PeerLink::noteDelay(ProcessId sender, Duration offset)
+{
+    const auto [it, isFirst] = m_leastOffsets.try_emplace(sender, offset);
+    it->second = std::min(it->second, offset);
+    const Duration delay = offset - it->second;
+    m_delay->observe(delay);
+    ++m_delays.messages;
+    m_delays.sum += delay;
+    m_delays.longest = std::max(m_delays.longest, delay);
+}
+
 } // namespace acaciafork::peers
--- a/acaciafork/peers/PeerLink.h
+++ b/acaciafork/peers/PeerLink.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <span>
 #include <string>
+#include <unordered_map>
+#include <utility>
 
 #include "acaciafork/core/Core.h"
 #include "wire/peers.pb.h"
@@ -25,6 +27,14 @@
     std::string address;
 };
 
+/// Delays of messages on their way here, beyond the fastest one of the same sender.
+struct MessageDelays
+{
+    std::uint64_t messages = 0;
+    Duration sum {};
+    Duration longest {};
+};
+
 /// Stamps outgoing envelopes and checks incoming ones. The bytes travel over whatever datagrams the
 /// process has; messages may be lost, repeated or crossed.
 class PeerLink
@@ -45,10 +55,15 @@
     /// Takes bytes that arrived; anything malformed or foreign is counted and dropped.
     void receive(std::span<const std::byte> bytes, std::int64_t wallMicroseconds);
 
+    /// Delays of the messages received since the last call.
+    MessageDelays takeDelays() { return std::exchange(m_delays, {}); }
+
     /// Who this process is.
     [[nodiscard]] const PeerIdentity &identity() const { return m_identity; }
 
 private:
+    void noteDelay(ProcessId sender, Duration offset);
+
     PeerIdentity m_identity;
     Timeline *m_timeline;
     Transmit m_transmit;
@@ -59,6 +74,11 @@
     Counter *m_received;
     Counter *m_malformed;
     Counter *m_foreign;
+    Histogram *m_delay;
+    /// Least difference between the time here and the time of sending, by sender: their clocks
+    /// differ by an unknown amount.
+    std::unordered_map<ProcessId, Duration> m_leastOffsets;
+    MessageDelays m_delays;
 };
 
 } // namespace acaciafork::peers
