Send messages between processes on the loop instead of through nng's threads

Cause: relayed orders and answers pass through nng, whose own threads read, dispatch and write each message. They get the processor only once the loop lets go of it, and a busy loop never does, so each message waits for several hand-overs between threads, in both directions. Calls to workers of the leader's own zone are polled by the loop and don't show the delay.

Change: net::MessageLink frames messages over TCP connections of its own on the loop. A message leaves within the call that sends it, also when the turn goes on to wait for the disk. Connections have a limit on the time that a peer acknowledges nothing, so one that went silent is made anew; nng had none.

--- a/acaciafork/control/LoopLoad.cpp
+++ b/acaciafork/control/LoopLoad.cpp
@@ -56,11 +56,11 @@
         spdlog::info("event=loop-load leader={} interval-ms={} turns={} processor-ms={} "
                      "decisions-ms={} agreement-ms={} syncs={} sync-ms={} mean-lag-us={} "
                      "longest-lag-ms={} messages={} mean-delay-us={} longest-delay-ms={}",
-                     isLeader, toMs(now - m_since), m_sums.turns,
-                     toMs(processor - m_processorTime), toMs(m_sums.decisions),
-                     toMs(m_sums.agreement), syncs - m_syncs, toMs(syncTime - m_syncTime),
-                     meanUs(m_sums.lag, m_sums.ticks), toMs(m_sums.longestLag), delays.messages,
-                     meanUs(delays.sum, delays.messages), toMs(delays.longest));
+                     isLeader, toMs(now - m_since), m_sums.turns, toMs(processor - m_processorTime),
+                     toMs(m_sums.decisions), toMs(m_sums.agreement), syncs - m_syncs,
+                     toMs(syncTime - m_syncTime), meanUs(m_sums.lag, m_sums.ticks),
+                     toMs(m_sums.longestLag), delays.messages, meanUs(delays.sum, delays.messages),
+                     toMs(delays.longest));
     }
     m_sums = {};
     m_since = now;
--- a/acaciafork/net/MessageLink.cpp
+++ b/acaciafork/net/MessageLink.cpp
@@ -1,123 +1,235 @@
 #include "acaciafork/net/MessageLink.h"
 
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
-
+#include <algorithm>
+#include <array>
 #include <chrono>
-#include <future>
+#include <deque>
 #include <memory>
+#include <optional>
 #include <string>
-#include <thread>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
-#include <spdlog/spdlog.h>
-
-#include "acaciafork/core/Assert.h"
 #include "acaciafork/net/Loop.h"
+#include "acaciafork/net/TcpListener.h"
+#include "acaciafork/net/TcpStream.h"
 
 namespace acaciafork::net {
 
 namespace {
 
-constexpr nng_duration leastReconnectMs = 100;
-constexpr nng_duration mostReconnectMs = 1'000;
-// Messages handed on in one turn, so that a burst of them does not hold up requests.
-constexpr int messagesPerTurn = 256;
-
-/// Longest wait for the listening socket to be closed; it takes less than a millisecond.
-constexpr std::chrono::seconds closeTimeout(1);
+constexpr Duration connectTimeout = std::chrono::milliseconds(500);
+constexpr Duration leastReconnectDelay = std::chrono::milliseconds(50);
+constexpr Duration mostReconnectDelay = std::chrono::seconds(1);
+/// A peer that acknowledges nothing for so long is dialled again: a connection can go silent while
+/// new ones work.
+constexpr Duration peerTimeout = std::chrono::seconds(1);
+/// The same for connections that peers have made, which those end themselves.
+constexpr Duration incomingTimeout = std::chrono::seconds(10);
+/// Bytes of the length before a message.
+constexpr std::size_t headBytes = 4;
+constexpr unsigned bitsPerByte = 8;
 
-/// Between the end of accepting or dialling and that of the socket: handshakes of connections just
-/// made, which take a round trip, are over by then.
-constexpr std::chrono::milliseconds settleTime(50);
-
-/// Closes a socket on a thread of its own, once `endConnecting` has stopped new connections.
-/// nng_close() of nng 1.5.2 can wait for ever, seen where a connection was made or ended at the
-/// same moment; neither the loop nor the end of a process may wait with it.
-template <typename EndConnecting>
-std::future<void> closeApart(nng_socket socket, EndConnecting endConnecting)
+std::string frameOf(std::span<const std::byte> message)
 {
-    const auto closed = std::make_shared<std::promise<void>>();
-    std::thread([socket, endConnecting, closed] {
-        endConnecting();
-        std::this_thread::sleep_for(settleTime);
-        nng_close(socket);
-        closed->set_value();
-    }).detach();
-    return closed->get_future();
+    std::string frame;
+    frame.reserve(headBytes + message.size());
+    for (std::size_t i = 0; i != headBytes; ++i)
+        frame.push_back(static_cast<char>((message.size() >> (bitsPerByte * i)) & 0xffU));
+    frame.append(reinterpret_cast<const char *>(message.data()), message.size());
+    return frame;
 }
 
-std::string urlOf(const Address &address)
+/// Length of the message whose frame begins the bytes; none while its head is not whole.
+std::optional<std::size_t> lengthOf(std::string_view bytes)
 {
-    return "tcp://" + address.toString();
+    if (bytes.size() < headBytes)
+        return std::nullopt;
+    std::size_t length = 0;
+    for (std::size_t i = 0; i != headBytes; ++i)
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i]))
+                << (bitsPerByte * i);
+    return length;
 }
 
 } // namespace
 
-/// The sockets of nng and who they lead to.
+/// The connections of a link and who they lead to.
 class MessageLink::Impl
 {
 public:
+    /// Where messages are sent.
     struct Peer
     {
-        nng_socket socket;
-        nng_dialer dialer;
         Address address;
-
-        void close() const
-        {
-            closeApart(socket, [it = dialer] { nng_dialer_close(it); });
-        }
+        /// Null while there is no connection.
+        std::unique_ptr<TcpStream> stream;
+        /// Frames that wait for a connection.
+        std::deque<std::string> queued;
+        /// Messages sent since the kernel last took all.
+        std::size_t behind = 0;
+        /// Number of the dial whose outcome is awaited; 0 for none.
+        std::uint64_t dial = 0;
+        Duration reconnectDelay = leastReconnectDelay;
+        TimerId reconnect;
+    };
+    /// Connection that a peer has made.
+    struct Incoming
+    {
+        std::unique_ptr<TcpStream> stream;
+        /// Start of a frame that is not whole yet.
+        std::string buf;
     };
 
     Impl(Loop &aLoop, MessageLinkSettings aSettings)
         : loop(aLoop)
         , settings(aSettings)
+        , listener(aLoop, [this](std::unique_ptr<TcpStream> stream) { accept(std::move(stream)); })
     { }
 
     ~Impl()
     {
         for (const auto &[id, peer] : peers)
-            peer.close();
-        if (!isListening)
-            return;
-        loop.unwatch(watch);
-        // Whoever listens there next finds the port free.
-        const auto closed = closeApart(incoming, [it = listener] { nng_listener_close(it); });
-        if (closed.wait_for(closeTimeout) != std::future_status::ready)
-            spdlog::warn("event=link-not-closed timeout-ms={}",
-                         std::chrono::milliseconds(closeTimeout).count());
+            loop.cancel(peer->reconnect);
     }
 
-    void drainIncoming();
+    void dial(ProcessId id, Peer *peer);
+    void connected(ProcessId id, Peer *peer, std::unique_ptr<TcpStream> stream);
+    void lost(ProcessId id, const TcpStream *stream);
+    void reconnectLater(ProcessId id, Peer *peer);
+    void transmit(Peer *peer, std::string_view frame);
+    void accept(std::unique_ptr<TcpStream> stream);
+    void take(std::uint64_t connection, std::string_view bytes);
+    void drop(std::uint64_t connection);
+    /// Destroys a stream after the call-out of its own that may be on the stack.
+    void release(std::unique_ptr<TcpStream> stream);
 
     Loop &loop;
     const MessageLinkSettings settings;
     MessageLinkCounts counts;
     Handler handler;
-    std::unordered_map<ProcessId, Peer> peers;
-    nng_socket incoming = NNG_SOCKET_INITIALIZER;
-    nng_listener listener = NNG_LISTENER_INITIALIZER;
-    bool isListening = false;
-    WatchId watch;
+    std::unordered_map<ProcessId, std::unique_ptr<Peer>> peers;
+    std::unordered_map<std::uint64_t, Incoming> incoming;
+    std::uint64_t lastNumber = 0;
+    TcpListener listener;
+    /// Tells calls that the loop still holds that the link is gone.
+    std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
-// The receive descriptor is readable as long as messages wait; what is left over wakes the loop
-// again.
-void MessageLink::Impl::drainIncoming()
+void MessageLink::Impl::dial(ProcessId id, Peer *peer)
+{
+    const std::uint64_t number = ++lastNumber;
+    peer->dial = number;
+    TcpStream::connect(
+            loop, peer->address,
+            [this, id, number, alive = std::weak_ptr(isAlive)](std::unique_ptr<TcpStream> stream) {
+                if (alive.expired())
+                    return;
+                const auto it = peers.find(id);
+                if (it != peers.end() && it->second->dial == number)
+                    connected(id, it->second.get(), std::move(stream));
+            },
+            connectTimeout);
+}
+
+void MessageLink::Impl::connected(ProcessId id, Peer *peer, std::unique_ptr<TcpStream> stream)
+{
+    peer->dial = 0;
+    if (stream == nullptr) {
+        reconnectLater(id, peer);
+        return;
+    }
+    peer->reconnectDelay = leastReconnectDelay;
+    peer->behind = 0;
+    peer->stream = std::move(stream);
+    TcpStream *it = peer->stream.get();
+    it->setPeerTimeout(peerTimeout);
+    it->onDrained([peer] { peer->behind = 0; });
+    it->onBroken([this, id, it] { lost(id, it); });
+    // A peer sends nothing here: all that can be read is the end.
+    it->onRead([this, id, it](std::string_view bytes) {
+        if (bytes.empty())
+            lost(id, it);
+    });
+    std::deque<std::string> frames;
+    frames.swap(peer->queued);
+    for (const std::string &frame : frames)
+        transmit(peer, frame);
+}
+
+void MessageLink::Impl::lost(ProcessId id, const TcpStream *stream)
+{
+    const auto it = peers.find(id);
+    if (it == peers.end() || it->second->stream.get() != stream)
+        return;
+    release(std::move(it->second->stream));
+    reconnectLater(id, it->second.get());
+}
+
+void MessageLink::Impl::reconnectLater(ProcessId id, Peer *peer)
+{
+    peer->reconnect = loop.after(peer->reconnectDelay, [this, id, peer] { dial(id, peer); });
+    peer->reconnectDelay = std::min(peer->reconnectDelay * 2, mostReconnectDelay);
+}
+
+void MessageLink::Impl::transmit(Peer *peer, std::string_view frame)
+{
+    peer->stream->sendNow(frame);
+    if (peer->stream->backlog() > 0)
+        ++peer->behind;
+}
+
+void MessageLink::Impl::accept(std::unique_ptr<TcpStream> stream)
+{
+    const std::uint64_t number = ++lastNumber;
+    TcpStream *it = stream.get();
+    incoming[number].stream = std::move(stream);
+    it->setPeerTimeout(incomingTimeout);
+    it->onBroken([this, number] { drop(number); });
+    it->onRead([this, number](std::string_view bytes) {
+        if (bytes.empty())
+            drop(number);
+        else
+            take(number, bytes);
+    });
+}
+
+void MessageLink::Impl::take(std::uint64_t connection, std::string_view bytes)
 {
-    for (int i = 0; i != messagesPerTurn; ++i) {
-        nng_msg *msg = nullptr;
-        if (nng_recvmsg(incoming, &msg, NNG_FLAG_NONBLOCK) != 0)
+    std::string &buf = incoming.at(connection).buf;
+    const bool isContinued = !buf.empty();
+    if (isContinued)
+        buf.append(bytes);
+    std::string_view rest = isContinued ? std::string_view(buf) : bytes;
+    for (auto length = lengthOf(rest); length; length = lengthOf(rest)) {
+        if (*length > static_cast<std::size_t>(settings.mostMessageBytes)) {
+            drop(connection);
             return;
+        }
+        if (rest.size() < headBytes + *length)
+            break;
+        const std::string_view message = rest.substr(headBytes, *length);
+        rest.remove_prefix(headBytes + *length);
         ++counts.received;
-        counts.bytesReceived += nng_msg_len(msg);
+        counts.bytesReceived += message.size();
         if (handler)
-            handler({ static_cast<const std::byte *>(nng_msg_body(msg)), nng_msg_len(msg) });
-        nng_msg_free(msg);
+            handler(std::as_bytes(std::span(message.data(), message.size())));
     }
+    buf = std::string(rest);
+}
+
+void MessageLink::Impl::drop(std::uint64_t connection)
+{
+    const auto node = incoming.extract(connection);
+    if (!node.empty())
+        release(std::move(node.mapped().stream));
+}
+
+void MessageLink::Impl::release(std::unique_ptr<TcpStream> stream)
+{
+    stream->close();
+    loop.post([it = std::shared_ptr<TcpStream>(std::move(stream))] {});
 }
 
 MessageLink::MessageLink(Loop &loop, MessageLinkSettings settings)
@@ -128,52 +240,19 @@
 
 Result<std::uint16_t> MessageLink::listen(const Address &address)
 {
-    ACACIAFORK_ASSERT(!m_impl->isListening);
-    nng_socket &socket = m_impl->incoming;
-    if (nng_pull0_open(&socket) != 0)
-        return fail(FailureKind::Internal, "cannot open a receiving socket");
-    nng_socket_set_int(socket, NNG_OPT_RECVBUF, static_cast<int>(m_impl->settings.receiveQueue));
-    nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ,
-                        static_cast<std::size_t>(m_impl->settings.mostMessageBytes));
-
-    nng_listener &listener = m_impl->listener;
-    const int rc = nng_listen(socket, urlOf(address).c_str(), &listener, 0);
-    int port = address.port;
-    int fd = -1;
-    if (rc != 0 || nng_socket_get_int(socket, NNG_OPT_RECVFD, &fd) != 0) {
-        nng_close(socket);
-        return fail(FailureKind::Unreachable,
-                    "cannot listen on " + address.toString() + ": " + nng_strerror(rc));
-    }
-    if (port == 0)
-        nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
-    m_impl->isListening = true;
-    m_impl->watch = m_impl->loop.watchReadable(fd, [this] { m_impl->drainIncoming(); });
-    return static_cast<std::uint16_t>(port);
+    return m_impl->listener.listen(address);
 }
 
 Result<void> MessageLink::addPeer(ProcessId peer, const Address &address)
 {
     const auto it = m_impl->peers.find(peer);
-    if (it != m_impl->peers.end() && it->second.address == address)
+    if (it != m_impl->peers.end() && it->second->address == address)
         return {};
     removePeer(peer);
-
-    nng_socket socket = NNG_SOCKET_INITIALIZER;
-    if (nng_push0_open(&socket) != 0)
-        return fail(FailureKind::Internal, "cannot open a sending socket");
-    nng_socket_set_int(socket, NNG_OPT_SENDBUF, static_cast<int>(m_impl->settings.sendQueue));
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, leastReconnectMs);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, mostReconnectMs);
-    nng_dialer dialer = NNG_DIALER_INITIALIZER;
-    const int rc = nng_dial(socket, urlOf(address).c_str(), &dialer, NNG_FLAG_NONBLOCK);
-    if (rc != 0) {
-        nng_close(socket);
-        return fail(FailureKind::InvalidArgument,
-                    "cannot dial " + address.toString() + ": " + nng_strerror(rc));
-    }
-    m_impl->peers.emplace(peer,
-                          Impl::Peer { .socket = socket, .dialer = dialer, .address = address });
+    Impl::Peer *added =
+            m_impl->peers.emplace(peer, std::make_unique<Impl::Peer>()).first->second.get();
+    added->address = address;
+    m_impl->dial(peer, added);
     return {};
 }
 
@@ -182,23 +261,29 @@
     const auto it = m_impl->peers.find(peer);
     if (it == m_impl->peers.end())
         return;
-    it->second.close();
+    m_impl->loop.cancel(it->second->reconnect);
+    if (it->second->stream)
+        m_impl->release(std::move(it->second->stream));
     m_impl->peers.erase(it);
 }
 
 bool MessageLink::send(ProcessId peer, std::span<const std::byte> message)
 {
     const auto it = m_impl->peers.find(peer);
+    Impl::Peer *to = it == m_impl->peers.end() ? nullptr : it->second.get();
+    const auto most = static_cast<std::size_t>(m_impl->settings.sendQueue);
     const bool isTooLarge =
             message.size() > static_cast<std::size_t>(m_impl->settings.mostMessageBytes);
-    // nng only reads the bytes; its interface is in C.
-    if (it == m_impl->peers.end() || isTooLarge
-        || nng_send(it->second.socket, const_cast<std::byte *>(message.data()), message.size(),
-                    NNG_FLAG_NONBLOCK)
-                != 0) {
+    const bool isFull = to != nullptr && (to->queued.size() >= most || to->behind >= most);
+    if (to == nullptr || isTooLarge || isFull) {
         ++m_impl->counts.droppedOnSend;
         return false;
     }
+    std::string frame = frameOf(message);
+    if (to->stream)
+        m_impl->transmit(to, frame);
+    else
+        to->queued.push_back(std::move(frame));
     ++m_impl->counts.sent;
     m_impl->counts.bytesSent += message.size();
     return true;
--- a/acaciafork/net/MessageLink.h
+++ b/acaciafork/net/MessageLink.h
@@ -17,12 +17,11 @@
 /// Bounds of a message link.
 struct MessageLinkSettings
 {
-    /// Most bytes of one message; larger ones are refused on sending and dropped on arrival.
+    /// Most bytes of one message; larger ones are refused on sending and break the connection on
+    /// arrival.
     std::int64_t mostMessageBytes = 4LL * 1024 * 1024;
     /// Messages kept for a peer that is slow or away; past it they are dropped.
     std::int64_t sendQueue = 256;
-    /// Messages that have arrived and wait for the loop.
-    std::int64_t receiveQueue = 1'024;
 };
 
 /// What a link has counted since its start.
@@ -35,8 +34,11 @@
     std::uint64_t bytesReceived = 0;
 };
 
-/// Datagrams between the system's own processes, over nng: one listening socket for what arrives,
-/// one dialing socket for each peer. Messages may be lost; a connection that breaks is made anew.
+/// Datagrams between the system's own processes, over TCP on the loop: one connection to each peer
+/// for what is sent, and those that peers make for what arrives. Messages may be lost; a connection
+/// that breaks is made anew.
+///
+/// On the wire a message is its length, four bytes in little endian, and its bytes.
 class MessageLink
 {
 public:
@@ -58,7 +60,7 @@
     /// Forgets a peer and drops what is queued for it.
     void removePeer(ProcessId peer);
 
-    /// Sends without waiting.
+    /// Sends without waiting: within this call where the connection stands and has no backlog.
     /// @return false when the message was dropped: unknown peer, too large, or queue full
     bool send(ProcessId peer, std::span<const std::byte> message);
 
--- a/acaciafork/net/TcpStream.cpp
+++ b/acaciafork/net/TcpStream.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "acaciafork/net/H2o.h"
@@ -16,12 +17,15 @@
 /// What connect() keeps until the connection stands.
 struct Connecting
 {
+    Loop *loop = nullptr;
     std::function<void(std::unique_ptr<TcpStream>)> fn;
+    TimerId deadline;
 };
 
 void handleConnected(h2o_socket_t *socket, const char *error)
 {
     const std::unique_ptr<Connecting> connecting(static_cast<Connecting *>(socket->data));
+    connecting->loop->cancel(connecting->deadline);
     if (error != nullptr) {
         h2o_socket_close(socket);
         connecting->fn(nullptr);
@@ -47,7 +51,7 @@
 }
 
 void TcpStream::connect(Loop &loop, const Address &address,
-                        std::function<void(std::unique_ptr<TcpStream>)> fn)
+                        std::function<void(std::unique_ptr<TcpStream>)> fn, Duration timeout)
 {
     sockaddr_storage storage;
     const auto length = toSocketAddress(address, &storage);
@@ -59,7 +63,30 @@
         loop.post([fn = std::move(fn)] { fn(nullptr); });
         return;
     }
-    socket->data = new Connecting { std::move(fn) };
+    auto *connecting = new Connecting { .loop = &loop, .fn = std::move(fn), .deadline = {} };
+    socket->data = connecting;
+    if (timeout == Duration::zero())
+        return;
+    connecting->deadline = loop.after(timeout, [socket, connecting] {
+        const std::unique_ptr<Connecting> late(connecting);
+        h2o_socket_close(socket);
+        late->fn(nullptr);
+    });
+}
+
+void TcpStream::setPeerTimeout(Duration timeout)
+{
+    if (m_socket == nullptr)
+        return;
+    const int fd = h2o_socket_get_fd(m_socket);
+    const int on = 1;
+    const auto ms = static_cast<unsigned>(timeout / std::chrono::milliseconds(1));
+    const int seconds = static_cast<int>(std::max(timeout / std::chrono::seconds(1), 1L));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &on, sizeof(on));
 }
 
 void TcpStream::onRead(std::function<void(std::string_view)> fn)
@@ -114,6 +141,20 @@
         flush();
 }
 
+void TcpStream::sendNow(std::string_view bytes)
+{
+    if (m_socket == nullptr || backlog() > 0) {
+        write(bytes);
+        return;
+    }
+    const ssize_t n = ::send(h2o_socket_get_fd(m_socket), bytes.data(), bytes.size(),
+                             MSG_DONTWAIT | MSG_NOSIGNAL);
+    // What failed for good shows again when the rest is written.
+    const std::size_t sent = n < 0 ? 0 : static_cast<std::size_t>(n);
+    m_bytesWritten += sent;
+    write(bytes.substr(sent));
+}
+
 void TcpStream::flush()
 {
     if (m_pending.empty()) {
--- a/acaciafork/net/TcpStream.h
+++ b/acaciafork/net/TcpStream.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "acaciafork/core/Time.h"
 #include "acaciafork/net/Address.h"
 
 struct st_h2o_socket_t;
@@ -25,8 +26,13 @@
     TcpStream &operator=(const TcpStream &) = delete;
 
     /// Connects; `fn` gets the stream, or null when the peer could not be reached.
+    /// @param[in] timeout longest wait for the connection; zero leaves it to the kernel
     static void connect(Loop &loop, const Address &address,
-                        std::function<void(std::unique_ptr<TcpStream>)> fn);
+                        std::function<void(std::unique_ptr<TcpStream>)> fn, Duration timeout = {});
+
+    /// Breaks the connection when the peer acknowledges nothing for so long, whether bytes are on
+    /// their way or none.
+    void setPeerTimeout(Duration timeout);
 
     /// Starts reading. `fn` gets bytes as they come; an empty view is the end of what the peer
     /// sends.
@@ -41,6 +47,9 @@
     /// Queues a copy of the bytes for sending.
     void write(std::string_view bytes);
 
+    /// Sends the bytes within this call as far as the kernel takes them, and queues the rest.
+    void sendNow(std::string_view bytes);
+
     /// Bytes written that the kernel has not taken yet.
     [[nodiscard]] std::size_t backlog() const { return m_inFlight.size() + m_pending.size(); }
 
