Let a call for the state of a job wait while the job is about to end

Cause: clients ask a few milliseconds after the last end, and again 250 ms later. The end reaches the record through worker, relay, leader and commit; a call that overtakes it was told "running" at once.

The leader holds the call while all that the job has left is running, or its end is being recorded, and answers with the record or when the wait is over. Calls that no leader answers are sent to the next one, as before.

Both tests fail when calls are answered at once: "running" instead of "completed", and 3 answers where 2 were due.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -1,6 +1,7 @@
 #include "acaciafork/control/JobDriver.h"
 
 #include <charconv>
+#include <set>
 
 #include <spdlog/spdlog.h>
 
@@ -15,6 +16,8 @@
 /// takes about half of it.
 constexpr std::string_view notNow = R"({"error":{"kind":"not-ready"},"retryAfterMs":1000})";
 constexpr std::size_t jobIdDigits = 16;
+/// Most calls that wait for the end of a job; further ones are answered at once.
+constexpr std::size_t mostWaitingCalls = 1'000;
 
 peers::ApiAnswer refusedForNow()
 {
@@ -205,6 +208,8 @@
     m_unrecordedWorkers.clear();
     // Whether these will be accepted is not known: they get no answer.
     m_submissions.clear();
+    // Whoever asked asks the next leader.
+    m_waitingCalls.clear();
     for (const auto &[name, reply] : m_leaving)
         reply(refusedForNow());
     m_leaving.clear();
@@ -253,6 +258,7 @@
         return;
     m_scheduler.tick(at);
     answerEndingWorkers();
+    tellLate(at.now);
 
     // What could not be proposed, as while the disk is full, is proposed again.
     std::vector<jobs::RecordEnds> ends;
@@ -298,6 +304,8 @@
         m_cancelled->add();
         spdlog::info("event=job-cancelled job={:016x}", command.cancel_job().job());
         m_scheduler.jobCancelled(at, { command.cancel_job().job() });
+    } else if (command.body_case() == wire::Command::kRecordTaskEnds) {
+        tellOfEnds(command.record_task_ends());
     } else if (command.body_case() == wire::Command::kProposeQueues) {
         std::vector<jobs::QueueSpec> queues;
         for (const wire::Queue &it : m_state->queues().current().queues())
@@ -342,7 +350,7 @@
         cancel(at, id, reply);
         break;
     default:
-        tell(id, reply);
+        tellOrWait(at, id, Duration(call.wait_us()), reply);
         break;
     }
 }
@@ -429,6 +437,46 @@
     reply({ .status = 200, .body = fmt::format(R"({{"state":"{}"}})", word) });
 }
 
+void JobDriver::tellOrWait(Moment at, std::uint64_t id, Duration wait, const Reply &reply)
+{
+    const state::Job *job = m_state->jobs().find(id);
+    const bool isActive = job != nullptr && job->state == wire::JOB_STATE_ACTIVE;
+    if (isActive && wait > Duration {} && m_waitingCalls.size() < mostWaitingCalls
+        && m_scheduler.isAboutToEnd({ id }))
+        m_waitingCalls.emplace(id, WaitingCall { .reply = reply, .until = at.now + wait });
+    else
+        tell(id, reply);
+}
+
+void JobDriver::tellOfEnds(const wire::RecordTaskEnds &record)
+{
+    if (m_waitingCalls.empty())
+        return;
+    std::set<std::uint64_t> ended(record.failed_jobs().begin(), record.failed_jobs().end());
+    for (const wire::TaskEnd &it : record.ends()) {
+        const state::Job *job = m_state->jobs().find(it.job());
+        if (job != nullptr && job->state != wire::JOB_STATE_ACTIVE)
+            ended.insert(it.job());
+    }
+    for (const std::uint64_t it : ended) {
+        for (auto node = m_waitingCalls.extract(it); !node.empty();
+             node = m_waitingCalls.extract(it))
+            tell(it, node.mapped().reply);
+    }
+}
+
+void JobDriver::tellLate(Timestamp now)
+{
+    for (auto it = m_waitingCalls.begin(); it != m_waitingCalls.end();) {
+        if (now < it->second.until) {
+            ++it;
+            continue;
+        }
+        tell(it->first, it->second.reply);
+        it = m_waitingCalls.erase(it);
+    }
+}
+
 void JobDriver::cancel(Moment at, std::uint64_t id, const Reply &reply)
 {
     const state::Job *job = m_state->jobs().find(id);
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -84,6 +84,12 @@
     void answerEndingWorkers();
     void answerSubmission(std::uint64_t id, const peers::ApiAnswer &answer);
     void tell(std::uint64_t id, const Reply &reply) const;
+    /// Answers a call for the state of a job now, or within the given wait if the job is about to
+    /// end: its caller would else learn of the end only by its next call.
+    void tellOrWait(Moment at, std::uint64_t id, Duration wait, const Reply &reply);
+    /// Answers those who wait for the end of the jobs that a command has ended.
+    void tellOfEnds(const wire::RecordTaskEnds &record);
+    void tellLate(Timestamp now);
     void cancel(Moment at, std::uint64_t id, const Reply &reply);
     [[nodiscard]] bool isOf(jobs::Tenure tenure) const { return m_isActive && tenure == m_tenure; }
 
@@ -102,6 +108,13 @@
     /// Submissions that are proposed and not committed, with all that wait for the outcome. A call
     /// that repeats one gets the same answer: a refusal of the repetition would be untrue.
     std::map<std::uint64_t, std::vector<Reply>> m_submissions;
+    /// Call for the state of a job that is about to end.
+    struct WaitingCall
+    {
+        Reply reply;
+        Timestamp until;
+    };
+    std::multimap<std::uint64_t, WaitingCall> m_waitingCalls;
     /// Workers whose word that they leave is not recorded yet, and who waits for it.
     std::multimap<WorkerName, Reply> m_leaving;
     /// Workers that have said that they end, until the scheduler lets go of them.
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -225,6 +225,16 @@
         m_finishedJobs.push_back(job->id);
 }
 
+bool JobScheduler::isAboutToEnd(JobId id) const
+{
+    const Job *job = m_jobs.find(id);
+    if (job == nullptr || job->phase != JobPhase::Active)
+        return true;
+    // Long-running tasks end only when their job is cancelled.
+    const bool ends = std::ranges::none_of(job->spec->steps, &StepSpec::longRunning);
+    return ends && job->runCount >= job->tasksLeft;
+}
+
 std::uint32_t JobScheduler::pending(const std::string &queue) const
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(m_jobs.all(), [&](const auto &it) {
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -157,6 +157,9 @@
 
     /// @name Views
     /// @{
+    /// True when all tasks that a job has left run, or when its end is being recorded.
+    /// @param[in] job accepted, and active in the replicated state
+    [[nodiscard]] bool isAboutToEnd(JobId job) const;
     /// Number of jobs of a queue that have not started any task.
     [[nodiscard]] std::uint32_t pending(const std::string &queue) const;
     [[nodiscard]] const JobTable &jobs() const { return m_jobs; }
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -413,6 +413,22 @@
         });
 }
 
+void JobWorld::ask(std::uint64_t id, Duration wait, const JobDriver::Reply &reply)
+{
+    wire::JobCall call;
+    call.set_action(wire::JobCall::STATE);
+    call.set_host("host");
+    call.set_path(fmt::format("/q/{:016x}", id));
+    call.set_wait_us(wait.count());
+    if (m_driver)
+        m_driver->call(moment(), call, reply);
+}
+
+bool JobWorld::hasIdleWorkers() const
+{
+    return std::ranges::all_of(m_workers, [](const auto &it) { return it->running.empty(); });
+}
+
 wire::JobState JobWorld::stateOf(std::uint64_t id) const
 {
     const state::Job *job = m_machine.jobs().find(id);
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -124,6 +124,8 @@
     void submit(std::uint64_t id, const wire::JobSpec &spec, std::uint32_t attempts = 4,
                 std::string_view path = "/q/");
     void cancel(std::uint64_t id);
+    /// Asks for the state of a job; the answer may wait while the job is about to end.
+    void ask(std::uint64_t id, Duration wait, const JobDriver::Reply &reply);
     [[nodiscard]] wire::JobState stateOf(std::uint64_t id) const;
     [[nodiscard]] int statusOf(std::uint64_t id) const;
     /// @}
@@ -152,6 +154,8 @@
     WorldFaults &faults() { return m_options.faults; }
     /// @}
 
+    /// True when no worker runs anything.
+    [[nodiscard]] bool hasIdleWorkers() const;
     [[nodiscard]] FakeWorker &worker(std::size_t i) { return *m_workers[i]; }
     [[nodiscard]] JobDriver &driver() { return *m_driver; }
     [[nodiscard]] const std::vector<std::string> &breaches() const { return m_breaches; }
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -89,6 +89,54 @@
     CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
 }
 
+TEST_CASE("a call that arrives while the last end is on its way shows the job completed")
+{
+    // Seen on wft-layout-large: clients that asked a few milliseconds after the last end were told
+    // "running", and learnt of the end 250 ms later.
+    JobWorld world({});
+    world.run(2s);
+    world.submit(7, simpleJob(3, 1000, 200));
+    world.run(50ms);
+    // Workers end their runs in the world's time; the leader hears of them later.
+    for (int it = 0; it < 1000 && !world.hasIdleWorkers(); ++it)
+        world.run(1ms);
+    REQUIRE(world.hasIdleWorkers());
+    REQUIRE(world.stateOf(7) == wire::JOB_STATE_ACTIVE);
+    std::string answer;
+    world.ask(7, 100ms, [&](const peers::ApiAnswer &it) { answer = it.body; });
+    world.run(100ms);
+    CHECK(answer == R"({"state":"completed"})");
+}
+
+TEST_CASE("a call for the state of a job waits no longer than it may, and only for the last tasks")
+{
+    JobWorld world({});
+    world.run(2s);
+    world.submit(7, twoSteps(1000));
+    world.submit(8, simpleJob(2, 1000, 3000));
+    world.run(100ms);
+    std::vector<std::string> answers;
+    const auto note = [&](const peers::ApiAnswer &it) { answers.push_back(it.body); };
+    const std::string running = R"({"state":"running"})";
+    world.ask(7, 100ms, note);
+    CHECK(answers == std::vector { running });
+    world.ask(8, Duration {}, note);
+    CHECK(answers.size() == 2);
+    world.ask(8, 100ms, note);
+    world.run(80ms);
+    CHECK(answers.size() == 2);
+    world.run(40ms);
+    CHECK(answers == std::vector { running, running, running });
+
+    // Calls that wait when their leader goes get no answer from it: they are sent to the next one.
+    world.ask(8, 100ms, note);
+    world.changeLeader(50ms);
+    world.run(1s);
+    CHECK(answers.size() == 3);
+    world.run(5s);
+    CHECK(world.stateOf(8) == wire::JOB_STATE_COMPLETED);
+}
+
 TEST_CASE("a job handed in twice runs once")
 {
     JobWorld world({});
