Take a run for shown by a list when the list arrives, not when it was asked for

Cause: a renewal that had waited for an end was answered with a list that showed the new run, which confirmed it as of the time when that renewal had been sent. Another renewal, sent later and answered from before the start, did not show the run, counted as newer, and the run was released as unlisted.

Evidence: the leader's log has run-ended number=114 from the first answer at 54.1681, and the older list at 54.1790, which still shows the run of that end (run-stop reason=superseded) and misses the new one (run-lost reason=unlisted).

Change: a run that a list shows is confirmed as of the list's arrival. Only a list asked for after that can miss it. The test fails without the change: a second start is ordered.

--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -294,7 +294,7 @@
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Running;
         if (run.phase == RunPhase::Running)
-            run.confirmedAt = std::max(run.confirmedAt, answer.sentAt);
+            run.confirmedAt = now;
         run.load = row.load;
         run.progress = row.percent;
         task.step->updateCheckpoint(&task.get(), row.checkpoint);
--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -257,3 +257,34 @@
     fixture.advance(500ms);
     CHECK(confirmedBy(true) == std::vector<std::uint64_t> { 0 });
 }
+
+TEST_CASE("a list that was made before a run began does not end it, though it comes after one with "
+          "it")
+{
+    // Seen on wft-layout-large (TWICE): a waiting renewal showed the run first; the answer to
+    // another one, sent later and made before the start, overtook nothing but came after it.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, { .count = 1, .size = { 1000, 100, 0 } });
+    const auto starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 1);
+    const WorkerId worker = starts[0].target.worker;
+    const Timestamp waitingSentAt = fixture.at.now - 200ms;
+    const Timestamp immediateSentAt = fixture.at.now - 2ms;
+    fixture.advance(5ms);
+    RenewalAnswer with { .sentAt = waitingSentAt, .born = { 1 }, .clockMs = fixture.clockMs() };
+    with.running.push_back({ .run = starts[0].run });
+    fixture.scheduler.renewalAnswered(fixture.at, worker, false, OrderOutcome::Done, &with);
+    fixture.advance(5ms);
+    RenewalAnswer without { .sentAt = immediateSentAt,
+                            .born = { 1 },
+                            .clockMs = fixture.clockMs() };
+    fixture.scheduler.renewalAnswered(fixture.at, worker, true, OrderOutcome::Done, &without);
+    CHECK(fixture.take<StartRun>().empty());
+    CHECK(fixture.scheduler.workers().find(worker)->runs.size() == 1);
+
+    // One that was asked for after the run was shown does end it.
+    fixture.advance(5ms);
+    without.sentAt = fixture.at.now;
+    fixture.scheduler.renewalAnswered(fixture.at, worker, true, OrderOutcome::Done, &without);
+    CHECK(fixture.take<StartRun>().size() == 1);
+}
