--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -254,12 +254,12 @@
 
 void ControlProcess::noteLag(Timestamp now)
 {
-    const Duration late = std::max(now - m_tickedAt - tickInterval, Duration {});
-    if (m_tickedAt != Timestamp {}) {
-        m_lag->observe(late);
-        m_load.addLag(late);
-    }
-    m_tickedAt = now;
+    const Timestamp before = std::exchange(m_tickedAt, now);
+    if (before == Timestamp {})
+        return;
+    const Duration late = std::max(now - before - tickInterval, Duration {});
+    m_lag->observe(late);
+    m_load.addLag(late);
     if (late < notableLag || now < m_nextLagLog)
         return;
     m_nextLagLog = now + lagLogInterval;
