--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -1,7 +1,6 @@
 #include "acaciafork/control/JobDriver.h"
 
 #include <charconv>
-#include <set>
 
 #include <spdlog/spdlog.h>
 
@@ -258,7 +257,7 @@
         return;
     m_scheduler.tick(at);
     answerEndingWorkers();
-    tellLate(at.now);
+    answerWaitingCalls(at.now);
 
     // What could not be proposed, as while the disk is full, is proposed again.
     std::vector<jobs::RecordEnds> ends;
@@ -304,8 +303,9 @@
         m_cancelled->add();
         spdlog::info("event=job-cancelled job={:016x}", command.cancel_job().job());
         m_scheduler.jobCancelled(at, { command.cancel_job().job() });
+        answerWaitingCalls(at.now);
     } else if (command.body_case() == wire::Command::kRecordTaskEnds) {
-        tellOfEnds(command.record_task_ends());
+        answerWaitingCalls(at.now);
     } else if (command.body_case() == wire::Command::kProposeQueues) {
         std::vector<jobs::QueueSpec> queues;
         for (const wire::Queue &it : m_state->queues().current().queues())
@@ -448,27 +448,12 @@
         tell(id, reply);
 }
 
-void JobDriver::tellOfEnds(const wire::RecordTaskEnds &record)
-{
-    if (m_waitingCalls.empty())
-        return;
-    std::set<std::uint64_t> ended(record.failed_jobs().begin(), record.failed_jobs().end());
-    for (const wire::TaskEnd &it : record.ends()) {
-        const state::Job *job = m_state->jobs().find(it.job());
-        if (job != nullptr && job->state != wire::JOB_STATE_ACTIVE)
-            ended.insert(it.job());
-    }
-    for (const std::uint64_t it : ended) {
-        for (auto node = m_waitingCalls.extract(it); !node.empty();
-             node = m_waitingCalls.extract(it))
-            tell(it, node.mapped().reply);
-    }
-}
-
-void JobDriver::tellLate(Timestamp now)
+void JobDriver::answerWaitingCalls(Timestamp now)
 {
     for (auto it = m_waitingCalls.begin(); it != m_waitingCalls.end();) {
-        if (now < it->second.until) {
+        const state::Job *job = m_state->jobs().find(it->first);
+        const bool isActive = job != nullptr && job->state == wire::JOB_STATE_ACTIVE;
+        if (isActive && now < it->second.until) {
             ++it;
             continue;
         }
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -87,9 +87,8 @@
     /// Answers a call for the state of a job now, or within the given wait if the job is about to
     /// end: its caller would else learn of the end only by its next call.
     void tellOrWait(Moment at, std::uint64_t id, Duration wait, const Reply &reply);
-    /// Answers those who wait for the end of the jobs that a command has ended.
-    void tellOfEnds(const wire::RecordTaskEnds &record);
-    void tellLate(Timestamp now);
+    /// Answers the calls whose job has ended and those that have waited for as long as they may.
+    void answerWaitingCalls(Timestamp now);
     void cancel(Moment at, std::uint64_t id, const Reply &reply);
     [[nodiscard]] bool isOf(jobs::Tenure tenure) const { return m_isActive && tenure == m_tenure; }
 
--- a/acaciafork/net/MessageLink.cpp
+++ b/acaciafork/net/MessageLink.cpp
@@ -21,7 +21,7 @@
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 constexpr Duration leastReconnectDelay = std::chrono::milliseconds(50);
-constexpr Duration mostReconnectDelay = std::chrono::seconds(1);
+constexpr Duration mostReconnectDelay = std::chrono::milliseconds(400);
 /// A peer that acknowledges nothing for so long is dialled again: a connection can go silent while
 /// new ones work.
 constexpr Duration peerTimeout = std::chrono::seconds(1);
