--- a/acaciafork/consensus/Replica.cpp
+++ b/acaciafork/consensus/Replica.cpp
@@ -284,7 +284,7 @@
     const auto most = static_cast<LogIndex>(2 * m_settings.node.snapshotEntries);
     const Timestamp writeNow = m_settings.clock ? m_settings.clock() : now;
     const bool isStalled = m_isWriting && writeNow - m_writeBeganAt > stalledWrite;
-    return !isStalled && m_node.appliedIndex() > m_folder->snapshot().index + most;
+    return !isStalled && !m_diskFull && m_node.appliedIndex() > m_folder->snapshot().index + most;
 }
 
 void Replica::storeSnapshot(Timestamp now)
