--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -91,8 +91,7 @@
 
 TEST_CASE("a call that arrives while the last end is on its way shows the job completed")
 {
-    // Seen on wft-layout-large: clients that asked a few milliseconds after the last end were told
-    // "running", and learnt of the end 250 ms later.
+    // Such a call was told "running", and its client learnt of the end by its next one.
     JobWorld world({});
     world.run(2s);
     world.submit(7, simpleJob(3, 1000, 200));
--- a/tests/net/MessageLinkTest.cpp
+++ b/tests/net/MessageLinkTest.cpp
@@ -43,8 +43,7 @@
 
 TEST_CASE("messages of a busy loop are handled within a few turns")
 {
-    // Seen at 1,800 workers: with a loop that never waits, each order to a relay and each answer
-    // waited for threads of the transport that got the processor last.
+    // Messages waited for threads of the transport, which got the processor after the loop.
     Loop loop;
     MessageLink one(loop, {});
     MessageLink other(loop, {});
