--- a/tests/consensus/ReplicaTest.cpp
+++ b/tests/consensus/ReplicaTest.cpp
@@ -111,8 +111,7 @@
 
 TEST_CASE("a leader whose disk stalls goes on leading, and the others' disks commit")
 {
-    // Seen on wft-layout-large: the loops of busy members waited for their disks for 40 % of the
-    // time.
+    // The loops of busy members waited for their disks for 40 % of the time.
     Group group({ .members = 3, .seed = 31, .maxWriteDelay = std::chrono::milliseconds(4) });
     REQUIRE(group.awaitLeader());
     group.run(std::chrono::milliseconds(200));
--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -261,8 +261,7 @@
 TEST_CASE("a list that was made before a run began does not end it, though it comes after one with "
           "it")
 {
-    // Seen on wft-layout-large (TWICE): a waiting renewal showed the run first; the answer to
-    // another one, sent later and made before the start, overtook nothing but came after it.
+    // The run was released and its task started a second time.
     SchedulerFixture fixture;
     fixture.acceptJob(1, { .count = 1, .size = { 1000, 100, 0 } });
     const auto starts = fixture.take<StartRun>();
