Log workers that end without notice, and how many runs a task has lost with them

The logs of the incident BUDGET couldn't tell a worker that had crashed from one that was cut off until its lease ran out, nor how often a task had lost its worker. worker-crashed names the evidence: the worker is back in a new incarnation, or another one is at its address. No decision changes.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -178,6 +178,8 @@
     , m_failed(&counters->counter("task_runs_failed", MetricKind::Gauge))
     , m_lost(&counters->counter("task_runs_lost", MetricKind::Gauge))
     , m_unanswered(&counters->counter("task_starts_unanswered", MetricKind::Gauge))
+    , m_workerCrashes(&counters->counter("worker_crashes", MetricKind::Gauge))
+    , m_mostLostRuns(&counters->counter("task_most_runs_lost", MetricKind::Gauge))
     , m_longestWait(&counters->counter("steps_longest_wait_ms", MetricKind::Gauge))
     , m_blockedSteps(&counters->counter("steps_blocked", MetricKind::Gauge))
     , m_commitTime(&counters->histogram("job_commit_seconds"))
@@ -275,6 +277,8 @@
     m_failed->set(static_cast<std::int64_t>(counts.failed));
     m_lost->set(static_cast<std::int64_t>(counts.lost));
     m_unanswered->set(static_cast<std::int64_t>(counts.unanswered));
+    m_workerCrashes->set(static_cast<std::int64_t>(counts.workerCrashes));
+    m_mostLostRuns->set(counts.mostLostRuns);
     m_longestWait->set(counts.longestWait / std::chrono::milliseconds(1));
     m_blockedSteps->set(static_cast<std::int64_t>(counts.blockedSteps));
 }
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -129,6 +129,8 @@
     Counter *m_failed;
     Counter *m_lost;
     Counter *m_unanswered;
+    Counter *m_workerCrashes;
+    Counter *m_mostLostRuns;
     Counter *m_longestWait;
     Counter *m_blockedSteps;
     /// From a submission to its commit.
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -87,6 +87,10 @@
     std::uint64_t unanswered = 0;
     std::uint64_t refused = 0;
     std::uint64_t copies = 0;
+    /// Workers that ended without notice, and the most runs of one task that were lost with their
+    /// workers.
+    std::uint64_t workerCrashes = 0;
+    std::uint32_t mostLostRuns = 0;
     /// Longest time for which tasks of a step have waited without any start, and the number of
     /// steps that have waited for long; as of the last summary.
     Duration longestWait {};
@@ -214,6 +218,11 @@
     void reconcileRunning(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     void releaseUnlisted(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     void markRunsLost(Timestamp now, Worker *worker, std::string_view reason);
+    /// Reports the earlier workers at the address of one that has just joined as crashed.
+    void findReplacedWorkers(const Worker &joined);
+    /// An incarnation of a worker has ended, which had not announced it.
+    /// @param[in] evidence what shows it: "reborn" or "address"
+    void workerCrashed(const Worker &worker, std::string_view evidence);
     void replaceIncarnation(Timestamp now, Worker *worker, const WorkerLife &life);
     void recordWorker(Worker *worker);
     void recordEnd(Timestamp now, const RunKey &run, bool failed, Worker *worker);
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -399,7 +399,11 @@
     while (!worker->runs.empty()) {
         const RunRef ref = worker->runs.back();
         ++m_counts.lost;
-        note("run-lost", ref.key(), worker, "reason=" + std::string(reason));
+        Task &task = ref.task.get();
+        ++task.lostRuns;
+        m_counts.mostLostRuns = std::max(m_counts.mostLostRuns, task.lostRuns);
+        note("run-lost", ref.key(), worker,
+             "reason=" + std::string(reason) + " lost-runs=" + std::to_string(task.lostRuns));
         releaseRun(ref);
         requeue(now, ref.task);
     }
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -34,6 +34,7 @@
         worker->lease.observe(at.now, report.clockMs);
         note("worker-joined", {}, worker,
              "pool=" + report.life.pool + " address=" + report.life.address);
+        findReplacedWorkers(*worker);
         recordWorker(worker);
         return;
     }
@@ -87,6 +88,7 @@
     // Orders sent before this was known may have reached the new incarnation: only its lists show
     // which of the runs are over.
     note("worker-reborn", {}, worker, "runs=" + std::to_string(worker->runs.size()));
+    workerCrashed(*worker, "reborn");
     worker->isRecorded = worker->isRecorded && worker->life.address == life.address
             && worker->life.pool == life.pool;
     worker->life = life;
@@ -109,6 +111,23 @@
     recordWorker(worker);
 }
 
+void JobScheduler::findReplacedWorkers(const Worker &joined)
+{
+    for (const auto &[id, it] : m_workers.all()) {
+        if (it->life.address == joined.life.address && it->life.born < joined.life.born)
+            workerCrashed(*it, "address");
+    }
+}
+
+void JobScheduler::workerCrashed(const Worker &worker, std::string_view evidence)
+{
+    if (worker.life.draining)
+        return;
+    ++m_counts.workerCrashes;
+    note("worker-crashed", {}, &worker,
+         "evidence=" + std::string(evidence) + " runs=" + std::to_string(worker.runs.size()));
+}
+
 bool JobScheduler::workerLeft(Moment at, const WorkerName &name, Incarnation born)
 {
     Worker *worker = m_workers.find(name);
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -78,6 +78,8 @@
     std::string checkpoint;
     /// Worker on which it failed last; the next run avoids it if possible.
     WorkerId lastFailedWorker;
+    /// Number of its runs that were lost with their worker in this tenure.
+    std::uint32_t lostRuns = 0;
 
     [[nodiscard]] bool hasRun() const { return runs[0].exists() || runs[1].exists(); }
 };
