Reproduce the task that crashes worker after worker, in virtual time

Seen: started after each crash for ever (51 crashes in 120 s), and jobs beside it that don't complete. The world of the job tests now counts crashes under each task and checks the limit of two starts after three crashes in all its tests.

--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -60,6 +60,7 @@
 
 FakeWorker::FakeWorker(std::string aName, std::uint64_t aBorn, double rate, const jobs::Size &size)
     : name(std::move(aName))
+    , address(name)
     , born(aBorn)
     , clockRate(rate)
     , capacity(size)
@@ -78,7 +79,7 @@
     return { .life = { .name = { name },
                        .born = { born },
                        .pool = "pool",
-                       .address = name,
+                       .address = address,
                        .labels = labels,
                        .rack = { labels.empty() ? std::string() : labels.back() },
                        .capacity = capacity,
@@ -473,14 +474,49 @@
 {
     FakeWorker &worker = *m_workers[i];
     worker.isUp = false;
+    for (const auto &[task, run] : worker.running)
+        ++m_crashesUnder[task];
     worker.running.clear();
 }
 
-void JobWorld::revive(std::size_t i)
+void JobWorld::makeDeadly(const jobs::TaskKey &task, DeadlyTask how)
+{
+    m_deadly[task] = how;
+}
+
+int JobWorld::crashesUnder(const jobs::TaskKey &task) const
+{
+    const auto it = m_crashesUnder.find(task);
+    return it == m_crashesUnder.end() ? 0 : it->second;
+}
+
+void JobWorld::crashLater(const FakeWorker &worker, const DeadlyTask &how)
+{
+    const auto indexOf = [this](const WorkerName &name, std::uint64_t born) {
+        const auto it = std::ranges::find_if(m_workers, [&](const auto &other) {
+            return other->name == name.value && other->born == born;
+        });
+        return static_cast<std::size_t>(it - m_workers.begin());
+    };
+    const WorkerName name { worker.name };
+    at(m_now + how.delay, [this, indexOf, name, born = worker.born] {
+        const std::size_t it = indexOf(name, born);
+        if (it < m_workers.size() && m_workers[it]->isUp)
+            crash(it);
+    });
+    at(m_now + how.delay + how.downTime, [this, indexOf, name, how, born = worker.born] {
+        const std::size_t it = indexOf(name, born);
+        if (it < m_workers.size() && !m_workers[it]->isUp)
+            revive(it, how.renames ? "renamed" + std::to_string(++m_lastRename) : "");
+    });
+}
+
+void JobWorld::revive(std::size_t i, const std::string &name)
 {
     FakeWorker &old = *m_workers[i];
-    auto worker =
-            std::make_unique<FakeWorker>(old.name, old.born + 100'000, old.clockRate, old.capacity);
+    auto worker = std::make_unique<FakeWorker>(name.empty() ? old.name : name, old.born + 100'000,
+                                               old.clockRate, old.capacity);
+    worker->address = old.address;
     worker->bornAt = m_now;
     worker->labels = old.labels;
     m_workers[i] = std::move(worker);
@@ -538,8 +574,16 @@
     // An order that waits inside a worker ends with that life of it.
     const FakeWorker *sentTo = find(target.name);
     const std::uint64_t life = sentTo == nullptr ? 0 : sentTo->born;
-    at(arrival, [this, name = target.name, act, reply, answerLost, deadline, isLate, life] {
-        FakeWorker *worker = find(name);
+    at(arrival, [this, target, act, reply, answerLost, deadline, isLate, life] {
+        FakeWorker *worker = find(target.name);
+        const bool isReplaced = std::ranges::any_of(m_workers, [&](const auto &it) {
+            return it->address == target.address && it->name != target.name.value && it->isUp
+                    && !it->isCut;
+        });
+        if (worker == nullptr && isReplaced && !answerLost) {
+            reply(m_now + latency(), jobs::OrderOutcome::OtherLife);
+            return;
+        }
         const bool isOtherLife = isLate && worker != nullptr && worker->born != life;
         if (worker == nullptr || !worker->isUp || worker->isCut || isOtherLife) {
             if (!answerLost)
@@ -624,6 +668,8 @@
                              .isAtWork = !taskStep.gang(),
                              .waitsUntil = m_now + gangTimeout,
                              .checkpoint = command.checkpoint };
+    if (const auto deadly = m_deadly.find(task); deadly != m_deadly.end())
+        crashLater(worker, deadly->second);
     return jobs::OrderOutcome::Done;
 }
 
@@ -863,6 +909,8 @@
     if (failures != m_failuresNoted.end()
         && failures->second.size() >= m_attempts.at(task.job.value))
         breach("start of " + nameOf(task) + " beyond its attempts");
+    if (crashesUnder(task) >= 3 && ++m_startsAfterCrashes[task] >= 3)
+        breach("start of " + nameOf(task) + " three times more after three crashes");
     const auto cancelled = m_cancelledAt.find(task.job.value);
     if (cancelled != m_cancelledAt.end() && m_now - cancelled->second > cancelBound)
         breach("start of " + nameOf(task) + " after its job was cancelled");
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -30,6 +30,15 @@
     double relayMessageSlow = 0;
 };
 
+/// What a task does to the workers that start it.
+struct DeadlyTask
+{
+    Duration delay = std::chrono::milliseconds(10);
+    Duration downTime = std::chrono::milliseconds(3200);
+    /// The workers start again under other names at their addresses.
+    bool renames = true;
+};
+
 /// How a world is set up.
 struct WorldOptions
 {
@@ -79,6 +88,7 @@
     void advance(Timestamp now);
 
     std::string name;
+    std::string address;
     std::uint64_t born;
     double clockRate;
     jobs::Size capacity;
@@ -135,8 +145,11 @@
     /// The leader dies; some of what it proposed last is committed, and another one takes over.
     void changeLeader(Duration pause);
     void crash(std::size_t worker);
-    /// The worker starts again under its name and knows nothing.
-    void revive(std::size_t worker);
+    /// The worker starts again at its address and knows nothing.
+    /// @param[in] name under which it starts; empty for the one that it had
+    void revive(std::size_t worker, const std::string &name = {});
+    /// Each worker that starts the task crashes after `delay` and starts again after `downTime`.
+    void makeDeadly(const jobs::TaskKey &task, DeadlyTask how);
     void cut(std::size_t worker, bool isCut) { m_workers[worker]->isCut = isCut; }
     void drain(std::size_t worker);
     /// The worker says that it goes, and goes once that is acknowledged.
@@ -162,6 +175,8 @@
     /// How often runs of a task have ended as done.
     [[nodiscard]] int doneEnds(const jobs::TaskKey &task) const;
     [[nodiscard]] std::uint64_t starts() const { return m_starts; }
+    /// Workers that have crashed while they ran the task.
+    [[nodiscard]] int crashesUnder(const jobs::TaskKey &task) const;
     /// Runs of gangs that ended since the others did not come.
     [[nodiscard]] int aloneEnds() const { return m_aloneEnds; }
     /// Workers named to the advisor, and starts refused for want of a permit.
@@ -228,6 +243,8 @@
     [[nodiscard]] bool chance(double probability);
     [[nodiscard]] Duration latency();
     [[nodiscard]] FakeWorker *find(const WorkerName &name);
+    /// Lets a worker crash under a deadly task that it has started.
+    void crashLater(const FakeWorker &worker, const DeadlyTask &how);
     /// Sends an order through the faults; `act` carries it out and gives its outcome.
     void order(Carrier *carrier, const jobs::OrderTarget &target, Duration timeout,
                const std::function<jobs::OrderOutcome(FakeWorker &)> &act,
@@ -283,6 +300,11 @@
     std::map<jobs::TaskKey, std::set<std::uint64_t>> m_failuresNoted;
     /// What the members of each run of a gang went on from.
     std::map<std::pair<jobs::TaskKey, std::uint64_t>, std::string> m_gangCheckpoints;
+    std::map<jobs::TaskKey, DeadlyTask> m_deadly;
+    std::map<jobs::TaskKey, int> m_crashesUnder;
+    /// Starts of a task after the third crash under it.
+    std::map<jobs::TaskKey, int> m_startsAfterCrashes;
+    std::uint64_t m_lastRename = 0;
     std::vector<std::string> m_breaches;
     std::uint64_t m_starts = 0;
     std::uint64_t m_noRoom = 0;
