Let runs go when another worker is at their worker's address

Cause: the answer 'another incarnation' to a renewal was taken for silence, and a worker that joined at the address of another told nothing about that one. So proof that the process is over was in hand and not used.

Change: that answer, from a worker that was not heard of since it fell silent, ends the worker: its runs are lost at once, no take-over waits for its lease, and its record is removed. A held-up report of it is ignored while the later worker at its address is in touch. A worker that comes back under its own name still shows by its lists what runs there, since orders may have reached the new incarnation.

Ruled out: to let runs go when a worker joins at the address. The join may come from a report of another writer; the answer comes from the address itself and names the incarnation that was asked for.

Test: tasks of a crashed worker start again when another worker is at its address, not at the end of its lease. It failed before (1 start instead of 2 half a second after the return).

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -218,11 +218,13 @@
     void reconcileRunning(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     void releaseUnlisted(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     void markRunsLost(Timestamp now, Worker *worker, std::string_view reason);
-    /// Reports the earlier workers at the address of one that has just joined as crashed.
-    void findReplacedWorkers(const Worker &joined);
-    /// An incarnation of a worker has ended, which had not announced it.
+    /// The worker's incarnation has ended; that is a crash unless it had announced it.
     /// @param[in] evidence what shows it: "reborn" or "address"
-    void workerCrashed(const Worker &worker, std::string_view evidence);
+    void workerEnded(Worker *worker, std::string_view evidence);
+    /// The worker's process is over and will not come back as the same worker.
+    void retireWorker(Timestamp now, Worker *worker);
+    /// True when a later worker is in touch at the address: the report was held up on its way.
+    [[nodiscard]] bool isOutdated(Timestamp now, const WorkerLife &life) const;
     void replaceIncarnation(Timestamp now, Worker *worker, const WorkerLife &life);
     void recordWorker(Worker *worker);
     void recordEnd(Timestamp now, const RunKey &run, bool failed, Worker *worker);
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -25,6 +25,8 @@
 void JobScheduler::workerReported(Moment at, const WorkerReport &report)
 {
     Worker *worker = m_workers.find(report.life.name);
+    if (worker == nullptr && isOutdated(at.now, report.life))
+        return;
     if (worker == nullptr) {
         worker = &m_workers.add(report.life);
         // No order can have been sent there, since orders are sent only to recorded workers.
@@ -34,11 +36,11 @@
         worker->lease.observe(at.now, report.clockMs);
         note("worker-joined", {}, worker,
              "pool=" + report.life.pool + " address=" + report.life.address);
-        findReplacedWorkers(*worker);
         recordWorker(worker);
         return;
     }
-    if (report.life.born < worker->life.born)
+    if (report.life.born < worker->life.born
+        || (report.life.born == worker->life.born && worker->hasCrashed))
         return;
     const bool startsDraining = report.life.draining && !worker->life.draining;
     if (report.life.born > worker->life.born) {
@@ -88,7 +90,8 @@
     // Orders sent before this was known may have reached the new incarnation: only its lists show
     // which of the runs are over.
     note("worker-reborn", {}, worker, "runs=" + std::to_string(worker->runs.size()));
-    workerCrashed(*worker, "reborn");
+    workerEnded(worker, "reborn");
+    worker->hasCrashed = false;
     worker->isRecorded = worker->isRecorded && worker->life.address == life.address
             && worker->life.pool == life.pool;
     worker->life = life;
@@ -111,21 +114,32 @@
     recordWorker(worker);
 }
 
-void JobScheduler::findReplacedWorkers(const Worker &joined)
+void JobScheduler::workerEnded(Worker *worker, std::string_view evidence)
 {
-    for (const auto &[id, it] : m_workers.all()) {
-        if (it->life.address == joined.life.address && it->life.born < joined.life.born)
-            workerCrashed(*it, "address");
-    }
+    worker->hasCrashed = true;
+    if (worker->life.draining)
+        return;
+    ++m_counts.workerCrashes;
+    note("worker-crashed", {}, worker,
+         "evidence=" + std::string(evidence) + " runs=" + std::to_string(worker->runs.size()));
 }
 
-void JobScheduler::workerCrashed(const Worker &worker, std::string_view evidence)
+void JobScheduler::retireWorker(Timestamp now, Worker *worker)
 {
-    if (worker.life.draining)
-        return;
-    ++m_counts.workerCrashes;
-    note("worker-crashed", {}, &worker,
-         "evidence=" + std::string(evidence) + " runs=" + std::to_string(worker.runs.size()));
+    // Its process is over, so nothing of it runs and no lease has to be waited for.
+    markRunsLost(now, worker, "crashed");
+    worker->lease = {};
+    worker->isRecorded = false;
+    m_removedWorkers.push_back(worker->life.name);
+}
+
+bool JobScheduler::isOutdated(Timestamp now, const WorkerLife &life) const
+{
+    return std::ranges::any_of(m_workers.all(), [&](const auto &it) {
+        const Worker &other = *it.second;
+        return other.life.address == life.address && other.life.born > life.born
+                && m_placer.isUsable(now, other);
+    });
 }
 
 bool JobScheduler::workerLeft(Moment at, const WorkerName &name, Incarnation born)
@@ -237,15 +251,25 @@
     if (worker == nullptr)
         return;
     (wasImmediate ? worker->immediateRenewalInFlight : worker->renewalInFlight) = false;
+    // Another worker at its address shows that its process is over, unless it was heard of since it
+    // fell silent: then the answer may be that of an earlier process there.
+    const bool isReplaced = outcome == OrderOutcome::OtherLife && worker->unansweredRenewals > 0
+            && worker->lastHeardAt <= worker->silentSince;
     // An earlier life says nothing about this one. Where it goes on answering, its clock was set
     // back before it started: then this one is over, and is forgotten as a silent one.
     if (answer != nullptr && answer->born && answer->born < worker->life.born)
         outcome = OrderOutcome::OtherLife;
     if (outcome != OrderOutcome::Done || answer == nullptr) {
-        if (worker->unansweredRenewals == 0)
+        if (worker->unansweredRenewals == 0) {
+            worker->silentSince = now;
             note("worker-silent", {}, worker,
                  "outcome=" + std::string(orderOutcomeName(outcome))
                          + " runs=" + std::to_string(worker->runs.size()));
+        }
+        if (isReplaced && !worker->hasCrashed) {
+            workerEnded(worker, "address");
+            retireWorker(now, worker);
+        }
         ++worker->unansweredRenewals;
         worker->isIncarnationConfirmed = false;
         worker->renewalAt = now + m_settings.retryDelay;
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -59,6 +59,10 @@
     Timestamp immediateRenewalAt = Timestamp::max();
     Timestamp lastRenewalSentAt = distantPast();
     std::uint32_t unansweredRenewals = 0;
+    /// When the first of them failed; valid while there are any.
+    Timestamp silentSince = distantPast();
+    /// Its incarnation is known to have ended.
+    bool hasCrashed = false;
     /// @}
 
     /// When it said that it ends; Timestamp::max() while it has not. Its lists from then on are the
--- a/tests/control/CrashTest.cpp
+++ b/tests/control/CrashTest.cpp
@@ -90,3 +90,24 @@
         checkNoBreach(world);
     }
 }
+
+TEST_CASE("tasks of a crashed worker start again when another worker is at its address, not at the "
+          "end of its lease")
+{
+    JobWorld world({ .workers = 3 });
+    world.run(2s);
+    world.submit(1, simpleJob(1, 1500, 20'000));
+    world.run(300ms);
+    std::size_t crashed = 0;
+    while (world.worker(crashed).running.empty())
+        ++crashed;
+    world.crash(crashed);
+    world.run(1s);
+    world.revive(crashed, "renamed");
+    world.run(500ms);
+    CHECK(world.starts() == 2);
+    // A report of the crashed worker that was held up names no worker to use.
+    world.run(10s);
+    CHECK(world.starts() == 2);
+    checkNoBreach(world);
+}
