--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -224,8 +224,8 @@
     std::vector<Member> begun;
     std::vector<std::uint32_t> members(step->ready.begin(), step->ready.end());
     // The trials come first: another member on the same worker would keep it from having one.
-    std::ranges::stable_partition(
-            members, [&](std::uint32_t it) { return step->tasks[it].crashes.isSuspect(); });
+    std::stable_partition(members.begin(), members.end(),
+                          [&](std::uint32_t it) { return step->tasks[it].crashes.isSuspect(); });
     for (const std::uint32_t it : members) {
         const TaskRef task { .step = step, .task = it };
         const CrashHistory &crashes = task.get().crashes;
