Start nothing by a capacity that is out of date on workers that do not guard theirs

What callers would see: LIMIT, a start that brings a worker over its capacity, where the pool's workers start whatever they are told.

Causes, one class: the scheduler places by what it was told of a worker once, however long ago. - Renewals alone kept a worker in use, with a capacity of any age while its reports were lost. - A new leader placed by the recorded capacity before any report of its tenure. - A life that is known only from its birth in a list got the capacity, the labels and the rack of the life before (a start without the label of its step, on pools that guard as well). - What an earlier leader had told to stop, or what is listed and told to stop since no job of it is known, is on no list while it stops, and did not count.

A life known only from a list awaits its report. The start of a trial is checked again once it is recorded. Pools that guard keep their behaviour but for the new life and stray runs.

The world of the job tests has workers that do not guard, change their capacity and lose their reports.

--- a/acaciafork/control/JobCodec.cpp
+++ b/acaciafork/control/JobCodec.cpp
@@ -1,5 +1,6 @@
 #include "acaciafork/control/JobCodec.h"
 
+#include <algorithm>
 #include <array>
 
 namespace acaciafork::control {
@@ -62,6 +63,17 @@
     return spec;
 }
 
+std::vector<jobs::QueueSpec> toJobs(const wire::QueueConfig &config)
+{
+    std::vector<jobs::QueueSpec> queues;
+    for (const wire::Queue &it : config.queues()) {
+        jobs::QueueSpec &queue = queues.emplace_back(toJobs(it));
+        const auto pool = std::ranges::find(config.pools(), queue.pool, &wire::WorkerPool::name);
+        queue.guardsCapacity = pool != config.pools().end() && pool->enforces_capacity();
+    }
+    return queues;
+}
+
 jobs::JobView toJobs(const state::Job &job)
 {
     jobs::JobView view { .id = { job.id },
--- a/acaciafork/control/JobCodec.h
+++ b/acaciafork/control/JobCodec.h
@@ -11,6 +11,9 @@
 /// A queue as the scheduler takes it.
 jobs::QueueSpec toJobs(const wire::Queue &queue);
 
+/// All queues of a configuration as the scheduler takes them.
+std::vector<jobs::QueueSpec> toJobs(const wire::QueueConfig &config);
+
 /// A job as the scheduler takes it; `done` stays a view of the state's.
 jobs::JobView toJobs(const state::Job &job);
 
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -244,9 +244,7 @@
 
 void JobDriver::begin(Moment at, std::uint64_t tenure)
 {
-    std::vector<jobs::QueueSpec> queues;
-    for (const wire::Queue &it : m_state->queues().current().queues())
-        queues.push_back(toJobs(it));
+    const std::vector<jobs::QueueSpec> queues = toJobs(m_state->queues().current());
     std::vector<jobs::JobView> views;
     for (const auto &[id, job] : m_state->jobs().all()) {
         if (job.state == wire::JOB_STATE_ACTIVE)
@@ -339,9 +337,7 @@
     } else if (command.body_case() == wire::Command::kRecordTaskEnds) {
         answerWaitingCalls(at.now);
     } else if (command.body_case() == wire::Command::kProposeQueues) {
-        std::vector<jobs::QueueSpec> queues;
-        for (const wire::Queue &it : m_state->queues().current().queues())
-            queues.push_back(toJobs(it));
+        const std::vector<jobs::QueueSpec> queues = toJobs(m_state->queues().current());
         spdlog::info("event=queues-in-force version={} queues={}", m_state->queues().version(),
                      queues.size());
         m_scheduler.queuesChanged(queues);
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -39,6 +39,7 @@
     for (const WorkerLife &it : workers) {
         Worker &worker = m_workers.add(it);
         worker.isRecorded = true;
+        worker.guardsCapacity = !m_unguardedPools.contains(it.pool);
         worker.lastHeardAt = at.now;
         worker.lease.assumeGranted(at.now, m_settings.lease);
     }
@@ -96,8 +97,14 @@
 void JobScheduler::queuesChanged(std::span<const QueueSpec> queues)
 {
     m_queues.clear();
-    for (const QueueSpec &it : queues)
+    m_unguardedPools.clear();
+    for (const QueueSpec &it : queues) {
         m_queues[it.name] = it;
+        if (!it.guardsCapacity)
+            m_unguardedPools.insert(it.pool);
+    }
+    for (const auto &[id, worker] : m_workers.all())
+        worker->guardsCapacity = !m_unguardedPools.contains(worker->life.pool);
 }
 
 const QueueSpec &JobScheduler::queueOf(const QueueSpec &accepted) const
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <tuple>
@@ -240,6 +241,8 @@
     void dropFromReady(TaskRef task);
     void taskFailed(Timestamp now, TaskRef task, RunNumber run, Worker *worker);
     void reconcileRunning(Timestamp now, Worker *worker, const RenewalAnswer &answer);
+    /// The longest that a run is at work after its worker was told to stop it.
+    [[nodiscard]] Duration longestStop() const;
     void releaseUnlisted(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     void markRunsLost(Timestamp now, Worker *worker, std::string_view reason);
     /// The worker's incarnation has ended; that is a crash unless it had announced it.
@@ -270,6 +273,8 @@
     bool placeTrial(Timestamp now, TaskRef task, Timestamp waitingSince);
     void beginTrial(Timestamp now, TaskRef task, Worker *worker, RunNumber number,
                     PlacementMode mode);
+    /// Gives up a trial that was recorded too late to begin.
+    void abandonTrial(Timestamp now, const RunRef &run);
     /// Keeps workers for the trials that found none.
     void reserveForTrials(Timestamp now);
     void finishTrials(Timestamp now, Worker *worker, const RenewalAnswer &answer);
@@ -327,6 +332,8 @@
     bool m_isFenced = false;
     bool m_isTakingOver = false;
     std::map<std::string, QueueSpec> m_queues;
+    /// Pools whose workers start what exceeds their capacity.
+    std::set<std::string> m_unguardedPools;
     JobTable m_jobs;
     WorkerTable m_workers;
     StepOrder m_order;
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -262,12 +262,29 @@
             continue;
         Worker *worker = m_workers.find(run.get().worker);
         ACACIAFORK_ASSERT(worker != nullptr);
+        // The record may have taken long.
+        if (!m_placer.isReachable(at.now, *worker) || !Size {}.fitsIn(worker->freeCapacity())) {
+            abandonTrial(at.now, run);
+            continue;
+        }
         worker->holdForTrial(at.now, run.task.get().crashes.trialLength(m_settings.crashes));
         worker->immediateRenewalAt = std::min(worker->immediateRenewalAt, worker->trialEndsAt);
         orderStart(at.now, run, it.freeBefore);
     }
 }
 
+void JobScheduler::abandonTrial(Timestamp now, const RunRef &ref)
+{
+    const RunKey run = ref.key();
+    Step *step = ref.task.step;
+    note("trial-abandoned", run, m_workers.find(ref.get().worker), {});
+    clearExposure(now, ref.task, run.run);
+    releaseRun(ref);
+    if (step->spec->gang)
+        stopGang(now, step, "member-refused");
+    requeue(now, ref.task);
+}
+
 void JobScheduler::finishTrials(Timestamp now, Worker *worker, const RenewalAnswer &answer)
 {
     if (answer.sentAt < worker->trialEndsAt)
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -31,7 +31,9 @@
         worker = &m_workers.add(report.life);
         // No order can have been sent there, since orders are sent only to recorded workers.
         worker->isKnown = true;
+        worker->guardsCapacity = !m_unguardedPools.contains(report.life.pool);
         worker->lastHeardAt = at.now;
+        worker->lastReportedAt = at.now;
         worker->sequence = report.sequence;
         worker->lease.observe(at.now, report.clockMs);
         note("worker-joined", {}, worker,
@@ -52,6 +54,9 @@
         worker->life = report.life;
         recordWorker(worker);
     }
+    worker->guardsCapacity = !m_unguardedPools.contains(report.life.pool);
+    worker->awaitsReport = false;
+    worker->lastReportedAt = at.now;
     worker->lastHeardAt = at.now;
     worker->sequence = report.sequence;
     worker->lease.observe(at.now, report.clockMs);
@@ -109,6 +114,7 @@
     worker->isIncarnationConfirmed = false;
     worker->lease = {};
     worker->lease.assumeGranted(now, m_settings.lease);
+    worker->strayRunsUntil = Worker::distantPast();
     worker->seenEnds = 0;
     worker->recordedEnds = 0;
     worker->acknowledgedEnds = 0;
@@ -268,6 +274,7 @@
         WorkerLife life = worker->life;
         life.born = answer->born;
         replaceIncarnation(now, worker, life);
+        worker->awaitsReport = true;
     }
     if (worker->unansweredRenewals > 0 || !worker->isKnown)
         note("worker-reached", {}, worker,
@@ -292,12 +299,19 @@
     const bool isOpen = worker->lastBatch > m_lastBatch || m_batches.contains(worker->lastBatch);
     if (!isOpen)
         worker->recordedEnds = worker->seenEnds;
+    if (answer->sentAt >= worker->strayRunsUntil)
+        worker->strayRunsUntil = Worker::distantPast();
     reconcileRunning(now, worker, *answer);
     if (!answer->hasMore) {
         releaseUnlisted(now, worker, *answer);
         clearOldExposures(now, worker);
     }
     finishTrials(now, worker, *answer);
+    if (!worker->isKnown && !worker->guardsCapacity) {
+        // What an earlier leader has told to stop is on no list and still at work.
+        worker->strayRunsUntil = now + longestStop();
+        worker->immediateRenewalAt = std::min(worker->immediateRenewalAt, worker->strayRunsUntil);
+    }
     worker->isKnown = worker->isKnown || !answer->hasMore;
     if (answer->sentAt >= worker->leftAt && !answer->hasMore) {
         removeLeft(now, worker);
@@ -315,6 +329,9 @@
         const RunRef ref = findRun(task, row.run.run);
         if (!ref.task || ref.get().worker != worker->id) {
             if (!task || !adoptRun(now, task, row, worker)) {
+                worker->strayRunsUntil = now + longestStop();
+                worker->immediateRenewalAt =
+                        std::min(worker->immediateRenewalAt, worker->strayRunsUntil);
                 m_commands.emplace_back(StopRun { .target = targetOf(*worker),
                                                   .run = row.run,
                                                   .reason = task ? "superseded" : "not-ours" });
@@ -332,15 +349,20 @@
     }
 }
 
+Duration JobScheduler::longestStop() const
+{
+    // Allows for a slow worker clock.
+    return m_settings.stopTimeout
+            + m_settings.stopTimeout * LeaseClock::maxClockLagPercent / wholePercent
+            + m_settings.recordDelay;
+}
+
 void JobScheduler::releaseUnlisted(Timestamp now, Worker *worker, const RenewalAnswer &answer)
 {
     std::unordered_set<TaskKey> listed;
     for (const RunningRow &it : answer.running)
         listed.insert(it.run.task);
-    // Allows for a slow worker clock.
-    const Duration stopTime = m_settings.stopTimeout
-            + m_settings.stopTimeout * LeaseClock::maxClockLagPercent / wholePercent
-            + m_settings.recordDelay;
+    const Duration stopTime = longestStop();
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
         const Run &run = it.get();
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -68,7 +68,9 @@
 {
     return worker.isRecorded && worker.isKnown && !worker.life.draining && worker.lease.isKnown()
             && worker.unansweredRenewals == 0 && now >= worker.avoidUntil
-            && now - worker.lastHeardAt < m_settings.maxSilence;
+            && now - worker.lastHeardAt < m_settings.maxSilence && !worker.awaitsReport
+            && worker.strayRunsUntil == Worker::distantPast()
+            && (worker.guardsCapacity || now - worker.lastReportedAt < m_settings.maxReportAge);
 }
 
 bool Placer::canEverFit(const Worker &worker, const Step &step)
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -158,6 +158,8 @@
     std::uint32_t maxAttempts = 1;
     double stretch = 1;
     Duration objective {};
+    /// The pool's workers reject what exceeds their capacity.
+    bool guardsCapacity = true;
     /// Set when an external advisor decides which workers may run a step.
     std::optional<AdvicePolicy> advice;
 };
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -24,6 +24,15 @@
     std::uint64_t sequence = 0;
     /// When it last reported or answered.
     Timestamp lastHeardAt = distantPast();
+    /// When its capacity was last reported in this tenure, and whether its life is known only from
+    /// its birth: then nothing else of it is known until it reports.
+    Timestamp lastReportedAt = distantPast();
+    bool awaitsReport = false;
+    /// It rejects what exceeds its capacity.
+    bool guardsCapacity = true;
+    /// It has, or may have, runs that are not in the table. They are told to stop, and their size
+    /// is not known: nothing starts until a list made after this time has none.
+    Timestamp strayRunsUntil = distantPast();
     LeaseClock lease;
 
     /// Resources reserved for its runs.
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -27,6 +27,9 @@
 constexpr Duration stopLength = 390ms;
 /// A draining worker may get a start that was on its way; later ones are a breach.
 constexpr Duration drainBound = 2000ms;
+/// Starts may reckon with a capacity that has shrunk for the time in which a worker counts as in
+/// touch and one interval of its reports more.
+constexpr Duration resizeGrace = 3000ms + beatInterval;
 /// A cancelled job's task may start for this long after.
 constexpr Duration cancelBound = 3000ms;
 /// A start is settled after this long, and a stop this long after its next try is due: the leader's
@@ -165,6 +168,9 @@
     advised->mutable_advice()->set_decision_ms(decisionTime / 1ms);
     advised->mutable_advice()->set_per_worker_ms(decisionTimePerWorker / 1ms);
     advised->mutable_advice()->set_validity_ms(permitValidity / 1ms);
+    wire::WorkerPool *pool = config.add_pools();
+    pool->set_name("pool");
+    pool->set_enforces_capacity(m_options.guardsCapacity);
     wire::Command command;
     *command.mutable_propose_queues()->mutable_config() = config;
     propose(moment(), command, [](Moment, const state::ApplyResult *) {});
@@ -368,7 +374,7 @@
         return;
     m_nextBeat = m_now + beatInterval;
     for (const auto &it : m_workers) {
-        if (!it->isUp || it->isCut)
+        if (!it->isUp || it->isCut || it->isMute)
             continue;
         FakeWorker *worker = it.get();
         const bool draining = worker->draining;
@@ -479,6 +485,16 @@
     worker.running.clear();
 }
 
+void JobWorld::resize(std::size_t i, const jobs::Size &capacity)
+{
+    FakeWorker &worker = *m_workers[i];
+    if (worker.capacity == capacity)
+        return;
+    worker.formerCapacity = worker.capacity;
+    worker.formerUntil = m_now + resizeGrace;
+    worker.capacity = capacity;
+}
+
 void JobWorld::makeDeadly(const jobs::TaskKey &task, DeadlyTask how)
 {
     m_deadly[task] = how;
@@ -648,10 +664,14 @@
     const jobs::Size size { .millicores = static_cast<std::int64_t>(taskStep.size().millicores()),
                             .memoryMb = static_cast<std::int64_t>(taskStep.size().memory_mb()) };
     used += size;
-    if (!used.fitsIn(worker.capacity)) {
+    if (!used.fitsIn(worker.capacity) && m_options.guardsCapacity) {
         ++m_noRoom;
         return jobs::OrderOutcome::NoRoom;
     }
+    const bool isAllowed = used.fitsIn(worker.capacity)
+            || (m_now < worker.formerUntil && used.fitsIn(worker.formerCapacity));
+    if (!isAllowed)
+        breach("start of " + nameOf(task) + " brings " + worker.name + " over its capacity");
     if (m_advised.contains(task.job.value)) {
         jobs::TaskKey first = task;
         first.task = 0;
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -49,6 +49,8 @@
     std::size_t relays = 0;
     std::int64_t workerMillicores = 8000;
     std::int64_t workerMemoryMb = 32'000;
+    /// Workers reject what exceeds their capacity; else it is a breach to start that there.
+    bool guardsCapacity = true;
     WorldFaults faults;
     std::uint64_t seed = 1;
     /// Faults planted in the scheduler's surroundings, to see that the checks catch them.
@@ -94,6 +96,11 @@
     std::uint64_t born;
     double clockRate;
     jobs::Size capacity;
+    /// Before it shrank, and until when starts may still reckon with that.
+    jobs::Size formerCapacity;
+    Timestamp formerUntil;
+    /// Its reports are lost, though it answers calls.
+    bool isMute = false;
     Timestamp bornAt;
     bool isUp = true;
     bool isCut = false;
@@ -152,6 +159,10 @@
     /// The worker starts again at its address and knows nothing.
     /// @param[in] name under which it starts; empty for the one that it had
     void revive(std::size_t worker, const std::string &name = {});
+    /// All workers report at once.
+    void reportNow() { m_nextBeat = m_now; }
+    /// The capacity of a worker changes while it runs.
+    void resize(std::size_t worker, const jobs::Size &capacity);
     /// Each worker that starts the task crashes after `delay` and starts again after `downTime`.
     void makeDeadly(const jobs::TaskKey &task, DeadlyTask how);
     void cut(std::size_t worker, bool isCut) { m_workers[worker]->isCut = isCut; }
