--- a/tests/decisions/batch/PolicyTest.cpp
+++ b/tests/decisions/batch/PolicyTest.cpp
@@ -356,3 +356,25 @@
     session.run(12h);
     CHECK(session.state.finished >= 20);
 }
+
+TEST_CASE("a job that crashes every worker that starts it is given up" * doctest::should_fail())
+{
+    // A lease that ends since its worker restarted counts as no failure, so the job is leased
+    // again.
+    Session session(Session::Options {});
+    addRack(&session, "r1", "old", "a", 4);
+    session.run(2s);
+    submitJob(&session, { .task = "deadly", .work = 1h });
+    int crashes = 0;
+    session.every(200ms, [&] {
+        for (std::size_t it = 0; it < session.workers.size(); ++it) {
+            if (session.workers[it]->runningCount() == 0)
+                continue;
+            session.restartWorker(it);
+            ++crashes;
+        }
+    });
+    session.run(10min);
+    CHECK(session.state.failed == 1);
+    CHECK(crashes <= 5);
+}
