Let suspected tasks that find no worker go behind the others

Only the first 16 suspected tasks were tried in a placement round: ones that fit nowhere, as with a label whose workers drain, kept all others waiting. Those that find no worker go to the end now. Test: a suspected task is not held up by many before it that fit nowhere (failed before: the job did not complete).

Found in reading, without a test: a worker that restarts before any renewal of it failed kept the marks of its last silence, so that a crash in a trial could count as one outside; they are taken when it ends, too.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -248,6 +248,8 @@
     /// The worker's incarnation has ended; that is a crash unless it had announced it.
     /// @param[in] evidence what shows it: "reborn" or "address"
     void workerEnded(Timestamp now, Worker *worker, std::string_view evidence);
+    /// Keeps what is known of the worker as it falls silent.
+    static void noteSilence(Timestamp now, Worker *worker);
     /// The worker's process is over and will not come back as the same worker.
     void retireWorker(Timestamp now, Worker *worker);
     /// Records that a run is about to begin, so that a later leader knows what a crash of its
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -19,6 +19,8 @@
 void JobScheduler::workerEnded(Timestamp now, Worker *worker, std::string_view evidence)
 {
     worker->hasCrashed = true;
+    if (worker->unansweredRenewals == 0)
+        noteSilence(now, worker);
     if (worker->life.draining) {
         clearOldExposures(now, worker);
         return;
@@ -39,6 +41,13 @@
     }
 }
 
+void JobScheduler::noteSilence(Timestamp now, Worker *worker)
+{
+    worker->heardBeforeSilence = worker->lastHeardAt;
+    worker->silentSince = now;
+    worker->wasInTrial = !worker->trials.empty();
+}
+
 void JobScheduler::retireWorker(Timestamp now, Worker *worker)
 {
     // Its process is over, so nothing of it runs and no lease has to be waited for.
@@ -191,16 +200,24 @@
 {
     m_unplacedTrials.clear();
     std::size_t tried = 0;
-    std::erase_if(m_waitingSuspects, [&](const WaitingSuspect &it) {
+    std::vector<WaitingSuspect> waiting;
+    waiting.swap(m_waitingSuspects);
+    // Those that find no worker go behind the others.
+    std::vector<WaitingSuspect> unplaced;
+    for (const WaitingSuspect &it : waiting) {
         const TaskRef task = m_jobs.find(it.task);
         if (!task || !task.get().awaitsTrial)
-            return true;
+            continue;
         if (tried == m_settings.crashes.maxTrialsPerRound
-            || (m_isTakingOver && task.step->job->isInherited))
-            return false;
+            || (m_isTakingOver && task.step->job->isInherited)) {
+            m_waitingSuspects.push_back(it);
+            continue;
+        }
         ++tried;
-        return placeTrial(now, task, it.since);
-    });
+        if (!placeTrial(now, task, it.since))
+            unplaced.push_back(it);
+    }
+    m_waitingSuspects.insert(m_waitingSuspects.end(), unplaced.begin(), unplaced.end());
 }
 
 bool JobScheduler::placeTrial(Timestamp now, TaskRef ref, Timestamp waitingSince)
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -250,9 +250,7 @@
         outcome = OrderOutcome::OtherLife;
     if (outcome != OrderOutcome::Done || answer == nullptr) {
         if (worker->unansweredRenewals == 0) {
-            worker->heardBeforeSilence = worker->lastHeardAt;
-            worker->silentSince = now;
-            worker->wasInTrial = !worker->trials.empty();
+            noteSilence(now, worker);
             note("worker-silent", {}, worker,
                  "outcome=" + std::string(orderOutcomeName(outcome))
                          + " runs=" + std::to_string(worker->runs.size()));
--- a/tests/control/CrashTest.cpp
+++ b/tests/control/CrashTest.cpp
@@ -244,3 +244,31 @@
     CHECK(world.starts() == 2);
     checkNoBreach(world);
 }
+
+TEST_CASE("a suspected task is not held up by many before it that fit nowhere")
+{
+    JobWorld world({ .workers = 6 });
+    world.run(2s);
+    wire::JobSpec odd = simpleJob(24, 1000, 2000);
+    odd.mutable_steps(0)->set_label("odd");
+    wire::JobSpec even = simpleJob(6, 1000, 2000);
+    even.mutable_steps(0)->set_label("even");
+    world.submit(1, odd);
+    world.run(100ms);
+    world.submit(2, even);
+    world.run(300ms);
+    for (std::size_t it = 0; it < 6; ++it)
+        world.crash(it);
+    world.run(1s);
+    for (const std::size_t it : { 1, 3, 5 }) {
+        world.revive(it, world.worker(it).name + "r");
+        world.drain(it);
+    }
+    world.run(600ms);
+    for (const std::size_t it : { 0, 2, 4 })
+        world.revive(it, world.worker(it).name + "r");
+    world.run(10s);
+    CHECK(world.stateOf(1) == wire::JOB_STATE_ACTIVE);
+    CHECK(world.stateOf(2) == wire::JOB_STATE_COMPLETED);
+    checkNoBreach(world);
+}
