Rely on a worker's report no longer than its interval and the time of contact allow

The bound comes from two settings now, less the time limit of a start and the way of a report through another member: 3.5 s with 1.1 s.

Test: a worker that does not guard its capacity gets no start that its last report may be too old for (failed before). The log of a trial's start shows the unused capacity as other starts do.

--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -11,6 +11,9 @@
 constexpr Duration membershipLookInterval = std::chrono::milliseconds(100);
 /// File that says that the folder was emptied by its own process, which must not found a cluster.
 constexpr std::string_view rejoinMarker = "rejoin";
+/// How much older than the leader knows a worker's report may be: it may come through another
+/// member.
+constexpr Duration maxReportDelay = std::chrono::milliseconds(200);
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
 /// A tick that comes so late is told in the log, at most once in an interval.
 constexpr Duration notableLag = std::chrono::milliseconds(100);
@@ -73,6 +76,8 @@
     nodeSettings.batch.lease.workerSilentAfter = m_settings.workerSilence;
     nodeSettings.jobs.lease = m_settings.jobLease;
     nodeSettings.jobs.stopTimeout = m_settings.stopTimeout;
+    nodeSettings.jobs.placer.maxReportAge = m_settings.workerContact + m_settings.workerReports
+            - nodeSettings.jobs.startTimeout - maxReportDelay;
     nodeSettings.jobs.maxTimeOverTarget = m_settings.tailHarm / 2;
     nodeSettings.takesAnyEntry = !m_settings.seeds.empty();
     for (const peers::PeerAddress &it : m_settings.entries)
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -26,6 +26,9 @@
     bool mayFound = false;
     /// Longest time that a worker takes to stop a task of a job.
     Duration stopTimeout = std::chrono::milliseconds(400);
+    /// Time for which a silent worker counts as in touch, and interval between a worker's reports.
+    Duration workerContact = std::chrono::milliseconds(3000);
+    Duration workerReports = std::chrono::milliseconds(1100);
     /// Time over its target after which a serving task's tail counts as harmed by what fills.
     Duration tailHarm = std::chrono::milliseconds(4000);
     /// Number of workers from which on other control members carry orders to them; 0 is never.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -240,7 +240,7 @@
 void JobScheduler::beginTrial(Timestamp now, TaskRef ref, Worker *worker, RunNumber number,
                               PlacementMode mode)
 {
-    const Size freeBefore = worker->freeCapacity();
+    const Size freeBefore = worker->unusedCapacity();
     const std::size_t beside = worker->runs.size();
     const RunRef run = reserveRun(now, ref, worker, number, mode);
     // The worker counts as leased from now on, since the order follows as soon as it is recorded.
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -11,13 +11,6 @@
 /// without knowing the earlier ones.
 constexpr std::uint64_t runNumbersPerTenure = 100'000;
 
-Size unusedCapacity(const Worker &worker)
-{
-    return { .millicores = worker.unusedMillicores(),
-             .memoryMb = worker.freeCapacity().memoryMb,
-             .accelerators = worker.freeCapacity().accelerators };
-}
-
 } // namespace
 
 RunRef JobScheduler::findRun(TaskRef task, RunNumber number)
@@ -50,7 +43,7 @@
 void JobScheduler::startRun(Timestamp now, TaskRef ref, Worker *worker, RunNumber number,
                             PlacementMode mode)
 {
-    const Size freeBefore = unusedCapacity(*worker);
+    const Size freeBefore = worker->unusedCapacity();
     const RunRef run = reserveRun(now, ref, worker, number, mode);
     openExposure(now, worker, run, false);
     orderStart(now, run, freeBefore);
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -12,10 +12,8 @@
     /// A worker gets no new work after this time of silence; more than two heartbeat intervals of
     /// 1.1 s.
     Duration maxSilence = std::chrono::milliseconds(2500);
-    /// A worker that does not guard its capacity gets no new work when its last report is older;
-    /// what it reported may hold for the 3 s for which a worker stays in touch, and one report
-    /// interval.
-    Duration maxReportAge = std::chrono::milliseconds(4000);
+    /// A worker that does not guard its capacity gets no new work when its last report is older.
+    Duration maxReportAge = std::chrono::milliseconds(3500);
     /// Consecutive failed runs of different jobs after which a worker gets no new work for a while.
     std::uint32_t suspectAfterFailures = 2;
     /// Maximum expected increase of a tail latency that a backfill task may cause, as a share of
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -121,6 +121,13 @@
                 servingMillicores * (wholePercent - servingUsePercent) / wholePercent;
         return life.capacity.millicores - used.millicores + unusedByServing - backfillMillicores;
     }
+    /// Resources that no task on this worker is expected to use.
+    [[nodiscard]] Size unusedCapacity() const
+    {
+        Size unused = freeCapacity();
+        unused.millicores = unusedMillicores();
+        return unused;
+    }
     /// Images of the serving tasks on this worker, each with its number of tasks.
     std::vector<std::pair<batch::Index, std::uint32_t>> servedImages;
 
--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -287,3 +287,30 @@
     fixture.scheduler.renewalAnswered(fixture.at, worker, true, OrderOutcome::Done, &without);
     CHECK(fixture.take<StartRun>().size() == 1);
 }
+
+TEST_CASE("a worker that does not guard its capacity gets no start that its last report may be too "
+          "old for")
+{
+    // Reports may count for 4.1 s when the start arrives: the 3 s of contact and an interval of 1.1
+    // s.
+    SchedulerFixture fixture;
+    const QueueSpec queue {
+        .name = "q", .pool = "pool", .maxAttempts = 3, .guardsCapacity = false
+    };
+    fixture.scheduler.queuesChanged(std::array { queue });
+    fixture.report();
+    fixture.acceptJob(1, { .count = 2, .size = { 1000, 100, 0 } }, queue);
+    CHECK(fixture.take<StartRun>().size() == 2);
+    // Both workers go on answering renewals.
+    const Timestamp reportedAt = fixture.at.now;
+    while (fixture.at.now - reportedAt < 3600ms) {
+        fixture.advance(100ms);
+        for (const RenewWorkerLease &it : fixture.take<RenewWorkerLease>())
+            fixture.answer(it, {});
+    }
+    fixture.acceptJob(2, { .count = 1, .size = { 1000, 100, 0 } }, queue);
+    CHECK(fixture.take<StartRun>().empty());
+    fixture.report();
+    fixture.advance(100ms);
+    CHECK(fixture.take<StartRun>().size() == 1);
+}
