--- a/acaciafork/control/JobCommandRunner.cpp
+++ b/acaciafork/control/JobCommandRunner.cpp
@@ -7,7 +7,7 @@
 namespace acaciafork::control {
 
 template <typename Record, typename Committed>
-void JobCommandRunner::record(const Record &command, wire::Command proposal,
+void JobCommandRunner::record(const Record &command, wire::Command &&proposal,
                               std::vector<Record> *unrecorded, Committed committed) const
 {
     // Records keep their order: the scheduler takes one for committed with all before it, and an
--- a/acaciafork/control/JobCommandRunner.h
+++ b/acaciafork/control/JobCommandRunner.h
@@ -29,7 +29,7 @@
     /// over:
     ///                      the next leader sees again what the record would have told
     template <typename Record, typename Committed>
-    void record(const Record &command, wire::Command proposal, std::vector<Record> *unrecorded,
+    void record(const Record &command, wire::Command &&proposal, std::vector<Record> *unrecorded,
                 Committed committed) const;
 };
 
