--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -79,6 +79,10 @@
     nodeSettings.jobs.placer.maxReportAge = m_settings.workerContact + m_settings.workerReports
             - nodeSettings.jobs.startTimeout - maxReportDelay;
     nodeSettings.jobs.maxTimeOverTarget = m_settings.tailHarm / 2;
+    nodeSettings.jobs.cautiousBackfill = m_settings.cautiousBackfill;
+    nodeSettings.jobs.lookAhead = m_settings.lookAhead;
+    nodeSettings.jobs.learnDurations = m_settings.learnDurations;
+    nodeSettings.jobs.admission = m_settings.admission;
     nodeSettings.takesAnyEntry = !m_settings.seeds.empty();
     for (const peers::PeerAddress &it : m_settings.entries)
         nodeSettings.knownEntries.push_back(it.process);
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -35,6 +35,16 @@
     std::int64_t relayFromWorkers = 256;
     /// Lease of the tasks of jobs.
     Duration jobLease = std::chrono::milliseconds(5800);
+    /// Parts of the job scheduler that are on; see jobs::JobSchedulerSettings.
+    bool cautiousBackfill = false;
+    bool lookAhead = false;
+    bool learnDurations = false;
+    bool admission = false;
+
+    /// Operators may close an availability zone to new starts.
+    bool evacuation = false;
+    /// Zones that operators may name; workers' zones are known in addition.
+    std::vector<std::string> zoneNames;
 
     /// Interface that operators and workers see: the product's own, or the users' platform's.
     std::string binding = "own";
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -77,6 +77,15 @@
     std::size_t maxPermitRequests = 2;
     /// Time allowed for an answer of the advisor in addition to its decision time.
     Duration advisorTimeoutMargin = std::chrono::seconds(1);
+    /// Limits how many backfill tasks start beside serving tasks with which their image has not
+    /// been observed.
+    bool cautiousBackfill = false;
+    /// Keeps room for large tasks that wait, by what will end soon.
+    bool lookAhead = false;
+    /// Corrects estimated durations by those of finished tasks.
+    bool learnDurations = false;
+    /// Refuses jobs that can't be done in time.
+    bool admission = false;
     PlacerSettings placer;
     BackfillThrottleSettings throttle;
     CrashSettings crashes;
