Start later steps of inherited jobs during a take-over where a list shows that it is safe

An earlier leader may have started any task that the log does not know as done. Ruled out: records of exposures (a start can be lost with its leader before they are written). Change: with [jobs] prompt-take-over, a step starts once a list of this tenure shows that a task of a step before it still runs: then no earlier leader can have started it. Gangs and copied tasks prove nothing.

--- a/acaciafork/control/ControlSettings.cpp
+++ b/acaciafork/control/ControlSettings.cpp
@@ -77,6 +77,11 @@
             .most = 1'000'000,
             .meaning =
                     "workers from which on all control members carry orders; 0: only the leader" },
+    Field { .section = "jobs",
+            .key = "prompt-take-over",
+            .member = &ControlSettings::promptTakeOver,
+            .meaning = "a new leader starts later steps at once that no earlier one can have "
+                       "started" },
     Field { .section = "jobs",
             .key = "cautious-backfill",
             .member = &ControlSettings::cautiousBackfill,
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -36,6 +36,7 @@
     /// Lease of the tasks of jobs.
     Duration jobLease = std::chrono::milliseconds(5800);
     /// Parts of the job scheduler that are on; see jobs::JobSchedulerSettings.
+    bool promptTakeOver = false;
     bool cautiousBackfill = false;
     bool lookAhead = false;
     bool learnDurations = false;
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -129,6 +129,7 @@
     std::uint32_t tasks = 0;
     for (Step &it : job->steps) {
         it.dueAt = job->acceptedAt;
+        it.mayRunUnseen = isInherited;
         it.image = m_interference.intern(it.spec->image);
         tasks += it.spec->count;
     }
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -80,6 +80,9 @@
     /// Limits how many backfill tasks start beside serving tasks with which their image has not
     /// been observed.
     bool cautiousBackfill = false;
+    /// Starts the later steps of inherited jobs during a take-over where a list of runs shows that
+    /// no earlier leader can have started them.
+    bool promptTakeOver = false;
     /// Keeps room for large tasks that wait, by what will end soon.
     bool lookAhead = false;
     /// Corrects estimated durations by those of finished tasks.
@@ -289,6 +292,11 @@
                     PlacementMode mode);
     /// Gives up a trial that was recorded too late to begin.
     void abandonTrial(Timestamp now, const RunRef &run);
+    /// True while a task of the step may still run at a worker that has not answered this leader.
+    [[nodiscard]] bool awaitsTakeOver(const Step &step) const
+    {
+        return m_isTakingOver && step.mayRunUnseen;
+    }
     /// Keeps workers for the trials that found none.
     void reserveForTrials(Timestamp now);
     void finishTrials(Timestamp now, Worker *worker, const RenewalAnswer &answer);
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -208,8 +208,7 @@
         const TaskRef task = m_jobs.find(it.task);
         if (!task || !task.get().awaitsTrial)
             continue;
-        if (tried == m_settings.crashes.maxTrialsPerRound
-            || (m_isTakingOver && task.step->job->isInherited)) {
+        if (tried == m_settings.crashes.maxTrialsPerRound || awaitsTakeOver(*task.step)) {
             m_waitingSuspects.push_back(it);
             continue;
         }
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -51,7 +51,7 @@
          it != steps.end() && failedCount < m_settings.maxFailedPlacements;) {
         Step *step = it->second;
         ++it;
-        if ((m_isTakingOver && step->job->isInherited) || cannotFit(failedPlacements, *step))
+        if (awaitsTakeOver(*step) || cannotFit(failedPlacements, *step))
             continue;
         step->lastTriedAt = now;
         if (placeStep(now, step))
@@ -94,8 +94,7 @@
     for (const auto &[rank, step] : m_order.steps()) {
         // Each long-running task counts by itself, whether others of its job run or not.
         const bool isIdle = step->job->runCount == 0 || step->spec->longRunning;
-        if (isIdle && now - step->waitingSince >= m_settings.overdueAfter
-            && !(m_isTakingOver && step->job->isInherited))
+        if (isIdle && now - step->waitingSince >= m_settings.overdueAfter && !awaitsTakeOver(*step))
             steps.push_back(step);
     }
     const std::size_t n = std::min(m_settings.maxOverdueTries, steps.size());
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -134,6 +134,10 @@
     ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     note("run-adopted", row.run, worker, {});
+    // The list was made in this tenure, when earlier leaders no longer decided. Of a gang or a
+    // copied task, another run may have ended before.
+    if (m_settings.promptTakeOver && !ref.step->spec->gang && !ref.step->spec->speculative)
+        ref.step->clearUnseenSuccessors();
     const CrashExposure *exposure = task.crashes.find(row.run.run);
     if (exposure != nullptr && exposure->isTrial && !exposure->hasCrashed) {
         // The rest of an earlier leader's trial can't be told: it begins anew.
--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 
 namespace acaciafork::jobs {
 
@@ -10,6 +11,21 @@
     return { .job = job->id, .occurrence = occurrence, .step = number, .task = task };
 }
 
+void Step::clearUnseenSuccessors() const
+{
+    // Steps come after those that they wait for.
+    const std::size_t stepsPerOccurrence = job->spec->steps.size();
+    const std::span<Step> steps =
+            std::span(job->steps).subspan(occurrence * stepsPerOccurrence, stepsPerOccurrence);
+    for (Step &later : steps.subspan(number + 1)) {
+        const bool waits = std::ranges::any_of(later.spec->after, [&](std::uint32_t it) {
+            return it == number || (it > number && it < later.number && !steps[it].mayRunUnseen);
+        });
+        if (waits)
+            later.mayRunUnseen = false;
+    }
+}
+
 void Step::updateCheckpoint(Task *task, const std::string &checkpoint)
 {
     if (checkpoint.empty())
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -109,6 +109,8 @@
     std::uint32_t remainingTasks = 0;
     /// Its occurrence is not due yet.
     bool isDeferred = false;
+    /// An earlier leader may have started its tasks, so they may run at workers not reached yet.
+    bool mayRunUnseen = false;
     /// Time since which its tasks may start.
     Timestamp readyAt;
     /// When its occurrence became due; for a job that runs once, when the job was accepted.
@@ -137,6 +139,8 @@
 
     [[nodiscard]] bool mayStart() const { return pendingPredecessors == 0 && !isDeferred; }
     [[nodiscard]] TaskKey key(std::uint32_t task) const;
+    /// A task of this step runs for certain, so no earlier leader has started a step after it.
+    void clearUnseenSuccessors() const;
     /// Checkpoint from which the next run of a task resumes; empty to start from the beginning.
     [[nodiscard]] const std::string &checkpointOf(const Task &task) const
     {
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -100,7 +100,7 @@
 {
     ++m_generation;
     m_driver = std::make_unique<JobDriver>(
-            jobs::JobSchedulerSettings {}, &m_machine,
+            m_options.scheduler, &m_machine,
             [this](Moment when, wire::Command command, ProposalTable::Handler handler) {
                 return propose(when, std::move(command), std::move(handler));
             },
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -53,6 +53,7 @@
     /// Workers reject what exceeds their capacity; else it is a breach to start that there.
     bool guardsCapacity = true;
     WorldFaults faults;
+    jobs::JobSchedulerSettings scheduler;
     std::uint64_t seed = 1;
     /// Faults planted in the scheduler's surroundings, to see that the checks catch them.
     bool tellsDoneAsStopped = false;
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -351,6 +351,26 @@
     }
 }
 
+TEST_CASE("a later step starts during a take-over once a list shows that the step before it runs")
+{
+    // A worker that is cut off held up all steps of inherited jobs until its lease had ended.
+    for (const bool isPrompt : { false, true }) {
+        CAPTURE(isPrompt);
+        JobWorld world({ .scheduler = { .promptTakeOver = isPrompt } });
+        world.run(2s);
+        world.submit(1, simpleJob(6, 1000, 30'000));
+        world.submit(2, twoSteps(900));
+        world.run(400ms);
+        for (std::size_t it = 0; it < 6; ++it)
+            world.cut(it, world.worker(it).running.size() == 1);
+        world.changeLeader(200ms);
+        world.run(2s);
+        CHECK(world.driver().scheduler().isTakingOver());
+        CHECK((world.doneEnds({ .job = { 2 }, .step = 1, .task = 0 }) > 0) == isPrompt);
+        CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+    }
+}
+
 TEST_CASE("under lost, late and unanswered orders, crashes, cuts and changes of leader all holds")
 {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
@@ -359,6 +379,7 @@
                                      .carriedOutLate = 0.05,
                                      .orderLost = 0.02,
                                      .runFails = 0.03 },
+                         .scheduler = { .promptTakeOver = seed % 2 == 0 },
                          .seed = seed });
         RandomGenerator random(seed * 7919);
         const auto draw = [&](std::uint64_t n) { return random() % n; };
