Count steps as late earlier where a queue's steps take longer than estimated

Cause: under a standing queue each job starts at the last moment that its estimate allows; estimates are off by up to a factor of 1.9, and a step lasts as long as its slowest task, so nearly all end just too late. Change: DurationModel learns by queue the ratio of actual to estimated duration of steps, without waiting; with [jobs] learn-durations, StepOrder reserves that time before the objective, up to 0.7 of the slack.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -60,6 +60,7 @@
     m_jobs.clear();
     m_workers.clear();
     m_scheduledOccurrences.clear();
+    m_durations.clear();
     m_ends.clear();
     m_batchWorkers.clear();
     m_failedJobs.clear();
@@ -184,6 +185,8 @@
 void JobScheduler::makeReady(Timestamp now, Step *step)
 {
     step->readyAt = now;
+    if (m_settings.learnDurations)
+        step->job->stretch = m_durations.stretch(step->job->queue);
     for (std::uint32_t it = 0; it < step->tasks.size(); ++it)
         requeue(now, { .step = step, .task = it });
 }
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -12,6 +12,7 @@
 #include "acaciafork/decisions/jobs/BackfillThrottle.h"
 #include "acaciafork/decisions/jobs/Commands.h"
 #include "acaciafork/decisions/jobs/CrashRate.h"
+#include "acaciafork/decisions/jobs/DurationModel.h"
 #include "acaciafork/decisions/jobs/JobTable.h"
 #include "acaciafork/decisions/jobs/PlacementRound.h"
 #include "acaciafork/decisions/jobs/Placer.h"
@@ -375,6 +376,7 @@
     Timestamp m_oldestEndAt;
     bool m_flushEndsNow = false;
 
+    DurationModel m_durations;
     CrashRate m_crashRate;
     /// Exposures to record, trials that wait for the record to come, and those that wait for the
     /// records in progress.
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -339,6 +339,7 @@
     if (job->phase != JobPhase::Active)
         return;
     if (step->remainingTasks == 0) {
+        m_durations.observe(job->queue, step->spec->estimate, step->longestTaskTime);
         const std::size_t base = step->occurrence * job->spec->steps.size();
         for (std::size_t it = 0; it < job->spec->steps.size(); ++it) {
             Step &later = job->steps[base + it];
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -174,6 +174,8 @@
     /// Time allowed for the job, counted from its acceptance, or from each time that it becomes
     /// due.
     Duration objective {};
+    /// How much longer than estimated its steps are expected to take, as a factor of at least 1.
+    double stretch = 1;
     std::optional<AdvicePolicy> advice;
     /// The job was accepted before this tenure: its tasks may already be running.
     bool isInherited = false;
--- a/acaciafork/decisions/jobs/StepOrder.cpp
+++ b/acaciafork/decisions/jobs/StepOrder.cpp
@@ -1,14 +1,32 @@
 #include "acaciafork/decisions/jobs/StepOrder.h"
 
+#include <algorithm>
+
 namespace acaciafork::jobs {
 
+namespace {
+
+/// Time to leave before the objective for work that takes longer than estimated.
+Duration reserveOf(const Step &step)
+{
+    // Part of the slack is left, so that a job that has just arrived is not late already.
+    constexpr double maxShareOfSlack = 0.7;
+    const Job &job = *step.job;
+    const Duration slack = std::max(Duration {}, job.objective - step.remainingPath);
+    const double wanted = static_cast<double>(step.remainingPath.count()) * (job.stretch - 1);
+    return Duration(static_cast<std::int64_t>(
+            std::min(wanted, static_cast<double>(slack.count()) * maxShareOfSlack)));
+}
+
+} // namespace
+
 StepOrder::Rank StepOrder::rankOf(Timestamp now, const Step &step)
 {
     const Job &job = *step.job;
     Rank rank { .band = 0,
                 .priority = job.priority,
                 .isLongRunning = step.spec->longRunning,
-                .latestStart = step.dueAt + job.objective - step.remainingPath,
+                .latestStart = step.dueAt + job.objective - step.remainingPath - reserveOf(step),
                 .job = job.id,
                 .step = static_cast<std::uint32_t>(&step - job.steps.data()) };
     // A long-running task is useful from its start on and is never too late.
--- a/acaciafork/decisions/jobs/StepOrder.h
+++ b/acaciafork/decisions/jobs/StepOrder.h
@@ -8,6 +8,10 @@
 
 /// Order in which steps get workers while there is not enough capacity for all.
 ///
+/// Steps whose work is expected to take longer than estimated count as late earlier (see
+/// Job::stretch). Otherwise a standing queue would start every job at the last moment that its
+/// estimate allows, and nearly all would end just too late.
+///
 /// Designed for a burst of large jobs on top of steady small ones. Steps that can still meet their
 /// objective come before steps that cannot. Within each band, steps are ordered by queue priority,
 /// then short-running before long-running, then by latest start. So jobs that are already late do
