Finish jobs that have begun before others begin

Only 288 of 1,142 backfill jobs ended in time, 681 were late: later steps of jobs that had begun counted as late early and went behind newcomers, so more jobs stood half done. Change: the reserve applies only to jobs that have not begun, and in each band jobs that have begun go first.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -185,6 +185,7 @@
 void JobScheduler::makeReady(Timestamp now, Step *step)
 {
     step->readyAt = now;
+    step->job->isFinishedFirst = m_settings.learnDurations;
     if (m_settings.learnDurations)
         step->job->stretch = m_durations.stretch(step->job->queue);
     for (std::uint32_t it = 0; it < step->tasks.size(); ++it)
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -176,6 +176,8 @@
     Duration objective {};
     /// How much longer than estimated its steps are expected to take, as a factor of at least 1.
     double stretch = 1;
+    /// Its steps go before those of jobs that have not begun.
+    bool isFinishedFirst = false;
     std::optional<AdvicePolicy> advice;
     /// The job was accepted before this tenure: its tasks may already be running.
     bool isInherited = false;
--- a/acaciafork/decisions/jobs/StepOrder.cpp
+++ b/acaciafork/decisions/jobs/StepOrder.cpp
@@ -12,6 +12,8 @@
     // Part of the slack is left, so that a job that has just arrived is not late already.
     constexpr double maxShareOfSlack = 0.7;
     const Job &job = *step.job;
+    if (job.hasBegun)
+        return {};
     const Duration slack = std::max(Duration {}, job.objective - step.remainingPath);
     const double wanted = static_cast<double>(step.remainingPath.count()) * (job.stretch - 1);
     return Duration(static_cast<std::int64_t>(
@@ -26,6 +28,7 @@
     Rank rank { .band = 0,
                 .priority = job.priority,
                 .isLongRunning = step.spec->longRunning,
+                .awaitsFirstStart = job.isFinishedFirst && !job.hasBegun,
                 .latestStart = step.dueAt + job.objective - step.remainingPath - reserveOf(step),
                 .job = job.id,
                 .step = static_cast<std::uint32_t>(&step - job.steps.data()) };
@@ -68,11 +71,11 @@
 
 void StepOrder::refresh(Timestamp now)
 {
-    // Bands only increase, and a step that keeps its band keeps its rank.
+    // The rest of the rank stays as it was.
     for (auto it = m_steps.begin(); it != m_steps.end();) {
         Step *step = it->second;
         const Rank rank = rankOf(now, *step);
-        if (rank.band == it->first.band) {
+        if (rank.band == it->first.band && rank.awaitsFirstStart == it->first.awaitsFirstStart) {
             ++it;
             continue;
         }
--- a/acaciafork/decisions/jobs/StepOrder.h
+++ b/acaciafork/decisions/jobs/StepOrder.h
@@ -8,9 +8,10 @@
 
 /// Order in which steps get workers while there is not enough capacity for all.
 ///
-/// Steps whose work is expected to take longer than estimated count as late earlier (see
-/// Job::stretch). Otherwise a standing queue would start every job at the last moment that its
-/// estimate allows, and nearly all would end just too late.
+/// Jobs whose work is expected to take longer than estimated count as late earlier while they have
+/// not begun (see Job::stretch), and those that have begun go first. Otherwise a standing queue
+/// would start every job at the last moment that its estimate allows, share the capacity among too
+/// many of them, and nearly all would end just too late.
 ///
 /// Designed for a burst of large jobs on top of steady small ones. Steps that can still meet their
 /// objective come before steps that cannot. Within each band, steps are ordered by queue priority,
@@ -29,6 +30,8 @@
         std::uint32_t priority = 0;
         /// Long-running tasks hold their capacity for long: short ones that are on time come first.
         bool isLongRunning = false;
+        /// The job has not begun, and jobs that have go first (see Job::isFinishedFirst).
+        bool awaitsFirstStart = false;
         /// Latest start that still meets the objective.
         Timestamp latestStart;
         JobId job;
--- a/tests/decisions/jobs/DurationModelTest.cpp
+++ b/tests/decisions/jobs/DurationModelTest.cpp
@@ -64,6 +64,31 @@
     CHECK(StepOrder::rankOf(now + 1s, step).band == 1);
 }
 
+TEST_CASE("the later steps of a job that has begun go before jobs that have not")
+{
+    // Newcomers took the workers of each later step, so that every job stood still half done.
+    JobTable table;
+    auto spec = std::make_shared<JobSpec>();
+    spec->steps.push_back({ .count = 2, .size = { 1000, 100, 0 }, .estimate = 2s });
+    const QueueSpec queue { .name = "q", .pool = "pool", .stretch = 2, .objective = 1s };
+    const Timestamp now = timestampFromMicroseconds(10'000'000);
+    const auto add = [&](std::uint64_t id) {
+        Job *job = table.add(now, 0, { .id = { id }, .queue = queue, .spec = spec }, queue);
+        job->isFinishedFirst = true;
+        job->stretch = 2;
+        job->steps[0].dueAt = now;
+        return job;
+    };
+    Job *begun = add(1);
+    begun->hasBegun = true;
+    Job *waiting = add(2);
+    waiting->steps[0].dueAt = now - 500ms;
+    CHECK(StepOrder::rankOf(now, begun->steps[0]) < StepOrder::rankOf(now, waiting->steps[0]));
+    // Its own lateness is judged by its estimate, since starting another job instead wins nothing.
+    CHECK(StepOrder::rankOf(now + 2900ms, begun->steps[0]).band == 0);
+    CHECK(StepOrder::rankOf(now + 2900ms, waiting->steps[0]).band == 1);
+}
+
 namespace {
 
 /// Load of twice the capacity for 60 s: each second four jobs of four tasks that take 1.5 times as
