Let late short steps go before serving steps with look-ahead

A short step that was late went behind all waiting serving steps, each of which then holds its room for a minute, though a late result still counts until three times the objective. With look-ahead, long-running and backfill steps are one band lower, so short steps come first until they are of no use. Without the setting the order is unchanged.

Tests: the order of late, useless, serving and new steps with and without the setting, and of serving and backfill steps, which keep theirs.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -26,6 +26,7 @@
     , m_placer(settings.placer, &m_interference)
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
+    , m_order(settings.lookAhead)
 { }
 
 void JobScheduler::begin(Moment at, Tenure tenure, std::span<const QueueSpec> queues,
--- a/acaciafork/decisions/jobs/StepOrder.cpp
+++ b/acaciafork/decisions/jobs/StepOrder.cpp
@@ -2,10 +2,11 @@
 
 namespace acaciafork::jobs {
 
-StepOrder::Rank StepOrder::rankOf(Timestamp now, const Step &step)
+StepOrder::Rank StepOrder::rankOf(Timestamp now, const Step &step) const
 {
     const Job &job = *step.job;
-    Rank rank { .band = 0,
+    const bool isLower = m_lookAhead && (step.spec->longRunning || step.spec->fills);
+    Rank rank { .band = isLower ? 1U : 0U,
                 .priority = job.priority,
                 .isLongRunning = step.spec->longRunning,
                 .latestStart = step.dueAt + job.objective - step.remainingPath,
@@ -16,7 +17,7 @@
         return rank;
     if (now > rank.latestStart) {
         const Timestamp latestUsefulEnd = step.dueAt + job.objective * lateFactor;
-        rank.band = now + step.remainingPath <= latestUsefulEnd ? 1 : 2;
+        rank.band += now + step.remainingPath <= latestUsefulEnd ? 1 : 2;
     }
     return rank;
 }
--- a/acaciafork/decisions/jobs/StepOrder.h
+++ b/acaciafork/decisions/jobs/StepOrder.h
@@ -13,14 +13,25 @@
 /// then short-running before long-running, then by latest start. So jobs that are already late do
 /// not delay others beyond their objectives, and a large job with spare time does not block small
 /// ones.
+///
+/// With look-ahead, long-running and backfill steps are one band lower. A short task delays a
+/// long-running one by about a second, while a long-running one holds its capacity for a minute, so
+/// short steps come first even when they are late, as long as a late result still counts. Backfill
+/// steps reserve no processor time; they move with the long-running steps so that the order between
+/// these two does not change.
 class StepOrder
 {
 public:
+    /// @param[in] lookAhead see JobSchedulerSettings::lookAhead
+    explicit StepOrder(bool lookAhead = false)
+        : m_lookAhead(lookAhead)
+    { }
+
     /// Sort key of a step.
     struct Rank
     {
         /// Lateness: 0 can meet the objective, 1 is late but can end while a late result still
-        /// counts, 2 neither.
+        /// counts, 2 neither. With look-ahead, one more for long-running and backfill steps.
         std::uint32_t band = 0;
         std::uint32_t priority = 0;
         /// Long-running tasks hold their capacity for long: short ones that are on time come first.
@@ -37,7 +48,7 @@
     static constexpr std::int64_t lateFactor = 3;
 
     /// Sort key of a step at the given time.
-    static Rank rankOf(Timestamp now, const Step &step);
+    [[nodiscard]] Rank rankOf(Timestamp now, const Step &step) const;
 
     /// Adds a step that has ready tasks.
     void insert(Timestamp now, Step *step);
@@ -50,6 +61,7 @@
     [[nodiscard]] const std::map<Rank, Step *> &steps() const { return m_steps; }
 
 private:
+    bool m_lookAhead;
     std::map<Rank, Step *> m_steps;
     std::unordered_map<const Step *, Rank> m_ranks;
 };
