Place tasks by best fit with look-ahead

Short tasks went to the worker with the most unused processor time, which spread them over all workers and left gaps too small for large tasks. Serving tasks went to the fullest worker by unused processor time, in which backfill tasks and the unused part of reservations count. With look-ahead, both go to the worker with the least free reserved processor capacity on which they fit; the preference of serving tasks for their image and all penalties come first, as before.

Tests: a large gap stays whole beside small tasks; a serving task takes the smaller of two gaps on workers that its image leaves equal.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -19,11 +19,18 @@
 /// Maximum number of run ends in one record.
 constexpr std::size_t maxEndsPerRecord = 2000;
 
+PlacerSettings placerSettings(const JobSchedulerSettings &settings)
+{
+    PlacerSettings placer = settings.placer;
+    placer.bestFit = placer.bestFit || settings.lookAhead;
+    return placer;
+}
+
 } // namespace
 
 JobScheduler::JobScheduler(const JobSchedulerSettings &settings)
     : m_settings(settings)
-    , m_placer(settings.placer, &m_interference)
+    , m_placer(placerSettings(settings), &m_interference)
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
     , m_order(settings.lookAhead)
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -18,6 +18,18 @@
 constexpr double sameImageBonus = 2;
 constexpr double otherImagePenalty = 2;
 
+/// Free processor capacity at which emptiness() is half; about half of a worker.
+constexpr double halfEmptyMillicores = 16'000;
+
+/// Grows with the free reserved processor capacity of a worker, from 0 to 1 whatever its size, so
+/// that penalties outweigh it.
+double emptiness(const Worker &worker)
+{
+    const auto free =
+            static_cast<double>(std::max<std::int64_t>(worker.freeCapacity().millicores, 0));
+    return free / (free + halfEmptyMillicores);
+}
+
 bool hasLabel(const WorkerLife &life, const std::string &label)
 {
     return label.empty() || std::ranges::find(life.labels, label) != life.labels.end();
@@ -198,9 +210,9 @@
     if (spec.fills)
         score = left - (isHarmless(worker, step) ? 0 : unknownInterferencePenalty);
     else if (spec.serves())
-        score = colocationBonus(worker, step) - left;
+        score = colocationBonus(worker, step) - (m_settings.bestFit ? emptiness(worker) : left);
     else
-        score = left;
+        score = m_settings.bestFit ? -emptiness(worker) : left;
     if (spec.fills || spec.serves())
         score -= interferencePenalty * expectedInterference(worker, step);
     if (!spec.dataRack.value.empty() && worker.life.rack != spec.dataRack)
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -25,6 +25,9 @@
     double maxOverdueInterference = 0.15;
     /// Lowest share at which an overdue backfill task starts, in percent.
     std::int64_t minOverduePercent = 15;
+    /// Tasks that are not backfill go to the worker with the least free reserved processor time on
+    /// which they fit, so that large gaps stay whole. Set by JobSchedulerSettings::lookAhead.
+    bool bestFit = false;
 };
 
 /// How strictly a worker is judged.
--- a/tests/decisions/jobs/LookAheadTest.cpp
+++ b/tests/decisions/jobs/LookAheadTest.cpp
@@ -48,6 +48,29 @@
     return ids;
 }
 
+/// The fixture with a setting, and starts in the order in which they are given.
+struct LookAheadFixture : SchedulerFixture
+{
+    explicit LookAheadFixture(bool lookAhead)
+        : SchedulerFixture({ .lookAhead = lookAhead })
+    { }
+
+    /// Starts one task of the size on the named worker, which must be the one that is chosen.
+    void occupy(std::uint64_t id, const StepSpec &step, std::string_view worker)
+    {
+        acceptJob(id, step, step.longRunning ? servingQueue : shortQueue);
+        const std::vector<StartRun> starts = take<StartRun>();
+        REQUIRE(starts.size() == 1);
+        REQUIRE(starts.front().target.name.value == worker);
+        confirm(starts.front());
+    }
+
+    void confirm(const StartRun &start)
+    {
+        scheduler.startAnswered(at, start.target.worker, start.run, OrderOutcome::Done);
+    }
+};
+
 } // namespace
 
 TEST_CASE("a late short step comes before serving steps with look-ahead, until it is of no use")
@@ -95,3 +118,59 @@
             order.erase(&it->steps.front());
     }
 }
+
+TEST_CASE("with look-ahead, small tasks leave the large gap whole")
+{
+    // Guards against small tasks spread over all workers, which leave no room for a large one.
+    for (const bool lookAhead : { false, true }) {
+        CAPTURE(lookAhead);
+        LookAheadFixture fixture(lookAhead);
+        fixture.occupy(1, shortStep(1, 12'000, 10s), "w0");
+        fixture.acceptJob(2, shortStep(1, 8000, 10s), shortQueue);
+        const std::vector<StartRun> small = fixture.take<StartRun>();
+        REQUIRE(small.size() == 1);
+        CHECK(small.front().target.name.value == (lookAhead ? "w0" : "w1"));
+        fixture.acceptJob(3, shortStep(1, 28'000, 10s), shortQueue);
+        CHECK(fixture.take<StartRun>().size() == (lookAhead ? 1 : 0));
+    }
+}
+
+TEST_CASE("with look-ahead, a serving task takes the smaller gap among workers of its image")
+{
+    // Guards against a choice by unused processor time, by which backfill tasks and the unused part
+    // of serving tasks decide which gap remains.
+    TailInterference interference;
+    const PlacerSettings settings { .bestFit = true };
+    const Placer placer(settings, &interference);
+    WorkerTable workers;
+    JobTable jobs;
+    const Timestamp now = timestampFromMicroseconds(10'000'000);
+    const auto addWorker = [&](const char *name) -> Worker & {
+        Worker &worker = workers.add(
+                { .name = { name }, .pool = "pool", .capacity = { 32'000, 128'000, 0 } });
+        worker.isRecorded = true;
+        worker.isKnown = true;
+        worker.lastHeardAt = now;
+        worker.lease.observe(now, 1000);
+        return worker;
+    };
+    Worker &wide = addWorker("wide");
+    Worker &narrow = addWorker("narrow");
+    Job *serving = addJob(&jobs, now, 1, servingStep(20, 4000), servingQueue);
+    Step &step = serving->steps.front();
+    step.image = interference.intern("serving");
+    StepSpec other = shortStep(20, 4000);
+    Step &shortOne = addJob(&jobs, now, 2, other, shortQueue)->steps.front();
+    // The wide gap has less unused processor time, since the serving tasks on the other worker use
+    // about half of what they reserve.
+    for (int it = 0; it < 6; ++it)
+        narrow.reserve(step);
+    wide.reserve(step);
+    for (int it = 0; it < 4; ++it)
+        wide.reserve(shortOne);
+    REQUIRE(wide.freeCapacity().millicores > narrow.freeCapacity().millicores);
+    REQUIRE(wide.unusedMillicores() < narrow.unusedMillicores());
+    CHECK(placer.choose(now, workers, step, step.tasks[0]) == &narrow);
+    const Placer today({}, &interference);
+    CHECK(today.choose(now, workers, step, step.tasks[0]) == &wide);
+}
--- a/tests/decisions/jobs/SchedulerFixture.h
+++ b/tests/decisions/jobs/SchedulerFixture.h
@@ -14,7 +14,8 @@
 /// Scheduler with two workers whose answers the test supplies.
 struct SchedulerFixture
 {
-    SchedulerFixture()
+    explicit SchedulerFixture(const JobSchedulerSettings &settings = {})
+        : scheduler(settings)
     {
         scheduler.begin(at, { 1 }, {}, {}, {});
         report();
