Try each waiting step again within 500 ms with look-ahead

A placement round ends after 48 steps for which no worker was found, so a step behind them was not tried as long as they waited, unless its job had nothing running at all. With look-ahead, a third of these tries is left for the steps that were not tried for 400 ms, the longest first. The bound of 48 is unchanged.

Test: a step behind 300 that fit nowhere starts within 500 ms; without the setting it does not start within 3 s.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -331,6 +331,9 @@
     void removeLeft(Timestamp now, Worker *worker);
     void moveLongRunningTasks(Timestamp now, Worker *worker);
     bool place(Timestamp now);
+    /// Steps in order from the given one that were not tried for long, the longest first.
+    [[nodiscard]] std::vector<Step *>
+    unreachedSteps(Timestamp now, std::map<StepOrder::Rank, Step *>::const_iterator from);
     bool placeStep(Timestamp now, Step *step);
     bool placeGang(Timestamp now, Step *step, PlacementMode mode);
     bool placeGang(Timestamp now, Step *step, const RackName *rack, PlacementMode mode);
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -12,6 +12,13 @@
 /// of its step.
 constexpr Duration minCopyDelay = std::chrono::milliseconds(150);
 
+/// With look-ahead, one of this many tries of a placement round is left for steps that the rounds
+/// did not reach: with 48 tries each 20 ms, 16 of them reach 400 steps that fit nowhere in 500 ms.
+constexpr std::size_t rotatingShare = 3;
+/// A step that was not tried for this long comes before those that come next in order. Less than
+/// the 500 ms within which each step is tried again, which leaves five rounds to do so.
+constexpr Duration unreachedAfter = std::chrono::milliseconds(400);
+
 /// Requirements that could not be met in a placement round; steps that need at least as much are
 /// not tried.
 struct FailedPlacement
@@ -46,27 +53,58 @@
     // Trials come first: each other start keeps its worker from having one.
     placeTrials(now);
     m_round.reset();
-    const auto &steps = m_order.steps();
-    for (auto it = steps.begin();
-         it != steps.end() && failedCount < m_settings.maxFailedPlacements;) {
-        Step *step = it->second;
-        ++it;
-        if (awaitsTakeOver(*step) || cannotFit(failedPlacements, *step))
-            continue;
+    const auto tryStep = [&](Step *step) {
+        if (awaitsTakeOver(*step))
+            return;
+        if (cannotFit(failedPlacements, *step)) {
+            // That it fits nowhere is known as if it had been tried.
+            if (m_settings.lookAhead)
+                step->lastTriedAt = now;
+            return;
+        }
         step->lastTriedAt = now;
         if (placeStep(now, step))
-            continue;
+            return;
         ++failedCount;
         if (isLimitedBySizeOnly(*step->spec) && step->permits == nullptr)
             failedPlacements.push_back({ .pool = step->job->pool,
                                          .fills = step->spec->fills,
                                          .image = step->spec->image,
                                          .size = step->spec->size });
+    };
+    // With look-ahead, a part of the tries is left for steps that the rounds did not reach.
+    const std::size_t rotating =
+            m_settings.lookAhead ? m_settings.maxFailedPlacements / rotatingShare : 0;
+    const auto &steps = m_order.steps();
+    auto it = steps.begin();
+    while (it != steps.end() && failedCount < m_settings.maxFailedPlacements - rotating) {
+        Step *step = it->second;
+        ++it;
+        tryStep(step);
+    }
+    if (rotating > 0 && it != steps.end()) {
+        for (Step *step : unreachedSteps(now, it)) {
+            if (failedCount >= m_settings.maxFailedPlacements)
+                break;
+            tryStep(step);
+        }
     }
     reserveForTrials(now);
     return failedCount == 0 && m_waitingSuspects.empty();
 }
 
+std::vector<Step *>
+JobScheduler::unreachedSteps(Timestamp now, std::map<StepOrder::Rank, Step *>::const_iterator from)
+{
+    std::vector<Step *> found;
+    for (; from != m_order.steps().end(); ++from) {
+        if (now - from->second->lastTriedAt >= unreachedAfter)
+            found.push_back(from->second);
+    }
+    std::ranges::stable_sort(found, {}, &Step::lastTriedAt);
+    return found;
+}
+
 bool JobScheduler::placeStep(Timestamp now, Step *step)
 {
     if (step->spec->gang)
--- a/tests/decisions/jobs/LookAheadTest.cpp
+++ b/tests/decisions/jobs/LookAheadTest.cpp
@@ -174,3 +174,57 @@
     const Placer today({}, &interference);
     CHECK(today.choose(now, workers, step, step.tasks[0]) == &wide);
 }
+
+TEST_CASE("with look-ahead, a step behind many that fit nowhere starts within half a second")
+{
+    // Guards against placement rounds that end before they reach a step that fits. Its job has
+    // another task at work, so it never counts as overdue. The steps before it are limited by more
+    // than their size, so each is tried.
+    for (const bool lookAhead : { false, true }) {
+        CAPTURE(lookAhead);
+        LookAheadFixture fixture(lookAhead);
+        auto spec = std::make_shared<JobSpec>();
+        spec->steps = { shortStep(1, 1000, 10s), shortStep(1, 1000, 10s), shortStep(1, 2000, 10s) };
+        spec->steps.back().after = { 1 };
+        // No step gets late, which would move it behind the others.
+        QueueSpec first = shortQueue;
+        first.objective = 60s;
+        QueueSpec later = first;
+        later.priority = 1;
+        const JobId job { 400 };
+        fixture.scheduler.jobAccepted(fixture.at, { .id = job, .queue = later, .spec = spec });
+        std::vector<EndedRow> ended;
+        WorkerId worker;
+        for (const StartRun &it : fixture.take<StartRun>()) {
+            fixture.confirm(it);
+            if (it.run.task.step != 1)
+                continue;
+            worker = it.target.worker;
+            ended.push_back({ .number = 1, .run = it.run, .end = RunEnd::Done });
+        }
+        REQUIRE(ended.size() == 1);
+        for (std::uint64_t id = 1; id <= 300; ++id) {
+            StepSpec step = shortStep(1, 1000, 100ms);
+            step.label = "nowhere";
+            fixture.acceptJob(id, step, first);
+        }
+        fixture.advance(100ms);
+        fixture.report();
+        for (const RenewWorkerLease &it : fixture.take<RenewWorkerLease>()) {
+            if (it.target.worker == worker)
+                fixture.answer(it, ended);
+        }
+        Duration waited {};
+        bool hasStarted = false;
+        for (; waited < 3s && !hasStarted; waited += 10ms) {
+            fixture.advance(10ms);
+            fixture.report();
+            hasStarted = std::ranges::any_of(fixture.take<StartRun>(), [&](const StartRun &it) {
+                return it.run.task.job == job;
+            });
+        }
+        CHECK(hasStarted == lookAhead);
+        if (lookAhead)
+            CHECK(waited <= 500ms);
+    }
+}
