--- a/tests/decisions/jobs/DurationModelTest.cpp
+++ b/tests/decisions/jobs/DurationModelTest.cpp
@@ -55,13 +55,13 @@
     Step &step = job->steps[0];
     step.dueAt = now;
     // Objective of 5 s, path of 2 s: a standing queue used to start the job as late as after 3 s.
-    CHECK(StepOrder::rankOf(now + 2900ms, step).band == 0);
+    CHECK(StepOrder().rankOf(now + 2900ms, step).band == 0);
     job->stretch = 1.5;
-    CHECK(StepOrder::rankOf(now + 1900ms, step).band == 0);
-    CHECK(StepOrder::rankOf(now + 2100ms, step).band == 1);
+    CHECK(StepOrder().rankOf(now + 1900ms, step).band == 0);
+    CHECK(StepOrder().rankOf(now + 2100ms, step).band == 1);
     job->stretch = 8;
-    CHECK(StepOrder::rankOf(now + 800ms, step).band == 0);
-    CHECK(StepOrder::rankOf(now + 1s, step).band == 1);
+    CHECK(StepOrder().rankOf(now + 800ms, step).band == 0);
+    CHECK(StepOrder().rankOf(now + 1s, step).band == 1);
 }
 
 TEST_CASE("the later steps of a job that has begun go before jobs that have not")
@@ -83,10 +83,10 @@
     begun->hasBegun = true;
     Job *waiting = add(2);
     waiting->steps[0].dueAt = now - 500ms;
-    CHECK(StepOrder::rankOf(now, begun->steps[0]) < StepOrder::rankOf(now, waiting->steps[0]));
+    CHECK(StepOrder().rankOf(now, begun->steps[0]) < StepOrder().rankOf(now, waiting->steps[0]));
     // Its own lateness is judged by its estimate, since starting another job instead wins nothing.
-    CHECK(StepOrder::rankOf(now + 2900ms, begun->steps[0]).band == 0);
-    CHECK(StepOrder::rankOf(now + 2900ms, waiting->steps[0]).band == 1);
+    CHECK(StepOrder().rankOf(now + 2900ms, begun->steps[0]).band == 0);
+    CHECK(StepOrder().rankOf(now + 2900ms, waiting->steps[0]).band == 1);
 }
 
 namespace {
