Add closed availability zones to the replicated state

- Command ChangeZone and record ZoneClosure; regenerated wire code.
- state::ClosedZones with the time and log index of each closure, at most 64.
- StateMachine::closedZones().

The time of a change is that of its command, as for all other commands.

--- a/acaciafork/state/State.h
+++ b/acaciafork/state/State.h
@@ -3,6 +3,7 @@
 /// Public header of the state library: the replicated state machine and the tables it holds.
 
 #include "acaciafork/state/ApplyResult.h"
+#include "acaciafork/state/ClosedZones.h"
 #include "acaciafork/state/CommandCodec.h"
 #include "acaciafork/state/Configuration.h"
 #include "acaciafork/state/Jobs.h"
--- a/acaciafork/state/StateLimits.h
+++ b/acaciafork/state/StateLimits.h
@@ -58,6 +58,8 @@
     std::size_t disturbancePairs = 4096;
     /// Maximum number of workers.
     std::size_t workers = 100'000;
+    /// Maximum number of closed zones.
+    std::size_t closedZones = 64;
     /// Maximum number of commands in one batch.
     std::size_t batchCommands = 10'000;
 };
--- a/acaciafork/state/StateMachine.cpp
+++ b/acaciafork/state/StateMachine.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "acaciafork/core/Assert.h"
+#include "acaciafork/state/ClosedZones.h"
 #include "acaciafork/state/Configuration.h"
 #include "acaciafork/state/Jobs.h"
 #include "acaciafork/state/Ledger.h"
@@ -47,6 +48,7 @@
         , queues(limits)
         , jobs(limits)
         , workers(limits)
+        , closedZones(limits)
     { }
 
     std::uint64_t appliedIndex = 0;
@@ -62,6 +64,7 @@
     Queues queues;
     Jobs jobs;
     WorkerRecords workers;
+    ClosedZones closedZones;
 };
 
 StateMachine::StateMachine(CellId cell, const StateLimits &limits)
@@ -175,6 +178,8 @@
         return tables.workers.beginTenure();
     case wire::Command::kRecordDisturbance:
         return tables.workers.recordDisturbance(command.record_disturbance());
+    case wire::Command::kChangeZone:
+        return tables.closedZones.change(command.change_zone(), tables.appliedIndex, now);
     case wire::Command::BODY_NOT_SET:
         break;
     }
@@ -216,6 +221,7 @@
     tables.queues.save(&writer);
     tables.jobs.save(&writer);
     tables.workers.save(&writer);
+    tables.closedZones.save(&writer);
     return writer.finish();
 }
 
@@ -277,6 +283,8 @@
         return tables->workers.load(record.tenure());
     case wire::SnapshotRecord::kDisturbance:
         return tables->workers.load(record.disturbance());
+    case wire::SnapshotRecord::kZoneClosure:
+        return tables->closedZones.load(record.zone_closure());
     case wire::SnapshotRecord::kHeader:
     case wire::SnapshotRecord::BODY_NOT_SET:
         break;
@@ -349,4 +357,9 @@
     return m_tables->workers;
 }
 
+const ClosedZones &StateMachine::closedZones() const
+{
+    return m_tables->closedZones;
+}
+
 } // namespace acaciafork::state
--- a/acaciafork/state/StateMachine.h
+++ b/acaciafork/state/StateMachine.h
@@ -13,6 +13,7 @@
 
 namespace acaciafork::state {
 
+class ClosedZones;
 class Configuration;
 class Jobs;
 class Ledger;
@@ -68,6 +69,7 @@
     [[nodiscard]] const Queues &queues() const;
     [[nodiscard]] const Jobs &jobs() const;
     [[nodiscard]] const WorkerRecords &workers() const;
+    [[nodiscard]] const ClosedZones &closedZones() const;
     /// @}
 
 private:
