Prefer warm workers for all but backfill tasks

After an evacuation the workers of the zone are the emptiest ones, so that placement fills them first, and they may still be cold: their tasks take longer.

- A report's remaining cold time is read by the binding and passed on by members that are not the leader.
Only a preference depends on it, so a missing value or one of another type counts as none and does not reject the report; it is capped at 10 minutes.
- The scheduler keeps it as the time at which the worker will be warm.
- Placer::score() is lower by 2 times the share of the task's estimate that falls into that time, for all but backfill tasks.
That outweighs differences in unused processor time, and is less than the penalty for a rack without the task's data.

Tests: the report's field with wrong types, the codec between members, the choice of a worker by kind of task, time and setting, the penalty's proportion, and cold workers in the comparison of placement rounds with single choices.

--- a/acaciafork/control/OrderCodec.cpp
+++ b/acaciafork/control/OrderCodec.cpp
@@ -169,13 +169,15 @@
     *message->mutable_life() = toState(report.life);
     message->set_sequence(report.sequence);
     message->set_clock_ms(report.clockMs);
+    message->set_cold_ms(report.coldFor / std::chrono::milliseconds(1));
 }
 
 jobs::WorkerReport decodeReport(const wire::WorkerReport &message)
 {
     return { .life = toJobs(message.life()),
              .sequence = message.sequence(),
-             .clockMs = message.clock_ms() };
+             .clockMs = message.clock_ms(),
+             .coldFor = std::chrono::milliseconds(message.cold_ms()) };
 }
 
 } // namespace acaciafork::control
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -34,6 +34,7 @@
         worker->guardsCapacity = !m_unguardedPools.contains(report.life.pool);
         worker->lastHeardAt = at.now;
         worker->lastReportedAt = at.now;
+        worker->warmAt = at.now + report.coldFor;
         worker->sequence = report.sequence;
         worker->lease.observe(at.now, report.clockMs);
         note("worker-joined", {}, worker,
@@ -58,6 +59,7 @@
     worker->awaitsReport = false;
     worker->lastReportedAt = at.now;
     worker->lastHeardAt = at.now;
+    worker->warmAt = at.now + report.coldFor;
     worker->sequence = report.sequence;
     worker->lease.observe(at.now, report.clockMs);
     if (startsDraining) {
--- a/acaciafork/decisions/jobs/PlacementRound.cpp
+++ b/acaciafork/decisions/jobs/PlacementRound.cpp
@@ -66,7 +66,8 @@
     if (!m_placer->fits(worker, *m_step)
         || (m_step->permits != nullptr && m_step->permits->find(worker, m_now) == nullptr))
         return;
-    m_ranked.push_back({ .score = m_placer->score(worker, *m_step), .candidate = candidate });
+    m_ranked.push_back(
+            { .score = m_placer->score(m_now, worker, *m_step), .candidate = candidate });
     std::push_heap(m_ranked.begin(), m_ranked.end());
 }
 
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -17,6 +17,10 @@
 /// interfere with it; it stays open to all others.
 constexpr double sameImageBonus = 2;
 constexpr double otherImagePenalty = 2;
+/// For a task whose whole estimate falls into the time in which the worker is cold. Outweighs
+/// differences in unused processor time, and is below the penalty for another rack, where each run
+/// of the task takes longer.
+constexpr double wholeRunColdPenalty = 2;
 
 bool hasLabel(const WorkerLife &life, const std::string &label)
 {
@@ -190,7 +194,18 @@
     return std::max(static_cast<std::int64_t>(percent), m_settings.minOverduePercent);
 }
 
-double Placer::score(const Worker &worker, const Step &step) const
+double Placer::coldPenalty(Timestamp now, const Worker &worker, const StepSpec &spec) const
+{
+    if (!m_settings.prefersWarmWorkers || spec.fills || worker.warmAt <= now)
+        return 0;
+    const Duration cold = worker.warmAt - now;
+    if (cold >= spec.estimate)
+        return wholeRunColdPenalty;
+    return wholeRunColdPenalty * static_cast<double>(cold.count())
+            / static_cast<double>(spec.estimate.count());
+}
+
+double Placer::score(Timestamp now, const Worker &worker, const Step &step) const
 {
     const StepSpec &spec = *step.spec;
     const double left = shareOf(worker, worker.unusedMillicores());
@@ -209,6 +224,7 @@
         score -= wrongRackPenalty;
     if (worker.consecutiveFailures >= m_settings.suspectAfterFailures)
         score -= failedHerePenalty;
+    score -= coldPenalty(now, worker, spec);
     return score;
 }
 
@@ -236,7 +252,7 @@
         });
         if (runsHere)
             continue;
-        double value = score(*worker, step) - taskPenalty(*worker, task);
+        double value = score(now, *worker, step) - taskPenalty(*worker, task);
         if (mode == PlacementMode::Overdue)
             value -= interferencePenalty * overdueInterference(*worker);
         if (best == nullptr || value > bestScore) {
@@ -260,7 +276,7 @@
             || (rack != nullptr && worker->life.rack != *rack)
             || (step.permits != nullptr && step.permits->find(*worker, now) == nullptr))
             continue;
-        const TrialRank rank = rankForTrial(*worker, score(*worker, step));
+        const TrialRank rank = rankForTrial(*worker, score(now, *worker, step));
         if (best == nullptr || rank < bestRank) {
             best = worker.get();
             bestRank = rank;
@@ -277,7 +293,8 @@
         if (!isUsable(now, *worker) || !canEverFit(*worker, step)
             || (step.permits != nullptr && step.permits->find(*worker, now) == nullptr))
             continue;
-        const std::pair rank { !fits(*worker, step), rankForTrial(*worker, score(*worker, step)) };
+        const std::pair rank { !fits(*worker, step),
+                               rankForTrial(*worker, score(now, *worker, step)) };
         if (best == nullptr || rank < bestRank) {
             best = worker.get();
             bestRank = rank;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -25,6 +25,8 @@
     double maxOverdueInterference = 0.15;
     /// Lowest share at which an overdue backfill task starts, in percent.
     std::int64_t minOverduePercent = 15;
+    /// Tasks that are not backfill prefer workers that are warm.
+    bool prefersWarmWorkers = false;
 };
 
 /// How strictly a worker is judged.
@@ -90,7 +92,7 @@
     [[nodiscard]] PlacementObstacle findObstacle(Timestamp now, const Worker &worker,
                                                  const Step &step) const;
     /// How good the worker is for tasks of the step; the highest score wins.
-    [[nodiscard]] double score(const Worker &worker, const Step &step) const;
+    [[nodiscard]] double score(Timestamp now, const Worker &worker, const Step &step) const;
     /// Amount by which the score is lower for this task of the step; zero for most tasks.
     [[nodiscard]] static double taskPenalty(const Worker &worker, const Task &task);
 
@@ -98,6 +100,9 @@
     /// What keeps a usable worker from getting a task of the step, apart from permits.
     [[nodiscard]] PlacementObstacle findObstacle(const Worker &worker, const Step &step,
                                                  PlacementMode mode) const;
+    /// Amount by which the score of a cold worker is lower; zero for a warm one.
+    [[nodiscard]] double coldPenalty(Timestamp now, const Worker &worker,
+                                     const StepSpec &spec) const;
     [[nodiscard]] static double colocationBonus(const Worker &worker, const Step &step);
     [[nodiscard]] bool isHarmless(const Worker &worker, const Step &step) const;
     [[nodiscard]] double expectedInterference(const Worker &worker, const Step &step) const;
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -221,6 +221,8 @@
     std::uint64_t sequence = 0;
     /// Reading of the worker's clock, in milliseconds.
     std::int64_t clockMs = 0;
+    /// How much longer the worker is cold, that is, runs tasks more slowly than usual.
+    Duration coldFor {};
 };
 
 /// How a run ended, as reported by its worker.
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -28,6 +28,8 @@
     /// its birth: then nothing else of it is known until it reports.
     Timestamp lastReportedAt = distantPast();
     bool awaitsReport = false;
+    /// Until then it runs tasks more slowly than usual, by its last report.
+    Timestamp warmAt = distantPast();
     /// It rejects what exceeds its capacity.
     bool guardsCapacity = true;
     /// It has, or may have, runs that are not in the table. They are told to stop, and their size
--- a/tests/control/OrderRouterTest.cpp
+++ b/tests/control/OrderRouterTest.cpp
@@ -258,3 +258,20 @@
     }
     CHECK(fixture.relayed.orders == 200);
 }
+
+TEST_CASE("a report passed on to the leader keeps what it says of the worker")
+{
+    // A member that dropped a field would hide it from the leader for all workers that it hears.
+    const jobs::WorkerReport report { .life = { .name = { "w" }, .born = { 3 }, .zone = "a" },
+                                      .sequence = 4,
+                                      .clockMs = 99,
+                                      .coldFor = 7500ms };
+    wire::WorkerReport message;
+    encodeReport(report, &message);
+    const jobs::WorkerReport copy = decodeReport(message);
+    CHECK(copy.life.name == report.life.name);
+    CHECK(copy.life.zone == "a");
+    CHECK(copy.sequence == 4);
+    CHECK(copy.clockMs == 99);
+    CHECK(copy.coldFor == report.coldFor);
+}
--- a/tests/decisions/jobs/PlacementRoundTest.cpp
+++ b/tests/decisions/jobs/PlacementRoundTest.cpp
@@ -30,6 +30,8 @@
             worker.lastHeardAt = start - Duration(draw(3) == 0 ? 2'600'000 : 0);
             worker.lease.observe(start, 1000);
             worker.consecutiveFailures = draw(10) == 0 ? 2 : 0;
+            if (draw(4) == 0)
+                worker.warmAt = start + std::chrono::milliseconds(draw(20'000));
         }
     }
 
@@ -40,6 +42,7 @@
         StepSpec spec { .count = static_cast<std::uint32_t>(1 + draw(30)),
                         .size = { static_cast<std::int64_t>(1000 + draw(12'000)),
                                   static_cast<std::int64_t>(1000 + draw(20'000)), 0 },
+                        .estimate = std::chrono::milliseconds(draw(20'000)),
                         .image = "image-" + std::to_string(draw(4)) };
         switch (draw(5)) {
         case 0:
@@ -65,7 +68,7 @@
 
     RandomGenerator random;
     TailInterference interference;
-    Placer placer { {}, &interference };
+    Placer placer { { .prefersWarmWorkers = true }, &interference };
     WorkerTable workers;
     JobTable jobs;
 };
--- a/tests/decisions/jobs/SchedulerFixture.h
+++ b/tests/decisions/jobs/SchedulerFixture.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <array>
+#include <map>
 #include <memory>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "acaciafork/decisions/jobs/Jobs.h"
@@ -14,7 +16,8 @@
 /// Scheduler with two workers whose answers the test supplies.
 struct SchedulerFixture
 {
-    SchedulerFixture()
+    explicit SchedulerFixture(const JobSchedulerSettings &settings = {})
+        : scheduler(settings)
     {
         scheduler.begin(at, { 1 }, {}, {}, {});
         report();
@@ -35,7 +38,8 @@
                                                  .address = "w",
                                                  .capacity = { 32'000, 128'000, 0 } },
                                        .sequence = sequence,
-                                       .clockMs = clockMs() });
+                                       .clockMs = clockMs(),
+                                       .coldFor = coldFor[it] });
         }
     }
 
@@ -118,6 +122,8 @@
     const Timestamp beganAt = timestampFromMicroseconds(10'000'000);
     Moment at { beganAt, 1'000'000'000 };
     std::uint64_t sequence = 0;
+    /// How long each worker says that it stays cold.
+    std::map<std::string, Duration> coldFor;
     JobScheduler scheduler;
 };
 
--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -314,3 +314,83 @@
     fixture.advance(100ms);
     CHECK(fixture.take<StartRun>().size() == 1);
 }
+
+namespace {
+
+/// Worker that gets the first task of a new job while `w0`, the first of two equal workers, is
+/// cold.
+/// @param[in] age how long ago `w0` reported
+std::string workerBesideCold(const JobSchedulerSettings &settings, const StepSpec &step,
+                             Duration coldFor, Duration age = {})
+{
+    SchedulerFixture fixture(settings);
+    fixture.coldFor["w0"] = coldFor;
+    fixture.report();
+    fixture.advance(age);
+    (void)fixture.take<StartRun>();
+    fixture.acceptJob(1, step);
+    const auto starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 1);
+    return starts[0].target.name.value;
+}
+
+} // namespace
+
+TEST_CASE("a task goes to a warm worker, unless it is backfill or the cold one has warmed up")
+{
+    // After an evacuation, the workers of the zone are the emptiest ones and the slowest ones.
+    JobSchedulerSettings settings;
+    settings.placer.prefersWarmWorkers = true;
+    const StepSpec task { .size = { 1000, 100, 0 }, .estimate = 1s };
+    StepSpec backfill = task;
+    backfill.fills = true;
+    StepSpec serving = task;
+    serving.longRunning = true;
+    serving.tailTarget = 50ms;
+    CHECK(workerBesideCold(settings, task, 0ms) == "w0");
+    CHECK(workerBesideCold(settings, task, 5s) == "w1");
+    CHECK(workerBesideCold(settings, serving, 5s) == "w1");
+    CHECK(workerBesideCold(settings, backfill, 5s) == "w0");
+    CHECK(workerBesideCold(settings, task, 500ms, 400ms) == "w1");
+    CHECK(workerBesideCold(settings, task, 500ms, 500ms) == "w0");
+    // A later report without the field ends it.
+    SchedulerFixture fixture(settings);
+    fixture.coldFor["w0"] = 5s;
+    fixture.report();
+    fixture.coldFor.clear();
+    fixture.report();
+    fixture.acceptJob(1, task);
+    const auto starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.name.value == "w0");
+    // Without the setting, placement does not depend on what workers say of themselves.
+    CHECK(workerBesideCold({}, task, 5s) == "w0");
+}
+
+TEST_CASE("the penalty of a cold worker grows with the share of the task that falls into the time")
+{
+    // A penalty that ignored the estimate would keep tasks of a minute off workers that are cold
+    // for a second.
+    const TailInterference interference;
+    const Placer placer({ .prefersWarmWorkers = true }, &interference);
+    WorkerTable workers;
+    Worker &worker = workers.add({ .name = { "w" }, .capacity = { 16'000, 64'000, 0 } });
+    const Timestamp now = timestampFromMicroseconds(10'000'000);
+    JobTable jobs;
+    const auto penalty = [&](std::uint64_t id, Duration estimate, Duration coldFor) {
+        auto spec = std::make_shared<JobSpec>();
+        spec->steps.push_back({ .count = 1, .size = { 1000, 100, 0 }, .estimate = estimate });
+        const Job *job = jobs.add(now, 0, { .id = { id }, .queue = {}, .spec = spec }, {});
+        worker.warmAt = Worker::distantPast();
+        const double warm = placer.score(now, worker, job->steps.front());
+        worker.warmAt = now + coldFor;
+        return warm - placer.score(now, worker, job->steps.front());
+    };
+    const double whole = penalty(1, 1s, 1s);
+    CHECK(whole > 1);
+    CHECK(penalty(2, 1s, 60s) == doctest::Approx(whole));
+    CHECK(penalty(3, 60s, 6s) == doctest::Approx(whole / 10));
+    CHECK(penalty(4, 60s, 0s) == 0);
+    // A task without an estimate counts as one that is over before the worker is warm.
+    CHECK(penalty(5, 0s, 1s) == doctest::Approx(whole));
+}
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -137,6 +137,27 @@
     }
 }
 
+TEST_CASE("a report tells how long its worker is cold, and is taken whatever stands there")
+{
+    // A report refused for this field would take the whole worker out of use.
+    const auto coldFor = [](const std::string &field) {
+        const std::string beat = R"({"service":"s","address":"10.0.0.9:80","state":"ready")";
+        return decoded<jobs::WorkerReport>([&] { return decodeHeartbeat("i-1", beat + field); })
+                .coldFor;
+    };
+    CHECK(coldFor("}") == 0ms);
+    CHECK(coldFor(R"(,"coldRemainingMs":7500})") == 7500ms);
+    CHECK(coldFor(R"(,"coldRemainingMs":7500.5})") == 7500ms);
+    CHECK(coldFor(R"(,"coldRemainingMs":-3})") == 0ms);
+    // A worker that is cold for ever would be shunned for good.
+    CHECK(coldFor(R"(,"coldRemainingMs":1e300})") == 10min);
+    CHECK(coldFor(R"(,"coldRemainingMs":18446744073709551615})") == 10min);
+    for (const char *it : { R"("7500")", "null", "true", "[]", "{}" }) {
+        CAPTURE(it);
+        CHECK(coldFor(R"(,"coldRemainingMs":)" + std::string(it) + '}') == 0ms);
+    }
+}
+
 TEST_CASE("orders carry the tenure, and answers say what became of them")
 {
     const jobs::RunKey run { .task = { .job = { 0x5c0e7a21d94b36f8 }, .step = 1, .task = 17 },
