--- a/tests/decisions/jobs/SchedulerFixture.h
+++ b/tests/decisions/jobs/SchedulerFixture.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <array>
+#include <map>
 #include <memory>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "acaciafork/decisions/jobs/Jobs.h"
@@ -36,7 +38,8 @@
                                                  .address = "w",
                                                  .capacity = { 32'000, 128'000, 0 } },
                                        .sequence = sequence,
-                                       .clockMs = clockMs() });
+                                       .clockMs = clockMs(),
+                                       .coldFor = coldFor[it] });
         }
     }
 
@@ -119,6 +122,8 @@
     const Timestamp beganAt = timestampFromMicroseconds(10'000'000);
     Moment at { beganAt, 1'000'000'000 };
     std::uint64_t sequence = 0;
+    /// How long each worker says that it stays cold.
+    std::map<std::string, Duration> coldFor;
     JobScheduler scheduler;
 };
 
