Bound exploratory starts of backfill tasks beside serving tasks

An image that has never run beside a serving image counted as harmless, so a burst of 20 tasks interfered on 20 workers before the first reading; readings that decay blamed the tasks that remained.

With cautious-backfill, one task at a time explores an unknown pair of images (PairExploration), each reading counts once and decays are recognised (TailTracker), and only tasks whose pair interferes are paced or stopped. Off by default; the branches are taken only with the setting on.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -70,6 +70,9 @@
     , m_mostLostRuns(&counters->counter("task_most_runs_lost", MetricKind::Gauge))
     , m_trials(&counters->counter("task_trials", MetricKind::Gauge))
     , m_convictedTasks(&counters->counter("tasks_convicted", MetricKind::Gauge))
+    , m_exploringStarts(&counters->counter("backfill_starts_exploring", MetricKind::Gauge))
+    , m_harmfulStarts(&counters->counter("backfill_starts_harmful", MetricKind::Gauge))
+    , m_heldBackStarts(&counters->counter("backfill_starts_held_back", MetricKind::Gauge))
     , m_longestWait(&counters->counter("steps_longest_wait_ms", MetricKind::Gauge))
     , m_blockedSteps(&counters->counter("steps_blocked", MetricKind::Gauge))
     , m_commitTime(&counters->histogram("job_commit_seconds"))
@@ -174,6 +177,9 @@
     m_mostLostRuns->set(counts.mostLostRuns);
     m_trials->set(static_cast<std::int64_t>(counts.trials));
     m_convictedTasks->set(static_cast<std::int64_t>(counts.convictedTasks));
+    m_exploringStarts->set(static_cast<std::int64_t>(counts.exploringStarts));
+    m_harmfulStarts->set(static_cast<std::int64_t>(counts.harmfulStarts));
+    m_heldBackStarts->set(static_cast<std::int64_t>(counts.heldBackStarts));
     m_longestWait->set(counts.longestWait / std::chrono::milliseconds(1));
     m_blockedSteps->set(static_cast<std::int64_t>(counts.blockedSteps));
 }
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -134,6 +134,9 @@
     Counter *m_mostLostRuns;
     Counter *m_trials;
     Counter *m_convictedTasks;
+    Counter *m_exploringStarts;
+    Counter *m_harmfulStarts;
+    Counter *m_heldBackStarts;
     Counter *m_longestWait;
     Counter *m_blockedSteps;
     /// From a submission to its commit.
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -23,7 +23,8 @@
 
 JobScheduler::JobScheduler(const JobSchedulerSettings &settings)
     : m_settings(settings)
-    , m_placer(settings.placer, &m_interference)
+    , m_placer(settings.placer, &m_interference,
+               settings.cautiousBackfill ? &m_exploration : nullptr)
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
 { }
@@ -59,6 +60,7 @@
     m_order.clear();
     m_jobs.clear();
     m_workers.clear();
+    m_exploration.clear();
     m_scheduledOccurrences.clear();
     m_ends.clear();
     m_batchWorkers.clear();
@@ -346,6 +348,7 @@
     if (at.now < m_nextSlowCheck)
         return;
     m_nextSlowCheck = at.now + slowCheckInterval;
+    m_exploration.expire(at.now);
     m_crashRate.advance(at.now, m_workers.all().size());
     checkExpiredLeases(at.now);
     checkTakeover(at.now);
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -13,6 +13,7 @@
 #include "acaciafork/decisions/jobs/Commands.h"
 #include "acaciafork/decisions/jobs/CrashRate.h"
 #include "acaciafork/decisions/jobs/JobTable.h"
+#include "acaciafork/decisions/jobs/PairExploration.h"
 #include "acaciafork/decisions/jobs/PlacementRound.h"
 #include "acaciafork/decisions/jobs/Placer.h"
 #include "acaciafork/decisions/jobs/StepOrder.h"
@@ -111,6 +112,11 @@
     /// Trials of suspected tasks, and tasks given up since they crash their workers.
     std::uint64_t trials = 0;
     std::uint64_t convictedTasks = 0;
+    /// Backfill tasks that started as the first of a pair of images that is not known, starts that
+    /// were seen to interfere, and tasks that were held back from such a start.
+    std::uint64_t exploringStarts = 0;
+    std::uint64_t harmfulStarts = 0;
+    std::uint64_t heldBackStarts = 0;
     /// Longest time for which tasks of a step have waited without any start, and the number of
     /// steps that have waited for long; as of the last summary.
     Duration longestWait {};
@@ -328,6 +334,25 @@
     [[nodiscard]] bool isHarmless(const Worker &worker, const RunRef &run,
                                   std::span<const TailReading> tails) const;
     bool evictInterferingTasks(Timestamp now, Worker *worker, std::span<const TailReading> tails);
+    /// @name Cautious backfill
+    /// @{
+    /// Counts the start of a backfill task against the bound on exploratory starts.
+    void explorePairs(Timestamp now, Worker *worker, const RunRef &run);
+    /// A backfill run has ended or is told to stop: tail latencies beside it decay.
+    void neighbourGone(Timestamp now, const Worker &worker, const Step &step);
+    /// Counts the waiting tasks of a step for which no worker was found, once, if its image is
+    /// being explored.
+    void countHeldBack(Step *step);
+    void throttleCautiously(Timestamp now, Worker *worker);
+    void learnFromTail(Timestamp now, const Worker &worker, const RunRef &serving);
+    void blameStart(Timestamp now, const Worker &worker, const RunRef &serving,
+                    const RunRef &filling, double share);
+    /// Highest share in percent at which the run is expected to keep the tail latencies safe.
+    [[nodiscard]] std::int64_t allowedPercent(Timestamp now, const Worker &worker,
+                                              const RunRef &filling) const;
+    void limitHarmfulRuns(Timestamp now, Worker *worker);
+    void raisePercent(Timestamp now, Worker *worker);
+    /// @}
     void removeLeft(Timestamp now, Worker *worker);
     void moveLongRunningTasks(Timestamp now, Worker *worker);
     bool place(Timestamp now);
@@ -346,6 +371,7 @@
     void stopGang(Timestamp now, Step *step, std::string_view reason);
 
     JobSchedulerSettings m_settings;
+    PairExploration m_exploration;
     Placer m_placer;
     PlacementRound m_round;
     BackfillThrottle m_throttle;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -76,6 +76,7 @@
         const TaskRef task { .step = step, .task = step->ready.front() };
         Worker *worker = m_round.choose(task.get());
         if (worker == nullptr) {
+            countHeldBack(step);
             requestPermits(now, step);
             return false;
         }
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -68,6 +68,8 @@
     // No renewals are sent to a worker without runs, so a change of its incarnation would have gone
     // unnoticed.
     worker->isIncarnationConfirmed = worker->isIncarnationConfirmed && !worker->runs.empty();
+    if (m_settings.cautiousBackfill && ref.step->spec->fills)
+        explorePairs(now, worker, run);
     worker->runs.push_back(run);
     worker->reserve(*ref.step);
     ref.step->rack = worker->life.rack;
@@ -160,6 +162,8 @@
     ACACIAFORK_ASSERT(worker != nullptr);
     run.stopInFlight = true;
     run.stopRetryAt = now + m_settings.retryDelay;
+    if (m_settings.cautiousBackfill && ref.task.step->spec->fills)
+        neighbourGone(now, *worker, *ref.task.step);
     m_commands.emplace_back(
             StopRun { .target = targetOf(*worker), .run = ref.key(), .reason = reason });
 }
@@ -174,6 +178,8 @@
     *it = worker->runs.back();
     worker->runs.pop_back();
     worker->release(*ref.task.step);
+    if (ref.task.step->spec->fills)
+        m_exploration.ended(worker->id, ref.task.step->image);
     std::erase(worker->trials, ref.key());
     run = {};
     Job *job = ref.task.step->job;
@@ -292,6 +298,8 @@
             step->longestTaskTime = std::max(step->longestTaskTime, now - ref.get().startedAt);
             ++step->doneCount;
         }
+        if (m_settings.cautiousBackfill && step->spec->fills)
+            neighbourGone(now, *worker, *step);
         releaseRun(ref);
     }
     switch (row.end) {
--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -88,6 +88,10 @@
 
 void JobScheduler::throttleBackfill(Timestamp now, Worker *worker)
 {
+    if (m_settings.cautiousBackfill) {
+        throttleCautiously(now, worker);
+        return;
+    }
     if (worker->backfillMillicores == 0) {
         worker->backfillPercent = wholePercent;
         return;
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -10,6 +10,7 @@
 #include "acaciafork/decisions/batch/Batch.h"
 #include "acaciafork/decisions/jobs/CrashHistory.h"
 #include "acaciafork/decisions/jobs/StepPermits.h"
+#include "acaciafork/decisions/jobs/TailTracker.h"
 #include "acaciafork/decisions/jobs/Types.h"
 
 namespace acaciafork::jobs {
@@ -58,6 +59,8 @@
     std::int64_t load = -1;
     /// Time since which its tail latency has exceeded its target; Timestamp::max() if it does not.
     Timestamp overTargetSince = Timestamp::max();
+    /// Its tail latency, for a serving task where exploratory starts are bounded.
+    TailTracker tail;
 
     [[nodiscard]] bool exists() const { return phase != RunPhase::None; }
 };
@@ -127,6 +130,8 @@
     Timestamp waitingSince;
     /// When a placement round last tried the step. A round may end before it reaches all steps.
     Timestamp lastTriedAt;
+    /// The bound on exploratory starts has held back its tasks.
+    bool wasHeldBack = false;
     /// When the step was last tried as an overdue one.
     Timestamp lastTriedOverdueAt;
     /// Longest chain of estimated durations from its start to the end of the job.
--- a/acaciafork/decisions/jobs/PlacementObstacle.h
+++ b/acaciafork/decisions/jobs/PlacementObstacle.h
@@ -18,11 +18,13 @@
     Paused, ///< the backfill tasks there are paused
     Throttled, ///< the backfill tasks there are throttled, and the image is not known as harmless
     Spread, ///< the worker has as many tasks of the step as it may
+    Exploring, ///< the backfill image is not known beside the serving tasks there, and another
+               ///< task explores it or another image
     Permit, ///< the advisor has given no permit that is valid there
 };
 
 /// Number of values of PlacementObstacle.
-inline constexpr std::size_t placementObstacleCount = 12;
+inline constexpr std::size_t placementObstacleCount = 13;
 
 /// Stable lower-case name of an obstacle, such as "interference".
 std::string_view placementObstacleName(PlacementObstacle obstacle);
--- a/acaciafork/decisions/jobs/PlacementRound.cpp
+++ b/acaciafork/decisions/jobs/PlacementRound.cpp
@@ -78,11 +78,20 @@
     return best;
 }
 
+void PlacementRound::dropHeldBack()
+{
+    while (!m_ranked.empty()
+           && m_placer->isHeldBack(*(*m_candidates)[m_ranked.front().candidate].worker, *m_step))
+        (void)takeBest();
+}
+
 Worker *PlacementRound::choose(const Task &task)
 {
+    dropHeldBack();
     if (m_ranked.empty())
         return nullptr;
     Ranked chosen = takeBest();
+    dropHeldBack();
     const Worker &best = *(*m_candidates)[chosen.candidate].worker;
     const double penalty = m_placer->taskPenalty(best, task);
     // Only the worker on which the task failed last has another score for the task than for its
--- a/acaciafork/decisions/jobs/PlacementRound.h
+++ b/acaciafork/decisions/jobs/PlacementRound.h
@@ -64,6 +64,9 @@
     void rankAll();
     void add(std::size_t candidate);
     [[nodiscard]] Ranked takeBest();
+    /// Drops the best candidates as long as an exploratory start that was placed in this round
+    /// holds the step back from them.
+    void dropHeldBack();
 
     const Placer *m_placer;
     bool m_isCollected = false;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -122,8 +122,12 @@
         // must be available.
         if (worker.unusedMillicores() < spec.size.millicores / 2)
             return PlacementObstacle::Processor;
-        if (expectedInterference(worker, step) > m_settings.maxInterference)
+        const double bound = m_exploration == nullptr ? m_settings.maxInterference
+                                                      : m_settings.maxKnownInterference;
+        if (expectedInterference(worker, step) > bound || isHarmful(worker, step))
             return PlacementObstacle::Interference;
+        if (isHeldBack(worker, step))
+            return PlacementObstacle::Exploring;
         if (worker.backfillPercent == 0)
             return PlacementObstacle::Paused;
         if (worker.backfillPercent < wholePercent && !isHarmless(worker, step))
@@ -151,6 +155,24 @@
     });
 }
 
+bool Placer::isHarmful(const Worker &worker, const Step &step) const
+{
+    return m_exploration != nullptr
+            && std::ranges::any_of(worker.servedImages, [&](const auto &it) {
+                   return m_interference->stateOf(it.first, step.image) == PairState::Harmful;
+               });
+}
+
+bool Placer::isHeldBack(const Worker &worker, const Step &step) const
+{
+    if (m_exploration == nullptr || !step.spec->fills)
+        return false;
+    return std::ranges::any_of(worker.servedImages, [&](const auto &it) {
+        return m_interference->stateOf(it.first, step.image) == PairState::Unknown
+                && !m_exploration->mayExplore(worker.id, it.first, step.image);
+    });
+}
+
 double Placer::expectedInterference(const Worker &worker, const Step &step) const
 {
     double worst = 0;
@@ -222,6 +244,7 @@
 {
     Worker *best = nullptr;
     double bestScore = 0;
+    bool isBestHeldBack = false;
     for (const auto &it : workers.all()) {
         Worker *worker = it.second.get();
         if (!isUsable(now, *worker) || findObstacle(*worker, step, mode) != PlacementObstacle::None)
@@ -239,9 +262,14 @@
         double value = score(*worker, step) - taskPenalty(*worker, task);
         if (mode == PlacementMode::Overdue)
             value -= interferencePenalty * overdueInterference(*worker);
-        if (best == nullptr || value > bestScore) {
+        // An overdue task exceeds the bound on exploratory starts only where no other worker is
+        // left.
+        const bool heldBack = mode == PlacementMode::Overdue && isHeldBack(*worker, step);
+        if (best == nullptr
+            || std::pair(!heldBack, value) > std::pair(!isBestHeldBack, bestScore)) {
             best = worker;
             bestScore = value;
+            isBestHeldBack = heldBack;
         }
     }
     return best;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciafork/decisions/jobs/PairExploration.h"
 #include "acaciafork/decisions/jobs/PlacementObstacle.h"
 #include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/WorkerTable.h"
@@ -20,6 +21,9 @@
     /// its target. Without interference, tail latencies vary between a quarter and four fifths of
     /// the target.
     double maxInterference = 0.35;
+    /// The same where exploratory starts are bounded, so that estimates are reliable: 0.8 is the
+    /// highest ratio of a run without interference.
+    double maxKnownInterference = 0.2;
     /// The same for all overdue tasks on a worker together. Lower, since their jobs are late
     /// already while the serving tasks are on time.
     double maxOverdueInterference = 0.15;
@@ -46,9 +50,12 @@
 {
 public:
     /// @param[in] interference interference model; must outlive the placer
-    Placer(const PlacerSettings &settings, const TailInterference *interference)
+    /// @param[in] exploration bound on exploratory starts, which must outlive the placer; or null
+    Placer(const PlacerSettings &settings, const TailInterference *interference,
+           const PairExploration *exploration = nullptr)
         : m_settings(settings)
         , m_interference(interference)
+        , m_exploration(exploration)
     { }
 
     /// Best worker for the task, or null when none has enough free capacity now.
@@ -89,6 +96,8 @@
     /// What keeps the worker from getting a task of the step now.
     [[nodiscard]] PlacementObstacle findObstacle(Timestamp now, const Worker &worker,
                                                  const Step &step) const;
+    /// True when the bound on exploratory starts excludes the worker.
+    [[nodiscard]] bool isHeldBack(const Worker &worker, const Step &step) const;
     /// How good the worker is for tasks of the step; the highest score wins.
     [[nodiscard]] double score(const Worker &worker, const Step &step) const;
     /// Amount by which the score is lower for this task of the step; zero for most tasks.
@@ -106,8 +115,12 @@
     [[nodiscard]] double overdueInterference(const Worker &worker,
                                              const Step *except = nullptr) const;
 
+    /// True when the step's image is known to interfere with an image served on the worker.
+    [[nodiscard]] bool isHarmful(const Worker &worker, const Step &step) const;
+
     PlacerSettings m_settings;
     const TailInterference *m_interference;
+    const PairExploration *m_exploration;
 };
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/TailInterference.cpp
+++ b/acaciafork/decisions/jobs/TailInterference.cpp
@@ -19,6 +19,11 @@
 constexpr double ratioNoise = 0.25;
 /// Increase of a tail latency, as a share of its target, that counts as harmless.
 constexpr double harmlessGrowth = 0.25;
+/// Increases for use of a whole worker. Pairs that interfere show 4 to 19, all others less than
+/// 0.8; the bounds leave room for the error of an estimate, which must not exceed the last one.
+constexpr double harmlessBelow = 3;
+constexpr double harmfulAbove = 1.5;
+constexpr double maxKnownDeviation = 3;
 /// The model is used with a single load level.
 constexpr batch::Index level = 0;
 
@@ -64,6 +69,48 @@
                     std::min(tailRatio, maxTailRatio) - undisturbedRatio);
 }
 
+void TailInterference::observe(batch::Index serving, double growth,
+                               std::span<const batch::CoRunner> neighbours)
+{
+    for (const batch::CoRunner &it : neighbours)
+        m_observedPairs.emplace(serving, it.family);
+    m_model.observe(serving, neighbours, level, std::min(growth, maxTailRatio));
+}
+
+void TailInterference::learn(batch::Index serving, batch::Index filling, double share,
+                             double growth, double deviation)
+{
+    m_observedPairs.emplace(serving, filling);
+    batch::PairEstimate pair = m_model.pair(serving, filling, level);
+    const double gain =
+            pair.variance * share / (share * share * pair.variance + deviation * deviation);
+    pair.mean += static_cast<float>(gain * (std::min(growth, maxTailRatio) - share * pair.mean));
+    pair.variance = std::max(static_cast<float>(minDeviation * minDeviation),
+                             static_cast<float>(pair.variance * (1 - gain * share)));
+    m_model.setPair(serving, filling, level, pair);
+}
+
+void TailInterference::learnAtLeast(batch::Index serving, batch::Index filling, double share,
+                                    double growth)
+{
+    m_observedPairs.emplace(serving, filling);
+    batch::PairEstimate pair = m_model.pair(serving, filling, level);
+    pair.mean = std::max(pair.mean, static_cast<float>(std::min(growth, maxTailRatio) / share));
+    pair.variance = std::min(pair.variance, 1.0F);
+    m_model.setPair(serving, filling, level, pair);
+}
+
+PairState TailInterference::stateOf(batch::Index serving, batch::Index filling) const
+{
+    const batch::PairEstimate &pair = m_model.pair(serving, filling, level);
+    const double deviation = std::sqrt(pair.variance);
+    if (deviation > maxKnownDeviation)
+        return PairState::Unknown;
+    if (pair.mean + deviation < harmlessBelow)
+        return PairState::Harmless;
+    return pair.mean - deviation > harmfulAbove ? PairState::Harmful : PairState::Unknown;
+}
+
 std::vector<InterferenceEstimate> TailInterference::estimates() const
 {
     std::vector<std::string_view> names(m_indexes.size());
--- a/acaciafork/decisions/jobs/TailInterference.h
+++ b/acaciafork/decisions/jobs/TailInterference.h
@@ -30,6 +30,13 @@
     float variance = 0;
 };
 
+/// What is known of a pair of a serving and a backfill image.
+enum class PairState : std::uint8_t {
+    Unknown,
+    Harmless,
+    Harmful,
+};
+
 /// Learns which backfill images slow down which serving images, from the tail latencies of serving
 /// tasks and the backfill tasks beside them. Most pairs do not interfere at all.
 class TailInterference
@@ -42,6 +49,18 @@
     void observe(std::string_view serving, double tailRatio,
                  std::span<const BackfillNeighbour> neighbours);
 
+    /// The same, for a ratio without interference that is known.
+    void observe(batch::Index serving, double growth, std::span<const batch::CoRunner> neighbours);
+    /// Updates the estimate of one pair from an increase that it explains alone.
+    /// @param[in] share processor time that tasks of `filling` use, as a share of the worker
+    /// @param[in] growth increase of the tail latency, as a share of its target
+    /// @param[in] deviation standard deviation of the increase
+    void learn(batch::Index serving, batch::Index filling, double share, double growth,
+               double deviation);
+    /// Raises the estimate of a pair to an increase that a reading has shown at least.
+    void learnAtLeast(batch::Index serving, batch::Index filling, double share, double growth);
+    [[nodiscard]] PairState stateOf(batch::Index serving, batch::Index filling) const;
+
     /// Index of an image, for the overloads that avoid the lookup by name.
     batch::Index intern(std::string_view image) { return indexOf(image); }
     [[nodiscard]] double expected(batch::Index serving, batch::Index filling, double share) const
