--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -30,7 +30,8 @@
 
 JobScheduler::JobScheduler(const JobSchedulerSettings &settings)
     : m_settings(settings)
-    , m_placer(placerSettings(settings), &m_interference)
+    , m_placer(placerSettings(settings), &m_interference,
+               settings.cautiousBackfill ? &m_exploration : nullptr)
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
     , m_order(settings.lookAhead)
@@ -67,6 +68,7 @@
     m_order.clear();
     m_jobs.clear();
     m_workers.clear();
+    m_exploration.clear();
     m_scheduledOccurrences.clear();
     m_durations.clear();
     m_ends.clear();
@@ -358,6 +360,7 @@
     if (at.now < m_nextSlowCheck)
         return;
     m_nextSlowCheck = at.now + slowCheckInterval;
+    m_exploration.expire(at.now);
     m_crashRate.advance(at.now, m_workers.all().size());
     checkExpiredLeases(at.now);
     checkTakeover(at.now);
