Keep starts out of availability zones that operators have closed

Operators evacuate a zone ahead of a loss of power: from then on nothing may start there, while what runs goes on.

- JobDriver::changeZone() proposes ChangeZone and acknowledges once applied; the scheduler reads the closed zones as a tenure begins and at each change.
- Placer::isReachable(), which every choice of a worker asks, excludes workers of closed zones; being in touch is a question of its own (isInTouch()), which the check for outdated reports asks.
- JobScheduler::orderStart() asserts that the zone is open, trials whose zone closes before they are recorded are abandoned, and starts that are decided and not handed out are taken back.
- A worker's zone now counts as part of its record.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -1,5 +1,6 @@
 #include "acaciafork/control/JobDriver.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <spdlog/spdlog.h>
@@ -72,6 +73,7 @@
     , m_convictedTasks(&counters->counter("tasks_convicted", MetricKind::Gauge))
     , m_longestWait(&counters->counter("steps_longest_wait_ms", MetricKind::Gauge))
     , m_blockedSteps(&counters->counter("steps_blocked", MetricKind::Gauge))
+    , m_zonesClosed(&counters->counter("zones_closed", MetricKind::Gauge))
     , m_commitTime(&counters->histogram("job_commit_seconds"))
     , m_waitTime(&counters->histogram("task_wait_seconds"))
     , m_jobTime(&counters->histogram("job_seconds"))
@@ -127,7 +129,23 @@
     std::vector<jobs::InterferenceEstimate> learnt;
     for (const wire::DisturbancePair &it : m_state->workers().disturbance().pairs())
         learnt.push_back(toJobs(it));
-    m_scheduler.begin(at, m_tenure, queues, views, workers, learnt);
+    m_scheduler.begin(at, m_tenure, queues, views, workers, learnt, closedZones());
+}
+
+std::vector<std::string> JobDriver::closedZones() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, closure] : m_state->closedZones().all())
+        names.push_back(name);
+    return names;
+}
+
+bool JobDriver::isKnownZone(std::string_view zone) const
+{
+    return m_state->closedZones().all().contains(zone)
+            || std::ranges::find(m_zoneNames, zone) != m_zoneNames.end()
+            || std::ranges::any_of(m_state->workers().all(),
+                                   [&](const auto &it) { return it.second.zone() == zone; });
 }
 
 void JobDriver::tick(Moment at)
@@ -176,6 +194,7 @@
     m_convictedTasks->set(static_cast<std::int64_t>(counts.convictedTasks));
     m_longestWait->set(counts.longestWait / std::chrono::milliseconds(1));
     m_blockedSteps->set(static_cast<std::int64_t>(counts.blockedSteps));
+    m_zonesClosed->set(static_cast<std::int64_t>(m_scheduler.closedZones().size()));
 }
 
 void JobDriver::carryOut(Moment at)
@@ -210,6 +229,15 @@
         spdlog::info("event=queues-in-force version={} queues={}", m_state->queues().version(),
                      queues.size());
         m_scheduler.queuesChanged(queues);
+    } else if (command.body_case() == wire::Command::kChangeZone) {
+        const wire::ChangeZone &change = command.change_zone();
+        if (change.closed())
+            spdlog::info("event=zone-closed zone={} closed={}", change.zone(),
+                         m_state->closedZones().all().size());
+        else
+            spdlog::info("event=zone-opened zone={} closed={}", change.zone(),
+                         m_state->closedZones().all().size());
+        m_scheduler.zonesChanged(at, closedZones());
     }
 }
 
@@ -405,6 +433,29 @@
         reply(refusedForNow());
 }
 
+void JobDriver::changeZone(Moment at, std::string_view zone, bool closed, const Reply &reply)
+{
+    if (!m_isActive) {
+        reply(refusedForNow());
+        return;
+    }
+    if (!state::isName(zone) || !isKnownZone(zone)) {
+        reply(peers::failureAnswer(FailureKind::NotFound, "no worker is in a zone of this name"));
+        return;
+    }
+    wire::Command proposal;
+    proposal.mutable_change_zone()->set_zone(std::string(zone));
+    proposal.mutable_change_zone()->set_closed(closed);
+    const bool accepted =
+            m_propose(at, std::move(proposal), [reply](Moment, const state::ApplyResult *result) {
+                // Not known whether it takes effect: whoever asked asks the next leader.
+                if (result != nullptr)
+                    reply(state::succeeded(*result) ? plain(200) : refusedForNow());
+            });
+    if (!accepted)
+        reply(refusedForNow());
+}
+
 void JobDriver::workerReported(Moment at, const jobs::WorkerReport &report, const Reply &reply)
 {
     if (!m_isActive) {
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -34,6 +34,9 @@
     /// Who knows which workers may run a step; without one, queues with such a policy wait.
     void setAdvisor(PlacementAdvisor *advisor) { m_advisor = advisor; }
 
+    /// Zones that changeZone() takes besides those of recorded workers.
+    void setZoneNames(std::vector<std::string> names) { m_zoneNames = std::move(names); }
+
     /// This member leads from now on; the scheduler begins once its tenure is committed.
     void start(Moment at);
     void stop();
@@ -53,6 +56,10 @@
     void call(Moment at, const wire::JobCall &call, const Reply &reply);
     /// A configuration of queues that its reader has found valid.
     void configure(Moment at, wire::QueueConfig config, const Reply &reply);
+    /// Closes an availability zone to new starts, or opens it. Acknowledged once it is applied,
+    /// also when the zone is in that state; not answered while the outcome is not known. Refused
+    /// with 404 for an unknown zone, and with 503 where it can't be proposed.
+    void changeZone(Moment at, std::string_view zone, bool closed, const Reply &reply);
     /// A worker's report. Word that it leaves is answered once every later leader will know of it,
     /// any other report at once.
     void workerReported(Moment at, const jobs::WorkerReport &report, const Reply &reply);
@@ -77,6 +84,8 @@
     friend struct JobCommandRunner;
 
     void begin(Moment at, std::uint64_t tenure);
+    [[nodiscard]] std::vector<std::string> closedZones() const;
+    [[nodiscard]] bool isKnownZone(std::string_view zone) const;
     void workersRecorded(Moment at, const jobs::RecordWorkers &command);
     void submit(Moment at, const wire::Queue &queue, std::uint64_t id, const wire::JobCall &call,
                 const Reply &reply);
@@ -96,6 +105,7 @@
     Propose m_propose;
     WorkerOrders *m_orders = nullptr;
     PlacementAdvisor *m_advisor = nullptr;
+    std::vector<std::string> m_zoneNames;
     jobs::JobScheduler m_scheduler;
     jobs::Tenure m_tenure;
     bool m_isActive = false;
@@ -136,6 +146,7 @@
     Counter *m_convictedTasks;
     Counter *m_longestWait;
     Counter *m_blockedSteps;
+    Counter *m_zonesClosed;
     /// From a submission to its commit.
     Histogram *m_commitTime;
     /// From the moment that a task may start to its start.
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -23,16 +23,18 @@
 
 JobScheduler::JobScheduler(const JobSchedulerSettings &settings)
     : m_settings(settings)
-    , m_placer(settings.placer, &m_interference)
+    , m_placer(settings.placer, &m_interference, &m_closedZones)
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
 { }
 
 void JobScheduler::begin(Moment at, Tenure tenure, std::span<const QueueSpec> queues,
                          std::span<const JobView> jobs, std::span<const WorkerLife> workers,
-                         std::span<const InterferenceEstimate> estimates)
+                         std::span<const InterferenceEstimate> estimates,
+                         std::span<const std::string> closedZones)
 {
     end();
+    m_closedZones.assign(closedZones);
     m_tenure = tenure;
     queuesChanged(queues);
     m_interference.restore(estimates);
@@ -55,6 +57,7 @@
 
 void JobScheduler::end()
 {
+    m_closedZones.assign({});
     m_round.reset();
     m_order.clear();
     m_jobs.clear();
@@ -113,6 +116,23 @@
     return it == m_queues.end() ? accepted : it->second;
 }
 
+void JobScheduler::zonesChanged(Moment at, std::span<const std::string> closed)
+{
+    m_closedZones.assign(closed);
+    m_placementDue = true;
+    // A leader that may not act for a while would order these starts later.
+    std::vector<StartRun> untaken;
+    std::erase_if(m_commands, [&](const Command &it) {
+        const auto *start = std::get_if<StartRun>(&it);
+        if (start == nullptr || !m_closedZones.isClosed(start->target.zone))
+            return false;
+        untaken.push_back(*start);
+        return true;
+    });
+    for (const StartRun &it : untaken)
+        startAnswered(at, it.target.worker, it.run, OrderOutcome::NotSent);
+}
+
 void JobScheduler::jobAccepted(Moment at, const JobView &job)
 {
     addJob(at, job, false);
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "acaciafork/decisions/jobs/BackfillThrottle.h"
+#include "acaciafork/decisions/jobs/ClosedZones.h"
 #include "acaciafork/decisions/jobs/Commands.h"
 #include "acaciafork/decisions/jobs/CrashRate.h"
 #include "acaciafork/decisions/jobs/JobTable.h"
@@ -134,7 +135,8 @@
     /// Begins a tenure with the current replicated state.
     void begin(Moment at, Tenure tenure, std::span<const QueueSpec> queues,
                std::span<const JobView> jobs, std::span<const WorkerLife> workers,
-               std::span<const InterferenceEstimate> estimates = {});
+               std::span<const InterferenceEstimate> estimates = {},
+               std::span<const std::string> closedZones = {});
     /// Ends the tenure and discards the state of jobs and workers.
     void end();
     /// True when a worker has accepted orders of a later leader: this scheduler must give no more
@@ -150,6 +152,8 @@
     void endsRecorded(Moment at, std::uint64_t batch);
     void exposuresRecorded(Moment at, std::uint64_t batch);
     void workersRecorded(Moment at, std::span<const WorkerName> names);
+    /// From now on nothing starts in the given zones, also of what was decided and not taken yet.
+    void zonesChanged(Moment at, std::span<const std::string> closed);
     /// @}
 
     /// @name Workers
@@ -189,6 +193,7 @@
     [[nodiscard]] std::uint32_t pending(const std::string &queue) const;
     [[nodiscard]] const JobTable &jobs() const { return m_jobs; }
     [[nodiscard]] const WorkerTable &workers() const { return m_workers; }
+    [[nodiscard]] const ClosedZones &closedZones() const { return m_closedZones; }
     [[nodiscard]] const JobSchedulerCounts &counts() const { return m_counts; }
     /// True while the scheduler waits for the workers to report the runs that earlier leaders
     /// started.
@@ -350,6 +355,7 @@
     PlacementRound m_round;
     BackfillThrottle m_throttle;
     TailInterference m_interference;
+    ClosedZones m_closedZones;
     Tenure m_tenure;
     bool m_isFenced = false;
     bool m_isTakingOver = false;
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -278,7 +278,7 @@
             continue;
         Worker *worker = m_workers.find(run.get().worker);
         ACACIAFORK_ASSERT(worker != nullptr);
-        // The record may have taken long.
+        // The record may have taken long, and the zone may have closed meanwhile.
         if (!m_placer.isReachable(at.now, *worker) || !Size {}.fitsIn(worker->freeCapacity())) {
             abandonTrial(at.now, run);
             continue;
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -83,6 +83,7 @@
     Step *step = ref.task.step;
     Worker *worker = m_workers.find(run.worker);
     ACACIAFORK_ASSERT(worker != nullptr);
+    ACACIAFORK_ASSERT(!m_closedZones.isClosed(worker->life.zone));
     run.phase = RunPhase::Starting;
     run.startedAt = now;
     ++m_counts.started;
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -16,8 +16,8 @@
 bool isSameRecord(const WorkerLife &one, const WorkerLife &other)
 {
     return one.born == other.born && one.pool == other.pool && one.address == other.address
-            && one.labels == other.labels && one.capacity == other.capacity
-            && one.draining == other.draining;
+            && one.zone == other.zone && one.labels == other.labels
+            && one.capacity == other.capacity && one.draining == other.draining;
 }
 
 } // namespace
@@ -74,7 +74,7 @@
     return std::ranges::any_of(m_workers.all(), [&](const auto &it) {
         const Worker &other = *it.second;
         return other.life.address == life.address && other.life.born > life.born
-                && m_placer.isReachable(now, other);
+                && m_placer.isInTouch(now, other);
     });
 }
 
--- a/acaciafork/decisions/jobs/PlacementObstacle.h
+++ b/acaciafork/decisions/jobs/PlacementObstacle.h
@@ -19,10 +19,11 @@
     Throttled, ///< the backfill tasks there are throttled, and the image is not known as harmless
     Spread, ///< the worker has as many tasks of the step as it may
     Permit, ///< the advisor has given no permit that is valid there
+    ClosedZone, ///< operators have closed the worker's zone to new starts
 };
 
 /// Number of values of PlacementObstacle.
-inline constexpr std::size_t placementObstacleCount = 12;
+inline constexpr std::size_t placementObstacleCount = 13;
 
 /// Stable lower-case name of an obstacle, such as "interference".
 std::string_view placementObstacleName(PlacementObstacle obstacle);
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -65,6 +65,11 @@
 }
 
 bool Placer::isReachable(Timestamp now, const Worker &worker) const
+{
+    return isInTouch(now, worker) && !isInClosedZone(worker);
+}
+
+bool Placer::isInTouch(Timestamp now, const Worker &worker) const
 {
     return worker.isRecorded && worker.isKnown && !worker.life.draining && worker.lease.isKnown()
             && worker.unansweredRenewals == 0 && now >= worker.avoidUntil
@@ -81,6 +86,8 @@
 
 PlacementObstacle Placer::findObstacle(Timestamp now, const Worker &worker, const Step &step) const
 {
+    if (worker.life.pool == step.job->pool && isInClosedZone(worker))
+        return PlacementObstacle::ClosedZone;
     if (worker.life.pool == step.job->pool && !isUsable(now, worker))
         return PlacementObstacle::NotUsable;
     const PlacementObstacle obstacle = findObstacle(worker, step, PlacementMode::Usual);
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciafork/decisions/jobs/ClosedZones.h"
 #include "acaciafork/decisions/jobs/PlacementObstacle.h"
 #include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/WorkerTable.h"
@@ -46,9 +47,13 @@
 {
 public:
     /// @param[in] interference interference model; must outlive the placer
-    Placer(const PlacerSettings &settings, const TailInterference *interference)
+    /// @param[in] closedZones zones in which nothing may start; must outlive the placer; null for
+    /// none
+    Placer(const PlacerSettings &settings, const TailInterference *interference,
+           const ClosedZones *closedZones = nullptr)
         : m_settings(settings)
         , m_interference(interference)
+        , m_closedZones(closedZones)
     { }
 
     /// Best worker for the task, or null when none has enough free capacity now.
@@ -64,7 +69,10 @@
 
     /// True when the worker may get new work.
     [[nodiscard]] bool isUsable(Timestamp now, const Worker &worker) const;
-    /// True when the worker is in touch and accepts work, whether it is kept for a trial or not.
+    /// True when the worker is in touch and accepts work.
+    [[nodiscard]] bool isInTouch(Timestamp now, const Worker &worker) const;
+    /// True when the worker is in touch and its zone is open, whether it is kept for a trial or
+    /// not. Every choice of a worker for a start asks this.
     [[nodiscard]] bool isReachable(Timestamp now, const Worker &worker) const;
 
     /// True when a task of the step could run on the worker if it were empty.
@@ -95,6 +103,10 @@
     [[nodiscard]] static double taskPenalty(const Worker &worker, const Task &task);
 
 private:
+    [[nodiscard]] bool isInClosedZone(const Worker &worker) const
+    {
+        return m_closedZones != nullptr && m_closedZones->isClosed(worker.life.zone);
+    }
     /// What keeps a usable worker from getting a task of the step, apart from permits.
     [[nodiscard]] PlacementObstacle findObstacle(const Worker &worker, const Step &step,
                                                  PlacementMode mode) const;
@@ -108,6 +120,7 @@
 
     PlacerSettings m_settings;
     const TailInterference *m_interference;
+    const ClosedZones *m_closedZones;
 };
 
 } // namespace acaciafork::jobs
--- a/acaciafork/net/HttpExchange.cpp
+++ b/acaciafork/net/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "acaciafork/net/HttpExchange.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -101,6 +102,15 @@
     exchange->m_generator = generator;
 }
 
+bool HttpExchange::isPeerGone() const
+{
+    if (m_req == nullptr || m_isGone)
+        return true;
+    h2o_socket_t *socket = m_req->conn->callbacks->get_socket(m_req->conn);
+    pollfd fd { .fd = h2o_socket_get_fd(socket), .events = POLLRDHUP, .revents = 0 };
+    return ::poll(&fd, 1, 0) != 0;
+}
+
 std::string_view HttpExchange::method() const
 {
     return m_req == nullptr ? std::string_view() : view(m_req->input.method);
--- a/acaciafork/net/HttpExchange.h
+++ b/acaciafork/net/HttpExchange.h
@@ -31,6 +31,10 @@
     /// False once the answer is sent whole or the connection is gone.
     [[nodiscard]] bool isOpen() const { return m_req != nullptr; }
 
+    /// True once the peer has closed the connection or its sending side. Asks the kernel, so that a
+    /// close counts from its arrival on.
+    [[nodiscard]] bool isPeerGone() const;
+
     /// Method, such as "GET".
     [[nodiscard]] std::string_view method() const;
     /// Path with the query, as the peer wrote it.
--- a/daemons/control/main.cpp
+++ b/daemons/control/main.cpp
@@ -31,6 +31,7 @@
                 platform::ControlBindingSettings { .control = settings.bindingControl,
                                                    .metrics = settings.bindingMetrics,
                                                    .advisor = settings.bindingAdvisor,
+                                                   .evacuation = settings.evacuation,
                                                    .descriptors = settings.descriptors });
     BOOST_LEAF_CHECK(process.start());
     if (binding) {
--- a/tests/control/FakeWorker.cpp
+++ b/tests/control/FakeWorker.cpp
@@ -24,6 +24,7 @@
                        .born = { born },
                        .pool = "pool",
                        .address = address,
+                       .zone = zone,
                        .labels = labels,
                        .rack = { labels.empty() ? std::string() : labels.back() },
                        .capacity = capacity,
--- a/tests/control/FakeWorker.h
+++ b/tests/control/FakeWorker.h
@@ -40,6 +40,7 @@
 
     std::string name;
     std::string address;
+    std::string zone;
     std::uint64_t born;
     double clockRate;
     jobs::Size capacity;
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -26,6 +26,8 @@
 /// Starts may reckon with a capacity that has shrunk for the time in which a worker counts as in
 /// touch and one interval of its reports more.
 constexpr Duration resizeGrace = 3000ms + beatInterval;
+/// After this time from the acknowledgement of an evacuation nothing starts in the zone.
+constexpr Duration evacuationTime = 5s;
 /// The longest that a worker holds a lease for, whatever it is told.
 constexpr std::int64_t mostHoldMs = 6000;
 
@@ -58,6 +60,8 @@
                                              jobs::Size { .millicores = options.workerMillicores,
                                                           .memoryMb = options.workerMemoryMb }));
         m_workers.back()->bornAt = m_now;
+        if (options.zones > 0)
+            m_workers.back()->zone = "z" + std::to_string(it % options.zones);
         m_workers.back()->labels = { it % 2 == 0 ? "even" : "odd",
                                      "rack-" + std::to_string(it / 2) };
     }
@@ -348,6 +352,36 @@
         m_driver->call(moment(), call, reply);
 }
 
+void JobWorld::changeZone(const std::string &zone, bool closed)
+{
+    m_zoneStatus[zone] = 0;
+    // From the moment that an evacuation is taken back, starts are allowed.
+    if (!closed)
+        m_evacuatedAt.erase(zone);
+    if (!m_driver)
+        return;
+    m_driver->changeZone(moment(), zone, closed,
+                         [this, zone, closed](const peers::ApiAnswer &answer) {
+                             m_zoneStatus[zone] = answer.status;
+                             if (closed && answer.status == 200)
+                                 m_evacuatedAt.try_emplace(zone, m_now);
+                         });
+}
+
+int JobWorld::zoneStatus(const std::string &zone) const
+{
+    const auto it = m_zoneStatus.find(zone);
+    return it == m_zoneStatus.end() ? 0 : it->second;
+}
+
+void JobWorld::checkZone(const FakeWorker &worker, const jobs::TaskKey &task)
+{
+    const auto it = m_evacuatedAt.find(worker.zone);
+    if (it != m_evacuatedAt.end() && m_now - it->second > evacuationTime)
+        breach("start of " + nameOf(task) + " on " + worker.name + " in a zone evacuated for "
+               + std::to_string((m_now - it->second) / 1ms) + " ms");
+}
+
 bool JobWorld::hasIdleWorkers() const
 {
     return std::ranges::all_of(m_workers, [](const auto &it) { return it->running.empty(); });
@@ -452,6 +486,7 @@
     auto worker = std::make_unique<FakeWorker>(name.empty() ? old.name : name, old.born + 100'000,
                                                old.clockRate, old.capacity);
     worker->address = old.address;
+    worker->zone = old.zone;
     worker->bornAt = m_now;
     worker->labels = old.labels;
     m_workers[i] = std::move(worker);
@@ -599,6 +634,7 @@
             return jobs::OrderOutcome::NoPermit;
         }
     }
+    checkZone(worker, task);
     checkStart(worker, command);
     ++m_starts;
     worker.hasLease = true;
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -48,6 +48,8 @@
     std::size_t workers = 6;
     /// Members that carry the leader's orders beside it; none carries them all itself.
     std::size_t relays = 0;
+    /// Zones z0, z1 and so on to which the workers belong in turn; none names no zone.
+    std::size_t zones = 0;
     std::int64_t workerMillicores = 8000;
     std::int64_t workerMemoryMb = 32'000;
     /// Workers reject what exceeds their capacity; else it is a breach to start that there.
@@ -86,6 +88,11 @@
     void cancel(std::uint64_t id);
     /// Asks for the state of a job; the answer may wait while the job is about to end.
     void ask(std::uint64_t id, Duration wait, const JobDriver::Reply &reply);
+    /// Closes or opens a zone; see zoneStatus().
+    void changeZone(const std::string &zone, bool closed);
+    /// Status with which the last order for the zone was answered, 0 while it is not.
+    [[nodiscard]] int zoneStatus(const std::string &zone) const;
+    [[nodiscard]] const state::ClosedZones &closedZones() const { return m_machine.closedZones(); }
     [[nodiscard]] wire::JobState stateOf(std::uint64_t id) const;
     [[nodiscard]] int statusOf(std::uint64_t id) const;
     /// @}
@@ -210,6 +217,8 @@
                                jobs::Tenure tenure);
     /// Checks that no run waits for an answer that does not come.
     void checkOrders();
+    /// Checks that no task starts in a zone that has been closed for long.
+    void checkZone(const FakeWorker &worker, const jobs::TaskKey &task);
     void checkStart(const FakeWorker &worker, const jobs::StartRun &order);
     void checkStep(const FakeWorker &worker, const jobs::TaskKey &task, const wire::JobSpec &spec);
     /// Lets gangs begin that are whole, and ends those that are done, broken or alone.
@@ -250,6 +259,9 @@
     std::map<std::uint64_t, std::uint32_t> m_attempts;
     std::map<std::uint64_t, int> m_status;
     std::map<std::uint64_t, Timestamp> m_cancelledAt;
+    std::map<std::string, int> m_zoneStatus;
+    /// When the evacuation of a zone was acknowledged, until it is taken back.
+    std::map<std::string, Timestamp> m_evacuatedAt;
     std::set<jobs::TaskKey> m_doneNoted;
     /// Tasks that have ended as done, whether anybody knows or not.
     std::set<jobs::TaskKey> m_done;
--- a/tests/decisions/jobs/SchedulerFixture.h
+++ b/tests/decisions/jobs/SchedulerFixture.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <memory>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "acaciafork/decisions/jobs/Jobs.h"
@@ -14,7 +15,9 @@
 /// Scheduler with two workers whose answers the test supplies.
 struct SchedulerFixture
 {
-    SchedulerFixture()
+    /// @param[in] workerZones zones of the two workers
+    explicit SchedulerFixture(const std::array<std::string, 2> &workerZones = {})
+        : zones(workerZones)
     {
         scheduler.begin(at, { 1 }, {}, {}, {});
         report();
@@ -27,12 +30,13 @@
     void report()
     {
         ++sequence;
-        for (const char *it : { "w0", "w1" }) {
+        for (std::size_t it = 0; it < zones.size(); ++it) {
             scheduler.workerReported(at,
-                                     { .life = { .name = { it },
+                                     { .life = { .name = { "w" + std::to_string(it) },
                                                  .born = { 1 },
                                                  .pool = "pool",
                                                  .address = "w",
+                                                 .zone = zones.at(it),
                                                  .capacity = { 32'000, 128'000, 0 } },
                                        .sequence = sequence,
                                        .clockMs = clockMs() });
@@ -115,6 +119,7 @@
     /// Reading of the workers' clocks.
     [[nodiscard]] std::int64_t clockMs() const { return (at.now - beganAt) / 1ms + 1000; }
 
+    const std::array<std::string, 2> zones;
     const Timestamp beganAt = timestampFromMicroseconds(10'000'000);
     Moment at { beganAt, 1'000'000'000 };
     std::uint64_t sequence = 0;
