Let clang compile the tests of closed zones

A structured binding can't be captured by doctest's CAPTURE under clang, which clang-tidy reports as an error.

Tests: test_jobs, scripts/lint on the file.

--- a/tests/decisions/jobs/ClosedZonesTest.cpp
+++ b/tests/decisions/jobs/ClosedZonesTest.cpp
@@ -75,8 +75,9 @@
 
 TEST_CASE("tasks of every kind start in open zones only")
 {
-    for (const auto &[name, step] : kindsOfSteps()) {
-        CAPTURE(name);
+    for (const auto &it : kindsOfSteps()) {
+        CAPTURE(it.first);
+        const StepSpec &step = it.second;
         SchedulerFixture open({ "a", "b" });
         close(&open, { "b" });
         open.acceptJob(1, step);
@@ -94,8 +95,9 @@
 
 TEST_CASE("a step that is overdue for lack of an open zone starts once a zone is opened")
 {
-    for (const auto &[name, step] : kindsOfSteps()) {
-        CAPTURE(name);
+    for (const auto &it : kindsOfSteps()) {
+        CAPTURE(it.first);
+        const StepSpec &step = it.second;
         SchedulerFixture fixture({ "a", "b" });
         close(&fixture, { "a", "b" });
         fixture.acceptJob(1, step);
