--- a/acaciafork/decisions/jobs/PlacementObstacle.h
+++ b/acaciafork/decisions/jobs/PlacementObstacle.h
@@ -21,10 +21,11 @@
     Exploring, ///< the backfill image is not known beside the serving tasks there, and another
                ///< task explores it or another image
     Permit, ///< the advisor has given no permit that is valid there
+    ClosedZone, ///< operators have closed the worker's zone to new starts
 };
 
 /// Number of values of PlacementObstacle.
-inline constexpr std::size_t placementObstacleCount = 13;
+inline constexpr std::size_t placementObstacleCount = 14;
 
 /// Stable lower-case name of an obstacle, such as "interference".
 std::string_view placementObstacleName(PlacementObstacle obstacle);
