Keep workers for large tasks that wait, with look-ahead

Small tasks that arrive continuously take each gap before it is large enough for a large task. With look-ahead, a step that has waited for 500 ms gets workers kept for its next tasks: those on which a task fits soonest by the expected ends of the short runs there. Others start there only if they fit beside the kept task or are expected to end before it. Bounds: 32 kept workers, 4 for one step, 5 s each. A kept worker is given up when it is not usable, has shrunk, or its step is placed or over. Serving tasks do not wait beside room for two like them. Events gap-kept, gap-used and gap-given-up, and three metrics.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -72,6 +72,9 @@
     , m_convictedTasks(&counters->counter("tasks_convicted", MetricKind::Gauge))
     , m_longestWait(&counters->counter("steps_longest_wait_ms", MetricKind::Gauge))
     , m_blockedSteps(&counters->counter("steps_blocked", MetricKind::Gauge))
+    , m_gapsKept(&counters->counter("gaps_kept", MetricKind::Gauge))
+    , m_gapsUsed(&counters->counter("gaps_used", MetricKind::Gauge))
+    , m_gapsGivenUp(&counters->counter("gaps_given_up", MetricKind::Gauge))
     , m_commitTime(&counters->histogram("job_commit_seconds"))
     , m_waitTime(&counters->histogram("task_wait_seconds"))
     , m_jobTime(&counters->histogram("job_seconds"))
@@ -176,6 +179,9 @@
     m_convictedTasks->set(static_cast<std::int64_t>(counts.convictedTasks));
     m_longestWait->set(counts.longestWait / std::chrono::milliseconds(1));
     m_blockedSteps->set(static_cast<std::int64_t>(counts.blockedSteps));
+    m_gapsKept->set(static_cast<std::int64_t>(counts.gapsKept));
+    m_gapsUsed->set(static_cast<std::int64_t>(counts.gapsUsed));
+    m_gapsGivenUp->set(static_cast<std::int64_t>(counts.gapsGivenUp));
 }
 
 void JobDriver::carryOut(Moment at)
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -136,6 +136,9 @@
     Counter *m_convictedTasks;
     Counter *m_longestWait;
     Counter *m_blockedSteps;
+    Counter *m_gapsKept;
+    Counter *m_gapsUsed;
+    Counter *m_gapsGivenUp;
     /// From a submission to its commit.
     Histogram *m_commitTime;
     /// From the moment that a task may start to its start.
--- /dev/null
+++ b/acaciafork/decisions/jobs/GapPlanner.cpp
@@ -0,0 +1,151 @@
+#include "acaciafork/decisions/jobs/GapPlanner.h"
+
+#include <algorithm>
+
+namespace acaciafork::jobs {
+namespace {
+
+/// A run that exceeds its estimate is expected to take another quarter of its time so far; the
+/// forecast then grows with the error of the estimate, whatever its size.
+constexpr std::int64_t overrunDivisor = 4;
+constexpr Duration minRemaining = std::chrono::milliseconds(20);
+
+struct ExpectedEnd
+{
+    Timestamp at;
+    Size size;
+};
+
+Timestamp expectedEnd(Timestamp now, const RunRef &ref)
+{
+    const Timestamp startedAt = ref.get().startedAt;
+    const Timestamp estimated = startedAt + ref.task.step->spec->estimate;
+    if (estimated >= now + minRemaining)
+        return estimated;
+    return now + std::max((now - startedAt) / overrunDivisor, minRemaining);
+}
+
+} // namespace
+
+std::string KeptGap::describe(Timestamp now) const
+{
+    constexpr auto millisecond = std::chrono::milliseconds(1);
+    return "kept-ms=" + std::to_string((now - since) / millisecond)
+            + " due-ms=" + std::to_string((expectedAt - now) / millisecond)
+            + " turned-away=" + std::to_string(turnedAway.size());
+}
+
+std::optional<GapForecast> GapPlanner::forecast(Timestamp now, const Worker &worker,
+                                                const Size &size)
+{
+    GapForecast result { .at = now, .spare = worker.freeCapacity() };
+    if (!size.fitsIn(result.spare)) {
+        std::vector<ExpectedEnd> ends;
+        Size room = result.spare;
+        for (const RunRef &it : worker.runs) {
+            if (it.task.step->spec->longRunning)
+                continue;
+            ends.push_back({ .at = expectedEnd(now, it), .size = it.task.step->spec->reserved() });
+            room += ends.back().size;
+        }
+        if (!size.fitsIn(room))
+            return std::nullopt;
+        std::ranges::sort(ends, {}, &ExpectedEnd::at);
+        for (const ExpectedEnd &it : ends) {
+            if (size.fitsIn(result.spare))
+                break;
+            result.at = it.at;
+            result.spare += it.size;
+        }
+    }
+    result.spare -= size;
+    return result;
+}
+
+bool GapPlanner::mayKeep(Timestamp now, const Step &step) const
+{
+    const StepSpec &spec = *step.spec;
+    if (spec.fills || spec.longRunning || spec.gang || step.permits != nullptr)
+        return false;
+    const std::size_t wanted = std::min(m_settings.maxKeptPerStep, step.ready.size());
+    return now - step.readyAt >= m_settings.keepAfter && m_kept.size() < m_settings.maxKept
+            && keptFor(step) < wanted;
+}
+
+std::size_t GapPlanner::keptFor(const Step &step) const
+{
+    const TaskKey key = step.key(0);
+    return static_cast<std::size_t>(
+            std::ranges::count_if(m_kept, [&](const auto &it) { return it.second.step == key; }));
+}
+
+void GapPlanner::keep(Timestamp now, const Worker &worker, const Step &step,
+                      const GapForecast &forecast)
+{
+    m_kept[worker.id] = { .step = step.key(0),
+                          .size = step.spec->reserved(),
+                          .since = now,
+                          .expectedAt = forecast.at,
+                          .spare = forecast.spare,
+                          .turnedAway = {} };
+}
+
+bool GapPlanner::turnsAway(Timestamp now, const Worker &worker, const Step &step)
+{
+    const auto it = m_kept.find(worker.id);
+    if (it == m_kept.end())
+        return false;
+    KeptGap &gap = it->second;
+    const TaskKey key = step.key(0);
+    const StepSpec &spec = *step.spec;
+    const Size size = spec.reserved();
+    if (gap.step == key || size.fitsIn(gap.spare))
+        return false;
+    if (!spec.longRunning && spec.estimate > Duration {} && now + spec.estimate <= gap.expectedAt)
+        return false;
+    const Duration waited = now - step.waitingSince;
+    if (spec.longRunning) {
+        Size room = size;
+        for (std::int64_t n = 1; n < m_settings.openRoom; ++n)
+            room += size;
+        if (waited >= m_settings.openAfter / 2 && room.fitsIn(worker.freeCapacity()))
+            return false;
+    } else if (waited >= m_settings.openAfter && step.job->runCount == 0) {
+        return false;
+    }
+    gap.turnedAway.insert(key);
+    return true;
+}
+
+std::optional<KeptGap> GapPlanner::started(Timestamp now, const Worker &worker, const Step &step)
+{
+    const auto it = m_kept.find(worker.id);
+    if (it == m_kept.end())
+        return std::nullopt;
+    KeptGap &gap = it->second;
+    if (gap.step == step.key(0)) {
+        KeptGap used = std::move(gap);
+        m_kept.erase(it);
+        return used;
+    }
+    // What ends before the room is free takes no part of it.
+    if (step.spec->longRunning || now + step.spec->estimate > gap.expectedAt)
+        gap.spare -= step.spec->reserved();
+    return std::nullopt;
+}
+
+std::string_view GapPlanner::reasonToGiveUp(Timestamp now, const KeptGap &gap, const Worker *worker,
+                                            bool isUsable, const Step *step) const
+{
+    if (worker == nullptr || !isUsable)
+        return "unusable";
+    if (step == nullptr || !step->isQueued || keptFor(*step) > step->ready.size())
+        return "placed";
+    if (now - gap.since >= m_settings.longestKeep)
+        return "expired";
+    if (!forecast(now, *worker, gap.size))
+        return "no-room";
+    return {};
+}
+
+} // namespace acaciafork::jobs
--- /dev/null
+++ b/acaciafork/decisions/jobs/GapPlanner.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "acaciafork/decisions/jobs/WorkerTable.h"
+
+namespace acaciafork::jobs {
+
+/// Settings of the kept workers.
+struct GapPlannerSettings
+{
+    /// A step gets kept workers once it has waited for this long. Shorter waits end by themselves:
+    /// short tasks take less than a second.
+    Duration keepAfter = std::chrono::milliseconds(500);
+    /// A worker is kept for one task for at most this long at a time.
+    Duration longestKeep = std::chrono::seconds(5);
+    std::size_t maxKept = 32;
+    /// Maximum number of workers kept for one step at a time.
+    std::size_t maxKeptPerStep = 4;
+    /// A job none of whose tasks runs is lost to its caller after 3 s with room free. Kept workers
+    /// are open to its steps after this long.
+    Duration openAfter = std::chrono::milliseconds(1500);
+    /// A worker with room for this many long-running tasks is open to one that has waited for half
+    /// of `openAfter`, even when it is kept.
+    std::int64_t openRoom = 2;
+};
+
+/// Expected room on a worker.
+struct GapForecast
+{
+    /// When a task is expected to fit, by the expected ends of the short runs.
+    Timestamp at;
+    /// What is free by then, without the room for the task itself.
+    Size spare;
+};
+
+/// Worker that is kept for a task of a step.
+struct KeptGap
+{
+    /// The step, named by its first task.
+    TaskKey step;
+    Size size;
+    Timestamp since;
+    /// As of when it was first kept: later starts and longer runs don't move it.
+    Timestamp expectedAt;
+    Size spare;
+    /// Steps that did not get the worker meanwhile, each named by its first task.
+    std::set<TaskKey> turnedAway;
+
+    /// Details for the log.
+    [[nodiscard]] std::string describe(Timestamp now) const;
+};
+
+/// Keeps workers for large tasks that wait, as in EASY backfilling: a kept worker accepts other
+/// tasks only if they fit beside the kept one or are expected to end before its room is free.
+///
+/// Designed for small tasks that arrive continuously and take each gap before it is large enough
+/// for a large task.
+class GapPlanner
+{
+public:
+    explicit GapPlanner(const GapPlannerSettings &settings = {})
+        : m_settings(settings)
+    { }
+
+    /// When a task of the size is expected to fit on the worker; none if only the end of a
+    /// long-running task can make room for it.
+    [[nodiscard]] static std::optional<GapForecast> forecast(Timestamp now, const Worker &worker,
+                                                             const Size &size);
+
+    /// True when the step waits for room in a way that a kept worker can help.
+    [[nodiscard]] bool mayKeep(Timestamp now, const Step &step) const;
+    [[nodiscard]] bool isKept(const Worker &worker) const { return m_kept.contains(worker.id); }
+    [[nodiscard]] std::size_t keptFor(const Step &step) const;
+    void keep(Timestamp now, const Worker &worker, const Step &step, const GapForecast &forecast);
+
+    /// True when the worker is kept and the step must not start a task there now.
+    bool turnsAway(Timestamp now, const Worker &worker, const Step &step);
+    /// Takes a start on a worker into account.
+    /// @return the gap that the start has used, if the worker was kept for the step
+    std::optional<KeptGap> started(Timestamp now, const Worker &worker, const Step &step);
+
+    /// Ends the keep of a worker.
+    void giveUp(WorkerId worker) { m_kept.erase(worker); }
+    /// Why a gap has to be given up; empty while it is kept.
+    /// @param[in] worker null if it has been removed
+    /// @param[in] step null if its job is over
+    [[nodiscard]] std::string_view reasonToGiveUp(Timestamp now, const KeptGap &gap,
+                                                  const Worker *worker, bool isUsable,
+                                                  const Step *step) const;
+    [[nodiscard]] const std::map<WorkerId, KeptGap> &kept() const { return m_kept; }
+    void clear() { m_kept.clear(); }
+    [[nodiscard]] Duration longestKeep() const { return m_settings.longestKeep; }
+
+private:
+    GapPlannerSettings m_settings;
+    std::map<WorkerId, KeptGap> m_kept;
+};
+
+} // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -30,7 +30,7 @@
 
 JobScheduler::JobScheduler(const JobSchedulerSettings &settings)
     : m_settings(settings)
-    , m_placer(placerSettings(settings), &m_interference)
+    , m_placer(placerSettings(settings), &m_interference, &m_gaps)
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
     , m_order(settings.lookAhead)
@@ -64,6 +64,8 @@
 void JobScheduler::end()
 {
     m_round.reset();
+    m_gaps.clear();
+    m_counts.gapsKept = 0;
     m_order.clear();
     m_jobs.clear();
     m_workers.clear();
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -12,6 +12,7 @@
 #include "acaciafork/decisions/jobs/BackfillThrottle.h"
 #include "acaciafork/decisions/jobs/Commands.h"
 #include "acaciafork/decisions/jobs/CrashRate.h"
+#include "acaciafork/decisions/jobs/GapPlanner.h"
 #include "acaciafork/decisions/jobs/JobTable.h"
 #include "acaciafork/decisions/jobs/PlacementRound.h"
 #include "acaciafork/decisions/jobs/Placer.h"
@@ -111,6 +112,10 @@
     /// Trials of suspected tasks, and tasks given up since they crash their workers.
     std::uint64_t trials = 0;
     std::uint64_t convictedTasks = 0;
+    /// Workers kept for a large task now, and the kept gaps that were used or given up.
+    std::size_t gapsKept = 0;
+    std::uint64_t gapsUsed = 0;
+    std::uint64_t gapsGivenUp = 0;
     /// Longest time for which tasks of a step have waited without any start, and the number of
     /// steps that have waited for long; as of the last summary.
     Duration longestWait {};
@@ -335,6 +340,12 @@
     [[nodiscard]] std::vector<Step *>
     unreachedSteps(Timestamp now, std::map<StepOrder::Rank, Step *>::const_iterator from);
     bool placeStep(Timestamp now, Step *step);
+    /// Keeps workers for large tasks that have waited; after the steps were tried.
+    void keepGaps(Timestamp now);
+    /// Worker on which a task of the step is expected to fit soonest, apart from kept ones.
+    [[nodiscard]] std::pair<const Worker *, GapForecast> findSoonest(Timestamp now,
+                                                                     const Step &step) const;
+    void giveUpGaps(Timestamp now);
     bool placeGang(Timestamp now, Step *step, PlacementMode mode);
     bool placeGang(Timestamp now, Step *step, const RackName *rack, PlacementMode mode);
     /// Steps that are overdue, those first whose last try as such was longest ago.
@@ -349,6 +360,8 @@
     void stopGang(Timestamp now, Step *step, std::string_view reason);
 
     JobSchedulerSettings m_settings;
+    GapPlanner m_gaps;
+    Timestamp m_nextGapPlanning;
     Placer m_placer;
     PlacementRound m_round;
     BackfillThrottle m_throttle;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -19,6 +19,11 @@
 /// the 500 ms within which each step is tried again, which leaves five rounds to do so.
 constexpr Duration unreachedAfter = std::chrono::milliseconds(400);
 
+/// Interval between the plans for kept workers, and how many steps are planned for each time. Each
+/// plan looks at all workers of a pool once, as a step that fits nowhere does in a round.
+constexpr Duration gapPlanningInterval = std::chrono::milliseconds(100);
+constexpr std::size_t maxGapPlans = 4;
+
 /// Requirements that could not be met in a placement round; steps that need at least as much are
 /// not tried.
 struct FailedPlacement
@@ -52,11 +57,12 @@
     std::size_t failedCount = 0;
     // Trials come first: each other start keeps its worker from having one.
     placeTrials(now);
+    giveUpGaps(now);
     m_round.reset();
     const auto tryStep = [&](Step *step) {
         if (awaitsTakeOver(*step))
             return;
-        if (cannotFit(failedPlacements, *step)) {
+        if (cannotFit(failedPlacements, *step) && m_gaps.keptFor(*step) == 0) {
             // That it fits nowhere is known as if it had been tried.
             if (m_settings.lookAhead)
                 step->lastTriedAt = now;
@@ -66,7 +72,9 @@
         if (placeStep(now, step))
             return;
         ++failedCount;
-        if (isLimitedBySizeOnly(*step->spec) && step->permits == nullptr)
+        // Where only kept workers have room, others of its size may still be let in.
+        if (isLimitedBySizeOnly(*step->spec) && step->permits == nullptr
+            && !m_round.wasTurnedAway())
             failedPlacements.push_back({ .pool = step->job->pool,
                                          .fills = step->spec->fills,
                                          .image = step->spec->image,
@@ -89,10 +97,73 @@
             tryStep(step);
         }
     }
+    keepGaps(now);
     reserveForTrials(now);
     return failedCount == 0 && m_waitingSuspects.empty();
 }
 
+void JobScheduler::keepGaps(Timestamp now)
+{
+    if (!m_settings.lookAhead || now < m_nextGapPlanning)
+        return;
+    m_nextGapPlanning = now + gapPlanningInterval;
+    std::size_t plans = 0;
+    for (const auto &[rank, step] : m_order.steps()) {
+        if (plans >= maxGapPlans)
+            break;
+        if (awaitsTakeOver(*step) || !m_gaps.mayKeep(now, *step))
+            continue;
+        ++plans;
+        const auto [worker, forecast] = findSoonest(now, *step);
+        if (worker == nullptr)
+            continue;
+        m_gaps.keep(now, *worker, *step, forecast);
+        m_counts.gapsKept = m_gaps.kept().size();
+        const KeptGap &gap = m_gaps.kept().at(worker->id);
+        note("gap-kept", { .task = gap.step, .run = {} }, worker, gap.describe(now));
+    }
+}
+
+std::pair<const Worker *, GapForecast> JobScheduler::findSoonest(Timestamp now,
+                                                                 const Step &step) const
+{
+    const Worker *best = nullptr;
+    GapForecast soonest { .at = now + m_gaps.longestKeep(), .spare = {} };
+    const Size size = step.spec->reserved();
+    m_round.forEachWorker(step.job->pool, [&](const Worker &worker) {
+        // A quick look; it rules out most of the workers that serve.
+        if (worker.life.capacity.millicores - worker.servingMillicores < size.millicores
+            || m_gaps.isKept(worker) || !Placer::canEverFit(worker, step)
+            || (step.spec->maxPerWorker > 0 && worker.runsOf(&step) >= step.spec->maxPerWorker))
+            return;
+        const std::optional<GapForecast> forecast = GapPlanner::forecast(now, worker, size);
+        if (!forecast || forecast->at <= now || forecast->at >= soonest.at)
+            return;
+        best = &worker;
+        soonest = *forecast;
+    });
+    return { best, soonest };
+}
+
+void JobScheduler::giveUpGaps(Timestamp now)
+{
+    for (auto it = m_gaps.kept().begin(); it != m_gaps.kept().end();) {
+        const auto &[id, gap] = *it;
+        ++it;
+        const Worker *worker = m_workers.find(id);
+        const bool isUsable = worker != nullptr && m_placer.isUsable(now, *worker);
+        const std::string_view reason =
+                m_gaps.reasonToGiveUp(now, gap, worker, isUsable, m_jobs.find(gap.step).step);
+        if (reason.empty())
+            continue;
+        ++m_counts.gapsGivenUp;
+        note("gap-given-up", { .task = gap.step, .run = {} }, worker,
+             gap.describe(now) + " reason=" + std::string(reason));
+        m_gaps.giveUp(WorkerId(id));
+    }
+    m_counts.gapsKept = m_gaps.kept().size();
+}
+
 std::vector<Step *>
 JobScheduler::unreachedSteps(Timestamp now, std::map<StepOrder::Rank, Step *>::const_iterator from)
 {
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -70,6 +70,11 @@
     worker->isIncarnationConfirmed = worker->isIncarnationConfirmed && !worker->runs.empty();
     worker->runs.push_back(run);
     worker->reserve(*ref.step);
+    if (const auto gap = m_gaps.started(now, *worker, *ref.step)) {
+        ++m_counts.gapsUsed;
+        m_counts.gapsKept = m_gaps.kept().size();
+        note("gap-used", run.key(), worker, gap->describe(now));
+    }
     ref.step->rack = worker->life.rack;
     ref.step->waitingSince = now;
     ref.step->job->hasBegun = true;
--- a/acaciafork/decisions/jobs/Jobs.h
+++ b/acaciafork/decisions/jobs/Jobs.h
@@ -6,6 +6,7 @@
 #include "acaciafork/decisions/jobs/Commands.h"
 #include "acaciafork/decisions/jobs/CrashHistory.h"
 #include "acaciafork/decisions/jobs/CrashRate.h"
+#include "acaciafork/decisions/jobs/GapPlanner.h"
 #include "acaciafork/decisions/jobs/JobScheduler.h"
 #include "acaciafork/decisions/jobs/JobTable.h"
 #include "acaciafork/decisions/jobs/LeaseClock.h"
--- a/acaciafork/decisions/jobs/PlacementRound.cpp
+++ b/acaciafork/decisions/jobs/PlacementRound.cpp
@@ -43,6 +43,7 @@
     m_step = &step;
     m_ranked.clear();
     m_candidates = nullptr;
+    m_wasTurnedAway = false;
     const auto pool = m_pools.find(step.job->pool);
     if (pool == m_pools.end())
         return;
@@ -66,6 +67,10 @@
     if (!m_placer->fits(worker, *m_step)
         || (m_step->permits != nullptr && m_step->permits->find(worker, m_now) == nullptr))
         return;
+    if (m_placer->turnsAway(m_now, worker, *m_step)) {
+        m_wasTurnedAway = true;
+        return;
+    }
     m_ranked.push_back({ .score = m_placer->score(worker, *m_step), .candidate = candidate });
     std::push_heap(m_ranked.begin(), m_ranked.end());
 }
--- a/acaciafork/decisions/jobs/PlacementRound.h
+++ b/acaciafork/decisions/jobs/PlacementRound.h
@@ -36,6 +36,20 @@
     /// Ranks the chosen worker again, after a task was reserved on it.
     void placed();
 
+    /// True when a task of the ranked step fits on a worker that is kept for another step.
+    [[nodiscard]] bool wasTurnedAway() const { return m_wasTurnedAway; }
+
+    /// Calls `fn` for each usable worker of a pool; for none before the first rank().
+    template <typename Fn>
+    void forEachWorker(const std::string &pool, const Fn &fn) const
+    {
+        const auto it = m_pools.find(pool);
+        if (!m_isCollected || it == m_pools.end())
+            return;
+        for (const Candidate &candidate : it->second)
+            fn(*candidate.worker);
+    }
+
 private:
     /// A worker and the amounts that a quick look needs.
     struct Candidate
@@ -75,6 +89,7 @@
     /// Heap of the candidates on which the step fits.
     std::vector<Ranked> m_ranked;
     std::size_t m_chosen = 0;
+    bool m_wasTurnedAway = false;
 };
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -246,7 +246,7 @@
         const bool runsHere = std::ranges::any_of(task.runs, [&](const Run &run) {
             return run.exists() && run.worker == worker->id;
         });
-        if (runsHere)
+        if (runsHere || turnsAway(now, *worker, step))
             continue;
         double value = score(*worker, step) - taskPenalty(*worker, task);
         if (mode == PlacementMode::Overdue)
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciafork/decisions/jobs/GapPlanner.h"
 #include "acaciafork/decisions/jobs/PlacementObstacle.h"
 #include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/WorkerTable.h"
@@ -49,9 +50,12 @@
 {
 public:
     /// @param[in] interference interference model; must outlive the placer
-    Placer(const PlacerSettings &settings, const TailInterference *interference)
+    /// @param[in] gaps kept workers; must outlive the placer; null for none
+    Placer(const PlacerSettings &settings, const TailInterference *interference,
+           GapPlanner *gaps = nullptr)
         : m_settings(settings)
         , m_interference(interference)
+        , m_gaps(gaps)
     { }
 
     /// Best worker for the task, or null when none has enough free capacity now.
@@ -92,6 +96,11 @@
     /// What keeps the worker from getting a task of the step now.
     [[nodiscard]] PlacementObstacle findObstacle(Timestamp now, const Worker &worker,
                                                  const Step &step) const;
+    /// True when the worker is kept for another step, see GapPlanner::turnsAway().
+    [[nodiscard]] bool turnsAway(Timestamp now, const Worker &worker, const Step &step) const
+    {
+        return m_gaps != nullptr && m_gaps->turnsAway(now, worker, step);
+    }
     /// How good the worker is for tasks of the step; the highest score wins.
     [[nodiscard]] double score(const Worker &worker, const Step &step) const;
     /// Amount by which the score is lower for this task of the step; zero for most tasks.
@@ -111,6 +120,7 @@
 
     PlacerSettings m_settings;
     const TailInterference *m_interference;
+    GapPlanner *m_gaps;
 };
 
 } // namespace acaciafork::jobs
--- a/tests/decisions/jobs/LookAheadTest.cpp
+++ b/tests/decisions/jobs/LookAheadTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "acaciafork/decisions/jobs/Jobs.h"
+#include "tests/decisions/jobs/ReplayFleet.h"
 #include "tests/decisions/jobs/SchedulerFixture.h"
 
 using namespace acaciafork;
@@ -228,3 +229,215 @@
             CHECK(waited <= 500ms);
     }
 }
+
+namespace {
+
+/// One worker that serves and runs a short task, one that serves only, and a large task that waits
+/// for the end of the short one.
+struct KeptWorkerFixture : LookAheadFixture
+{
+    explicit KeptWorkerFixture(std::int64_t shortMillicores = 12'000)
+        : LookAheadFixture(true)
+    {
+        occupy(1, servingStep(1, 10'000), "w0");
+        occupy(2, servingStep(1, 30'000), "w1");
+        acceptJob(3, shortStep(1, shortMillicores, 2s), shortQueue);
+        const std::vector<StartRun> starts = take<StartRun>();
+        REQUIRE(starts.size() == 1);
+        first = starts.front();
+        REQUIRE(first.target.name.value == "w0");
+        confirm(first);
+        acceptJob(4, shortStep(1, 17'000), shortQueue);
+        CHECK(eventsWithin(400ms, "gap-kept").empty());
+        const std::vector<LogEvent> kept = eventsWithin(300ms, "gap-kept");
+        REQUIRE(kept.size() == 1);
+        CHECK(kept.front().worker.value == "w0");
+        CHECK(kept.front().task.job == JobId { 4 });
+    }
+
+    std::vector<LogEvent> eventsWithin(Duration length, std::string_view event)
+    {
+        std::vector<LogEvent> found;
+        for (Duration passed {}; passed < length; passed += 50ms) {
+            advance(50ms);
+            for (const Command &command : scheduler.takeCommands(at)) {
+                const auto *it = std::get_if<LogEvent>(&command);
+                if (it != nullptr && it->event == event)
+                    found.push_back(*it);
+            }
+        }
+        return found;
+    }
+
+    void reportOne(const char *name, std::int64_t millicores, bool draining)
+    {
+        scheduler.workerReported(at,
+                                 { .life = { .name = { name },
+                                             .born = { 1 },
+                                             .pool = "pool",
+                                             .address = "w",
+                                             .capacity = { millicores, 128'000, 0 },
+                                             .draining = draining },
+                                   .sequence = ++sequence,
+                                   .clockMs = clockMs() });
+    }
+
+    void expectGivenUp(std::string_view reason)
+    {
+        const std::vector<LogEvent> over = eventsWithin(100ms, "gap-given-up");
+        REQUIRE(over.size() == 1);
+        CHECK(over.front().detail.ends_with("reason=" + std::string(reason)));
+        CHECK(scheduler.counts().gapsKept == 0);
+        CHECK(scheduler.counts().gapsGivenUp == 1);
+    }
+
+    StartRun first;
+};
+
+} // namespace
+
+TEST_CASE("a kept worker takes only what leaves room for the large task or ends before it")
+{
+    // Guards against small tasks that take the gap of a large task again and again.
+    KeptWorkerFixture fixture;
+    fixture.acceptJob(5, shortStep(1, 6000, 5s), shortQueue);
+    CHECK(fixture.startsWithin(100ms, { 5 }).empty());
+    // 22 cores are free without the short task; 17 are kept.
+    fixture.acceptJob(6, shortStep(1, 4000, 5s), shortQueue);
+    CHECK(fixture.startsWithin(100ms, { 6 }).size() == 1);
+    fixture.acceptJob(7, shortStep(1, 6000, 300ms), shortQueue);
+    std::vector<StartRun> starts = fixture.startsWithin(100ms, { 7 });
+    REQUIRE(starts.size() == 1);
+    fixture.confirm(starts.front());
+
+    // Both short tasks end, and the large task gets their room before the small one that waits.
+    const std::array ended {
+        EndedRow { .number = 1, .run = fixture.first.run, .end = RunEnd::Done },
+        EndedRow { .number = 2, .run = starts.front().run, .end = RunEnd::Done }
+    };
+    fixture.advance(20ms);
+    // The lists are parts, which say nothing about other runs.
+    const RenewalAnswer lists { .sentAt = fixture.at.now,
+                                .born = { 1 },
+                                .clockMs = fixture.clockMs(),
+                                .ended = { ended.begin(), ended.end() },
+                                .hasMore = true };
+    fixture.scheduler.renewalAnswered(fixture.at, fixture.first.target.worker, true,
+                                      OrderOutcome::Done, &lists);
+    fixture.advance(20ms);
+    starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().run.task.job == JobId { 4 });
+    CHECK(fixture.scheduler.counts().gapsUsed == 1);
+    CHECK(fixture.scheduler.counts().gapsKept == 0);
+}
+
+TEST_CASE("a kept worker is given up when it falls silent, shrinks or drains")
+{
+    // Guards against room that is kept where the large task can't start.
+    SUBCASE("silent")
+    {
+        KeptWorkerFixture fixture;
+        fixture.scheduler.renewalAnswered(fixture.at, fixture.first.target.worker, false,
+                                          OrderOutcome::Unanswered, nullptr);
+        fixture.expectGivenUp("unusable");
+    }
+    SUBCASE("shrinks")
+    {
+        KeptWorkerFixture fixture;
+        fixture.reportOne("w0", 26'000, false);
+        fixture.expectGivenUp("no-room");
+    }
+    SUBCASE("drains")
+    {
+        KeptWorkerFixture fixture;
+        fixture.reportOne("w0", 32'000, true);
+        fixture.expectGivenUp("unusable");
+    }
+}
+
+TEST_CASE("a kept worker is given up when the job of its task is over")
+{
+    KeptWorkerFixture fixture;
+    fixture.scheduler.jobCancelled(fixture.at, { 4 });
+    fixture.expectGivenUp("placed");
+}
+
+TEST_CASE("a serving task takes a kept worker within a second where two like it fit")
+{
+    // Guards against serving tasks that wait beside free room: they count as lost after 3 s.
+    // 14 cores are free, and 5 would be beside the large task.
+    KeptWorkerFixture fixture(8000);
+    fixture.acceptJob(5, servingStep(1, 7100), servingQueue);
+    CHECK(fixture.startsWithin(1000ms, { 5 }).empty());
+    KeptWorkerFixture other(8000);
+    other.acceptJob(5, servingStep(1, 6400), servingQueue);
+    CHECK(other.startsWithin(200ms, { 5 }).empty());
+    CHECK(other.startsWithin(800ms, { 5 }).size() == 1);
+}
+
+namespace {
+
+/// Replays of the same loads, one for each seed.
+struct ReplayTotals
+{
+    explicit ReplayTotals(const JobSchedulerSettings &settings)
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            const ReplayResult result = ReplayFleet(settings, seed).run();
+            waits.insert(waits.end(), result.largeWaits.begin(), result.largeWaits.end());
+            smallJobs += result.smallTimes.size();
+            for (const Duration it : result.smallTimes)
+                smallTime += it;
+            longestServingWait = std::max(longestServingWait, result.longestServingWait);
+            longestLargeWait = std::max(longestLargeWait, result.longestLargeWait);
+            gapsUsed += result.gapsUsed;
+        }
+        std::ranges::sort(waits);
+    }
+
+    [[nodiscard]] Duration wait(std::size_t percent) const
+    {
+        return waits.at(waits.size() * percent / 100);
+    }
+    [[nodiscard]] std::ptrdiff_t lateStarts() const
+    {
+        return std::ranges::count_if(waits, [](Duration it) { return it > 1500ms; });
+    }
+    [[nodiscard]] Duration meanSmallTime() const
+    {
+        return smallTime / static_cast<std::int64_t>(smallJobs);
+    }
+
+    std::vector<Duration> waits;
+    std::size_t smallJobs = 0;
+    Duration smallTime {};
+    Duration longestServingWait {};
+    Duration longestLargeWait {};
+    std::uint64_t gapsUsed = 0;
+};
+
+} // namespace
+
+TEST_CASE("large tasks wait less with look-ahead, and small jobs are not slowed")
+{
+    // Guards against large tasks that starve beside small ones, and against a cure that the small
+    // ones or the serving ones pay for. The same loads are replayed with and without the setting.
+    const ReplayTotals today({});
+    const ReplayTotals ahead({ .lookAhead = true });
+    REQUIRE(today.waits.size() == ahead.waits.size());
+    REQUIRE(today.smallJobs == ahead.smallJobs);
+    CAPTURE(ahead.lateStarts());
+    CAPTURE(ahead.wait(50) / 1ms);
+    CAPTURE(ahead.wait(90) / 1ms);
+    CAPTURE(ahead.longestLargeWait / 1ms);
+    CHECK(ahead.lateStarts() * 3 < today.lateStarts() * 2);
+    CHECK(ahead.wait(50) * 3 < today.wait(50) * 2);
+    CHECK(ahead.wait(90) * 3 < today.wait(90));
+    CHECK(ahead.meanSmallTime() * 10 <= today.meanSmallTime() * 11);
+    CHECK(ahead.gapsUsed > 0);
+    CHECK(today.gapsUsed == 0);
+    // Several steps compete for the same few workers, so this is more than one keep of 5 s.
+    CHECK(ahead.longestLargeWait < 8s);
+    CHECK(ahead.longestServingWait < 1s);
+}
