--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -77,6 +77,9 @@
     , m_longestWait(&counters->counter("steps_longest_wait_ms", MetricKind::Gauge))
     , m_blockedSteps(&counters->counter("steps_blocked", MetricKind::Gauge))
     , m_zonesClosed(&counters->counter("zones_closed", MetricKind::Gauge))
+    , m_gapsKept(&counters->counter("gaps_kept", MetricKind::Gauge))
+    , m_gapsUsed(&counters->counter("gaps_used", MetricKind::Gauge))
+    , m_gapsGivenUp(&counters->counter("gaps_given_up", MetricKind::Gauge))
     , m_commitTime(&counters->histogram("job_commit_seconds"))
     , m_waitTime(&counters->histogram("task_wait_seconds"))
     , m_jobTime(&counters->histogram("job_seconds"))
@@ -201,6 +204,9 @@
     m_longestWait->set(counts.longestWait / std::chrono::milliseconds(1));
     m_blockedSteps->set(static_cast<std::int64_t>(counts.blockedSteps));
     m_zonesClosed->set(static_cast<std::int64_t>(m_scheduler.closedZones().size()));
+    m_gapsKept->set(static_cast<std::int64_t>(counts.gapsKept));
+    m_gapsUsed->set(static_cast<std::int64_t>(counts.gapsUsed));
+    m_gapsGivenUp->set(static_cast<std::int64_t>(counts.gapsGivenUp));
 }
 
 void JobDriver::carryOut(Moment at)
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -30,8 +30,10 @@
 
 JobScheduler::JobScheduler(const JobSchedulerSettings &settings)
     : m_settings(settings)
-    , m_placer(placerSettings(settings), &m_interference, &m_closedZones,
-               settings.cautiousBackfill ? &m_exploration : nullptr)
+    , m_placer(placerSettings(settings), &m_interference,
+               { .closedZones = &m_closedZones,
+                 .exploration = settings.cautiousBackfill ? &m_exploration : nullptr,
+                 .gaps = &m_gaps })
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
     , m_order(settings.lookAhead)
@@ -68,6 +70,8 @@
 {
     m_closedZones.assign({});
     m_round.reset();
+    m_gaps.clear();
+    m_counts.gapsKept = 0;
     m_order.clear();
     m_jobs.clear();
     m_workers.clear();
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -145,8 +145,8 @@
         // must be available.
         if (worker.unusedMillicores() < spec.size.millicores / 2)
             return PlacementObstacle::Processor;
-        const double bound = m_exploration == nullptr ? m_settings.maxInterference
-                                                      : m_settings.maxKnownInterference;
+        const double bound = m_limits.exploration == nullptr ? m_settings.maxInterference
+                                                             : m_settings.maxKnownInterference;
         if (expectedInterference(worker, step) > bound || isHarmful(worker, step))
             return PlacementObstacle::Interference;
         if (isHeldBack(worker, step))
@@ -180,7 +180,7 @@
 
 bool Placer::isHarmful(const Worker &worker, const Step &step) const
 {
-    return m_exploration != nullptr
+    return m_limits.exploration != nullptr
             && std::ranges::any_of(worker.servedImages, [&](const auto &it) {
                    return m_interference->stateOf(it.first, step.image) == PairState::Harmful;
                });
@@ -188,11 +188,11 @@
 
 bool Placer::isHeldBack(const Worker &worker, const Step &step) const
 {
-    if (m_exploration == nullptr || !step.spec->fills)
+    if (m_limits.exploration == nullptr || !step.spec->fills)
         return false;
     return std::ranges::any_of(worker.servedImages, [&](const auto &it) {
         return m_interference->stateOf(it.first, step.image) == PairState::Unknown
-                && !m_exploration->mayExplore(worker.id, it.first, step.image);
+                && !m_limits.exploration->mayExplore(worker.id, it.first, step.image);
     });
 }
 
@@ -292,7 +292,7 @@
         const bool runsHere = std::ranges::any_of(task.runs, [&](const Run &run) {
             return run.exists() && run.worker == worker->id;
         });
-        if (runsHere)
+        if (runsHere || turnsAway(now, *worker, step))
             continue;
         double value = score(now, *worker, step) - taskPenalty(*worker, task);
         if (mode == PlacementMode::Overdue)
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "acaciafork/decisions/jobs/ClosedZones.h"
+#include "acaciafork/decisions/jobs/GapPlanner.h"
 #include "acaciafork/decisions/jobs/PairExploration.h"
 #include "acaciafork/decisions/jobs/PlacementObstacle.h"
 #include "acaciafork/decisions/jobs/TailInterference.h"
@@ -45,6 +46,17 @@
     Overdue,
 };
 
+/// What else limits where tasks may start; null for no such limit.
+struct PlacementLimits
+{
+    /// Zones in which nothing may start.
+    const ClosedZones *closedZones = nullptr;
+    /// Bound on exploratory starts of backfill tasks.
+    const PairExploration *exploration = nullptr;
+    /// Workers kept for large tasks; counts the starts that it keeps away.
+    GapPlanner *gaps = nullptr;
+};
+
 /// Chooses workers for tasks.
 ///
 /// Serving tasks are grouped by image, on the fullest worker that still has free capacity. This
@@ -56,15 +68,12 @@
 {
 public:
     /// @param[in] interference interference model; must outlive the placer
-    /// @param[in] closedZones zones in which nothing may start; must outlive the placer; null for
-    /// none
-    /// @param[in] exploration bound on exploratory starts, which must outlive the placer; or null
-    Placer(const PlacerSettings &settings, const TailInterference *interference,
-           const ClosedZones *closedZones = nullptr, const PairExploration *exploration = nullptr)
+    /// @param[in] limits further limits on where tasks may start, which must outlive the placer
+    explicit Placer(const PlacerSettings &settings, const TailInterference *interference,
+                    const PlacementLimits &limits = {})
         : m_settings(settings)
         , m_interference(interference)
-        , m_closedZones(closedZones)
-        , m_exploration(exploration)
+        , m_limits(limits)
     { }
 
     /// Best worker for the task, or null when none has enough free capacity now.
@@ -110,6 +119,11 @@
                                                  const Step &step) const;
     /// True when the bound on exploratory starts excludes the worker.
     [[nodiscard]] bool isHeldBack(const Worker &worker, const Step &step) const;
+    /// True when the worker is kept for another step, see GapPlanner::turnsAway().
+    [[nodiscard]] bool turnsAway(Timestamp now, const Worker &worker, const Step &step) const
+    {
+        return m_limits.gaps != nullptr && m_limits.gaps->turnsAway(now, worker, step);
+    }
     /// How good the worker is for tasks of the step; the highest score wins.
     [[nodiscard]] double score(Timestamp now, const Worker &worker, const Step &step) const;
     /// Amount by which the score is lower for this task of the step; zero for most tasks.
@@ -118,7 +132,7 @@
 private:
     [[nodiscard]] bool isInClosedZone(const Worker &worker) const
     {
-        return m_closedZones != nullptr && m_closedZones->isClosed(worker.life.zone);
+        return m_limits.closedZones != nullptr && m_limits.closedZones->isClosed(worker.life.zone);
     }
     /// What keeps a usable worker from getting a task of the step, apart from permits.
     [[nodiscard]] PlacementObstacle findObstacle(const Worker &worker, const Step &step,
@@ -139,8 +153,7 @@
 
     PlacerSettings m_settings;
     const TailInterference *m_interference;
-    const ClosedZones *m_closedZones;
-    const PairExploration *m_exploration;
+    PlacementLimits m_limits;
 };
 
 } // namespace acaciafork::jobs
--- a/tests/decisions/jobs/SchedulerFixture.h
+++ b/tests/decisions/jobs/SchedulerFixture.h
@@ -43,7 +43,7 @@
                                                  .capacity = { 32'000, 128'000, 0 } },
                                        .sequence = sequence,
                                        .clockMs = clockMs(),
-                                       .coldFor = coldFor[it] });
+                                       .coldFor = coldFor["w" + std::to_string(it)] });
         }
     }
 
