Explore pairs again that explain an increase no better than others, and describe cautious backfill

An increase that no start explains was spread over all neighbours, so that harmless pairs became harmful.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -347,6 +347,8 @@
     void learnFromTail(Timestamp now, const Worker &worker, const RunRef &serving);
     void blameStart(Timestamp now, const Worker &worker, const RunRef &serving,
                     const RunRef &filling, double share);
+    /// True when the run's image is not known beside an image served on the worker.
+    [[nodiscard]] bool isUnknownBeside(const Worker &worker, const RunRef &filling) const;
     /// Highest share in percent at which the run is expected to keep the tail latencies safe.
     [[nodiscard]] std::int64_t allowedPercent(Timestamp now, const Worker &worker,
                                               const RunRef &filling) const;
--- a/acaciafork/decisions/jobs/JobSchedulerCaution.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCaution.cpp
@@ -122,6 +122,7 @@
     bool severalImages = false;
     std::vector<batch::CoRunner> suspects;
     bool hasHarmful = false;
+    bool hasUnknown = false;
     for (const RunRef &it : worker.runs) {
         if (!mayInterfere(it))
             continue;
@@ -133,20 +134,21 @@
             explorer = &it;
         if (isLater(newest))
             newest = &it;
-        // Only the least innocent are suspects of a change that no start explains.
-        const bool isWorse = state != PairState::Harmless;
-        if (isWorse && !hasHarmful)
+        // What is not known explains an increase better than what is known as harmless.
+        hasHarmful = hasHarmful || state == PairState::Harmful;
+        const bool isUnknown = state == PairState::Unknown;
+        if (isUnknown && !hasUnknown)
             suspects.clear();
-        hasHarmful = hasHarmful || isWorse;
-        if (isWorse == hasHarmful) {
-            const auto share = static_cast<float>(shareInUse(worker, it));
-            const auto known =
-                    std::ranges::find(suspects, it.task.step->image, &batch::CoRunner::family);
-            if (known != suspects.end())
-                known->count += share;
-            else
-                suspects.push_back({ .family = it.task.step->image, .count = share });
-        }
+        hasUnknown = hasUnknown || isUnknown;
+        if (isUnknown != hasUnknown)
+            continue;
+        const auto inUse = static_cast<float>(shareInUse(worker, it));
+        const auto known =
+                std::ranges::find(suspects, it.task.step->image, &batch::CoRunner::family);
+        if (known != suspects.end())
+            known->count += inUse;
+        else
+            suspects.push_back({ .family = it.task.step->image, .count = inUse });
     }
     if (newest == nullptr) {
         tail.rebase(now);
@@ -180,8 +182,13 @@
     if (since < TailTracker::settleTime)
         return;
     if (isJump) {
-        // The pressure of a neighbour has changed, or the serving run has come to it.
-        m_interference.observe(victim, growth, suspects);
+        // The pressure of a neighbour has changed, or the serving run has come to it. A neighbour
+        // known as harmful explains the increase; of several others, each is explored again.
+        if (!hasHarmful && suspects.size() == 1)
+            m_interference.observe(victim, growth, suspects);
+        else if (!hasHarmful)
+            for (const batch::CoRunner &it : suspects)
+                m_interference.doubt(victim, it.family);
         return;
     }
     if (explorer == nullptr) {
@@ -205,6 +212,13 @@
         m_exploration.settle(victim, first.task.step->image);
 }
 
+bool JobScheduler::isUnknownBeside(const Worker &worker, const RunRef &filling) const
+{
+    return std::ranges::any_of(worker.servedImages, [&](const auto &it) {
+        return m_interference.stateOf(it.first, filling.task.step->image) == PairState::Unknown;
+    });
+}
+
 std::int64_t JobScheduler::allowedPercent(Timestamp now, const Worker &worker,
                                           const RunRef &filling) const
 {
@@ -238,9 +252,19 @@
         return !it.task.step->spec->fills || it.get().phase != RunPhase::Running;
     });
     std::ranges::sort(runs, std::greater {}, [](const RunRef &it) { return it.get().startedAt; });
+    // Where no neighbour is known as harmful, the newest of those that are not known is slowed.
+    const bool isExplained = std::ranges::any_of(runs, [&](const RunRef &it) {
+        return allowedPercent(now, *worker, it) < wholePercent;
+    });
+    bool mayDoubt = isInDanger && !isExplained;
     for (const RunRef &it : runs) {
         Run &run = it.get();
         std::int64_t percent = allowedPercent(now, *worker, it);
+        if (mayDoubt && isUnknownBeside(*worker, it)
+            && run.percent > m_settings.throttle.minPercent) {
+            mayDoubt = false;
+            percent = std::min(percent, run.percent / 2);
+        }
         if (isInDanger && percent < m_settings.throttle.minPercent && !run.isOverdue) {
             requestStop(now, it, "disturbs");
             return;
--- a/acaciafork/decisions/jobs/TailInterference.cpp
+++ b/acaciafork/decisions/jobs/TailInterference.cpp
@@ -14,7 +14,7 @@
 constexpr double maxTailRatio = 6;
 /// Prior deviation of the increase for use of a whole worker, in the range seen for pairs that
 /// interfere; and the lower limit of the deviation, which allows for drift.
-constexpr double priorDeviation = 8;
+constexpr float priorDeviation = 8;
 constexpr double minDeviation = 0.8;
 constexpr double ratioNoise = 0.25;
 /// Increase of a tail latency, as a share of its target, that counts as harmless.
@@ -103,6 +103,13 @@
     m_model.setPair(serving, filling, level, pair);
 }
 
+void TailInterference::doubt(batch::Index serving, batch::Index filling)
+{
+    m_observedPairs.emplace(serving, filling);
+    m_model.setPair(serving, filling, level,
+                    { .mean = 0, .variance = priorDeviation * priorDeviation });
+}
+
 void TailInterference::fade(Duration elapsed)
 {
     const auto growth = static_cast<float>(
--- a/acaciafork/decisions/jobs/TailInterference.h
+++ b/acaciafork/decisions/jobs/TailInterference.h
@@ -49,7 +49,7 @@
     void observe(std::string_view serving, double tailRatio,
                  std::span<const BackfillNeighbour> neighbours);
 
-    /// The same, for a ratio without interference that is known.
+    /// The same, by the increase over a ratio without interference that is known.
     void observe(batch::Index serving, double growth, std::span<const batch::CoRunner> neighbours);
     /// Updates the estimate of one pair from an increase that it explains alone.
     /// @param[in] share processor time that tasks of `filling` use, as a share of the worker
@@ -59,6 +59,8 @@
                double deviation);
     /// Raises the estimate of a pair to an increase that a reading has shown at least.
     void learnAtLeast(batch::Index serving, batch::Index filling, double share, double growth);
+    /// Discards the estimate of a pair that may explain an increase no better than others.
+    void doubt(batch::Index serving, batch::Index filling);
     /// Makes the estimates of harmful pairs less certain, so that such a pair is explored again
     /// some minutes after its last reading: its images may have changed.
     void fade(Duration elapsed);
