--- a/acaciafork/decisions/jobs/JobSchedulerCaution.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCaution.cpp
@@ -175,7 +175,10 @@
     share = std::max(share, shareInUse(worker, first));
     if (share <= 0)
         return;
-    if (isJump && since <= jumpWindow && !severalImages) {
+    // A start of a harmless image doesn't explain what a harmful neighbour does.
+    const bool isInnocent = hasHarmful
+            && m_interference.stateOf(victim, first.task.step->image) == PairState::Harmless;
+    if (isJump && since <= jumpWindow && !severalImages && !isInnocent) {
         blameStart(now, worker, serving, first, share);
         return;
     }
