--- a/benchmarks/jobs/SimulatedFleet.cpp
+++ b/benchmarks/jobs/SimulatedFleet.cpp
@@ -26,7 +26,7 @@
 SimulatedFleet::SimulatedFleet(const FleetOptions &options)
     : m_options(options)
     , m_random(options.seed)
-    , m_scheduler({ .lease = 5800ms })
+    , m_scheduler({ .lease = 5800ms, .cautiousBackfill = options.cautiousBackfill })
 {
     for (std::size_t it = 0; it < options.workers; ++it) {
         auto worker = std::make_unique<SimulatedWorker>();
--- a/benchmarks/jobs/SimulatedFleet.h
+++ b/benchmarks/jobs/SimulatedFleet.h
@@ -21,6 +21,8 @@
     /// Simulated time.
     Duration length = std::chrono::seconds(10);
     std::uint64_t seed = 1;
+    /// JobSchedulerSettings::cautiousBackfill.
+    bool cautiousBackfill = false;
 };
 
 /// What a simulation has counted.
--- a/benchmarks/jobs/measure_job_scheduler.cpp
+++ b/benchmarks/jobs/measure_job_scheduler.cpp
@@ -10,9 +10,9 @@
 using namespace acaciafork;
 using namespace acaciafork::jobs;
 
-void measure(std::size_t workers, double load)
+void measure(std::size_t workers, double load, bool cautious = false)
 {
-    const FleetOptions options { .workers = workers, .load = load };
+    const FleetOptions options { .workers = workers, .load = load, .cautiousBackfill = cautious };
     const FleetResult result = SimulatedFleet(options).run();
     const double seconds = std::chrono::duration<double>(options.length).count();
     const auto wait = [&](double quantile) {
@@ -38,7 +38,8 @@
     std::printf("%8s %6s %9s %12s %10s %11s %8s %10s %10s\n", "workers", "load", "cores",
                 "longest-ms", "starts/s", "renewals/s", "jobs/s", "wait-p50", "wait-p99");
     if (argc > 1) {
-        measure(static_cast<std::size_t>(std::atoll(argv[1])), argc > 2 ? std::atof(argv[2]) : 1);
+        measure(static_cast<std::size_t>(std::atoll(argv[1])), argc > 2 ? std::atof(argv[2]) : 1,
+                argc > 3);
         return 0;
     }
     for (const std::size_t it : { 66U, 190U, 490U, 1800U, 8200U })
--- a/tests/decisions/jobs/CautiousBackfillTest.cpp
+++ b/tests/decisions/jobs/CautiousBackfillTest.cpp
@@ -17,10 +17,10 @@
 constexpr std::int64_t targetMs = 100;
 constexpr double workerMillicores = 16'000;
 
-constexpr StepSpec serving {
+const StepSpec serving {
     .count = 14, .size = { 3200, 4000, 0 }, .longRunning = true, .tailTarget = 100ms
 };
-constexpr StepSpec filling { .count = 20, .size = { 1800, 600, 0 }, .fills = true };
+const StepSpec filling { .count = 20, .size = { 1800, 600, 0 }, .fills = true };
 
 Timestamp atMs(std::int64_t ms)
 {
@@ -95,7 +95,8 @@
             m_workers[it].nextReading = m_at.now + 20ms * (it % 25);
         }
         m_scheduler.workersRecorded(m_at, names);
-        const std::size_t services = m_workers.size() * 16 * 8 / 10 * 1000 / (14 * 3200);
+        const std::size_t services =
+                m_workers.size() * 16 * 8 / 10 * 1000 / (std::size_t { 14 } * 3200);
         for (std::size_t it = 0; it < services; ++it)
             accept(serving, "serve" + std::to_string(it % servingImages));
         const Timestamp trafficAt = m_at.now + 4s;
