--- a/acaciafork/decisions/jobs/JobSchedulerCaution.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCaution.cpp
@@ -96,9 +96,13 @@
     const batch::Index victim = serving.task.step->image;
     const batch::Index image = filling.task.step->image;
     const double growth = serving.get().tail.growth(now);
+    const bool wasHarmful = m_interference.stateOf(victim, image) == PairState::Harmful;
     m_interference.learnAtLeast(victim, image, share, growth);
     if (m_interference.stateOf(victim, image) != PairState::Unknown)
         m_exploration.settle(victim, image);
+    // Several serving runs of an image beside the task show the same.
+    if (wasHarmful)
+        return;
     ++m_counts.harmfulStarts;
     note("backfill-interferes", filling.key(), &worker,
          "image=" + filling.task.step->spec->image + " serving=" + serving.task.step->spec->image
@@ -118,6 +122,7 @@
     bool severalImages = false;
     std::vector<batch::CoRunner> suspects;
     bool hasHarmful = false;
+    bool hasUnknown = false;
     for (const RunRef &it : worker.runs) {
         if (!mayInterfere(it))
             continue;
@@ -129,20 +134,21 @@
             explorer = &it;
         if (isLater(newest))
             newest = &it;
-        // Only the least innocent are suspects of a change that no start explains.
-        const bool isWorse = state != PairState::Harmless;
-        if (isWorse && !hasHarmful)
+        // What is not known explains an increase better than what is known as harmless.
+        hasHarmful = hasHarmful || state == PairState::Harmful;
+        const bool isUnknown = state == PairState::Unknown;
+        if (isUnknown && !hasUnknown)
             suspects.clear();
-        hasHarmful = hasHarmful || isWorse;
-        if (isWorse == hasHarmful) {
-            const auto share = static_cast<float>(shareInUse(worker, it));
-            const auto known =
-                    std::ranges::find(suspects, it.task.step->image, &batch::CoRunner::family);
-            if (known != suspects.end())
-                known->count += share;
-            else
-                suspects.push_back({ .family = it.task.step->image, .count = share });
-        }
+        hasUnknown = hasUnknown || isUnknown;
+        if (isUnknown != hasUnknown)
+            continue;
+        const auto inUse = static_cast<float>(shareInUse(worker, it));
+        const auto known =
+                std::ranges::find(suspects, it.task.step->image, &batch::CoRunner::family);
+        if (known != suspects.end())
+            known->count += inUse;
+        else
+            suspects.push_back({ .family = it.task.step->image, .count = inUse });
     }
     if (newest == nullptr) {
         tail.rebase(now);
@@ -169,21 +175,35 @@
     share = std::max(share, shareInUse(worker, first));
     if (share <= 0)
         return;
-    if (isJump && since <= jumpWindow && !severalImages) {
+    // A start of a harmless image doesn't explain what a harmful neighbour does.
+    const bool isInnocent = hasHarmful
+            && m_interference.stateOf(victim, first.task.step->image) == PairState::Harmless;
+    if (isJump && since <= jumpWindow && !severalImages && !isInnocent) {
         blameStart(now, worker, serving, first, share);
         return;
     }
     if (since < TailTracker::settleTime)
         return;
     if (isJump) {
-        // The pressure of a neighbour has changed, or the serving run has come to it.
-        m_interference.observe(victim, growth, suspects);
+        // The pressure of a neighbour has changed, or the serving run has come to it. A neighbour
+        // known as harmful explains the increase; of several others, each is explored again.
+        if (!hasHarmful && suspects.size() == 1)
+            m_interference.observe(victim, growth, suspects);
+        else if (!hasHarmful)
+            for (const batch::CoRunner &it : suspects)
+                m_interference.doubt(victim, it.family);
         return;
     }
     if (explorer == nullptr) {
         tail.rebase(now);
         return;
     }
+    // A task that still loads its image interferes with nothing yet.
+    const std::int64_t load = first.get().load;
+    const std::int64_t allowed =
+            first.task.step->spec->size.millicores * first.get().percent / wholePercent;
+    if (load < allowed / 2 && (load <= 0 || since < jumpWindow))
+        return;
     const double age = std::chrono::duration<double>(tail.baseAge(now)).count();
     if (tail.hasBase(now))
         m_interference.learn(victim, first.task.step->image, share, growth,
@@ -195,6 +215,13 @@
         m_exploration.settle(victim, first.task.step->image);
 }
 
+bool JobScheduler::isUnknownBeside(const Worker &worker, const RunRef &filling) const
+{
+    return std::ranges::any_of(worker.servedImages, [&](const auto &it) {
+        return m_interference.stateOf(it.first, filling.task.step->image) == PairState::Unknown;
+    });
+}
+
 std::int64_t JobScheduler::allowedPercent(Timestamp now, const Worker &worker,
                                           const RunRef &filling) const
 {
@@ -228,9 +255,19 @@
         return !it.task.step->spec->fills || it.get().phase != RunPhase::Running;
     });
     std::ranges::sort(runs, std::greater {}, [](const RunRef &it) { return it.get().startedAt; });
+    // Where no neighbour is known as harmful, the newest of those that are not known is slowed.
+    const bool isExplained = std::ranges::any_of(runs, [&](const RunRef &it) {
+        return allowedPercent(now, *worker, it) < wholePercent;
+    });
+    bool mayDoubt = isInDanger && !isExplained;
     for (const RunRef &it : runs) {
         Run &run = it.get();
         std::int64_t percent = allowedPercent(now, *worker, it);
+        if (mayDoubt && isUnknownBeside(*worker, it)
+            && run.percent > m_settings.throttle.minPercent) {
+            mayDoubt = false;
+            percent = std::min(percent, run.percent / 2);
+        }
         if (isInDanger && percent < m_settings.throttle.minPercent && !run.isOverdue) {
             requestStop(now, it, "disturbs");
             return;
