--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -323,8 +323,8 @@
 std::string workerBesideCold(const JobSchedulerSettings &settings, const StepSpec &step,
                              Duration coldFor, Duration age = {})
 {
-    SchedulerFixture fixture(settings);
-    fixture.coldFor["w0"] = coldFor;
+    SchedulerFixture fixture({}, settings);
+    fixture.coldFor[0] = coldFor;
     fixture.report();
     fixture.advance(age);
     (void)fixture.take<StartRun>();
@@ -354,10 +354,10 @@
     CHECK(workerBesideCold(settings, task, 500ms, 400ms) == "w1");
     CHECK(workerBesideCold(settings, task, 500ms, 500ms) == "w0");
     // A later report without the field ends it.
-    SchedulerFixture fixture(settings);
-    fixture.coldFor["w0"] = 5s;
+    SchedulerFixture fixture({}, settings);
+    fixture.coldFor[0] = 5s;
     fixture.report();
-    fixture.coldFor.clear();
+    fixture.coldFor = {};
     fixture.report();
     fixture.acceptJob(1, task);
     const auto starts = fixture.take<StartRun>();
