--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -83,7 +83,6 @@
     nodeSettings.jobs.cautiousBackfill = m_settings.cautiousBackfill;
     nodeSettings.jobs.lookAhead = m_settings.lookAhead;
     nodeSettings.jobs.learnDurations = m_settings.learnDurations;
-    nodeSettings.jobs.admission = m_settings.admission;
     nodeSettings.jobs.placer.prefersWarmWorkers = m_settings.evacuation;
     nodeSettings.takesAnyEntry = !m_settings.seeds.empty();
     for (const peers::PeerAddress &it : m_settings.entries)
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -40,7 +40,6 @@
     bool cautiousBackfill = false;
     bool lookAhead = false;
     bool learnDurations = false;
-    bool admission = false;
 
     /// Operators may close an availability zone to new starts.
     bool evacuation = false;
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -91,8 +91,6 @@
     bool lookAhead = false;
     /// Corrects estimated durations by those of finished tasks.
     bool learnDurations = false;
-    /// Refuses jobs that can't be done in time.
-    bool admission = false;
     PlacerSettings placer;
     BackfillThrottleSettings throttle;
     CrashSettings crashes;
--- a/tests/decisions/jobs/LookAheadTest.cpp
+++ b/tests/decisions/jobs/LookAheadTest.cpp
@@ -53,7 +53,7 @@
 struct LookAheadFixture : SchedulerFixture
 {
     explicit LookAheadFixture(bool lookAhead)
-        : SchedulerFixture({ .lookAhead = lookAhead })
+        : SchedulerFixture({}, { .lookAhead = lookAhead })
     { }
 
     /// Starts one task of the size on the named worker, which must be the one that is chosen.
