Log and count what every task of an active job waits for

Nothing told of tasks that wait for a trial, of runs that wait for a record, for an answer to a start or for the end of a stop, of workers that are kept for another step, or of what holds up a take-over: step-blocked knows only the queue of ready steps.

tasks counts the tasks of active jobs by state every 2 s, task-waits names those that have had no confirmed run for 3 s in each state, take-over-waits the worker that a new leader waits for, fenced the worker whose answer stopped the scheduler, and record-outcome-unknown a record whose answer was lost. step-blocked tells kept, silent and avoided workers and those on trial apart. tasks_longest_wait_ms and tasks_astray show the same to monitoring; astray, which nothing can end, is a fault of the scheduler.

--- a/acaciafork/control/JobCommandRunner.cpp
+++ b/acaciafork/control/JobCommandRunner.cpp
@@ -17,13 +17,17 @@
         return;
     }
     const std::uint64_t leadership = driver.m_leadership;
-    const bool accepted =
-            driver.m_propose(at, std::move(proposal),
-                             [owner = &driver, leadership,
-                              committed](Moment when, const state::ApplyResult *result) {
-                                 if (result != nullptr && leadership == owner->m_leadership)
-                                     committed(when);
-                             });
+    const bool accepted = driver.m_propose(
+            at, std::move(proposal),
+            [owner = &driver, leadership, committed](Moment when,
+                                                     const state::ApplyResult *result) {
+                if (leadership != owner->m_leadership)
+                    return;
+                if (result != nullptr)
+                    committed(when);
+                else
+                    spdlog::warn("event=record-outcome-unknown tenure={}", owner->m_tenure.value);
+            });
     if (!accepted)
         unrecorded->push_back(command);
 }
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -149,6 +149,8 @@
     Counter *m_heldBackStarts;
     Counter *m_longestWait;
     Counter *m_blockedSteps;
+    Counter *m_longestTaskWait;
+    Counter *m_strayTasks;
     Counter *m_zonesClosed;
     Counter *m_gapsKept;
     Counter *m_gapsUsed;
--- a/acaciafork/decisions/jobs/GapPlanner.cpp
+++ b/acaciafork/decisions/jobs/GapPlanner.cpp
@@ -90,16 +90,15 @@
                           .turnedAway = {} };
 }
 
-bool GapPlanner::turnsAway(Timestamp now, const Worker &worker, const Step &step)
+bool GapPlanner::isClosedTo(Timestamp now, const Worker &worker, const Step &step) const
 {
     const auto it = m_kept.find(worker.id);
     if (it == m_kept.end())
         return false;
-    KeptGap &gap = it->second;
-    const TaskKey key = step.key(0);
+    const KeptGap &gap = it->second;
     const StepSpec &spec = *step.spec;
     const Size size = spec.reserved();
-    if (gap.step == key || size.fitsIn(gap.spare))
+    if (gap.step == step.key(0) || size.fitsIn(gap.spare))
         return false;
     if (!spec.longRunning && spec.estimate > Duration {} && now + spec.estimate <= gap.expectedAt)
         return false;
@@ -111,9 +110,14 @@
         if (waited >= m_settings.openAfter / 2 && room.fitsIn(worker.freeCapacity()))
             return false;
     }
-    if (waited >= m_settings.openAfter && (spec.longRunning || step.job->runCount == 0))
+    return waited < m_settings.openAfter || (!spec.longRunning && step.job->runCount > 0);
+}
+
+bool GapPlanner::turnsAway(Timestamp now, const Worker &worker, const Step &step)
+{
+    if (!isClosedTo(now, worker, step))
         return false;
-    gap.turnedAway.insert(key);
+    m_kept.at(worker.id).turnedAway.insert(step.key(0));
     return true;
 }
 
--- a/acaciafork/decisions/jobs/GapPlanner.h
+++ b/acaciafork/decisions/jobs/GapPlanner.h
@@ -80,6 +80,8 @@
     void keep(Timestamp now, const Worker &worker, const Step &step, const GapForecast &forecast);
 
     /// True when the worker is kept and the step must not start a task there now.
+    [[nodiscard]] bool isClosedTo(Timestamp now, const Worker &worker, const Step &step) const;
+    /// The same; notes that the step did not get the worker.
     bool turnsAway(Timestamp now, const Worker &worker, const Step &step);
     /// Takes a start on a worker into account.
     /// @return the gap that the start has used, if the worker was kept for the step
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -58,6 +58,7 @@
     }
     m_crashRate.reset(at.now);
     m_isTakingOver = !workers.empty();
+    m_tenureBeganAt = at.now;
     for (const JobView &it : jobs)
         addJob(at, it, true);
     restoreExposures(at.now);
@@ -234,6 +235,7 @@
         || step->job->phase != JobPhase::Active)
         return;
     task.isReady = true;
+    task.idleSince = std::min(task.idleSince, now);
     m_placementDue = true;
     // The members of a gang start together, so a suspected one waits with the others.
     if (task.crashes.isSuspect() && !step->spec->gang) {
@@ -396,6 +398,8 @@
         m_nextSummary = at.now + summaryInterval;
         logSummary(at.now);
         logBlockedSteps(at.now);
+        logWaitingTasks(at.now);
+        logTakeover(at.now);
     }
     recordInterference(at.now);
 }
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -126,6 +126,10 @@
     /// steps that have waited for long; as of the last summary.
     Duration longestWait {};
     std::size_t blockedSteps = 0;
+    /// Longest time for which a task whose turn has come has no confirmed run, whatever it waits
+    /// for, and the number of tasks that nothing will start; as of the last summary.
+    Duration longestTaskWait {};
+    std::size_t strayTasks = 0;
 };
 
 /// Assigns tasks to workers, renews leases, and tracks every run to its end. Runs on the leader
@@ -335,6 +339,10 @@
     void startDueOccurrences(Moment at);
     void logSummary(Timestamp now);
     void logBlockedSteps(Timestamp now);
+    void logWaitingTasks(Timestamp now);
+    void logTakeover(Timestamp now);
+    /// A worker has accepted orders of a later leader.
+    void becomeFenced(const Worker *worker);
     void recordInterference(Timestamp now);
     void startSpeculativeCopies(Timestamp now);
     void throttleBackfill(Timestamp now, Worker *worker);
@@ -402,6 +410,7 @@
     Tenure m_tenure;
     bool m_isFenced = false;
     bool m_isTakingOver = false;
+    Timestamp m_tenureBeganAt;
     std::map<std::string, QueueSpec> m_queues;
     /// Pools whose workers start what exceeds their capacity.
     std::set<std::string> m_unguardedPools;
--- a/acaciafork/decisions/jobs/JobSchedulerReports.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -2,8 +2,9 @@
 #include <array>
 
 #include "acaciafork/decisions/jobs/JobScheduler.h"
+#include "acaciafork/decisions/jobs/TaskState.h"
 
-// Periodic log events: the state of the fleet, and the steps that wait for long.
+// Periodic log events: the state of the fleet, and the tasks and steps that wait for long.
 
 namespace acaciafork::jobs {
 namespace {
@@ -11,8 +12,9 @@
 constexpr std::int64_t millicoresPerCore = 1000;
 /// A step counts as blocked when none of its waiting tasks has started for this long.
 constexpr Duration blockedAfter = std::chrono::seconds(3);
-/// Maximum number of blocked steps logged at a time.
+/// Maximum number of blocked steps, and of waiting tasks in each state, logged at a time.
 constexpr std::size_t maxLoggedSteps = 3;
+constexpr std::size_t maxLoggedTasks = 3;
 
 } // namespace
 
@@ -103,4 +105,80 @@
     }
 }
 
+void JobScheduler::logWaitingTasks(Timestamp now)
+{
+    struct Waiting
+    {
+        Duration waited;
+        TaskRef task;
+    };
+    std::array<std::vector<Waiting>, taskStateCount> waiting;
+    std::array<std::size_t, taskStateCount> counts {};
+    m_counts.longestTaskWait = {};
+    for (const auto &[id, job] : m_jobs.all()) {
+        if (job->phase != JobPhase::Active)
+            continue;
+        for (Step &step : job->steps) {
+            for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+                const TaskRef task { .step = &step, .task = it };
+                const TaskState state = stateOf(task, m_isTakingOver);
+                const auto index = static_cast<std::size_t>(state);
+                ++counts.at(index);
+                if (!isWaiting(state))
+                    continue;
+                const Duration waited = waitedFor(now, task);
+                m_counts.longestTaskWait = std::max(m_counts.longestTaskWait, waited);
+                if (waited >= blockedAfter || state == TaskState::Astray)
+                    waiting.at(index).push_back({ .waited = waited, .task = task });
+            }
+        }
+    }
+    m_counts.strayTasks = counts.at(static_cast<std::size_t>(TaskState::Astray));
+    std::string detail =
+            "longest-ms=" + std::to_string(m_counts.longestTaskWait / std::chrono::milliseconds(1));
+    for (std::size_t it = 0; it < counts.size(); ++it) {
+        if (counts.at(it) > 0)
+            detail += " " + std::string(taskStateName(TaskState(it))) + '='
+                    + std::to_string(counts.at(it));
+    }
+    note("tasks", {}, nullptr, std::move(detail));
+    for (std::size_t state = 0; state < waiting.size(); ++state) {
+        std::vector<Waiting> &tasks = waiting.at(state);
+        const std::size_t n = std::min(maxLoggedTasks, tasks.size());
+        std::ranges::partial_sort(tasks, tasks.begin() + static_cast<std::ptrdiff_t>(n),
+                                  std::ranges::greater(), &Waiting::waited);
+        for (const Waiting &it : std::span(tasks).first(n)) {
+            const Run &run = it.task.get().runs[0];
+            note("task-waits", { .task = it.task.key(), .run = run.number },
+                 run.exists() ? m_workers.find(run.worker) : nullptr,
+                 "state=" + std::string(taskStateName(TaskState(state)))
+                         + " waited-ms=" + std::to_string(it.waited / std::chrono::milliseconds(1))
+                         + " crashes=" + std::to_string(it.task.get().crashes.crashes())
+                         + " waiting-tasks=" + std::to_string(tasks.size()));
+        }
+    }
+}
+
+void JobScheduler::logTakeover(Timestamp now)
+{
+    if (!m_isTakingOver)
+        return;
+    std::size_t unknown = 0;
+    const Worker *longest = nullptr;
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (worker->isKnown || now >= worker->lease.expiresAt())
+            continue;
+        ++unknown;
+        if (longest == nullptr || worker->lease.expiresAt() > longest->lease.expiresAt())
+            longest = worker.get();
+    }
+    if (longest == nullptr)
+        return;
+    note("take-over-waits", {}, longest,
+         "since-ms=" + std::to_string((now - m_tenureBeganAt) / std::chrono::milliseconds(1))
+                 + " workers=" + std::to_string(unknown) + " lease-ms="
+                 + std::to_string((longest->lease.expiresAt() - now) / std::chrono::milliseconds(1))
+                 + " unanswered=" + std::to_string(longest->unansweredRenewals));
+}
+
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -135,6 +135,7 @@
                         .startedAt = now,
                         .confirmedAt = now };
     task.lastRun = std::max(task.lastRun, row.run.run);
+    task.idleSince = Timestamp::max();
     ref.step->updateCheckpoint(&task, row.checkpoint);
     dropFromReady(ref);
     worker->runs.push_back({ .task = ref, .slot = slot });
@@ -197,7 +198,7 @@
 RunRef JobScheduler::findAnswered(WorkerId id, const RunKey &key, OrderOutcome outcome)
 {
     if (outcome == OrderOutcome::Fenced)
-        m_isFenced = true;
+        becomeFenced(m_workers.find(id));
     const RunRef ref = findRun(m_jobs.find(key.task), key.run);
     const bool isCurrent = ref.task && ref.get().worker == id && m_workers.find(id) != nullptr;
     return isCurrent ? ref : RunRef {};
@@ -216,6 +217,7 @@
         run.confirmedAt = now;
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Running;
+        ref.task.get().idleSince = Timestamp::max();
         // Workers start every task at its full share.
         if (run.isOverdue && run.phase == RunPhase::Running && run.percent < wholePercent) {
             worker->pacedAt = now;
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -238,7 +238,7 @@
     const Timestamp now = at.now;
     Worker *worker = m_workers.find(id);
     if (outcome == OrderOutcome::Fenced)
-        m_isFenced = true;
+        becomeFenced(worker);
     if (worker == nullptr)
         return;
     (wasImmediate ? worker->immediateRenewalInFlight : worker->renewalInFlight) = false;
@@ -338,8 +338,10 @@
         Run &run = ref.get();
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Running;
-        if (run.phase == RunPhase::Running)
+        if (run.phase == RunPhase::Running) {
             run.confirmedAt = now;
+            task.get().idleSince = Timestamp::max();
+        }
         run.load = row.load;
         run.progress = row.percent;
         task.step->updateCheckpoint(&task.get(), row.checkpoint);
@@ -423,6 +425,13 @@
     }
 }
 
+void JobScheduler::becomeFenced(const Worker *worker)
+{
+    if (!m_isFenced)
+        note("fenced", {}, worker, "tenure=" + std::to_string(m_tenure.value));
+    m_isFenced = true;
+}
+
 void JobScheduler::checkTakeover(Timestamp now)
 {
     if (!m_isTakingOver)
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -79,6 +79,9 @@
     bool done = false;
     /// The task is in its step's list of ready tasks.
     bool isReady = false;
+    /// When its turn came, or its last confirmed run ended; Timestamp::max() before, and while a
+    /// worker has confirmed a run.
+    Timestamp idleSince = Timestamp::max();
     /// Latest checkpoint; empty for none.
     std::string checkpoint;
     /// Worker on which it failed last; the next run avoids it if possible.
--- a/acaciafork/decisions/jobs/PlacementObstacle.h
+++ b/acaciafork/decisions/jobs/PlacementObstacle.h
@@ -9,7 +9,7 @@
 enum class PlacementObstacle : std::uint8_t {
     None,
     OtherPool,
-    NotUsable, ///< see Placer::isUsable()
+    NotUsable, ///< see Placer::isUsable(), for other reasons than those below
     Label, ///< the worker lacks the label that the step asks for
     Processor, ///< too little processor time is free or, for a backfill task, unused
     Memory,
@@ -22,10 +22,14 @@
                ///< task explores it or another image
     Permit, ///< the advisor has given no permit that is valid there
     ClosedZone, ///< operators have closed the worker's zone to new starts
+    Kept, ///< the worker is kept for a task of another step
+    Silent, ///< the worker was not heard of for too long, or has left a renewal unanswered
+    Avoided, ///< the worker has refused starts, left them unanswered, or failed its runs
+    OnTrial, ///< a trial is in progress there, or the worker is kept for one
 };
 
 /// Number of values of PlacementObstacle.
-inline constexpr std::size_t placementObstacleCount = 14;
+inline constexpr std::size_t placementObstacleCount = 18;
 
 /// Stable lower-case name of an obstacle, such as "interference".
 std::string_view placementObstacleName(PlacementObstacle obstacle);
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -105,14 +105,28 @@
     if (worker.life.pool == step.job->pool && isInClosedZone(worker))
         return PlacementObstacle::ClosedZone;
     if (worker.life.pool == step.job->pool && !isUsable(now, worker))
-        return PlacementObstacle::NotUsable;
+        return reasonNotUsable(now, worker);
     const PlacementObstacle obstacle = findObstacle(worker, step, PlacementMode::Usual);
     if (obstacle == PlacementObstacle::None && step.permits != nullptr
         && step.permits->find(worker, now) == nullptr)
         return PlacementObstacle::Permit;
+    if (obstacle == PlacementObstacle::None && m_limits.gaps != nullptr
+        && m_limits.gaps->isClosedTo(now, worker, step))
+        return PlacementObstacle::Kept;
     return obstacle;
 }
 
+PlacementObstacle Placer::reasonNotUsable(Timestamp now, const Worker &worker) const
+{
+    if (worker.unansweredRenewals > 0 || now - worker.lastHeardAt >= m_settings.maxSilence)
+        return PlacementObstacle::Silent;
+    if (now < worker.avoidUntil)
+        return PlacementObstacle::Avoided;
+    if (!worker.trials.empty() || now < worker.reservedUntil)
+        return PlacementObstacle::OnTrial;
+    return PlacementObstacle::NotUsable;
+}
+
 PlacementObstacle Placer::findObstacle(const Worker &worker, const Step &step,
                                        PlacementMode mode) const
 {
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -117,6 +117,8 @@
     /// What keeps the worker from getting a task of the step now.
     [[nodiscard]] PlacementObstacle findObstacle(Timestamp now, const Worker &worker,
                                                  const Step &step) const;
+    /// Why a worker in an open zone is not usable.
+    [[nodiscard]] PlacementObstacle reasonNotUsable(Timestamp now, const Worker &worker) const;
     /// True when the bound on exploratory starts excludes the worker.
     [[nodiscard]] bool isHeldBack(const Worker &worker, const Step &step) const;
     /// True when the worker is kept for another step, see GapPlanner::turnsAway().
--- /dev/null
+++ b/acaciafork/decisions/jobs/TaskState.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "acaciafork/decisions/jobs/JobTable.h"
+
+namespace acaciafork::jobs {
+
+/// What a task of an active job is doing, or what it waits for. Every task is in exactly one of
+/// these states; each state but Astray is left by an event with a bound.
+enum class TaskState : std::uint8_t {
+    Done,
+    Running, ///< its worker has confirmed the run
+    Recording, ///< its trial is being recorded
+    Starting, ///< a start order is in flight
+    Stopping, ///< its run has been told to stop, and its worker has not listed the end yet
+    Ready, ///< it waits for a worker
+    AwaitsTrial, ///< it waits for a worker for a trial
+    AwaitsTakeOver, ///< an earlier leader may have started it
+    AwaitsSteps, ///< it waits for the end of earlier steps
+    NotDue, ///< its occurrence is not due yet
+    Astray, ///< none of these: nothing will start it
+};
+
+/// Number of values of TaskState.
+inline constexpr std::size_t taskStateCount = 11;
+
+/// Stable lower-case name of a state, such as "awaits-trial".
+std::string_view taskStateName(TaskState state);
+
+/// State of a task of an active job.
+TaskState stateOf(const TaskRef &ref, bool isTakingOver);
+
+/// True for the states in which callers see a task that could run and doesn't.
+bool isWaiting(TaskState state);
+
+/// How long a task in a waiting state has been without a run that its worker has confirmed; of a
+/// run that is being stopped, how long that has taken.
+Duration waitedFor(Timestamp now, const TaskRef &ref);
+
+} // namespace acaciafork::jobs
