Turn from workers that take no starts to those that do

Cause: a worker that answers renewals, but refuses starts or leaves them unanswered, stays empty and so is the first choice for the next start. It was passed over for 500 ms only, and an unanswered start takes longer than that (400 ms, then a stop and a list without the run), so the same few workers were tried again and again.

Now such a worker is passed over for twice as long after each further start that fails, up to 8 s. A step whose start has failed goes to the workers that confirmed a start most recently; among those of which nothing is known the order differs from try to try.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -47,8 +47,11 @@
     Duration stopTimeout = std::chrono::milliseconds(400);
     /// How long run ends may wait to be recorded in one batch.
     Duration recordDelay = std::chrono::milliseconds(15);
-    /// How long a worker gets no new work after it refused some for lack of capacity or health.
+    /// How long a worker gets no new work after it refused a start or left it unanswered. Doubles
+    /// with each further start that fails, up to the limit: such a worker is emptier than others
+    /// and would be the first choice each time.
     Duration avoidAfterRefusal = std::chrono::milliseconds(500);
+    Duration maxAvoidAfterRefusal = std::chrono::seconds(8);
     /// How long a worker gets no new work after repeated failures of its runs.
     Duration avoidAfterFailures = std::chrono::seconds(3);
     /// Backfill tasks are paused once a tail latency beside them has exceeded its target for this
@@ -260,6 +263,9 @@
                       PlacementMode mode);
     void orderStart(Timestamp now, const RunRef &run, const Size &freeBefore);
     bool adoptRun(Timestamp now, TaskRef task, const RunningRow &row, Worker *worker);
+    /// A start that the worker refused or left unanswered.
+    void startFailed(Timestamp now, Worker *worker, const RunRef &run);
+    void startConfirmed(Timestamp now, Worker *worker, const RunRef &run) const;
     /// Run that a worker's answer refers to; none when that run is already over.
     RunRef findAnswered(WorkerId id, const RunKey &run, OrderOutcome outcome);
     void requestStop(Timestamp now, const RunRef &run, std::string_view reason);
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -217,7 +217,7 @@
         run.confirmedAt = now;
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Running;
-        ref.task.get().idleSince = Timestamp::max();
+        startConfirmed(now, worker, ref);
         // Workers start every task at its full share.
         if (run.isOverdue && run.phase == RunPhase::Running && run.percent < wholePercent) {
             worker->pacedAt = now;
@@ -230,7 +230,7 @@
     if (outcome == OrderOutcome::Unanswered) {
         // The run may still start: only a confirmed stop or the expiry of the lease rules that out.
         ++m_counts.unanswered;
-        worker->avoidUntil = std::max(worker->avoidUntil, now + m_settings.avoidAfterRefusal);
+        startFailed(now, worker, ref);
         requestStop(now, ref, "start-unanswered");
         // The other members would wait until their workers time out.
         if (ref.task.step->spec->gang)
@@ -243,19 +243,36 @@
     clearExposure(now, ref.task, key.run);
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Stopping) {
         Step *step = ref.task.step;
-        releaseRun(ref);
         if (outcome == OrderOutcome::NoPermit && step->permits != nullptr)
             step->permits->discard(worker->life.name);
-        else if (outcome == OrderOutcome::OtherLife)
-            worker->avoidUntil = now + m_settings.avoidAfterFailures;
         else if (outcome != OrderOutcome::OldRun)
-            worker->avoidUntil = now + m_settings.avoidAfterRefusal;
+            startFailed(now, worker, ref);
+        if (outcome == OrderOutcome::OtherLife)
+            worker->avoidUntil = std::max(worker->avoidUntil, now + m_settings.avoidAfterFailures);
+        releaseRun(ref);
         if (step->spec->gang)
             stopGang(now, step, "member-refused");
         requeue(now, ref.task);
     }
 }
 
+void JobScheduler::startFailed(Timestamp now, Worker *worker, const RunRef &run)
+{
+    worker->startFailed(now, run.get().startedAt);
+    Duration length = m_settings.avoidAfterRefusal;
+    for (std::uint32_t it = 1; it < worker->failedStarts; ++it)
+        length = std::min(2 * length, m_settings.maxAvoidAfterRefusal);
+    worker->avoidUntil = std::max(worker->avoidUntil, now + length);
+    ++run.task.step->failedStarts;
+}
+
+void JobScheduler::startConfirmed(Timestamp now, Worker *worker, const RunRef &run) const
+{
+    worker->startConfirmed(now);
+    run.task.get().idleSince = Timestamp::max();
+    run.task.step->failedStarts = 0;
+}
+
 void JobScheduler::stopAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
 {
     const RunRef ref = findAnswered(id, key, outcome);
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -336,12 +336,12 @@
             continue;
         }
         Run &run = ref.get();
-        if (run.phase == RunPhase::Starting)
+        if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
-        if (run.phase == RunPhase::Running) {
-            run.confirmedAt = now;
-            task.get().idleSince = Timestamp::max();
+            startConfirmed(now, worker, ref);
         }
+        if (run.phase == RunPhase::Running)
+            run.confirmedAt = now;
         run.load = row.load;
         run.progress = row.percent;
         task.step->updateCheckpoint(&task.get(), row.checkpoint);
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -131,6 +131,9 @@
     std::deque<std::uint32_t> ready;
     /// While tasks wait: when the first of them began to wait or a task of the step last started.
     Timestamp waitingSince;
+    /// Consecutive starts of its tasks that were refused or not answered. After one, workers that
+    /// confirm starts are preferred.
+    std::uint32_t failedStarts = 0;
     /// When a placement round last tried the step. A round may end before it reaches all steps.
     Timestamp lastTriedAt;
     /// The bound on exploratory starts has held back its tasks.
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -22,6 +22,24 @@
 /// of the task takes longer.
 constexpr double wholeRunColdPenalty = 2;
 
+/// For a step whose last start failed. Outweighs another rack once the worker has confirmed no
+/// start for about as long as the half-life.
+constexpr double maxUnconfirmedPenalty = 16;
+constexpr Duration unconfirmedHalfLife = std::chrono::seconds(1);
+
+/// Part of that penalty that differs at random between workers.
+constexpr double unconfirmedSpread = 0.25;
+
+/// A number from 0 to 1 that has no order among the workers, and another one for each try.
+double shuffle(WorkerId worker, std::uint32_t attempt)
+{
+    constexpr std::uint64_t goldenRatio = 0x9e3779b97f4a7c15U;
+    constexpr std::uint64_t multiplier = 0xbf58476d1ce4e5b9U;
+    std::uint64_t n = (static_cast<std::uint64_t>(attempt) << 32U | worker.value) * goldenRatio;
+    n = (n ^ (n >> 30U)) * multiplier;
+    return static_cast<double>(n >> 32U) / static_cast<double>(UINT32_MAX);
+}
+
 /// Free processor capacity at which emptiness() is half; about half of a worker.
 constexpr double halfEmptyMillicores = 16'000;
 
@@ -253,6 +271,17 @@
     return std::max(static_cast<std::int64_t>(percent), m_settings.minOverduePercent);
 }
 
+double Placer::unconfirmedPenalty(Timestamp now, const Worker &worker, const Step &step)
+{
+    if (step.failedStarts == 0)
+        return 0;
+    const auto age = static_cast<double>((now - worker.startConfirmedAt).count());
+    const double penalty =
+            maxUnconfirmedPenalty * age / (age + static_cast<double>(unconfirmedHalfLife.count()));
+    // Workers of which nothing is known are tried in another order each time.
+    return penalty * (1 - unconfirmedSpread * shuffle(worker.id, step.failedStarts));
+}
+
 double Placer::coldPenalty(Timestamp now, const Worker &worker, const StepSpec &spec) const
 {
     if (!m_settings.prefersWarmWorkers || spec.fills || worker.warmAt <= now)
@@ -284,6 +313,7 @@
     if (worker.consecutiveFailures >= m_settings.suspectAfterFailures)
         score -= failedHerePenalty;
     score -= coldPenalty(now, worker, spec);
+    score -= unconfirmedPenalty(now, worker, step);
     return score;
 }
 
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -139,6 +139,10 @@
     /// What keeps a usable worker from getting a task of the step, apart from permits.
     [[nodiscard]] PlacementObstacle findObstacle(const Worker &worker, const Step &step,
                                                  PlacementMode mode) const;
+    /// Amount by which the score of a worker is lower for a step whose last start failed; grows
+    /// with the time since the worker last confirmed a start.
+    [[nodiscard]] static double unconfirmedPenalty(Timestamp now, const Worker &worker,
+                                                   const Step &step);
     /// Amount by which the score of a cold worker is lower; zero for a warm one.
     [[nodiscard]] double coldPenalty(Timestamp now, const Worker &worker,
                                      const StepSpec &spec) const;
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -21,6 +21,20 @@
     return shareOf(worker, spec.size.millicores);
 }
 
+void Worker::startFailed(Timestamp now, Timestamp orderedAt)
+{
+    if (orderedAt < startFailedAt)
+        return;
+    ++failedStarts;
+    startFailedAt = now;
+}
+
+void Worker::startConfirmed(Timestamp now)
+{
+    failedStarts = 0;
+    startConfirmedAt = now;
+}
+
 void Worker::holdForTrial(Timestamp now, Duration length)
 {
     trialBeganAt = now;
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -98,6 +98,11 @@
 
     /// No new work until then, because the worker refused work or its runs failed.
     Timestamp avoidUntil = distantPast();
+    /// Consecutive starts that it refused or left unanswered, where those in flight together count
+    /// once; when the last of them failed, and when it last confirmed a start.
+    std::uint32_t failedStarts = 0;
+    Timestamp startFailedAt = distantPast();
+    Timestamp startConfirmedAt = distantPast();
     /// Consecutive failed runs of different jobs, without a successful one in between.
     std::uint32_t consecutiveFailures = 0;
     JobId lastFailedJob;
@@ -133,6 +138,9 @@
     /// Images of the serving tasks on this worker, each with its number of tasks.
     std::vector<std::pair<batch::Index, std::uint32_t>> servedImages;
 
+    /// @param[in] orderedAt when the start was ordered
+    void startFailed(Timestamp now, Timestamp orderedAt);
+    void startConfirmed(Timestamp now);
     /// Nothing else starts for the length of a trial that begins now.
     void holdForTrial(Timestamp now, Duration length);
     /// Reserve and release the resources of one task of the step.
--- a/tests/control/FakeWorker.h
+++ b/tests/control/FakeWorker.h
@@ -8,6 +8,13 @@
 
 namespace acaciafork::control {
 
+/// What becomes of the start orders that reach a worker; it answers everything else.
+enum class StartFault : std::uint8_t {
+    None,
+    Unanswered, ///< nothing is started, and there is no answer
+    Refused, ///< nothing is started
+};
+
 /// A worker that runs tasks as timers under the rules of its interface, in virtual time. Its clock
 /// is its own, and up to 2 % slow.
 class FakeWorker
@@ -47,6 +54,7 @@
     /// Before it shrank, and until when starts may still reckon with that.
     jobs::Size formerCapacity;
     Timestamp formerUntil;
+    StartFault startFault = StartFault::None;
     /// Its reports are lost, though it answers calls.
     bool isMute = false;
     Timestamp bornAt;
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -579,6 +579,16 @@
                                 .tenure = tenure,
                                 .order = command.target.order };
     JobWorld *world = m_world;
+    const FakeWorker *sentTo = world->find(command.target.name);
+    if (sentTo != nullptr && sentTo->startFault == StartFault::Unanswered) {
+        world->at(world->m_now + command.timeout, [this, answer, run = command.run, born = life] {
+            WorkerAnswer it = answer;
+            it.outcome = jobs::OrderOutcome::Unanswered;
+            if (born == life)
+                answers->startAnswered(m_world->moment(), it, run);
+        });
+        return;
+    }
     world->order(
             this, command.target, command.timeout,
             [world, command, tenure](FakeWorker &worker) {
@@ -598,6 +608,8 @@
     if (tenure.value < worker.fence)
         return jobs::OrderOutcome::Fenced;
     worker.fence = tenure.value;
+    if (worker.startFault == StartFault::Refused)
+        return jobs::OrderOutcome::NotHealthy;
     const auto known = worker.running.find(task);
     if (known != worker.running.end() && known->second.run == command.run.run)
         return jobs::OrderOutcome::Done;
