Count the wait of a step through starts that fail

Cause: a start that was refused or not answered began the wait of its step anew, though nothing ran. So a step whose starts fail again and again was never overdue (1.8 s), never named as blocked (3 s), and kept workers never opened to it (1.5 s).

Now a task remembers since when no worker has confirmed a run of it, and its step waits since then.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -243,8 +243,8 @@
         m_waitingSuspects.push_back({ .task = ref.key(), .since = now });
         return;
     }
-    if (step->ready.empty())
-        step->waitingSince = now;
+    step->waitingSince =
+            step->ready.empty() ? task.idleSince : std::min(step->waitingSince, task.idleSince);
     step->ready.push_back(ref.task);
     m_order.insert(now, step);
 }
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -130,6 +130,7 @@
     /// Indices of the tasks that wait for a worker.
     std::deque<std::uint32_t> ready;
     /// While tasks wait: when the first of them began to wait or a task of the step last started.
+    /// A start that fails does not count.
     Timestamp waitingSince;
     /// Consecutive starts of its tasks that were refused or not answered. After one, workers that
     /// confirm starts are preferred.
--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -121,3 +121,19 @@
     fixture.acceptJob(1000, { .count = 1, .size = { 1000, 1000, 0 } });
     CHECK_FALSE(fixture.startsWithin(3s, { 1000 }).empty());
 }
+
+TEST_CASE("a step whose starts are refused again and again counts as blocked")
+{
+    // Each refused start made the wait begin anew, so that the step was never overdue nor named.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, { .count = 1, .size = { 1000, 100, 0 } });
+    for (Duration passed {}; passed < 6s; passed += 100ms) {
+        fixture.advance(100ms);
+        fixture.report();
+        for (const StartRun &it : fixture.take<StartRun>())
+            fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run,
+                                            OrderOutcome::NotHealthy);
+    }
+    CHECK(fixture.scheduler.counts().blockedSteps == 1);
+    CHECK(fixture.scheduler.counts().longestWait >= 4s);
+}
