Step down when the target of a leadership transfer doesn't take over

Cause: a leader gives up its lease for the rest of the term once it has told the target of a transfer to start an election. If the target never does, the leader leads on without a lease, and nothing ended that: it hears its quorum, so nobody else stands. ControlNode acts only while it may read under the lease, so entries and operators are sent away for as long as the term lasts. Full disks lead there: a leader whose disk is full transfers, the target's disk gets full next, so that it can't store its vote, and it restarts before there is room, which forgets the election. A target that crashes, or that the message doesn't reach for 0.6 s, has the same effect, whoever began the transfer.

Evidence: the new test fails on the code before: 1.8 s after the target is back with room the leader still can't serve (canReadNow false). Nothing but a new term sets m_leaseRevoked back.

Change: at the end of a failed transfer the leader steps down if it has revoked its lease. The target may still act on a late message, so the lease can't simply come back; in a new term such a message is ignored. Cost: one election, 0.3 to 0.6 s, only after a transfer that failed.

Why tests missed it: the schedules took a group for recovered that commits and agrees; they didn't ask whether the leader holds a lease.

--- a/acaciafork/consensus/NodeReplication.cpp
+++ b/acaciafork/consensus/NodeReplication.cpp
@@ -278,6 +278,11 @@
         const auto target = m_progress.find(m_transfer->to);
         if (now >= m_transfer->deadline || target == m_progress.end()) {
             m_transfer.reset();
+            // The target may still start its election, so only a new term brings a lease again.
+            if (m_leaseRevoked) {
+                becomeFollower(now, m_hardState.term, {});
+                return;
+            }
         } else if (target->second.match == m_log.lastIndex() && now >= m_transfer->retryAt) {
             m_transfer->retryAt = now + m_settings.heartbeatInterval;
             m_leaseRevoked = true;
--- a/tests/consensus/ReplicaTest.cpp
+++ b/tests/consensus/ReplicaTest.cpp
@@ -214,3 +214,27 @@
     CHECK(group.member(slow.value).state.version() == 2000);
     CHECK(group.violation() == "");
 }
+
+TEST_CASE("a leader whose transfer of the leadership failed accepts changes again")
+{
+    // The target's disk got full and it restarted, so that it never started its election.
+    Group group({ .members = 3, .seed = 13 });
+    REQUIRE(group.awaitLeader());
+    REQUIRE(writeThrough(&group, 1));
+    GroupMember *old = group.leader();
+    GroupMember &target = group.member(old->id.value % 3 + 1);
+    target.disk.setFull(true);
+    REQUIRE(old->replica->transferLeadership(old->clock(), target.id));
+    group.run(std::chrono::milliseconds(100));
+    target.crash();
+    const NodeSettings node;
+    group.run(node.transferTimeout);
+    target.disk.setFull(false);
+    REQUIRE(target.start());
+    group.run(3 * node.maxElectionTimeout);
+    GroupMember *leader = group.leader();
+    REQUIRE(leader != nullptr);
+    CHECK(leader->replica->canReadNow(leader->clock()));
+    CHECK(writeThrough(&group, 2));
+    CHECK(group.violation() == "");
+}
--- a/tests/consensus/Schedule.cpp
+++ b/tests/consensus/Schedule.cpp
@@ -342,10 +342,11 @@
     while (m_group.now() < end && m_group.violation().empty()) {
         stepAll();
         GroupMember *leader = m_group.leader();
-        if (leader == nullptr
+        if (leader == nullptr || !leader->replica->canReadNow(leader->clock())
             || leader->replica->node().commitIndex() < leader->replica->node().lastIndex())
             continue;
-        // Recovery is complete when all members that still have their folder hold the same state.
+        // Recovery is complete when the leader holds a lease and all members that still have their
+        // folder hold the same state.
         bool equal = true;
         for (const Member &it : leader->replica->node().membership().members) {
             const GroupMember &member = *m_group.members().at(it.id);
