--- a/acaciafork/consensus/SnapshotFiles.cpp
+++ b/acaciafork/consensus/SnapshotFiles.cpp
@@ -203,10 +203,16 @@
     if (!resetLog)
         return {};
 
-    m_lastIndex = meta.index;
-    m_lastTerm = meta.term;
-    m_resetNext = true;
-    BOOST_LEAF_CHECK(startSegment());
+    const LogIndex lastIndex = std::exchange(m_lastIndex, meta.index);
+    const Term lastTerm = std::exchange(m_lastTerm, meta.term);
+    const bool resetNext = std::exchange(m_resetNext, true);
+    if (auto started = startSegment(); !started) {
+        // The log goes on as it was: a later segment must not discard what is written until then.
+        m_lastIndex = lastIndex;
+        m_lastTerm = lastTerm;
+        m_resetNext = resetNext;
+        return started;
+    }
     // The new segment replaces the contents of all earlier ones.
     while (m_segments.size() > 1) {
         BOOST_LEAF_CHECK(m_files->remove(segmentName(m_segments.front().sequence)));
--- a/tests/consensus/LogFolderTest.cpp
+++ b/tests/consensus/LogFolderTest.cpp
@@ -393,3 +393,34 @@
         CHECK(last.recoveredState.entries.back().index == recovered + 1);
     }
 }
+
+TEST_CASE("a log goes on after a fetched snapshot whose new segment had no room")
+{
+    SnapshotMeta meta { .index = 20, .term = 1, .membership = {}, .size = 0, .checksum = 0 };
+    const std::string bytes(1000, 'x');
+    {
+        MemoryDisk source(1);
+        FolderSession session(&source);
+        REQUIRE(resultOf([&] { return session.folder->storeSnapshot(&meta, bytes); }).done);
+    }
+    MemoryDisk disk(1);
+    writeEntries(&disk, 10);
+    {
+        // The next segment starts only after the snapshot's index.
+        FolderSession session(&disk, 1500);
+        REQUIRE(session.write(11).done);
+        REQUIRE(resultOf([&] { return session.folder->writeChunk({ meta, 0, bytes }); }).done);
+        disk.setFull(true);
+        CHECK(resultOf([&] { return session.folder->finishPartial(true); }).kind
+              == FailureKind::Full);
+        disk.setFull(false);
+        // The next leader still has the entries, so that no snapshot is needed.
+        for (LogIndex it = 12; it <= 40; ++it)
+            REQUIRE(session.write(it).done);
+    }
+    disk.restart();
+    const FolderSession session(&disk);
+    INFO(session.result.detail);
+    REQUIRE(session.result.done);
+    CHECK(session.recoveredState.baseIndex + session.recoveredState.entries.size() == 40);
+}
