Let a folder go on when a full disk refuses to remove what a failed write left

What callers would see: a control member ends by itself (storage-broken, exit code 12) in the moment its disk gets full, where the disk refuses truncations and removals too: "a full disk refuses every write".

Cause: after a write that failed for lack of room, the folder truncated the segment, or removed the incomplete new one, and took a refusal for a disk whose contents are unknown. They are known: the leftover is behind the last synced group.

Change: the folder remembers that something is left and removes it before the next write or segment. Until that succeeds, writes fail with Full like the one before. Any other failure of the removal still disables the folder, and so does a failed sync. A process that stops meanwhile leaves what a crash within a write leaves.

Evidence: the new test, whose disk gets full at each call of a workload in turn, fails on the code before (call 1, truncations refused: Storage instead of Full, and no write succeeds after there is room). The single failures and crashes at each call still lose nothing.

Open: a member that is started while its disk refuses truncations can't remove the end of an incomplete write; its start fails until there is room.

--- a/acaciafork/consensus/LogFolder.cpp
+++ b/acaciafork/consensus/LogFolder.cpp
@@ -39,6 +39,8 @@
     if (m_broken)
         return fail(FailureKind::Storage,
                     "data folder is disabled after an earlier disk failure; restart the process");
+    if (!removeLeftovers())
+        return failLeftovers();
     if (!m_activeFile
         || m_segments.back().bytes >= static_cast<std::uint64_t>(m_settings.segmentBytes))
         BOOST_LEAF_CHECK(startSegment());
@@ -91,8 +93,9 @@
         break;
     }
     // Remove what a write stored before the disk was full, so that the write can be retried.
-    const bool truncated = static_cast<bool>(m_activeFile->truncate(segment.bytes));
-    m_broken = outcome != GroupOutcome::DiskFull || !truncated;
+    m_hasTornTail = true;
+    removeLeftovers();
+    m_broken = m_broken || outcome != GroupOutcome::DiskFull;
     if (m_broken)
         return fail(FailureKind::Storage,
                     "write to log segment " + segmentName(segment.sequence)
@@ -109,11 +112,45 @@
     return endWrite(writeGroup(group.file.get(), group.bytes));
 }
 
+bool LogFolder::removeLeftovers()
+{
+    const auto removeAll = [&]() -> Result<bool> {
+        if (m_hasTornSegment)
+            BOOST_LEAF_CHECK(m_files->remove(segmentName(nextSequence())));
+        m_hasTornSegment = false;
+        if (m_hasTornTail)
+            BOOST_LEAF_CHECK(m_activeFile->truncate(m_segments.back().bytes));
+        m_hasTornTail = false;
+        return true;
+    };
+    return leaf::try_handle_all(
+            removeAll,
+            [&](const Failure &failure) {
+                m_broken = failure.kind != FailureKind::Full;
+                return false;
+            },
+            [&] {
+                m_broken = true;
+                return false;
+            });
+}
+
+leaf::error_id LogFolder::failLeftovers() const
+{
+    return fail(m_broken ? FailureKind::Storage : FailureKind::Full,
+                "what a failed write left in the log can't be removed");
+}
+
+std::uint64_t LogFolder::nextSequence() const
+{
+    return m_segments.empty() ? 1 : m_segments.back().sequence + 1;
+}
+
 Result<void> LogFolder::startSegment()
 {
-    const Segment segment { .sequence = m_segments.empty() ? 1 : m_segments.back().sequence + 1,
-                            .bytes = 0,
-                            .maxIndex = 0 };
+    if (!removeLeftovers())
+        return failLeftovers();
+    const Segment segment { .sequence = nextSequence(), .bytes = 0, .maxIndex = 0 };
     wire::consensus::SegmentHeader header;
     header.set_format(1);
     header.set_sequence(segment.sequence);
@@ -142,7 +179,8 @@
     if (!created) {
         // Remove the incomplete file so that a retry can create it again.
         file.reset();
-        m_broken = !m_files->remove(name);
+        m_hasTornSegment = true;
+        removeLeftovers();
         return created;
     }
     m_activeFile = std::move(file);
--- a/acaciafork/consensus/LogFolder.h
+++ b/acaciafork/consensus/LogFolder.h
@@ -121,6 +121,10 @@
                               Segment *segment, Replay *replay);
     Result<void> reconcileWithSnapshot(Replay *replay);
     Result<void> startSegment();
+    [[nodiscard]] std::uint64_t nextSequence() const;
+    /// Removes what a failed write left; returns false if the disk refuses it.
+    bool removeLeftovers();
+    [[nodiscard]] leaf::error_id failLeftovers() const;
     Result<void> replaceFile(const std::string &name, std::string_view head,
                              std::string_view bytes);
     Result<void> adoptSnapshot(const SnapshotMeta &meta, std::uint64_t head);
@@ -151,6 +155,10 @@
     /// The next segment replaces the contents of all earlier ones.
     bool m_resetNext = false;
     bool m_broken = false;
+    /// What a failed write left at the end of the last segment or in the next one. A full disk may
+    /// refuse to remove it, then the next write does so first.
+    bool m_hasTornTail = false;
+    bool m_hasTornSegment = false;
 
     SnapshotMeta m_snapshot;
     std::uint64_t m_snapshotHeadBytes = 0;
--- a/tests/consensus/LogFolderTest.cpp
+++ b/tests/consensus/LogFolderTest.cpp
@@ -424,3 +424,37 @@
     REQUIRE(session.result.done);
     CHECK(session.recoveredState.baseIndex + session.recoveredState.entries.size() == 40);
 }
+
+TEST_CASE("a folder goes on once a full disk that refused every call has room")
+{
+    const std::array refusals { FullDisk { .truncate = true }, FullDisk { .names = true },
+                                FullDisk { .truncate = true, .names = true } };
+    for (const FullDisk &refused : refusals) {
+        for (std::uint64_t call = 1; call <= 30; ++call) {
+            CAPTURE(call);
+            MemoryDisk disk(call);
+            LogIndex done = 0;
+            {
+                FolderSession session(&disk, 300);
+                for (LogIndex it = 1; it <= 3; ++it)
+                    REQUIRE(session.write(it).done);
+                // The disk gets full within a write or between two.
+                disk.fullAfter(call, refused);
+                for (LogIndex it = 4; it <= 12; ++it) {
+                    CallResult written = session.write(it);
+                    for (int retry = 0; !written.done && retry < 3; ++retry) {
+                        CHECK(written.kind == FailureKind::Full);
+                        if (retry == 1)
+                            disk.setFull(false);
+                        written = session.write(it);
+                    }
+                    REQUIRE(written.done);
+                }
+                done = 12;
+            }
+            disk.setFull(false);
+            disk.restart();
+            checkNothingLost(&disk, done);
+        }
+    }
+}
--- a/tests/consensus/MemoryDisk.cpp
+++ b/tests/consensus/MemoryDisk.cpp
@@ -38,7 +38,7 @@
 
     Result<void> truncate(std::uint64_t size) override
     {
-        BOOST_LEAF_CHECK(m_disk->call(false));
+        BOOST_LEAF_CHECK(m_disk->call(m_disk->m_refused.truncate));
         m_inode->data.resize(size);
         return {};
     }
@@ -84,6 +84,8 @@
     if (m_poweredOff)
         return failPoweredOff();
     ++m_calls;
+    if (m_fullAfter != 0 && m_calls >= m_fullAfter)
+        m_full = true;
     if (m_failCall != 0 && m_calls == m_failCall)
         return fail(m_failKind, "injected failure");
     if (write && m_full)
@@ -93,7 +95,7 @@
 
 Result<void> MemoryDisk::syncCall(bool skip, const std::function<void()> &makeDurable)
 {
-    BOOST_LEAF_CHECK(call(false));
+    BOOST_LEAF_CHECK(call(m_refused.sync));
     if (m_crashAtSync != 0 && --m_crashAtSync == 0) {
         // The crash happens before or after the data becomes durable.
         if (m_random() % 2 == 0)
@@ -185,9 +187,10 @@
 
 Result<std::unique_ptr<StorageFile>> MemoryFolder::openFile(const std::string &name)
 {
-    BOOST_LEAF_CHECK(m_disk->call(false));
     auto found = m_disk->m_names.find(name);
-    if (found == m_disk->m_names.end()) {
+    const bool isNew = found == m_disk->m_names.end();
+    BOOST_LEAF_CHECK(m_disk->call(isNew && m_disk->m_refused.names));
+    if (isNew) {
         auto inode = std::make_shared<MemoryDisk::Inode>();
         m_disk->changeName([name, inode](auto *names) { (*names)[name] = inode; });
         found = m_disk->m_names.find(name);
@@ -217,7 +220,7 @@
 
 Result<void> MemoryFolder::rename(const std::string &from, const std::string &to)
 {
-    BOOST_LEAF_CHECK(m_disk->call(false));
+    BOOST_LEAF_CHECK(m_disk->call(m_disk->m_refused.names));
     if (!m_disk->m_names.contains(from))
         return fail(FailureKind::Storage, "file does not exist: " + from);
     m_disk->changeName([from, to](auto *names) {
@@ -231,8 +234,9 @@
 
 Result<void> MemoryFolder::remove(const std::string &name)
 {
-    BOOST_LEAF_CHECK(m_disk->call(false));
-    if (m_disk->m_names.contains(name))
+    const bool isThere = m_disk->m_names.contains(name);
+    BOOST_LEAF_CHECK(m_disk->call(isThere && m_disk->m_refused.names));
+    if (isThere)
         m_disk->changeName([name](auto *names) { names->erase(name); });
     return {};
 }
--- a/tests/consensus/MemoryDisk.h
+++ b/tests/consensus/MemoryDisk.h
@@ -20,6 +20,17 @@
     bool dropVote = false;
 };
 
+/// What a full disk refuses besides appends.
+struct FullDisk
+{
+    /// Truncations.
+    bool truncate = false;
+    /// Syncs of files and of the folder. What an append stored before stays in the file.
+    bool sync = false;
+    /// Creations, renames and removals of files.
+    bool names = false;
+};
+
 /// Simulated disk of one member that persists across restarts of its process. A crash may lose
 /// unsynced data: each file keeps a random part of its unsynced tail, and of the unsynced
 /// creations, renames and removals a random number of the oldest ones take effect.
@@ -36,8 +47,19 @@
     /// Simulates a power loss at the n-th sync from now; all later calls fail. 0 disables
     /// the power loss.
     void crashAtSync(std::uint64_t syncs) { m_crashAtSync = syncs; }
-    /// While set, writes fail with Full.
-    void setFull(bool full) { m_full = full; }
+    /// While set, appends and the `refused` calls fail with Full.
+    void setFull(bool full, FullDisk refused = {})
+    {
+        m_full = full;
+        m_refused = refused;
+        m_fullAfter = 0;
+    }
+    /// Lets the disk get full at the n-th call from now.
+    void fullAfter(std::uint64_t call, FullDisk refused = {})
+    {
+        m_refused = refused;
+        m_fullAfter = m_calls + call;
+    }
     /// True after a simulated power loss: the test has to end the process that uses the disk.
     [[nodiscard]] bool poweredOff() const { return m_poweredOff; }
     /// Simulates a power loss and a restart: durable data is kept, unsynced data may be lost.
@@ -76,6 +98,8 @@
     FailureKind m_failKind = FailureKind::Storage;
     std::uint64_t m_crashAtSync = 0;
     bool m_full = false;
+    FullDisk m_refused;
+    std::uint64_t m_fullAfter = 0;
     bool m_poweredOff = false;
     bool m_locked = false;
 };
