Retry a term or vote on a full disk at intervals, like entries

What callers would see: a control member whose disk is full uses a whole core, from the next change of the leader until there is room.

Cause: entries are written again every 0.5 s while the disk is full, a changed term or vote at once, up to 8 times in each turn of the loop; with the writer's thread each refusal wakes the loop for the next.

Each failed write also moved the time of the next try of entries.

A term or vote may now be stored up to 0.5 s after there is room; entries were so before.

--- a/acaciafork/consensus/Node.cpp
+++ b/acaciafork/consensus/Node.cpp
@@ -128,12 +128,14 @@
 void Node::takeWrites()
 {
     m_submittedState.reset();
+    if (m_diskFull)
+        return;
     if (m_hardStateDirty) {
         m_output.hardState = m_hardState;
         m_submittedState = m_hardState;
         m_messagesOfWrite = std::exchange(m_messagesAwaitingSync, {});
     }
-    if (m_lastSubmitted < m_log.lastIndex() && !m_diskFull) {
+    if (m_lastSubmitted < m_log.lastIndex()) {
         m_output.entries = m_log.slice(m_lastSubmitted + 1, m_log.lastIndex(), SIZE_MAX);
         m_lastSubmitted = m_log.lastIndex();
     }
--- a/tests/consensus/ReplicaTest.cpp
+++ b/tests/consensus/ReplicaTest.cpp
@@ -238,3 +238,27 @@
     CHECK(writeThrough(&group, 2));
     CHECK(group.violation() == "");
 }
+
+TEST_CASE("a member that can't store its term on a full disk tries again at intervals")
+{
+    Group group({ .members = 3, .seed = 14 });
+    REQUIRE(group.awaitLeader());
+    GroupMember *old = group.leader();
+    GroupMember &next = group.member(old->id.value % 3 + 1);
+    old->disk.setFull(true);
+    REQUIRE(old->replica->transferLeadership(old->clock(), next.id));
+    group.run(std::chrono::seconds(1));
+    REQUIRE(group.leader() == &next);
+    const std::uint64_t before = old->disk.calls();
+    group.run(std::chrono::seconds(2));
+    // An append and a truncation each time.
+    const auto tries = static_cast<std::uint64_t>(std::chrono::seconds(2)
+                                                  / NodeSettings {}.diskFullRetryInterval);
+    CHECK(old->disk.calls() - before <= 2 * (tries + 1));
+    old->disk.setFull(false);
+    group.run(std::chrono::seconds(1));
+    REQUIRE(writeThrough(&group, 1));
+    group.run(std::chrono::milliseconds(200));
+    CHECK(old->state.find(1) != nullptr);
+    CHECK(group.violation() == "");
+}
