Read loads and percentages of workers that are no whole numbers

Other operators saw machines that stopped following workers of which one entry held a number too large. The conversion threw, the exception ended in the last handler of `hold`, and the renewal counted as unanswered without a line in the log. The worker counted as silent, its lease ended, and its runs were started elsewhere, for as long as the row was there.

Cause: `to_number` without an error code throws where the number is not exact.

Not played through whole processes.

--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -194,6 +194,35 @@
     CHECK_FALSE(takes([&] { return decodeLists("{"); }));
 }
 
+TEST_CASE("a load that is no whole number does not make a worker's answer unreadable")
+{
+    const std::string body = R"({"clockMs":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,90],)"
+                             R"(["5c0e7a21d94b36f8.0.1.18",1,"",PERCENT,LOAD]]})";
+    const std::vector<std::pair<std::string, std::int64_t>> cases {
+        { "85.5", 85 },
+        { "-0.5", 0 },
+        { "1e300", 1'000'000'000 },
+        { "-1e300", -1 },
+        { "1e999", 1'000'000'000 },
+        { "18446744073709551615", 1'000'000'000 },
+        { "9223372036854775807", 1'000'000'000 },
+        { "-9223372036854775808", -1 },
+        { "\"85\"", -1 },
+        { "null", -1 },
+        { "[[85]]", -1 },
+    };
+    for (const auto &[text, number] : cases) {
+        CAPTURE(text);
+        const auto lists = decoded<jobs::RenewalAnswer>([&] {
+            return decodeLists(replaced(replaced(body, "PERCENT", text), "LOAD", text));
+        });
+        REQUIRE(lists.running.size() == 2);
+        CHECK(lists.running[0].load == 90);
+        CHECK(lists.running[1].percent == number);
+        CHECK(lists.running[1].load == number);
+    }
+}
+
 TEST_CASE("states are told in the platform's words")
 {
     CHECK(encodeJobAnswer(R"({"state":"waiting"})") == R"({"state":"queued"})");
