Let the other rows of a worker's lists hold when one can't be read

Here one row that could not be read made the whole answer unreadable: the worker counted as silent, got no work, its lease ended and its runs were started elsewhere, for as long as the row was there.

Change: - A row that can't be read is skipped and counted; the others hold. A run that is missing is told to stop, and is over once its stop has passed, whatever the lists say. It would otherwise run twice, or stay in the books for ever. - At a take-over, runs of an earlier leader may be behind it. Such a worker's lease is not renewed; once it has expired nothing of then can be at work, and the worker is known. This bounds the delay by one lease.

Not played through whole processes.

--- a/acaciafork/control/OrderCodec.cpp
+++ b/acaciafork/control/OrderCodec.cpp
@@ -116,6 +116,7 @@
     message->set_born(lists.born.value);
     message->set_clock_ms(lists.clockMs);
     message->set_has_more(lists.hasMore);
+    message->set_unreadable_rows(lists.unreadableRows);
     for (const jobs::RunningRow &it : lists.running) {
         wire::RunningTask *row = message->add_running();
         encodeRun(it.run, row->mutable_run());
@@ -136,6 +137,7 @@
 {
     jobs::RenewalAnswer lists { .born = { message.born() }, .clockMs = message.clock_ms() };
     lists.hasMore = message.has_more();
+    lists.unreadableRows = message.unreadable_rows();
     lists.running.reserve(static_cast<std::size_t>(message.running_size()));
     for (const wire::RunningTask &it : message.running())
         lists.running.push_back({ .run = decodeRun(it.run()),
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -221,9 +221,11 @@
     (isImmediate ? worker->immediateRenewalCursor : worker->renewalCursor) = cursor;
     // The lease is not extended for a worker whose clock has not been observed or that runs
     // nothing. Nor is it for a silent worker: any lease that it may hold has to expire before its
-    // tasks can run elsewhere.
-    const bool renews =
-            worker->lease.isKnown() && !worker->runs.empty() && worker->unansweredRenewals == 0;
+    // tasks can run elsewhere. Nor for one that may have runs which can't be read from its lists:
+    // tasks of earlier leaders wait until they have ended.
+    const bool mayHideRuns = !worker->isKnown && worker->hasUnreadableRows;
+    const bool renews = worker->lease.isKnown() && !worker->runs.empty()
+            && worker->unansweredRenewals == 0 && !mayHideRuns;
     m_commands.emplace_back(RenewWorkerLease {
             .target = targetOf(*worker),
             .recordedEnds = cursor,
@@ -276,7 +278,7 @@
         replaceIncarnation(now, worker, life);
         worker->awaitsReport = true;
     }
-    if (worker->unansweredRenewals > 0 || !worker->isKnown)
+    if (worker->unansweredRenewals > 0 || (!worker->isKnown && !worker->hasUnreadableRows))
         note("worker-reached", {}, worker,
              "running=" + std::to_string(answer->running.size())
                      + " ended=" + std::to_string(answer->ended.size()));
@@ -285,6 +287,7 @@
     worker->lastHeardAt = now;
     worker->renewalAt = now;
     worker->lease.observe(now, answer->clockMs);
+    worker->hasUnreadableRows = answer->unreadableRows > 0;
     worker->acknowledgedEnds =
             std::max(worker->acknowledgedEnds,
                      wasImmediate ? worker->immediateRenewalCursor : worker->renewalCursor);
@@ -306,13 +309,18 @@
     reconcileRunning(now, worker, *answer);
     if (!answer->hasMore) {
         releaseUnlisted(now, worker, *answer);
-        clearOldExposures(now, worker);
+        if (!worker->hasUnreadableRows)
+            clearOldExposures(now, worker);
     }
     finishTrials(now, worker, *answer);
     // What an earlier leader has told to stop is on no list and still at work.
     if (!worker->isKnown && !worker->guardsCapacity)
         awaitStrayRuns(now, worker);
-    worker->isKnown = worker->isKnown || !answer->hasMore;
+    const bool hasUnknownRuns =
+            worker->hasUnreadableRows && answer->sentAt < worker->lease.expiresAt();
+    worker->isKnown = worker->isKnown || (!answer->hasMore && !hasUnknownRuns);
+    if (!worker->isKnown && worker->hasUnreadableRows)
+        worker->renewalAt = now + m_settings.retryDelay;
     if (answer->sentAt >= worker->leftAt && !answer->hasMore) {
         removeLeft(now, worker);
         return;
@@ -381,6 +389,11 @@
                 run.phase == RunPhase::Stopping ? run.confirmedAt + stopTime : run.confirmedAt;
         if (!mayBeOver || listed.contains(it.task.key()) || answer.sentAt <= since)
             continue;
+        // It may be in a row that could not be read, so it is over only once its stop has passed.
+        if (run.phase == RunPhase::Running && worker->hasUnreadableRows) {
+            requestStop(now, it, "unlisted");
+            continue;
+        }
         note("run-lost", it.key(), worker, "reason=unlisted");
         clearExposure(now, it.task, run.number);
         ++m_counts.lost;
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -272,6 +272,8 @@
     std::vector<EndedRow> ended;
     /// The list of ended runs was truncated at its maximum length.
     bool hasMore = false;
+    /// Rows of both lists that could not be read; a run that is on neither may be one of them.
+    std::uint32_t unreadableRows = 0;
 };
 
 /// Outcome of an order to a worker.
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -21,6 +21,8 @@
     /// Its lists of runs have been received in this tenure. Until then it may have runs that an
     /// earlier leader started.
     bool isKnown = false;
+    /// Rows of its latest lists could not be read.
+    bool hasUnreadableRows = false;
     std::uint64_t sequence = 0;
     /// When it last reported or answered.
     Timestamp lastHeardAt = distantPast();
--- a/acaciafork/net/JsonReader.cpp
+++ b/acaciafork/net/JsonReader.cpp
@@ -10,6 +10,13 @@
 
 namespace json = boost::json;
 
+namespace {
+
+/// Levels of arrays and objects that withoutDeepValues() keeps; fewer than the parser takes.
+constexpr std::size_t keptLevels = 16;
+
+} // namespace
+
 Result<json::object> parseJsonObject(std::string_view text)
 {
     boost::system::error_code ec;
@@ -31,6 +38,33 @@
             [] { return std::optional<json::object>(); });
 }
 
+std::string withoutDeepValues(std::string_view text)
+{
+    std::string kept;
+    kept.reserve(text.size());
+    std::size_t depth = 0;
+    bool isQuoted = false;
+    bool isEscaped = false;
+    for (const char it : text) {
+        const std::size_t before = depth;
+        if (isQuoted) {
+            isQuoted = isEscaped || it != '"';
+            isEscaped = !isEscaped && it == '\\';
+        } else if (it == '"') {
+            isQuoted = true;
+        } else if (it == '[' || it == '{') {
+            ++depth;
+        } else if ((it == ']' || it == '}') && depth > 0) {
+            --depth;
+        }
+        if (std::max(before, depth) <= keptLevels)
+            kept += it;
+        else if (before == keptLevels)
+            kept += "null";
+    }
+    return kept;
+}
+
 const json::value *JsonReader::find(std::string_view key)
 {
     return m_object.if_contains(key);
--- a/acaciafork/net/JsonReader.h
+++ b/acaciafork/net/JsonReader.h
@@ -19,6 +19,10 @@
 /// The object, or none when the text is no JSON object: for answers of which only some have a body.
 std::optional<boost::json::object> findJsonObject(std::string_view text);
 
+/// The JSON text with null in place of all that is nested too deeply to be parsed, so that one such
+/// value does not make the rest unreadable.
+std::string withoutDeepValues(std::string_view text);
+
 /// Reads typed fields out of one JSON object. The first thing wrong is kept and names its field, so
 /// that a decoder reads all fields in a row and checks once.
 class JsonReader
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -23,6 +23,10 @@
     double orderLost = 0;
     /// The worker is unhealthy for that moment: it says so and does nothing.
     double unhealthy = 0;
+    /// A row of what runs on a worker can't be read.
+    double rowUnreadable = 0;
+    /// Rows of each list that can't be read and stand for no run.
+    std::uint32_t oddRows = 0;
     /// A run fails.
     double runFails = 0;
     /// A message between the leader and a relay is lost, arrives twice, or takes up to 2 s.
--- a/tests/control/OrderRouterTest.cpp
+++ b/tests/control/OrderRouterTest.cpp
@@ -151,6 +151,7 @@
     lists.running.push_back({ .run = run, .checkpoint = "c", .percent = 40, .load = -1 });
     lists.ended.push_back({ .number = 17, .run = run, .end = jobs::RunEnd::Lapsed });
     lists.hasMore = true;
+    lists.unreadableRows = 3;
     const std::uint64_t number = fixture.batches.front().orders(0).number();
     fixture.relay.renewalAnswered(fixture.at,
                                   { .worker = { 1 },
@@ -169,6 +170,7 @@
     CHECK(it.born == Incarnation { 7 });
     CHECK(it.clockMs == 4321);
     CHECK(it.hasMore);
+    CHECK(it.unreadableRows == 3);
     REQUIRE(it.running.size() == 1);
     CHECK(it.running.front().run == run);
     CHECK(it.running.front().load == -1);
--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -419,3 +419,88 @@
     fixture.acceptJob(1, { .count = 1, .size = { 1000, 100, 0 } }, queues[0]);
     CHECK(fixture.answerRenewals(10s).size() == 1);
 }
+
+TEST_CASE("a run that may be in an unreadable row is not started elsewhere while it may be at work")
+{
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, { .count = 2, .size = { 30'000, 100, 0 }, .maxPerWorker = 1 });
+    const auto first = fixture.take<StartRun>();
+    REQUIRE(first.size() == 2);
+    for (const StartRun &it : first)
+        fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run, OrderOutcome::Done);
+
+    // Each worker lists one row, which can't be read on one of them.
+    const WorkerId odd = first[0].target.worker;
+    Timestamp stoppedAt = Timestamp::max();
+    std::vector<StartRun> again;
+    for (int it = 0; it < 300 && again.empty(); ++it) {
+        fixture.advance(10ms);
+        if (it % 50 == 0)
+            fixture.report();
+        for (const Command &command : fixture.scheduler.takeCommands(fixture.at)) {
+            if (const auto *start = std::get_if<StartRun>(&command))
+                again.push_back(*start);
+            if (const auto *stop = std::get_if<StopRun>(&command)) {
+                CHECK(stop->run == first[0].run);
+                CHECK(stop->reason == "unlisted");
+                stoppedAt = std::min(stoppedAt, fixture.at.now);
+                fixture.scheduler.stopAnswered(fixture.at, odd, stop->run, OrderOutcome::Done);
+            }
+            const auto *renewal = std::get_if<RenewWorkerLease>(&command);
+            if (renewal == nullptr)
+                continue;
+            RenewalAnswer lists { .sentAt = fixture.at.now,
+                                  .born = { 1 },
+                                  .clockMs = fixture.clockMs() };
+            if (renewal->target.worker == odd)
+                lists.unreadableRows = 1;
+            else
+                lists.running.push_back({ .run = first[1].run });
+            fixture.scheduler.renewalAnswered(fixture.at, renewal->target.worker,
+                                              renewal->isImmediate, OrderOutcome::Done, &lists);
+        }
+    }
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run.task == first[0].run.task);
+    const Duration stopTimeout = JobSchedulerSettings {}.stopTimeout;
+    CHECK(fixture.at.now - stoppedAt >= stopTimeout);
+}
+
+TEST_CASE("an unreadable row holds up a take-over no longer than the lease of an earlier leader")
+{
+    SchedulerFixture fixture;
+    auto spec = std::make_shared<JobSpec>();
+    spec->steps.push_back({ .count = 1, .size = { 1000, 100, 0 }, .longRunning = true });
+    const JobView job { .id = { 1 },
+                        .queue = { .name = "q", .pool = "pool", .maxAttempts = 3 },
+                        .spec = spec };
+    const WorkerLife life = fixture.scheduler.workers().find(WorkerName { "w0" })->life;
+    fixture.scheduler.begin(fixture.at, { 2 }, {}, std::array { job }, std::array { life });
+    const Timestamp beganAt = fixture.at.now;
+    const Duration lease = JobSchedulerSettings {}.lease;
+
+    // The task may be at work in that row until the lease has ended, if that is not renewed.
+    std::vector<StartRun> starts;
+    while (starts.empty() && fixture.at.now - beganAt < 2 * lease) {
+        fixture.advance(10ms);
+        fixture.report();
+        for (const Command &command : fixture.scheduler.takeCommands(fixture.at)) {
+            if (const auto *start = std::get_if<StartRun>(&command))
+                starts.push_back(*start);
+            const auto *renewal = std::get_if<RenewWorkerLease>(&command);
+            if (renewal == nullptr)
+                continue;
+            CHECK(renewal->leaseEndMs == 0);
+            const RenewalAnswer lists { .sentAt = fixture.at.now,
+                                        .born = { 1 },
+                                        .clockMs = fixture.clockMs(),
+                                        .unreadableRows = 1 };
+            fixture.scheduler.renewalAnswered(fixture.at, renewal->target.worker,
+                                              renewal->isImmediate, OrderOutcome::Done, &lists);
+        }
+    }
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.name.value == "w0");
+    CHECK(fixture.at.now - beganAt >= lease);
+    CHECK(fixture.at.now - beganAt < lease + 1s);
+}
