--- a/acaciafork/net/JsonReader.cpp
+++ b/acaciafork/net/JsonReader.cpp
@@ -142,11 +142,12 @@
 Address JsonReader::address(std::string_view key)
 {
     const std::string found = text(key);
-    return leaf::try_handle_all([&]() -> Result<Address> { return parseAddress(found); },
-                                [&] {
-                                    refuse(key, "an IP number and port");
-                                    return Address();
-                                });
+    Address address = leaf::try_handle_all([&]() -> Result<Address> { return parseAddress(found); },
+                                           [] { return Address(); });
+    // Port 0 is for listeners, which get one from the system.
+    if (address.port == 0)
+        refuse(key, "an IP number and port");
+    return address;
 }
 
 std::size_t JsonReader::choice(std::string_view key, std::initializer_list<std::string_view> words)
--- a/acaciafork/net/JsonReader.h
+++ b/acaciafork/net/JsonReader.h
@@ -51,7 +51,7 @@
     double optionalReal(std::string_view key, double absent = 0);
     /// False when absent.
     bool optionalFlag(std::string_view key);
-    /// IP number and port.
+    /// IP number and port, one that can be connected to.
     Address address(std::string_view key);
     /// Index of the word that stands there among those allowed.
     std::size_t choice(std::string_view key, std::initializer_list<std::string_view> words);
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -137,6 +137,61 @@
     }
 }
 
+TEST_CASE("an odd heartbeat names no worker")
+{
+    // Recorded, it would take those beside it along, or overflow in the arithmetic of leases.
+    const std::string beat = R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
+                             R"("capacity":{"cpu":8,"memMb":9,"gpu":0},"labels":["a","r1-3"],)"
+                             R"("clockMs":5,"sequence":4,"born":6,"version":"v1"})";
+    const auto taken = [](std::string_view name, const std::string &body) {
+        return takes([&] { return decodeHeartbeat(name, body); });
+    };
+    REQUIRE(taken("i-1", beat));
+    CHECK(taken(std::string(160, 'i'), beat));
+    for (const std::string &it :
+         { std::string(161, 'i'), std::string("i-\xff"), std::string("i\0", 2), std::string("i 1"),
+           std::string("i\n1") }) {
+        CAPTURE(it);
+        CHECK_FALSE(taken(it, beat));
+    }
+
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    std::string manyLabels = R"("a")";
+    for (int it = 0; it < 16; ++it)
+        manyLabels += R"(,"a")";
+    const std::vector<std::pair<std::string, std::string>> changes {
+        { R"("10.0.0.9:80")", R"("10.0.0.9:0")" },
+        { R"("10.0.0.9:80")", R"("10.0.0.9:65536")" },
+        { R"("10.0.0.9:80")", R"("10.0.0.9:-1")" },
+        { R"("10.0.0.9:80")", R"("10.0.0.9:99999999999999999999")" },
+        { R"("10.0.0.9:80")", "80" },
+        { R"("v1")", deep },
+        { R"("z")", deep },
+        { R"("z")", '"' + std::string(161, 'z') + '"' },
+        { R"(["a","r1-3"])", '[' + manyLabels + ']' },
+        { R"("r1-3")", '"' + std::string(161, 'r') + '"' },
+        { R"("r1-3")", "7" },
+        { R"({"cpu":8)", "[" },
+        { R"("cpu":8)", R"("cpu":1000000001)" },
+        { R"("memMb":9)", R"("memMb":9223372036854775807)" },
+        { R"("memMb":9)", R"("memMb":-1)" },
+        { R"("gpu":0)", R"("gpu":1e300)" },
+        { R"("gpu":0)", R"("gpu":1e999)" },
+        { R"("clockMs":5)", R"("clockMs":9223372036854775807)" },
+        { R"("clockMs":5)", R"("clockMs":18446744073709551615)" },
+        { R"("born":6)", R"("born":9223372036854775807)" },
+        { R"("born":6)", R"("born":6.5)" },
+        { R"("born":6)", R"("born":7,"born":-7)" },
+        { R"("sequence":4)", R"("sequence":1e300)" },
+        { R"("ready")", R"("\ud800")" },
+    };
+    for (const auto &[from, to] : changes) {
+        CAPTURE(from);
+        CAPTURE(to.substr(0, 100));
+        CHECK_FALSE(taken("i-1", replaced(beat, from, to)));
+    }
+}
+
 TEST_CASE("a report tells how long its worker is cold, and is taken whatever stands there")
 {
     // A report refused for this field would take the whole worker out of use.
