Refuse a leave whose life can't be read

Callers would see the runs of a worker given up and started elsewhere while it goes on with them.

Cause: a body that was no JSON object, or a `born` of another type, negative, not whole or too large, counted as one that names no life, and a leave that names none ends the present life.

--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -192,6 +192,22 @@
     }
 }
 
+TEST_CASE("a leave that can't be read does not end the present life of its worker")
+{
+    const auto born = [](const std::string &body) {
+        return decoded<Incarnation>([&] { return decodeLeave(body); });
+    };
+    CHECK(born(R"({"born":1754000000123})") == Incarnation { 1'754'000'000'123 });
+    CHECK_FALSE(born("{}"));
+    CHECK_FALSE(born(""));
+    for (const char *it :
+         { R"({"born":"1754000000123"})", R"({"born":1e300})", R"({"born":-1})", R"({"born":6.5})",
+           R"({"born":18446744073709551615})", "[]", "{", "\xff" }) {
+        CAPTURE(it);
+        CHECK_FALSE(takes([&] { return decodeLeave(it); }));
+    }
+}
+
 TEST_CASE("a report tells how long its worker is cold, and is taken whatever stands there")
 {
     // A report refused for this field would take the whole worker out of use.
