Refuse numbers of jobs and queues that are too large, instead of cutting them off

Callers would see a step that waits for another one than they named (`after` was read as step 0), or times that differ by machine: a `targetMs`, `timeoutMs` or `stretch` of 1e300 was cast to an integer that can't hold it. `startAtMs` and `intervalMs` up to 2^63-1 overflowed when they were converted to microseconds, as did `validityMs` of an advisor.

--- a/acaciafork/net/JsonReader.cpp
+++ b/acaciafork/net/JsonReader.cpp
@@ -114,14 +114,14 @@
     return find(key) == nullptr ? absent : number(key, least, most);
 }
 
-double JsonReader::optionalReal(std::string_view key, double absent)
+double JsonReader::optionalReal(std::string_view key, double absent, double most)
 {
     const json::value *value = find(key);
     if (value == nullptr)
         return absent;
     const double n = value->is_number() ? value->to_number<double>() : -1;
-    if (n < 0) {
-        refuse(key, "a number from 0 on");
+    if (n < 0 || n > most) {
+        refuse(key, "a number from 0 to " + std::to_string(most));
         return absent;
     }
     return n;
--- a/acaciafork/net/JsonReader.h
+++ b/acaciafork/net/JsonReader.h
@@ -47,8 +47,13 @@
     {
         return optionalNumber(key, 0, most, 0);
     }
-    /// Number from 0 on, whole or not; `absent` when the key is not there.
-    double optionalReal(std::string_view key, double absent = 0);
+    /// Number from 0 to `most`, whole or not; `absent` when the key is not there.
+    double optionalReal(std::string_view key, double absent = 0, double most = UINT32_MAX);
+    /// Whole milliseconds of a number from 0 to 2^32 - 1; 0 when absent.
+    std::uint32_t optionalMilliseconds(std::string_view key)
+    {
+        return static_cast<std::uint32_t>(optionalReal(key));
+    }
     /// False when absent.
     bool optionalFlag(std::string_view key);
     /// IP number and port, one that can be connected to.
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -88,6 +88,42 @@
     }
 }
 
+TEST_CASE("numbers of jobs and queues that are too large are refused and not cut off")
+{
+    const std::string job = R"({"steps":[{"count":1},{"count":1,"after":[0],"targetMs":50}],)"
+                            R"("runCount":3,"startAtMs":99,"intervalMs":20})";
+    REQUIRE(takes([&] { return decodeJob(job); }));
+    const std::vector<std::pair<std::string, std::string>> jobChanges {
+        { "[0]", "[4294967296]" },
+        { "[0]", "[18446744073709551615]" },
+        { "[0]", "[1e300]" },
+        { ":50", ":1e300" },
+        { ":50", ":4294967296" },
+        { ":50", ":-1" },
+        { ":99", ":9223372036854775807" },
+        { ":20", ":9223372036854775807" },
+        { ":3,", ":4294967296," },
+    };
+    for (const auto &[from, to] : jobChanges) {
+        CAPTURE(to);
+        CHECK_FALSE(takes([&] { return decodeJob(replaced(job, from, to)); }));
+    }
+    const std::vector<std::pair<std::string, std::string>> queueChanges {
+        { R"("timeoutMs":3000)", R"("timeoutMs":4294967297)" },
+        { R"("timeoutMs":3000)", R"("timeoutMs":1e300)" },
+        { R"("targetLatencyMs":250)", R"("targetLatencyMs":1e300)" },
+        { R"("stretch":1.5)", R"("stretch":1e300)" },
+        { R"("timeoutMs":3000)", R"("timeoutMs":3000,"advice":{"validityMs":1e300})" },
+        { R"("maxAttempts":4)", R"("maxAttempts":4294967297)" },
+    };
+    for (const auto &[from, to] : queueChanges) {
+        CAPTURE(to);
+        CHECK_FALSE(takes([&] { return decodeQueues(replaced(config, from, to)); }));
+    }
+    control::PermitAnswer none;
+    CHECK_FALSE(decodePermits(R"({"good":[],"validityMs":9223372036854775807})", &none));
+}
+
 TEST_CASE("a configuration is taken whole or refused")
 {
     const auto queues = decoded<wire::QueueConfig>([] { return decodeQueues(config); });
