Bound the take-over however often workers restart

Cause: a take-over waits for every worker that has not answered and may hold a lease, and each new incarnation of a worker counts as holding one from then on.

Change: the take-over ends at the latest maxOrderDelay + maxLease (12 s and 6 s, on a slow clock, with the margin) after the tenure began. A run of an earlier leader at a new incarnation comes from an order sent before the tenure; it is carried out within maxOrderDelay or never, and its lease is no longer than maxLease. take-over-not-awaited names each worker that is not waited for.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -30,6 +30,13 @@
 {
     /// Lease granted to a worker with each order; the workers' own limit is 6 s.
     Duration lease = std::chrono::milliseconds(4000);
+    /// Longest time for which a worker holds a lease, whatever it is told; a bound given by the
+    /// worker interface.
+    Duration maxLease = std::chrono::seconds(6);
+    /// Longest time after which an order that got no answer may still be carried out, also by a
+    /// later incarnation of its worker. Bounds the take-over: what earlier leaders ordered runs for
+    /// no longer than this and maxLease after the tenure began.
+    Duration maxOrderDelay = std::chrono::seconds(12);
     /// How long a worker may wait for a run to end before it answers a renewal.
     Duration renewalWait = std::chrono::milliseconds(1500);
     /// The same on workers that run both serving and backfill tasks; shorter, so that interference
@@ -342,6 +349,8 @@
     void sendRenewal(Timestamp now, Worker *worker, Duration wait, bool isImmediate = false);
     void checkExpiredLeases(Timestamp now);
     void checkTakeover(Timestamp now);
+    /// Workers that may have runs of earlier leaders which this one has not seen.
+    [[nodiscard]] std::vector<const Worker *> unseenWorkers(Timestamp now) const;
     void startDueOccurrences(Moment at);
     void logSummary(Timestamp now);
     void logBlockedSteps(Timestamp now);
@@ -417,6 +426,8 @@
     bool m_isFenced = false;
     bool m_isTakingOver = false;
     Timestamp m_tenureBeganAt;
+    /// The leases that late orders of earlier leaders may bring to workers.
+    LeaseClock m_earlierLeases;
     std::map<std::string, QueueSpec> m_queues;
     /// Pools whose workers start what exceeds their capacity.
     std::set<std::string> m_unguardedPools;
--- a/acaciafork/decisions/jobs/JobSchedulerReports.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -163,20 +163,14 @@
 {
     if (!m_isTakingOver)
         return;
-    std::size_t unknown = 0;
-    const Worker *longest = nullptr;
-    for (const auto &[id, worker] : m_workers.all()) {
-        if (worker->isKnown || now >= worker->lease.expiresAt())
-            continue;
-        ++unknown;
-        if (longest == nullptr || worker->lease.expiresAt() > longest->lease.expiresAt())
-            longest = worker.get();
-    }
-    if (longest == nullptr)
+    const std::vector<const Worker *> unseen = unseenWorkers(now);
+    if (unseen.empty())
         return;
+    const Worker *longest = *std::ranges::max_element(
+            unseen, {}, [](const Worker *it) { return it->lease.expiresAt(); });
     note("take-over-waits", {}, longest,
          "since-ms=" + std::to_string((now - m_tenureBeganAt) / std::chrono::milliseconds(1))
-                 + " workers=" + std::to_string(unknown) + " lease-ms="
+                 + " workers=" + std::to_string(unseen.size()) + " lease-ms="
                  + std::to_string((longest->lease.expiresAt() - now) / std::chrono::milliseconds(1))
                  + " unanswered=" + std::to_string(longest->unansweredRenewals));
 }
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -447,17 +447,28 @@
     m_isFenced = true;
 }
 
-void JobScheduler::checkTakeover(Timestamp now)
+std::vector<const Worker *> JobScheduler::unseenWorkers(Timestamp now) const
 {
-    if (!m_isTakingOver)
-        return;
-    std::size_t unknown = 0;
+    std::vector<const Worker *> unseen;
     for (const auto &[id, worker] : m_workers.all()) {
         if (!worker->isKnown && now < worker->lease.expiresAt())
-            ++unknown;
+            unseen.push_back(worker.get());
     }
-    if (unknown > 0)
+    return unseen;
+}
+
+void JobScheduler::checkTakeover(Timestamp now)
+{
+    if (!m_isTakingOver)
+        return;
+    const std::vector<const Worker *> unseen = unseenWorkers(now);
+    // Workers that restart without answering would prolong it each time.
+    if (!unseen.empty() && now < m_earlierLeases.expiresAt())
         return;
+    for (const Worker *it : unseen)
+        note("take-over-not-awaited", {}, it,
+             "since-ms=" + std::to_string((now - m_tenureBeganAt) / std::chrono::milliseconds(1))
+                     + " unanswered=" + std::to_string(it->unansweredRenewals));
     m_isTakingOver = false;
     m_placementDue = true;
     note("take-over-ended", {}, nullptr, "workers=" + std::to_string(m_workers.all().size()));
--- a/tests/control/FakeWorker.h
+++ b/tests/control/FakeWorker.h
@@ -57,6 +57,8 @@
     StartFault startFault = StartFault::None;
     /// Its reports are lost, though it answers calls.
     bool isMute = false;
+    /// Calls get no answer, though its reports come.
+    bool isDeaf = false;
     Timestamp bornAt;
     bool isUp = true;
     bool isCut = false;
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -489,6 +489,8 @@
     worker->zone = old.zone;
     worker->bornAt = m_now;
     worker->labels = old.labels;
+    if (m_options.lateOrdersOutliveWorkers)
+        worker->lastRun = old.lastRun;
     m_workers[i] = std::move(worker);
 }
 
@@ -559,8 +561,10 @@
             reply(m_now + latency(), jobs::OrderOutcome::NotSent);
             return;
         }
-        const bool isOtherLife = isLate && worker != nullptr && worker->born != life;
-        if (worker == nullptr || !worker->isUp || worker->isCut || isOtherLife) {
+        const bool outlives = isLate && m_options.lateOrdersOutliveWorkers;
+        const bool isOtherLife = isLate && !outlives && worker != nullptr && worker->born != life;
+        if (worker == nullptr || !worker->isUp || worker->isCut || isOtherLife
+            || (worker->isDeaf && !outlives)) {
             if (!answerLost)
                 reply(deadline, jobs::OrderOutcome::Unanswered);
             return;
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -1,3 +1,5 @@
+#include <array>
+
 #include <doctest/doctest.h>
 
 #include "tests/control/JobWorld.h"
@@ -424,6 +426,56 @@
     }
 }
 
+TEST_CASE(
+        "inherited jobs go on while workers restart again and again without answering, and no task "
+        "starts twice")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .faults = { .carriedOutLate = 0.15 },
+                         .scheduler = { .promptTakeOver = seed % 2 == 0 },
+                         .seed = seed,
+                         .lateOrdersOutliveWorkers = true });
+        RandomGenerator random(seed * 4241);
+        const auto draw = [&](std::uint64_t n) { return random() % n; };
+        world.run(2s);
+        std::uint64_t id = 0;
+        for (; id < 6; ++id) {
+            world.submit(id + 1, twoSteps(300 + draw(4000)));
+            world.run(Duration(draw(200'000)));
+        }
+        const auto restart = [&](std::size_t it) {
+            world.crash(it);
+            world.revive(it);
+            world.worker(it).isDeaf = true;
+        };
+        const std::array<std::size_t, 2> flapping { draw(3), 3 + draw(3) };
+        for (const std::size_t it : flapping)
+            restart(it);
+        world.run(Duration(draw(500'000)));
+        const std::uint64_t changes = 1 + draw(2);
+        for (std::uint64_t change = 0; change < changes; ++change) {
+            world.changeLeader(300ms + Duration(draw(1'000'000)));
+            for (int it = 0; it < 3; ++it) {
+                restart(flapping.at(draw(2)));
+                world.run(Duration(500'000 + draw(700'000)));
+            }
+        }
+        world.faults() = {};
+        // The bound of a take-over, and the time that the longest job takes.
+        for (int round = 0; round < 31; ++round) {
+            for (const std::size_t it : flapping)
+                restart(it);
+            world.run(1s);
+        }
+        for (std::uint64_t it = 1; it <= id; ++it) {
+            CAPTURE(it);
+            CHECK(world.stateOf(it) != wire::JOB_STATE_ACTIVE);
+        }
+        CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+    }
+}
+
 namespace {
 
 /// Drives a world through faults of its relays, workers and leaders, drawn from the seed.
--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -504,3 +504,57 @@
     CHECK(fixture.at.now - beganAt >= lease);
     CHECK(fixture.at.now - beganAt < lease + 1s);
 }
+
+TEST_CASE("inherited steps start although a worker restarts again and again without answering")
+{
+    // Each restart prolonged the take-over by a lease.
+    SchedulerFixture fixture;
+    auto spec = std::make_shared<JobSpec>();
+    spec->steps.push_back({ .count = 1, .size = { 1000, 100, 0 } });
+    const std::array jobs { JobView { .id = { 1 },
+                                      .queue = { .name = "q", .pool = "pool", .maxAttempts = 3 },
+                                      .spec = spec } };
+    std::array<WorkerReport, 2> reports;
+    std::vector<WorkerLife> recorded;
+    for (std::size_t it = 0; it < reports.size(); ++it) {
+        reports.at(it).life = { .name = { "w" + std::to_string(it) },
+                                .born = { 1 },
+                                .pool = "pool",
+                                .address = "w" + std::to_string(it),
+                                .capacity = { 32'000, 128'000, 0 } };
+        recorded.push_back(reports.at(it).life);
+    }
+    const JobSchedulerSettings settings;
+    fixture.scheduler.begin(fixture.at, { 2 }, {}, jobs, recorded);
+    const Timestamp beganAt = fixture.at.now;
+    std::vector<StartRun> starts;
+    for (int tick = 1; tick <= 600 && starts.empty(); ++tick) {
+        fixture.advance(100ms);
+        if (tick % 10 == 0)
+            ++reports[1].life.born.value;
+        for (WorkerReport &it : reports) {
+            ++it.sequence;
+            it.clockMs = fixture.clockMs();
+            fixture.scheduler.workerReported(fixture.at, it);
+        }
+        for (const Command &it : fixture.scheduler.takeCommands(fixture.at)) {
+            if (const auto *start = std::get_if<StartRun>(&it))
+                starts.push_back(*start);
+            if (const auto *renewal = std::get_if<RenewWorkerLease>(&it)) {
+                if (renewal->target.name.value == "w0")
+                    fixture.answer(*renewal, {});
+                else
+                    fixture.scheduler.renewalAnswered(fixture.at, renewal->target.worker,
+                                                      renewal->isImmediate,
+                                                      OrderOutcome::Unanswered, nullptr);
+            }
+        }
+    }
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.name.value == "w0");
+    // Until then the other worker may carry out what an earlier leader ordered.
+    const Duration waited = fixture.at.now - beganAt;
+    const Duration longest = settings.maxOrderDelay + settings.maxLease;
+    CHECK(waited >= longest);
+    CHECK(waited <= longest + 500ms);
+}
