Propose records of unknown outcome again, in their order

What callers saw: workers that had joined got no work, a worker with a trial stayed closed to all else, and jobs whose tasks had ended stayed active, until the leader changed.

Cause: when the outcome of a record's proposal was unknown and the leadership went on, the record was forgotten: nothing told the scheduler that the batch would never be committed. Later batches of the same worker also counted its ends as recorded.

Change: each kind of record has a queue of those that are not known to be committed. One of unknown outcome is proposed again with all after it, and the scheduler hears of a record only after those before it. Applying a record again is harmless: ends and failed runs are noted once, an exposure that is opened again is closed again by the records behind it, and workers are put as they were last.

--- a/acaciafork/control/JobCommandRunner.cpp
+++ b/acaciafork/control/JobCommandRunner.cpp
@@ -1,35 +1,73 @@
 #include "acaciafork/control/JobCommandRunner.h"
 
+#include <optional>
+
 #include <spdlog/spdlog.h>
 
 #include "acaciafork/control/JobCodec.h"
 
 namespace acaciafork::control {
 
-template <typename Record, typename Committed>
-void JobCommandRunner::record(const Record &command, wire::Command &&proposal,
-                              std::vector<Record> *unrecorded, Committed committed) const
+namespace {
+
+wire::Command toProposal(const jobs::RecordEnds &record)
 {
-    // Records keep their order: the scheduler takes one for committed with all before it, and an
-    // earlier one of a worker must not replace a later one.
-    if (!unrecorded->empty()) {
-        unrecorded->push_back(command);
-        return;
-    }
-    const std::uint64_t leadership = driver.m_leadership;
-    const bool accepted = driver.m_propose(
-            at, std::move(proposal),
-            [owner = &driver, leadership, committed](Moment when,
-                                                     const state::ApplyResult *result) {
-                if (leadership != owner->m_leadership)
-                    return;
-                if (result != nullptr)
-                    committed(when);
-                else
+    wire::Command proposal;
+    *proposal.mutable_record_task_ends() = toState(record);
+    return proposal;
+}
+
+wire::Command toProposal(const jobs::RecordExposures &record)
+{
+    wire::Command proposal;
+    *proposal.mutable_record_crash_exposures() = toState(record);
+    return proposal;
+}
+
+wire::Command toProposal(const jobs::RecordWorkers &record)
+{
+    wire::Command proposal;
+    wire::ChangeWorkers *change = proposal.mutable_change_workers();
+    for (const jobs::WorkerLife &it : record.put)
+        *change->add_put() = toState(it);
+    for (const WorkerName &it : record.removed)
+        change->add_removed(it.value);
+    return proposal;
+}
+
+} // namespace
+
+template <typename Record>
+void JobCommandRunner::proposeRecords(RecordQueue<Record> *queue) const
+{
+    while (const Record *record = queue->next()) {
+        wire::Command command = toProposal(*record);
+        const std::uint64_t proposal = queue->beginProposal();
+        const auto answered = [owner = &driver, queue, leadership = driver.m_leadership,
+                               proposal](Moment when, const state::ApplyResult *result) {
+            if (leadership != owner->m_leadership)
+                return;
+            if (result == nullptr) {
+                if (queue->proposalFailed(proposal))
                     spdlog::warn("event=record-outcome-unknown tenure={}", owner->m_tenure.value);
-            });
-    if (!accepted)
-        unrecorded->push_back(command);
+                return;
+            }
+            queue->proposalCommitted(proposal);
+            while (const std::optional<Record> committed = queue->takeCommitted())
+                owner->recorded(when, *committed);
+        };
+        if (!driver.m_propose(at, std::move(command), answered)) {
+            queue->proposalFailed(proposal);
+            return;
+        }
+    }
+}
+
+void JobCommandRunner::proposeRecords() const
+{
+    proposeRecords(&driver.m_endRecords);
+    proposeRecords(&driver.m_exposureRecords);
+    proposeRecords(&driver.m_workerRecords);
 }
 
 void JobCommandRunner::operator()(const jobs::StartRun &command) const
@@ -75,34 +113,20 @@
 
 void JobCommandRunner::operator()(const jobs::RecordEnds &command) const
 {
-    wire::Command proposal;
-    *proposal.mutable_record_task_ends() = toState(command);
-    record(command, std::move(proposal), &driver.m_unrecorded,
-           [owner = &driver, batch = command.batch](Moment when) {
-               owner->m_scheduler.endsRecorded(when, batch);
-           });
+    driver.m_endRecords.add(command);
+    proposeRecords(&driver.m_endRecords);
 }
 
 void JobCommandRunner::operator()(const jobs::RecordExposures &command) const
 {
-    wire::Command proposal;
-    *proposal.mutable_record_crash_exposures() = toState(command);
-    record(command, std::move(proposal), &driver.m_unrecordedExposures,
-           [owner = &driver, batch = command.batch](Moment when) {
-               owner->m_scheduler.exposuresRecorded(when, batch);
-           });
+    driver.m_exposureRecords.add(command);
+    proposeRecords(&driver.m_exposureRecords);
 }
 
 void JobCommandRunner::operator()(const jobs::RecordWorkers &command) const
 {
-    wire::Command proposal;
-    wire::ChangeWorkers *change = proposal.mutable_change_workers();
-    for (const jobs::WorkerLife &it : command.put)
-        *change->add_put() = toState(it);
-    for (const WorkerName &it : command.removed)
-        change->add_removed(it.value);
-    record(command, std::move(proposal), &driver.m_unrecordedWorkers,
-           [owner = &driver, command](Moment when) { owner->workersRecorded(when, command); });
+    driver.m_workerRecords.add(command);
+    proposeRecords(&driver.m_workerRecords);
 }
 
 void JobCommandRunner::operator()(const jobs::RecordDisturbance &command) const
--- a/acaciafork/control/JobCommandRunner.h
+++ b/acaciafork/control/JobCommandRunner.h
@@ -22,15 +22,14 @@
     void operator()(const jobs::JobEnded &command) const;
     void operator()(const jobs::LogEvent &command) const;
 
+    /// Proposes the records that are not proposed yet, as far as they can be proposed now.
+    void proposeRecords() const;
+
 private:
-    /// Proposes a record after all earlier ones of its kind; one that can't be proposed now waits
-    /// in `unrecorded`.
-    /// @param[in] committed called with the time once it is committed, unless the leadership is
-    /// over:
-    ///                      the next leader sees again what the record would have told
-    template <typename Record, typename Committed>
-    void record(const Record &command, wire::Command &&proposal, std::vector<Record> *unrecorded,
-                Committed committed) const;
+    /// Once a record is committed the scheduler is told, unless the leadership is over: the next
+    /// leader sees again what the record would have told.
+    template <typename Record>
+    void proposeRecords(RecordQueue<Record> *queue) const;
 };
 
 } // namespace acaciafork::control
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -105,9 +105,9 @@
     m_isStarting = false;
     m_isActive = false;
     m_tenure = {};
-    m_unrecorded.clear();
-    m_unrecordedExposures.clear();
-    m_unrecordedWorkers.clear();
+    m_endRecords.clear();
+    m_exposureRecords.clear();
+    m_workerRecords.clear();
     // Whether these will be accepted is not known: they get no answer.
     m_submissions.clear();
     // Whoever asked asks the next leader.
@@ -177,18 +177,7 @@
     answerWaitingCalls(at.now);
 
     // What could not be proposed, as while the disk is full, is proposed again.
-    std::vector<jobs::RecordEnds> ends;
-    ends.swap(m_unrecorded);
-    for (const jobs::RecordEnds &it : ends)
-        JobCommandRunner { .driver = *this, .at = at }(it);
-    std::vector<jobs::RecordExposures> exposures;
-    exposures.swap(m_unrecordedExposures);
-    for (const jobs::RecordExposures &it : exposures)
-        JobCommandRunner { .driver = *this, .at = at }(it);
-    std::vector<jobs::RecordWorkers> workers;
-    workers.swap(m_unrecordedWorkers);
-    for (const jobs::RecordWorkers &it : workers)
-        JobCommandRunner { .driver = *this, .at = at }(it);
+    JobCommandRunner { .driver = *this, .at = at }.proposeRecords();
 
     const jobs::JobSchedulerCounts &counts = m_scheduler.counts();
     m_started->set(static_cast<std::int64_t>(counts.started));
@@ -501,10 +490,20 @@
     }
 }
 
-void JobDriver::workersRecorded(Moment at, const jobs::RecordWorkers &command)
+void JobDriver::recorded(Moment at, const jobs::RecordEnds &record)
+{
+    m_scheduler.endsRecorded(at, record.batch);
+}
+
+void JobDriver::recorded(Moment at, const jobs::RecordExposures &record)
+{
+    m_scheduler.exposuresRecorded(at, record.batch);
+}
+
+void JobDriver::recorded(Moment at, const jobs::RecordWorkers &record)
 {
     std::vector<WorkerName> names;
-    for (const jobs::WorkerLife &it : command.put) {
+    for (const jobs::WorkerLife &it : record.put) {
         names.push_back(it.name);
         if (!it.draining)
             continue;
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -9,6 +9,7 @@
 #include "acaciafork/control/ControlPorts.h"
 #include "acaciafork/control/JobPorts.h"
 #include "acaciafork/control/ProposalTable.h"
+#include "acaciafork/control/RecordQueue.h"
 #include "acaciafork/decisions/jobs/Jobs.h"
 #include "acaciafork/peers/Peers.h"
 #include "acaciafork/state/State.h"
@@ -86,7 +87,12 @@
     void begin(Moment at, std::uint64_t tenure);
     [[nodiscard]] std::vector<std::string> closedZones() const;
     [[nodiscard]] bool isKnownZone(std::string_view zone) const;
-    void workersRecorded(Moment at, const jobs::RecordWorkers &command);
+    /// @name A record of the scheduler is committed, and all before it of its kind
+    /// @{
+    void recorded(Moment at, const jobs::RecordEnds &record);
+    void recorded(Moment at, const jobs::RecordExposures &record);
+    void recorded(Moment at, const jobs::RecordWorkers &record);
+    /// @}
     void submit(Moment at, const wire::Queue &queue, std::uint64_t id, const wire::JobCall &call,
                 const Reply &reply);
     /// Answers the workers that the scheduler has let go.
@@ -111,10 +117,10 @@
     bool m_isActive = false;
     bool m_isStarting = false;
     Timestamp m_startAgainAt;
-    /// Records that could not be proposed yet, and those after them, in order.
-    std::vector<jobs::RecordEnds> m_unrecorded;
-    std::vector<jobs::RecordExposures> m_unrecordedExposures;
-    std::vector<jobs::RecordWorkers> m_unrecordedWorkers;
+    /// Records that are not known to be committed.
+    RecordQueue<jobs::RecordEnds> m_endRecords;
+    RecordQueue<jobs::RecordExposures> m_exposureRecords;
+    RecordQueue<jobs::RecordWorkers> m_workerRecords;
     /// Submissions that are proposed and not committed, with all that wait for the outcome. A call
     /// that repeats one gets the same answer: a refusal of the repetition would be untrue.
     std::map<std::uint64_t, std::vector<Reply>> m_submissions;
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -31,6 +31,13 @@
 /// The longest that a worker holds a lease for, whatever it is told.
 constexpr std::int64_t mostHoldMs = 6000;
 
+/// True for what the scheduler records of its own accord.
+bool isRecord(const wire::Command &command)
+{
+    return command.has_record_task_ends() || command.has_record_crash_exposures()
+            || command.has_change_workers();
+}
+
 } // namespace
 
 wire::JobSpec simpleJob(std::uint32_t count, std::uint64_t millicores, std::uint32_t estimateMs)
@@ -250,9 +257,15 @@
     while (!m_log.empty() && (all || m_log.front().commitAt <= m_now)) {
         const Proposal proposal = std::move(m_log.front());
         m_log.erase(m_log.begin());
+        const double unknown = m_options.faults.recordUnknown;
+        const bool isUnknown = unknown > 0 && isRecord(proposal.command) && chance(unknown);
+        if (isUnknown && chance(0.5)) {
+            proposal.handler(moment(), nullptr);
+            continue;
+        }
         const state::ApplyResult result =
                 m_machine.apply(++m_index, state::bytesOf(state::encodeCommand(proposal.command)));
-        proposal.handler(moment(), &result);
+        proposal.handler(moment(), isUnknown ? nullptr : &result);
         if (m_driver)
             m_driver->applied(moment(), proposal.command, result);
     }
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -27,6 +27,9 @@
     double rowUnreadable = 0;
     /// Rows of each list that can't be read and stand for no run.
     std::uint32_t oddRows = 0;
+    /// The leader goes on leading and does not learn whether a record of it is committed; half of
+    /// them are.
+    double recordUnknown = 0;
     /// A run fails.
     double runFails = 0;
     /// A message between the leader and a relay is lost, arrives twice, or takes up to 2 s.
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -939,6 +939,32 @@
     CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
 }
 
+TEST_CASE("a record whose outcome is unknown is not forgotten while its leader stays")
+{
+    // Workers stayed without work, trials did not begin, and ended jobs stayed active.
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .faults = { .answerLost = 0.02, .recordUnknown = 0.3, .runFails = 0.02 },
+                         .seed = seed });
+        RandomGenerator random(seed * 3571);
+        const auto draw = [&](std::uint64_t n) { return random() % n; };
+        world.run(2s);
+        constexpr std::uint64_t jobs = 30;
+        for (std::uint64_t id = 1; id <= jobs; ++id) {
+            world.submit(id, draw(2) == 0 ? twoSteps(300) : simpleJob(5, 1500, 500));
+            const std::uint64_t worker = draw(6);
+            if (!world.worker(worker).isUp)
+                world.revive(worker);
+            else if (draw(4) == 0)
+                world.crash(worker);
+            else if (draw(20) == 0)
+                world.changeLeader(300ms);
+            world.run(Duration(300'000 + draw(300'000)));
+        }
+        checkAllEnd(&world, jobs);
+    }
+}
+
 TEST_CASE("a worker's record that had to wait does not replace a later one")
 {
     // A draining worker was recorded as one that takes tasks, for the next leader to believe.
