Abandon trials whose record takes too long

What callers saw: with proposals refused or not committed for a while, a suspected task held a worker that nothing else could use, and its own turn did not come back.

Cause: a trial is ordered once its exposure is recorded. Until then its run is in RunPhase::Recording, which nothing bounded: the worker stayed closed to other work and its lease was renewed.

Change: a trial whose record takes longer than trialRecordTimeout (2 s) is abandoned, as one whose worker can't be reached is, and no trial begins while a record of trials is overdue: each would close a worker and add to the records that wait. The record is kept in its order, and its trials, which are gone by then, begin anew.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -54,6 +54,9 @@
     Duration stopTimeout = std::chrono::milliseconds(400);
     /// How long run ends may wait to be recorded in one batch.
     Duration recordDelay = std::chrono::milliseconds(15);
+    /// A trial whose record takes longer than this is abandoned, and no other begins until the
+    /// record is committed.
+    Duration trialRecordTimeout = std::chrono::seconds(2);
     /// How long a worker gets no new work after it refused a start or left it unanswered. Doubles
     /// with each further start that fails, up to the limit: such a worker is emptier than others
     /// and would be the first choice each time.
@@ -237,6 +240,12 @@
         RunKey run;
         Size freeBefore;
     };
+    /// Trials that wait for the same record.
+    struct TrialBatch
+    {
+        Timestamp since;
+        std::vector<PendingTrial> trials;
+    };
     /// Suspected task that waits for a worker.
     struct WaitingSuspect
     {
@@ -322,6 +331,10 @@
     bool placeTrial(Timestamp now, TaskRef task, Timestamp waitingSince);
     void beginTrial(Timestamp now, TaskRef task, Worker *worker, RunNumber number,
                     PlacementMode mode);
+    /// True while the record of a trial has been awaited for long.
+    [[nodiscard]] bool isTrialRecordOverdue(Timestamp now) const;
+    /// Lets go of the workers whose trials wait for an overdue record.
+    void abandonOverdueTrials(Timestamp now);
     /// Gives up a trial that was recorded too late to begin.
     void abandonTrial(Timestamp now, const RunRef &run);
     /// True while a task of the step may still run at a worker that has not answered this leader.
@@ -458,7 +471,7 @@
     Timestamp m_oldestExposureAt;
     bool m_flushExposuresNow = false;
     std::vector<PendingTrial> m_pendingTrials;
-    std::map<std::uint64_t, std::vector<PendingTrial>> m_trialBatches;
+    std::map<std::uint64_t, TrialBatch> m_trialBatches;
     std::uint64_t m_lastExposureBatch = 0;
     /// Suspected tasks without a run, in the order in which they began to wait; entries whose task
     /// no longer waits are dropped in the next placement round.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -186,7 +186,7 @@
         return;
     const std::uint64_t batch = ++m_lastExposureBatch;
     if (!m_pendingTrials.empty())
-        m_trialBatches[batch] = std::move(m_pendingTrials);
+        m_trialBatches[batch] = { .since = now, .trials = std::move(m_pendingTrials) };
     m_pendingTrials.clear();
     m_commands.emplace_back(
             RecordExposures { .batch = batch, .records = std::move(m_exposureRecords) });
@@ -208,7 +208,8 @@
         const TaskRef task = m_jobs.find(it.task);
         if (!task || !task.get().awaitsTrial)
             continue;
-        if (tried == m_settings.crashes.maxTrialsPerRound || awaitsTakeOver(*task.step)) {
+        if (tried == m_settings.crashes.maxTrialsPerRound || awaitsTakeOver(*task.step)
+            || isTrialRecordOverdue(now)) {
             m_waitingSuspects.push_back(it);
             continue;
         }
@@ -272,7 +273,7 @@
     const auto node = m_trialBatches.extract(batch);
     if (node.empty())
         return;
-    for (const PendingTrial &it : node.mapped()) {
+    for (const PendingTrial &it : node.mapped().trials) {
         const RunRef run = findRun(m_jobs.find(it.run.task), it.run.run);
         if (!run.task || run.get().phase != RunPhase::Recording)
             continue;
@@ -289,6 +290,33 @@
     }
 }
 
+bool JobScheduler::isTrialRecordOverdue(Timestamp now) const
+{
+    return !m_trialBatches.empty()
+            && now - m_trialBatches.begin()->second.since >= m_settings.trialRecordTimeout;
+}
+
+void JobScheduler::abandonOverdueTrials(Timestamp now)
+{
+    const auto isOverdue = [&](const RunRef &run) {
+        return run.task && run.get().phase == RunPhase::Recording
+                && now - run.get().startedAt >= m_settings.trialRecordTimeout;
+    };
+    std::vector<RunKey> overdue;
+    for (const auto &[id, worker] : m_workers.all()) {
+        for (const RunRef &it : worker->runs) {
+            if (isOverdue(it))
+                overdue.push_back(it.key());
+        }
+    }
+    for (const RunKey &it : overdue) {
+        // An abandoned member of a gang stops the others.
+        const RunRef run = findRun(m_jobs.find(it.task), it.run);
+        if (isOverdue(run))
+            abandonTrial(now, run);
+    }
+}
+
 void JobScheduler::abandonTrial(Timestamp now, const RunRef &ref)
 {
     const RunKey run = ref.key();
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -298,6 +298,10 @@
     // The gang waits until all its unfinished members are ready.
     if (step->ready.size() < step->remainingTasks)
         return true;
+    const bool hasTrials = std::ranges::any_of(
+            step->ready, [&](std::uint32_t it) { return step->tasks[it].crashes.isSuspect(); });
+    if (hasTrials && isTrialRecordOverdue(now))
+        return false;
     std::set<RackName> racks;
     if (step->spec->sameRack) {
         for (const auto &[id, worker] : m_workers.all())
@@ -410,6 +414,8 @@
         const RunNumber number = nextRunNumber(task.get());
         // The task may have crashed a silent worker, so its copy is a trial.
         const bool isTrial = worker->unansweredRenewals > 0;
+        if (isTrial && isTrialRecordOverdue(now))
+            continue;
         const Duration length = task.get().crashes.trialLength(m_settings.crashes);
         Worker *other = isTrial ? m_placer.chooseForTrial(now, m_workers, *task.step, length,
                                                           nullptr, PlacementMode::Usual)
--- a/tests/control/CrashTest.cpp
+++ b/tests/control/CrashTest.cpp
@@ -278,3 +278,80 @@
     CHECK(world.stateOf(2) == wire::JOB_STATE_COMPLETED);
     checkNoBreach(world);
 }
+
+TEST_CASE("a worker is not closed for as long as the trial on it can't be recorded")
+{
+    // Its trial waited for the record without a bound, and nothing else started there.
+    for (const bool isRefused : { true, false }) {
+        CAPTURE(isRefused);
+        JobWorld world({ .workers = 1 });
+        world.run(2s);
+        world.submit(1, simpleJob(1, 6000, 1500));
+        world.run(100ms);
+        world.submit(2, simpleJob(1, 6000, 500));
+        world.run(200ms);
+        REQUIRE(world.starts() == 1);
+        const auto setStuck = [&](bool isStuck) {
+            if (isRefused)
+                world.refuseProposals(isStuck);
+            else
+                world.holdCommits(isStuck);
+        };
+        setStuck(true);
+        world.crash(0);
+        world.revive(0);
+        world.run(10s);
+        const jobs::JobScheduler &scheduler = world.driver().scheduler();
+        CHECK(scheduler.counts().trials == 1);
+        // The other job's task has run; no trial begins that can't be recorded.
+        CHECK(world.starts() == 2);
+        const jobs::Worker *worker = scheduler.workers().find({ "w0" });
+        REQUIRE(worker != nullptr);
+        CHECK(worker->trials.empty());
+        setStuck(false);
+        world.run(5s);
+        checkCompleted(world, 2);
+        checkNoBreach(world);
+    }
+}
+
+TEST_CASE("trials go on after proposals were refused or uncommitted for long, among other faults")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .workers = 8,
+                         .faults = { .answerLost = 0.03, .carriedOutLate = 0.02 },
+                         .seed = seed });
+        RandomGenerator random(seed * 4421);
+        const auto draw = [&](std::uint64_t n) { return random() % n; };
+        world.run(2s);
+        std::uint64_t lastJob = 0;
+        wire::JobSpec gang = simpleJob(3, 1000, 2500);
+        gang.mutable_steps(0)->set_gang(true);
+        world.submit(++lastJob, gang);
+        world.submit(++lastJob, simpleJob(8, 1500, 4000));
+        runWithJobs(&world, Duration(300'000 + draw(700'000)), &lastJob);
+        for (int round = 0; round < 2; ++round) {
+            const bool isRefused = draw(2) == 0;
+            for (int it = 0; it < 2; ++it) {
+                const std::uint64_t worker = draw(8);
+                if (!world.worker(worker).isUp)
+                    continue;
+                world.crash(worker);
+                world.revive(worker);
+            }
+            world.run(Duration(draw(400'000)));
+            world.refuseProposals(isRefused);
+            world.holdCommits(!isRefused);
+            world.run(10s);
+            world.refuseProposals(false);
+            world.holdCommits(false);
+            // The trials are over before more workers crash.
+            runWithJobs(&world, 5s, &lastJob);
+        }
+        world.faults() = {};
+        world.run(30s);
+        checkCompleted(world, lastJob);
+        checkNoBreach(world);
+    }
+}
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -290,7 +290,8 @@
             fn();
         }
         beat();
-        commitDue(false);
+        if (!m_holdsCommits)
+            commitDue(false);
         tickRelays();
         if (m_driver) {
             m_driver->tick(moment());
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -134,6 +134,8 @@
     void deafenRelay(std::size_t relay, bool isDeaf) { m_relays[relay].isDeaf = isDeaf; }
     /// The leader can propose nothing, as with a full disk.
     void refuseProposals(bool isRefusing) { m_refusesProposals = isRefusing; }
+    /// The leader can propose, and nothing is committed until this ends.
+    void holdCommits(bool isHeld) { m_holdsCommits = isHeld; }
     void setAdvisorDown(bool isDown) { m_isAdvisorDown = isDown; }
     WorldFaults &faults() { return m_options.faults; }
     /// @}
@@ -301,6 +303,7 @@
     std::set<std::uint64_t> m_advised;
     bool m_isAdvisorDown = false;
     bool m_refusesProposals = false;
+    bool m_holdsCommits = false;
     Timestamp m_advisorFreeAt;
     std::uint64_t m_askedWorkers = 0;
     std::uint64_t m_noPermit = 0;
--- a/tests/control/JobWorldChecks.cpp
+++ b/tests/control/JobWorldChecks.cpp
@@ -21,6 +21,8 @@
 /// own time limits, and what a relay may add.
 constexpr Duration startBound = 800ms;
 constexpr Duration stopBound = 1000ms;
+/// A trial waits no longer than this for its record, and one interval of the leader's checks more.
+constexpr Duration recordBound = 2100ms;
 
 } // namespace
 
@@ -48,6 +50,8 @@
             const jobs::Run &run = it.get();
             if (run.phase == jobs::RunPhase::Starting && m_now - run.startedAt > startBound)
                 breach("start of " + nameOf(it.task.key()) + " not settled");
+            if (run.phase == jobs::RunPhase::Recording && m_now - run.startedAt > recordBound)
+                breach("trial of " + nameOf(it.task.key()) + " not recorded");
             if (run.stopInFlight && m_now - run.stopRetryAt > stopBound)
                 breach("stop of " + nameOf(it.task.key()) + " not settled");
         }
