Propose a tenure of unknown outcome again

What callers saw: nothing at all was scheduled, and every call about a job was refused, until the leader changed.

Cause: a leader whose proposal to begin its tenure ended with an unknown outcome did not propose it again where the leadership went on.

Change: it is proposed again. If the first one was committed after all, its tenure stays unused.

Evidence: the test of records of unknown outcome now draws them for tenures too, with a change of leader twice as often.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -166,8 +166,12 @@
         m_isStarting =
                 !m_propose(at, std::move(proposal),
                            [this, leadership](Moment when, const state::ApplyResult *result) {
-                               if (result != nullptr && leadership == m_leadership)
+                               if (leadership != m_leadership)
+                                   return;
+                               if (result != nullptr)
                                    begin(when, result->version());
+                               else
+                                   m_isStarting = true;
                            });
     }
     if (!m_isActive)
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -31,11 +31,11 @@
 /// The longest that a worker holds a lease for, whatever it is told.
 constexpr std::int64_t mostHoldMs = 6000;
 
-/// True for what the scheduler records of its own accord.
+/// True for what a leader records of its own accord.
 bool isRecord(const wire::Command &command)
 {
     return command.has_record_task_ends() || command.has_record_crash_exposures()
-            || command.has_change_workers();
+            || command.has_change_workers() || command.has_begin_tenure();
 }
 
 } // namespace
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -957,8 +957,10 @@
                 world.revive(worker);
             else if (draw(4) == 0)
                 world.crash(worker);
-            else if (draw(20) == 0)
+            else if (draw(10) == 0) {
                 world.changeLeader(300ms);
+                world.run(500ms);
+            }
             world.run(Duration(300'000 + draw(300'000)));
         }
         checkAllEnd(&world, jobs);
