Begin a new tenure where a leader that still leads is fenced

What callers saw: after a single answer that a worker is fenced, nothing was started, renewed or stopped any more for as long as the same member led.

Cause: the scheduler stops for good once a worker has accepted a later tenure's orders, since a later leader is to be at work then. Where the member leads on all the same, nothing ended that.

Change: a driver whose scheduler has been fenced for 1 s while it still leads proposes a new tenure, again until its number is above the worker's. Records and words of workers that the old tenure still has are dropped as at the end of a leadership; calls and submissions wait on, since their leader is the same. Only a leader's proposal is committed, so a deposed one stays fenced.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -13,6 +13,8 @@
 
 /// Pause before a tenure that could not be proposed is proposed again.
 constexpr Duration startAgainAfter = std::chrono::milliseconds(100);
+/// A leader whose scheduler has been fenced for this long, and that leads on, begins a new tenure.
+constexpr Duration renewTenureAfter = std::chrono::seconds(1);
 /// When a client may come back that was refused since the state can't be changed now; an election
 /// takes about half of it.
 constexpr std::string_view notNow = R"({"error":{"kind":"not-ready"},"retryAfterMs":1000})";
@@ -105,24 +107,33 @@
     m_isStarting = false;
     m_isActive = false;
     m_tenure = {};
-    m_endRecords.clear();
-    m_exposureRecords.clear();
-    m_workerRecords.clear();
+    leaveTenure();
     // Whether these will be accepted is not known: they get no answer.
     m_submissions.clear();
     // Whoever asked asks the next leader.
     m_waitingCalls.clear();
+    m_scheduler.end();
+}
+
+void JobDriver::leaveTenure()
+{
+    m_isRenewing = false;
+    m_fencedSince = Timestamp::max();
+    m_endRecords.clear();
+    m_exposureRecords.clear();
+    m_workerRecords.clear();
+    // Workers that wait for a record or for their last lists to be read ask the next scheduler.
     for (const auto &[name, reply] : m_leaving)
         reply(refusedForNow());
     m_leaving.clear();
     for (const auto &[name, reply] : m_ending)
         reply(refusedForNow());
     m_ending.clear();
-    m_scheduler.end();
 }
 
 void JobDriver::begin(Moment at, std::uint64_t tenure)
 {
+    leaveTenure();
     const std::vector<jobs::QueueSpec> queues = toJobs(m_state->queues().current());
     std::vector<jobs::JobView> views;
     for (const auto &[id, job] : m_state->jobs().all()) {
@@ -156,24 +167,45 @@
                                    [&](const auto &it) { return it.second.zone() == zone; });
 }
 
+void JobDriver::proposeTenure(Moment at)
+{
+    m_isStarting = false;
+    m_startAgainAt = at.now + startAgainAfter;
+    wire::Command proposal;
+    proposal.mutable_begin_tenure();
+    const std::uint64_t leadership = m_leadership;
+    const bool accepted =
+            m_propose(at, std::move(proposal),
+                      [this, leadership](Moment when, const state::ApplyResult *result) {
+                          if (leadership != m_leadership)
+                              return;
+                          if (result != nullptr)
+                              begin(when, result->version());
+                          else
+                              m_isStarting = true;
+                      });
+    if (!accepted)
+        m_isStarting = true;
+}
+
+void JobDriver::renewIfFenced(Timestamp now)
+{
+    if (m_isRenewing || !m_scheduler.isFenced())
+        return;
+    m_fencedSince = std::min(m_fencedSince, now);
+    if (now - m_fencedSince < renewTenureAfter)
+        return;
+    spdlog::warn("event=tenure-renewed tenure={} reason=fenced", m_tenure.value);
+    m_isRenewing = true;
+    m_isStarting = true;
+}
+
 void JobDriver::tick(Moment at)
 {
-    if (m_isStarting && !m_isActive && at.now >= m_startAgainAt) {
-        m_startAgainAt = at.now + startAgainAfter;
-        wire::Command proposal;
-        proposal.mutable_begin_tenure();
-        const std::uint64_t leadership = m_leadership;
-        m_isStarting =
-                !m_propose(at, std::move(proposal),
-                           [this, leadership](Moment when, const state::ApplyResult *result) {
-                               if (leadership != m_leadership)
-                                   return;
-                               if (result != nullptr)
-                                   begin(when, result->version());
-                               else
-                                   m_isStarting = true;
-                           });
-    }
+    if (m_isActive)
+        renewIfFenced(at.now);
+    if (m_isStarting && at.now >= m_startAgainAt)
+        proposeTenure(at);
     if (!m_isActive)
         return;
     m_scheduler.tick(at);
@@ -181,7 +213,8 @@
     answerWaitingCalls(at.now);
 
     // What could not be proposed, as while the disk is full, is proposed again.
-    JobCommandRunner { .driver = *this, .at = at }.proposeRecords();
+    if (!m_isRenewing)
+        JobCommandRunner { .driver = *this, .at = at }.proposeRecords();
 
     const jobs::JobSchedulerCounts &counts = m_scheduler.counts();
     m_started->set(static_cast<std::int64_t>(counts.started));
@@ -208,7 +241,8 @@
 
 void JobDriver::carryOut(Moment at)
 {
-    if (!m_isActive)
+    // The next tenure learns again what this one would still record.
+    if (!m_isActive || m_isRenewing)
         return;
     const JobCommandRunner runner { .driver = *this, .at = at };
     for (const jobs::Command &it : m_scheduler.takeCommands(at))
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -84,7 +84,12 @@
 private:
     friend struct JobCommandRunner;
 
+    void proposeTenure(Moment at);
+    /// Begins a new tenure where a worker's fence is above this one and this member still leads.
+    void renewIfFenced(Timestamp now);
     void begin(Moment at, std::uint64_t tenure);
+    /// Forgets what the scheduler of a tenure that ends was to be told.
+    void leaveTenure();
     [[nodiscard]] std::vector<std::string> closedZones() const;
     [[nodiscard]] bool isKnownZone(std::string_view zone) const;
     /// @name A record of the scheduler is committed, and all before it of its kind
@@ -117,6 +122,10 @@
     bool m_isActive = false;
     bool m_isStarting = false;
     Timestamp m_startAgainAt;
+    /// Since when the scheduler is fenced; Timestamp::max() while it is not.
+    Timestamp m_fencedSince = Timestamp::max();
+    /// A new tenure is being proposed in place of one that is fenced.
+    bool m_isRenewing = false;
     /// Records that are not known to be committed.
     RecordQueue<jobs::RecordEnds> m_endRecords;
     RecordQueue<jobs::RecordExposures> m_exposureRecords;
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -939,6 +939,72 @@
     CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
 }
 
+TEST_CASE("a leader that workers have fenced goes on in a later tenure")
+{
+    // Nothing was started, renewed or stopped for as long as it led.
+    JobWorld world({});
+    world.run(2s);
+    world.submit(1, twoSteps(1500));
+    world.run(300ms);
+    const std::uint64_t fence = world.driver().tenure().value + 3;
+    world.worker(0).fence = fence;
+    world.submit(2, twoSteps(300));
+    world.run(15s);
+    CHECK(world.driver().tenure().value >= fence);
+    CHECK(world.stateOf(1) == wire::JOB_STATE_COMPLETED);
+    CHECK(world.stateOf(2) == wire::JOB_STATE_COMPLETED);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
+TEST_CASE("fences that rise above the leader's tenure stop nothing for long, among other faults")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .relays = seed % 3,
+                         .faults = { .answerLost = 0.02,
+                                     .carriedOutLate = 0.03,
+                                     .orderLost = 0.01,
+                                     .runFails = 0.02 },
+                         .scheduler = { .promptTakeOver = seed % 2 == 0 },
+                         .seed = seed });
+        RandomGenerator random(seed * 2663);
+        const auto draw = [&](std::uint64_t n) { return random() % n; };
+        world.run(2s);
+        std::uint64_t id = 0;
+        for (int round = 0; round < 30; ++round) {
+            world.submit(++id, draw(2) == 0 ? twoSteps(300) : simpleJob(5, 1500, 500));
+            const std::uint64_t worker = draw(6);
+            switch (draw(8)) {
+            case 0:
+                world.worker(worker).fence = world.driver().tenure().value + 1 + draw(3);
+                break;
+            case 1:
+                if (world.worker(worker).isUp)
+                    world.crash(worker);
+                else
+                    world.revive(worker);
+                break;
+            case 2:
+                if (draw(2) == 0)
+                    break;
+                world.changeLeader(300ms + Duration(draw(500'000)));
+                world.run(1s);
+                break;
+            case 3:
+                if (draw(3) == 0)
+                    world.drain(worker);
+                break;
+            default:
+                break;
+            }
+            world.run(Duration(100'000 + draw(500'000)));
+        }
+        for (std::size_t it = 0; it < 6; ++it)
+            world.worker(it).draining = false;
+        checkAllEnd(&world, id);
+    }
+}
+
 TEST_CASE("a record whose outcome is unknown is not forgotten while its leader stays")
 {
     // Workers stayed without work, trials did not begin, and ended jobs stayed active.
