Check in JobWorld that every task can go on

Each 100 ms of virtual time, in every test of the world: no task of an active job is astray (nothing runs, starts, waits or holds it), each is listed as ready at most once and only in that state, each run is on a worker, and none is unconfirmed for over 10 s, told to stop without a confirmation for over 10 s, or stopping for over 15 s; a take-over ends within 18.5 s. Starts and trials' records had bounds before.

--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -299,6 +299,7 @@
             m_driver->carryOut(moment());
             m_router->flush();
             checkOrders();
+            checkTasks();
         }
     }
 }
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -229,6 +229,11 @@
                                jobs::Tenure tenure);
     /// Checks that no run waits for an answer that does not come.
     void checkOrders();
+    /// Checks that each task of an active job is in a state that it leaves, and each run in a phase
+    /// that is not older than its bound.
+    void checkTasks();
+    void checkTask(const jobs::TaskRef &task, bool isTakingOver);
+    void checkRun(const jobs::RunRef &run);
     /// Checks that no task starts in a zone that has been closed for long.
     void checkZone(const FakeWorker &worker, const jobs::TaskKey &task);
     void checkStart(const FakeWorker &worker, const jobs::StartRun &order);
@@ -308,6 +313,10 @@
     std::uint64_t m_askedWorkers = 0;
     std::uint64_t m_noPermit = 0;
     Timestamp m_nextBeat;
+    Timestamp m_nextTaskCheck;
+    /// Tenure that the checks saw last, and since when.
+    jobs::Tenure m_checkedTenure;
+    Timestamp m_tenureSince;
 };
 
 /// Fails the test for each of the first breaches.
--- a/tests/control/JobWorldChecks.cpp
+++ b/tests/control/JobWorldChecks.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "acaciafork/decisions/jobs/TaskState.h"
 #include "tests/control/JobWorld.h"
 
 // What must hold after every event.
@@ -23,6 +24,13 @@
 constexpr Duration stopBound = 1000ms;
 /// A trial waits no longer than this for its record, and one interval of the leader's checks more.
 constexpr Duration recordBound = 2100ms;
+constexpr Duration taskCheckInterval = 100ms;
+/// A worker confirms a run, or that it was told to stop, within this time, or its lease is over.
+/// The end of a stopped run is listed within the second.
+constexpr Duration confirmBound = 10s;
+constexpr Duration stoppingBound = 15s;
+/// Longest delay of an order, longest lease, and what a slow clock adds.
+constexpr Duration takeOverBound = 18500ms;
 
 } // namespace
 
@@ -58,6 +66,60 @@
     }
 }
 
+void JobWorld::checkTasks()
+{
+    if (m_now < m_nextTaskCheck || !m_driver->isActive())
+        return;
+    m_nextTaskCheck = m_now + taskCheckInterval;
+    const jobs::JobScheduler &scheduler = m_driver->scheduler();
+    if (m_driver->tenure() != m_checkedTenure) {
+        m_checkedTenure = m_driver->tenure();
+        m_tenureSince = m_now;
+    }
+    if (scheduler.isTakingOver() && m_now - m_tenureSince > takeOverBound)
+        breach("take-over not ended");
+    for (const auto &[id, job] : scheduler.jobs().all()) {
+        for (jobs::Step &step : job->steps) {
+            for (std::uint32_t it = 0; it < step.tasks.size(); ++it)
+                checkTask({ .step = &step, .task = it }, scheduler.isTakingOver());
+        }
+    }
+}
+
+void JobWorld::checkTask(const jobs::TaskRef &ref, bool isTakingOver)
+{
+    const jobs::Task &task = ref.get();
+    const jobs::Step &listing = *ref.step;
+    for (std::size_t slot = 0; slot < jobs::maxRunsPerTask; ++slot)
+        checkRun({ .task = ref, .slot = slot });
+    const auto listed = std::ranges::count(listing.ready, ref.task);
+    const bool mayBeListed = task.isReady && !task.awaitsTrial && !task.done && !task.hasRun()
+            && listing.mayStart() && listing.job->phase == jobs::JobPhase::Active;
+    if (listed > (mayBeListed ? 1 : 0))
+        breach("task " + nameOf(ref.key()) + " listed as ready beside another state");
+    if (listing.job->phase == jobs::JobPhase::Active
+        && jobs::stateOf(ref, isTakingOver) == jobs::TaskState::Astray)
+        breach("task " + nameOf(ref.key()) + " astray");
+}
+
+void JobWorld::checkRun(const jobs::RunRef &ref)
+{
+    const jobs::Run &run = ref.get();
+    if (!run.exists())
+        return;
+    const jobs::Worker *worker = m_driver->scheduler().workers().find(run.worker);
+    if (worker == nullptr || std::ranges::find(worker->runs, ref) == worker->runs.end())
+        breach("run of " + nameOf(ref.task.key()) + " on no worker");
+    if (run.phase == jobs::RunPhase::Running && m_now - run.confirmedAt > confirmBound)
+        breach("run of " + nameOf(ref.task.key()) + " not confirmed");
+    if (run.phase != jobs::RunPhase::Stopping)
+        return;
+    const Duration stopping = m_now - run.stoppingSince;
+    if (stopping > (run.stopConfirmed ? stoppingBound : confirmBound))
+        breach("stop of " + nameOf(ref.task.key())
+               + (run.stopConfirmed ? " not over" : " not confirmed"));
+}
+
 void JobWorld::checkStart(const FakeWorker &worker, const jobs::StartRun &command)
 {
     const jobs::TaskKey &task = command.run.task;
