Bound how long runs are held by a worker that restarts again and again

What callers saw: tasks that ran, or were being started, on a worker that then restarted again and again without answering did not start elsewhere, for as long as it did so, with the other workers free.

Cause: each new incarnation counts as holding a lease from then on, and as long as it has not failed to answer, its first renewal grants another. So the leases of its runs never count as expired.

Change: what was ordered for a worker begins within maxOrderDelay or never, and runs for no longer than maxLease; the lease that is assumed at a restart ends by then, counted from the last order that brings a lease. A renewal brings none to an incarnation that has not answered yet.

Evidence: found by the checks of JobWorld.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -55,6 +55,7 @@
         worker.guardsCapacity = !m_unguardedPools.contains(it.pool);
         worker.lastHeardAt = at.now;
         worker.lease.assumeGranted(at.now, m_settings.lease);
+        worker.leaseOrderedAt = at.now;
     }
     m_crashRate.reset(at.now);
     m_isTakingOver = !workers.empty();
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -244,7 +244,7 @@
     const std::size_t beside = worker->runs.size();
     const RunRef run = reserveRun(now, ref, worker, number, mode);
     // The worker counts as leased from now on, since the order follows as soon as it is recorded.
-    worker->lease.grant(now, m_settings.lease);
+    worker->grantLease(now, m_settings.lease);
     worker->trials.push_back(run.key());
     worker->holdForTrial(now, ref.get().crashes.trialLength(m_settings.crashes));
     worker->reservedUntil = now;
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -97,7 +97,7 @@
     const Permit *permit = step->permits == nullptr ? nullptr : step->permits->find(*worker, now);
     m_commands.emplace_back(StartRun { .target = targetOf(*worker),
                                        .run = ref.key(),
-                                       .leaseEndMs = worker->lease.grant(now, m_settings.lease),
+                                       .leaseEndMs = worker->grantLease(now, m_settings.lease),
                                        .checkpoint = step->checkpointOf(ref.task.get()),
                                        .permit = permit == nullptr ? std::string() : permit->text,
                                        .freeBefore = freeBefore,
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -115,7 +115,10 @@
     worker->isKnown = false;
     worker->isIncarnationConfirmed = false;
     worker->lease = {};
-    worker->lease.assumeGranted(now, m_settings.lease);
+    // Of what was ordered, nothing begins after maxOrderDelay: no restart prolongs that.
+    const Timestamp lastBegin = worker->leaseOrderedAt + m_settings.maxOrderDelay;
+    worker->lease.assumeGranted(std::min(now, lastBegin + m_settings.maxLease - m_settings.lease),
+                                m_settings.lease);
     worker->strayRunsUntil = Worker::distantPast();
     worker->seenEnds = 0;
     worker->recordedEnds = 0;
@@ -222,16 +225,18 @@
     // The lease is not extended for a worker whose clock has not been observed or that runs
     // nothing. Nor is it for a silent worker: any lease that it may hold has to expire before its
     // tasks can run elsewhere. Nor for one that may have runs which can't be read from its lists:
-    // tasks of earlier leaders wait until they have ended.
+    // tasks of earlier leaders wait until they have ended. Nor for a new incarnation that has not
+    // answered yet.
     const bool mayHideRuns = !worker->isKnown && worker->hasUnreadableRows;
-    const bool renews = worker->lease.isKnown() && !worker->runs.empty()
+    const bool hasAnswered = worker->isKnown || worker->isIncarnationConfirmed;
+    const bool renews = worker->lease.isKnown() && hasAnswered && !worker->runs.empty()
             && worker->unansweredRenewals == 0 && !mayHideRuns;
-    m_commands.emplace_back(RenewWorkerLease {
-            .target = targetOf(*worker),
-            .recordedEnds = cursor,
-            .leaseEndMs = renews ? worker->lease.grant(now, m_settings.lease) : 0,
-            .wait = wait,
-            .isImmediate = isImmediate });
+    m_commands.emplace_back(
+            RenewWorkerLease { .target = targetOf(*worker),
+                               .recordedEnds = cursor,
+                               .leaseEndMs = renews ? worker->grantLease(now, m_settings.lease) : 0,
+                               .wait = wait,
+                               .isImmediate = isImmediate });
 }
 
 void JobScheduler::renewalAnswered(Moment at, WorkerId id, bool wasImmediate, OrderOutcome outcome,
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -41,6 +41,12 @@
     trialEndsAt = std::max(trialEndsAt, now + length);
 }
 
+std::int64_t Worker::grantLease(Timestamp now, Duration length)
+{
+    leaseOrderedAt = now;
+    return lease.grant(now, length);
+}
+
 void Worker::reserve(const Step &step)
 {
     const StepSpec &spec = *step.spec;
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -38,6 +38,8 @@
     /// is not known: nothing starts until a list made after this time has none.
     Timestamp strayRunsUntil = distantPast();
     LeaseClock lease;
+    /// When an order that brings a lease was last sent to any of its incarnations.
+    Timestamp leaseOrderedAt;
 
     /// Resources reserved for its runs.
     Size used;
@@ -145,6 +147,8 @@
     void startConfirmed(Timestamp now);
     /// Nothing else starts for the length of a trial that begins now.
     void holdForTrial(Timestamp now, Duration length);
+    /// Returns the end, on the worker's clock, of a lease that is ordered now.
+    std::int64_t grantLease(Timestamp now, Duration length);
     /// Reserve and release the resources of one task of the step.
     void reserve(const Step &step);
     void release(const Step &step);
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -939,6 +939,40 @@
     CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
 }
 
+TEST_CASE("a task goes on elsewhere although its worker restarts again and again without answering")
+{
+    // Each restart prolonged the lease of the worker's runs.
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        JobWorld world({ .faults = { .carriedOutLate = 0.15 },
+                         .seed = seed,
+                         .lateOrdersOutliveWorkers = true });
+        RandomGenerator random(seed * 5881);
+        const auto draw = [&](std::uint64_t n) { return random() % n; };
+        world.run(2s);
+        std::uint64_t id = 0;
+        for (; id < 6; ++id) {
+            world.submit(id + 1, twoSteps(300 + draw(4000)));
+            world.run(Duration(draw(200'000)));
+        }
+        world.faults() = {};
+        const std::array<std::size_t, 2> flapping { draw(3), 3 + draw(3) };
+        for (int round = 0; round < 44; ++round) {
+            for (const std::size_t it : flapping) {
+                world.crash(it);
+                world.revive(it);
+                world.worker(it).isDeaf = true;
+            }
+            world.run(Duration(500'000 + draw(700'000)));
+        }
+        for (std::uint64_t it = 1; it <= id; ++it) {
+            CAPTURE(it);
+            CHECK(world.stateOf(it) != wire::JOB_STATE_ACTIVE);
+        }
+        CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+    }
+}
+
 TEST_CASE("a leader that workers have fenced goes on in a later tenure")
 {
     // Nothing was started, renewed or stopped for as long as it led.
