Keep workers for trials until these begin, also when many tasks are suspected

Cause: a round tried 16 suspected tasks in rotation, and let go of each worker kept for a step that wasn't among the unplaced ones of that round. With more than 16 steps no worker stayed kept for longer than a round. Where each worker gets a start every 100 to 200 ms, none is ever quiet for the 0.3 s that a trial needs, so the suspected tasks waited as long as the traffic went on.

A kept worker now stays kept until no task of the step needs a trial, the worker is out of reach, or a bound is reached (the quiet of the trial and 1 s), after which steps are served in turn. Those that have waited longest are tried first; half of the tries of a round go to the rest in turn, as any number of the oldest may fit nowhere. A step that has failed in a round is not tried again for its other tasks.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -251,6 +251,8 @@
     {
         TaskKey task;
         Timestamp since;
+        /// When a placement round last tried it.
+        Timestamp triedAt;
     };
     /// Occurrence of a scheduled job that is not due yet.
     struct ScheduledOccurrence
@@ -342,8 +344,12 @@
     {
         return m_isTakingOver && step.mayRunUnseen;
     }
-    /// Keeps workers for the trials that found none.
+    /// Keeps workers for the trials that found none, until these begin, for a bounded time.
     void reserveForTrials(Timestamp now);
+    /// True while a suspected task of the step waits for a worker.
+    [[nodiscard]] static bool needsTrial(const Step &step);
+    /// Longest time for which a worker must have started nothing before a trial of the step.
+    [[nodiscard]] Duration longestQuiet(const Step &step) const;
     void finishTrials(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     [[nodiscard]] std::size_t trialsInProgress() const;
     void replaceIncarnation(Timestamp now, Worker *worker, const WorkerLife &life);
@@ -476,7 +482,7 @@
     /// Suspected tasks without a run, in the order in which they began to wait; entries whose task
     /// no longer waits are dropped in the next placement round.
     std::vector<WaitingSuspect> m_waitingSuspects;
-    /// Steps of the suspected tasks that found no worker in the placement round, one entry each.
+    /// Steps of the suspected tasks that have no worker after the placement round, one entry each.
     std::vector<Step *> m_unplacedTrials;
 
     /// Ended jobs without any runs left; removed at the end of the turn.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -8,9 +8,9 @@
 namespace acaciafork::jobs {
 namespace {
 
-/// A worker is kept for a trial for this long at a time; placement rounds come more often while
-/// suspected tasks wait.
-constexpr Duration reservationLength = std::chrono::milliseconds(250);
+/// A worker is kept for a trial for this long after the quiet before it: the time to confirm what
+/// was starting there, and for some of its runs to make room.
+constexpr Duration reservationMargin = std::chrono::seconds(1);
 
 } // namespace
 
@@ -199,25 +199,59 @@
 void JobScheduler::placeTrials(Timestamp now)
 {
     m_unplacedTrials.clear();
-    std::size_t tried = 0;
+    std::set<TaskKey> reserved;
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (now < worker->reservedUntil)
+            reserved.insert(worker->reservedFor);
+    }
     std::vector<WaitingSuspect> waiting;
     waiting.swap(m_waitingSuspects);
-    // Those that find no worker go behind the others.
-    std::vector<WaitingSuspect> unplaced;
+    // Tasks of one step differ in the length of their trials only.
+    std::map<const Step *, Duration> failed;
+    std::size_t failedCount = 0;
+    const bool isRecordOverdue = isTrialRecordOverdue(now);
+    const auto mayTry = [&](const TaskRef &task) {
+        return !isRecordOverdue && !awaitsTakeOver(*task.step);
+    };
+    const auto tryTrial = [&](WaitingSuspect *it) {
+        const TaskRef task = m_jobs.find(it->task);
+        const Duration length = task.get().crashes.trialLength(m_settings.crashes);
+        it->triedAt = now;
+        const auto known = failed.find(task.step);
+        if (known != failed.end() && known->second <= length)
+            return;
+        if (placeTrial(now, task, it->since))
+            return;
+        failed[task.step] = length;
+        failedCount += reserved.contains(task.step->key(0)) ? 0 : 1;
+    };
+    // Those that have waited longest come first; any number of them may fit nowhere, so half of
+    // the tries go to the others in turn.
+    std::vector<WaitingSuspect *> later;
+    for (WaitingSuspect &it : waiting) {
+        const TaskRef task = m_jobs.find(it.task);
+        if (!task || !task.get().awaitsTrial || !mayTry(task))
+            continue;
+        if (failedCount < m_settings.crashes.maxTrialsPerRound / 2
+            || reserved.contains(task.step->key(0)))
+            tryTrial(&it);
+        else
+            later.push_back(&it);
+    }
+    std::ranges::stable_sort(later, {}, &WaitingSuspect::triedAt);
+    for (WaitingSuspect *it : later) {
+        if (failedCount >= m_settings.crashes.maxTrialsPerRound)
+            break;
+        tryTrial(it);
+    }
     for (const WaitingSuspect &it : waiting) {
         const TaskRef task = m_jobs.find(it.task);
         if (!task || !task.get().awaitsTrial)
             continue;
-        if (tried == m_settings.crashes.maxTrialsPerRound || awaitsTakeOver(*task.step)
-            || isTrialRecordOverdue(now)) {
-            m_waitingSuspects.push_back(it);
-            continue;
-        }
-        ++tried;
-        if (!placeTrial(now, task, it.since))
-            unplaced.push_back(it);
+        m_waitingSuspects.push_back(it);
+        if (mayTry(task))
+            m_unplacedTrials.push_back(task.step);
     }
-    m_waitingSuspects.insert(m_waitingSuspects.end(), unplaced.begin(), unplaced.end());
 }
 
 bool JobScheduler::placeTrial(Timestamp now, TaskRef ref, Timestamp waitingSince)
@@ -229,7 +263,6 @@
     Worker *worker = m_placer.chooseForTrial(now, m_workers, *ref.step, length, nullptr, mode);
     if (worker == nullptr) {
         requestPermits(now, ref.step);
-        m_unplacedTrials.push_back(ref.step);
         return false;
     }
     dropFromReady(ref);
@@ -351,36 +384,56 @@
 
 void JobScheduler::reserveForTrials(Timestamp now)
 {
-    std::set<TaskKey> wanted;
-    for (const Step *it : m_unplacedTrials)
-        wanted.insert(it->key(0));
-    std::size_t reserved = 0;
+    std::set<TaskKey> served;
     for (const auto &[id, worker] : m_workers.all()) {
         if (now >= worker->reservedUntil)
             continue;
-        if (wanted.erase(worker->reservedFor) == 0) {
+        const TaskRef task = m_jobs.find(worker->reservedFor);
+        if (task && needsTrial(*task.step) && m_placer.isReachable(now, *worker))
+            served.insert(worker->reservedFor);
+        else
             worker->reservedUntil = now;
-            continue;
-        }
-        ++reserved;
-        worker->reservedUntil = now + reservationLength;
     }
     const std::size_t most =
             std::max<std::size_t>(1,
                                   m_workers.all().size() * m_settings.crashes.maxReservedPercent
                                           / static_cast<std::size_t>(wholePercent));
-    for (const Step *it : m_unplacedTrials) {
-        if (reserved >= most)
+    if (served.size() >= most)
+        return;
+    // In turn, since the worker kept for a task may never have room for it.
+    std::ranges::stable_sort(m_unplacedTrials, {}, &Step::reservedAt);
+    std::size_t tried = 0;
+    for (Step *it : m_unplacedTrials) {
+        if (served.size() >= most || tried >= m_settings.crashes.maxTrialsPerRound)
             break;
-        if (wanted.erase(it->key(0)) == 0)
+        if (it->reservedAt == now || served.contains(it->key(0)))
             continue;
+        ++tried;
         Worker *worker = m_placer.chooseToReserve(now, m_workers, *it);
+        it->reservedAt = now;
         if (worker == nullptr)
             continue;
+        served.insert(it->key(0));
         worker->reservedFor = it->key(0);
-        worker->reservedUntil = now + reservationLength;
-        ++reserved;
+        worker->reservedUntil = now + longestQuiet(*it) + reservationMargin;
+    }
+}
+
+bool JobScheduler::needsTrial(const Step &step)
+{
+    return std::ranges::any_of(step.tasks, [&](const Task &it) {
+        return it.awaitsTrial || (step.spec->gang && it.isReady && it.crashes.isSuspect());
+    });
+}
+
+Duration JobScheduler::longestQuiet(const Step &step) const
+{
+    Duration longest {};
+    for (const Task &it : step.tasks) {
+        if (it.isReady && it.crashes.isSuspect())
+            longest = std::max(longest, it.crashes.trialLength(m_settings.crashes));
     }
+    return longest;
 }
 
 std::size_t JobScheduler::trialsInProgress() const
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -141,6 +141,8 @@
     bool wasHeldBack = false;
     /// When the step was last tried as an overdue one.
     Timestamp lastTriedOverdueAt;
+    /// When a worker was last looked for to be kept for a trial of its tasks.
+    Timestamp reservedAt;
     /// Longest chain of estimated durations from its start to the end of the job.
     Duration remainingPath {};
     /// The step is in the StepOrder.
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -383,13 +383,14 @@
 Worker *Placer::chooseToReserve(Timestamp now, const WorkerTable &workers, const Step &step) const
 {
     Worker *best = nullptr;
-    std::pair<bool, TrialRank> bestRank;
+    std::tuple<bool, bool, TrialRank> bestRank;
     for (const auto &[id, worker] : workers.all()) {
         if (!isUsable(now, *worker) || !canEverFit(*worker, step)
             || (step.permits != nullptr && step.permits->find(*worker, now) == nullptr))
             continue;
-        const std::pair rank { !fits(*worker, step),
-                               rankForTrial(*worker, score(now, *worker, step)) };
+        // One that was kept for the step in vain comes last.
+        const std::tuple rank { !fits(*worker, step), worker->reservedFor == step.key(0),
+                                rankForTrial(*worker, score(now, *worker, step)) };
         if (best == nullptr || rank < bestRank) {
             best = worker.get();
             bestRank = rank;
