Let an overdue suspected task begin its trial after the least quiet

A suspected task whose trial is to last 4.8 s (after three crashes that nothing was learned from) waited for a worker on which nothing had started for as long.

Cause: the quiet before a trial was the length of the trial, whatever the task had waited. On a kept worker that is 4.8 s at least, and only an eighth of the workers is kept at a time.

After overdueAfter the shortest trial's length is enough quiet. The trial itself is as long as before.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -348,7 +348,10 @@
     void reserveForTrials(Timestamp now);
     /// True while a suspected task of the step waits for a worker.
     [[nodiscard]] static bool needsTrial(const Step &step);
-    /// Longest time for which a worker must have started nothing before a trial of the step.
+    /// How long a worker must have started nothing before a trial of a task that has waited for
+    /// one: the length of the trial at first, the least of them for an overdue task.
+    [[nodiscard]] Duration quietBeforeTrial(const Task &task, Duration waited) const;
+    /// Longest time for which a worker may have to start nothing before a trial of the step.
     [[nodiscard]] Duration longestQuiet(const Step &step) const;
     void finishTrials(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     [[nodiscard]] std::size_t trialsInProgress() const;
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -206,7 +206,7 @@
     }
     std::vector<WaitingSuspect> waiting;
     waiting.swap(m_waitingSuspects);
-    // Tasks of one step differ in the length of their trials only.
+    // Tasks of one step differ in the quiet that their trials need only.
     std::map<const Step *, Duration> failed;
     std::size_t failedCount = 0;
     const bool isRecordOverdue = isTrialRecordOverdue(now);
@@ -215,14 +215,14 @@
     };
     const auto tryTrial = [&](WaitingSuspect *it) {
         const TaskRef task = m_jobs.find(it->task);
-        const Duration length = task.get().crashes.trialLength(m_settings.crashes);
+        const Duration quiet = quietBeforeTrial(task.get(), now - it->since);
         it->triedAt = now;
         const auto known = failed.find(task.step);
-        if (known != failed.end() && known->second <= length)
+        if (known != failed.end() && known->second <= quiet)
             return;
         if (placeTrial(now, task, it->since))
             return;
-        failed[task.step] = length;
+        failed[task.step] = quiet;
         failedCount += reserved.contains(task.step->key(0)) ? 0 : 1;
     };
     // Those that have waited longest come first; any number of them may fit nowhere, so half of
@@ -254,13 +254,21 @@
     }
 }
 
+Duration JobScheduler::quietBeforeTrial(const Task &task, Duration waited) const
+{
+    // Longer quiet rules out more of the tasks beside it. Without it a crash is no more likely
+    // than on any worker where tasks start, and by that its blame is reckoned.
+    return waited >= m_settings.overdueAfter ? m_settings.crashes.trialLength
+                                             : task.crashes.trialLength(m_settings.crashes);
+}
+
 bool JobScheduler::placeTrial(Timestamp now, TaskRef ref, Timestamp waitingSince)
 {
     Task &task = ref.get();
     const bool isOverdue = now - waitingSince >= m_settings.overdueAfter;
     const PlacementMode mode = isOverdue ? PlacementMode::Overdue : PlacementMode::Usual;
-    const Duration length = task.crashes.trialLength(m_settings.crashes);
-    Worker *worker = m_placer.chooseForTrial(now, m_workers, *ref.step, length, nullptr, mode);
+    const Duration quiet = quietBeforeTrial(task, now - waitingSince);
+    Worker *worker = m_placer.chooseForTrial(now, m_workers, *ref.step, quiet, nullptr, mode);
     if (worker == nullptr) {
         requestPermits(now, ref.step);
         return false;
@@ -433,7 +441,7 @@
         if (it.isReady && it.crashes.isSuspect())
             longest = std::max(longest, it.crashes.trialLength(m_settings.crashes));
     }
-    return longest;
+    return std::min(longest, m_settings.overdueAfter);
 }
 
 std::size_t JobScheduler::trialsInProgress() const
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -348,8 +348,8 @@
         // A member may also join a trial of its own gang: only their job is at stake.
         if (worker == nullptr)
             worker = m_placer.chooseForTrial(now, m_workers, *step,
-                                             crashes.trialLength(m_settings.crashes), rack, mode,
-                                             !isTrial);
+                                             quietBeforeTrial(task.get(), now - waitingSince), rack,
+                                             mode, !isTrial);
         if (worker == nullptr) {
             if (isTrial)
                 m_unplacedTrials.push_back(step);
