Suspect only tasks that a trial can tell anything about

Cause: every task on a crashed worker was suspected, however long it had run there.

An exposure notes when this leader ordered the start or adopted the run. When the worker was heard of more than maxTrialLength after that, before it fell silent, the exposure is cleared instead of counted. A run that may have been on trial, one that started or was adopted later, and one of which this leader knows neither are suspected as before.

--- a/acaciafork/decisions/jobs/CrashHistory.h
+++ b/acaciafork/decisions/jobs/CrashHistory.h
@@ -36,8 +36,9 @@
 
 /// The crashes of workers to which one task was exposed, and what they say about it.
 ///
-/// A worker that crashes gives no reason, and all tasks that ran there are exposed. A task under
-/// which a worker has crashed is suspected: its next run is a trial, on a worker where everything
+/// A worker that crashes gives no reason, and all tasks that ran there are exposed, except those
+/// that had been at work there for longer than any trial lasts. A task under which a worker has
+/// crashed is suspected: its next run is a trial, on a worker where everything
 /// else has been running for longer than the trial lasts and nothing else starts meanwhile. Only a
 /// crash during a trial speaks against the task, the more so the less likely it is to be one of
 /// those that happen anyway, and a trial that passes clears it of earlier blame. So the tasks
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -31,12 +31,18 @@
     if (!worker->wasInTrial)
         m_crashRate.add(1);
     const std::uint32_t trialBlame = CrashHistory::blameOf(ordinaryCrashProbability(*worker));
-    std::vector<RunKey> runs;
+    // No trial lasts long enough to tell whether a run that was at work for longer is the cause.
+    const Timestamp suspectedFrom = worker->heardBeforeSilence - m_settings.crashes.maxTrialLength;
+    std::vector<ExposedRun> runs;
     runs.swap(worker->exposedRuns);
-    for (const RunKey &it : runs) {
-        const TaskRef task = m_jobs.find(it.task);
-        const CrashExposure *exposure = task ? task.get().crashes.find(it.run) : nullptr;
-        if (exposure != nullptr && !exposure->hasCrashed)
+    for (const ExposedRun &it : runs) {
+        const TaskRef task = m_jobs.find(it.run.task);
+        const CrashExposure *exposure = task ? task.get().crashes.find(it.run.run) : nullptr;
+        if (exposure == nullptr || exposure->hasCrashed)
+            continue;
+        if (!exposure->isTrial && it.startedAt < suspectedFrom)
+            clearExposure(now, task, it.run.run);
+        else
             countCrash(now, task, *exposure, exposure->isTrial ? trialBlame : 0);
     }
 }
@@ -119,7 +125,7 @@
                                    .born = worker->life.born,
                                    .isTrial = isTrial };
     ref.task.get().crashes.open(exposure);
-    worker->exposedRuns.push_back(ref.key());
+    worker->exposedRuns.push_back({ .run = ref.key(), .startedAt = now });
     recordExposure(now, ref.task.key(), ExposureChange::Opened, exposure);
 }
 
@@ -135,13 +141,13 @@
 
 void JobScheduler::clearOldExposures(Timestamp now, Worker *worker)
 {
-    std::erase_if(worker->exposedRuns, [&](const RunKey &it) {
-        const TaskRef task = m_jobs.find(it.task);
-        const RunRef run = findRun(task, it.run);
+    std::erase_if(worker->exposedRuns, [&](const ExposedRun &it) {
+        const TaskRef task = m_jobs.find(it.run.task);
+        const RunRef run = findRun(task, it.run.run);
         if (run.task && run.get().worker == worker->id && !worker->hasCrashed)
             return false;
         if (task)
-            clearExposure(now, task, it.run);
+            clearExposure(now, task, it.run.run);
         return true;
     });
 }
@@ -170,7 +176,8 @@
                     if (exposure.hasCrashed || worker == nullptr)
                         continue;
                     if (worker->life.born == exposure.born)
-                        worker->exposedRuns.push_back({ .task = task.key(), .run = exposure.run });
+                        worker->exposedRuns.push_back(
+                                { .run = { .task = task.key(), .run = exposure.run } });
                     else if (worker->life.born > exposure.born)
                         countCrash(now, task, exposure, exposure.isTrial ? blameUnobserved : 0);
                 }
@@ -302,7 +309,7 @@
     const RunKey run = ref.key();
     Worker *worker = m_workers.find(ref.get().worker);
     ref.task.get().crashes.clear(run.run);
-    std::erase(worker->exposedRuns, run);
+    std::erase_if(worker->exposedRuns, [&](const ExposedRun &it) { return it.run == run; });
     std::erase_if(m_exposureRecords, [&](const ExposureRecord &it) {
         return it.task == run.task && it.exposure.run == run.run;
     });
@@ -383,7 +390,8 @@
         if (const CrashExposure *exposure = crashes.find(it.run)) {
             recordExposure(now, it.task, ExposureChange::Survived, *exposure);
             crashes.survive(it.run);
-            std::erase(worker->exposedRuns, it);
+            std::erase_if(worker->exposedRuns,
+                          [&](const ExposedRun &other) { return other.run == it; });
         }
         note("trial-passed", it, worker, "crashes=" + std::to_string(crashes.crashes()));
         return true;
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -147,6 +147,9 @@
     // copied task, another run may have ended before.
     if (m_settings.promptTakeOver && !ref.step->spec->gang && !ref.step->spec->speculative)
         ref.step->clearUnseenSuccessors();
+    const auto exposed = std::ranges::find(worker->exposedRuns, row.run, &ExposedRun::run);
+    if (exposed != worker->exposedRuns.end())
+        exposed->startedAt = std::min(exposed->startedAt, now);
     const CrashExposure *exposure = task.crashes.find(row.run.run);
     if (exposure != nullptr && exposure->isTrial && !exposure->hasCrashed) {
         // The rest of an earlier leader's trial can't be told: it begins anew.
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -10,6 +10,14 @@
 
 namespace acaciafork::jobs {
 
+/// Run with an open exposure to crashes of its worker.
+struct ExposedRun
+{
+    RunKey run;
+    /// When this leader ordered its start or adopted it; Timestamp::max() if it has done neither.
+    Timestamp startedAt = Timestamp::max();
+};
+
 /// State of one worker as known to the scheduler.
 struct Worker
 {
@@ -86,7 +94,7 @@
     /// Its incarnation is known to have crashed.
     bool hasCrashed = false;
     /// Runs on this incarnation that have an open exposure.
-    std::vector<RunKey> exposedRuns;
+    std::vector<ExposedRun> exposedRuns;
     /// Trials in progress, of one step: nothing else starts until they have passed.
     std::vector<RunKey> trials;
     Timestamp trialBeganAt;
--- a/tests/control/TrialTest.cpp
+++ b/tests/control/TrialTest.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <map>
 
 #include <doctest/doctest.h>
@@ -113,6 +114,17 @@
             n += world.stateOf(firstTracked + it) == wire::JOB_STATE_FAILED ? 1 : 0;
         return n;
     }
+    /// Number of lasting tasks under which a worker is known to have crashed.
+    [[nodiscard]] std::size_t suspected()
+    {
+        std::size_t n = 0;
+        for (std::uint64_t it = 0; it < m_tracked; ++it) {
+            const jobs::Job *job =
+                    world.driver().scheduler().jobs().find(jobs::JobId { firstTracked + it });
+            n += job != nullptr && job->steps[0].tasks[0].crashes.isSuspect() ? 1 : 0;
+        }
+        return n;
+    }
     /// Number of lasting tasks at work.
     [[nodiscard]] std::size_t running()
     {
@@ -236,3 +248,51 @@
         checkNoBreach(fleet.world);
     }
 }
+
+TEST_CASE("tasks that ran on a crashed worker for longer than any trial lasts are not suspected")
+{
+    // Issue 40: each task on a crashed worker waited for a trial that could show nothing of it.
+    struct Case
+    {
+        Duration ranFor;
+        bool changesLeaderBefore = false;
+        bool changesLeaderAfter = false;
+        bool isSuspected = false;
+    };
+    static constexpr std::array<Case, 5> cases { {
+            { .ranFor = 3s, .isSuspected = true },
+            { .ranFor = 8s },
+            // A leader knows how long they ran from when it adopted them.
+            { .ranFor = 3s, .changesLeaderBefore = true, .isSuspected = true },
+            { .ranFor = 8s, .changesLeaderBefore = true },
+            { .ranFor = 8s, .changesLeaderAfter = true, .isSuspected = true },
+    } };
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        for (const Case &it : cases) {
+            CAPTURE(seed);
+            CAPTURE(&it - cases.data());
+            BusyFleet fleet(24, seed);
+            fleet.submitLasting(60);
+            if (it.changesLeaderBefore) {
+                fleet.run(8s);
+                fleet.changeLeader();
+            }
+            fleet.run(it.ranFor);
+            fleet.crashRacks(3);
+            if (it.changesLeaderAfter)
+                fleet.changeLeader();
+            fleet.run(1s);
+            fleet.revive(seed % 2 == 0);
+            fleet.run(7s);
+            CHECK(fleet.lost > 16);
+            CHECK(fleet.suspected() == (it.isSuspected ? fleet.lost : 0));
+            CHECK(fleet.longestWait() <= waitBound);
+            // The replicated record says the same.
+            fleet.changeLeader();
+            fleet.run(1s);
+            CHECK(fleet.suspected() == (it.isSuspected ? fleet.lost : 0));
+            CHECK(fleet.waiting() == 0);
+            checkNoBreach(fleet.world);
+        }
+    }
+}
