Add a test of tasks that crash their workers late, which fails

Cause: a run that has passed its trial (0.3 s at first) has no exposure any more, so its later crash counts for nothing, and the next trial is no longer than the last.

Tried and dropped: exposing the run again, outside a trial, once it has passed.

--- a/tests/control/CrashTest.cpp
+++ b/tests/control/CrashTest.cpp
@@ -95,6 +95,32 @@
     }
 }
 
+TEST_CASE("a task that crashes its workers some time after its start is given up"
+          * doctest::should_fail())
+{
+    // A run was not exposed any more once its trial had passed, so later crashes counted for
+    // nothing, and its trials stayed as short as the first.
+    for (const Duration delay : { 500ms, 1000ms, 2000ms, 4000ms }) {
+        for (DeadlyTask how : deadlyKinds) {
+            how.delay = delay;
+            CAPTURE(delay / 1ms);
+            CAPTURE(how.renames);
+            CAPTURE(how.isDark);
+            JobWorld world({ .workers = 12 });
+            world.makeDeadly(deadlyTask, how);
+            world.run(2s);
+            std::uint64_t lastJob = 0;
+            world.submit(deadlyJob, simpleJob(2, 1500, 10'000));
+            runWithJobs(&world, 60s, &lastJob);
+            world.run(10s);
+            CHECK(world.stateOf(deadlyJob) == wire::JOB_STATE_FAILED);
+            CHECK(world.crashesUnder(deadlyTask) <= 5);
+            checkCompleted(world, lastJob);
+            checkNoBreach(world);
+        }
+    }
+}
+
 TEST_CASE("a gang with more suspected members than free workers starts again")
 {
     // Its members were kept apart from each other, on more workers than there were.
