--- a/tests/consensus/ReplicaTest.cpp
+++ b/tests/consensus/ReplicaTest.cpp
@@ -262,3 +262,30 @@
     CHECK(old->state.find(1) != nullptr);
     CHECK(group.violation() == "");
 }
+
+TEST_CASE("changes are accepted after the disks of a leader and its successor were full in turn")
+{
+    Group group({ .members = 3, .seed = 15 });
+    REQUIRE(group.awaitLeader());
+    REQUIRE(writeThrough(&group, 1));
+    GroupMember *old = group.leader();
+    GroupMember &successor = group.member(old->id.value == 1 ? 2 : 1);
+    const NodeSettings node;
+    old->disk.setFull(true);
+    REQUIRE(old->replica->propose(old->clock(), Register::command(2, 0, 2)));
+    // The leader hands over before it tries its own disk again.
+    group.run(node.maxElectionTimeout - std::chrono::milliseconds(20));
+    old->disk.setFull(false);
+    successor.disk.setFull(true);
+    group.run(std::chrono::milliseconds(100));
+    successor.crash();
+    group.run(node.transferTimeout);
+    successor.disk.setFull(false);
+    REQUIRE(successor.start());
+    group.run(node.diskFullRetryInterval + 3 * node.maxElectionTimeout);
+    GroupMember *leader = group.leader();
+    REQUIRE(leader != nullptr);
+    CHECK(leader->replica->canReadNow(leader->clock()));
+    CHECK(writeThrough(&group, 3));
+    CHECK(group.violation() == "");
+}
