--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -104,7 +104,9 @@
         { ":20", ":9223372036854775807" },
         { ":3,", ":4294967296," },
     };
-    for (const auto &[from, to] : jobChanges) {
+    for (const auto &change : jobChanges) {
+        const std::string &from = change.first;
+        const std::string &to = change.second;
         CAPTURE(to);
         CHECK_FALSE(takes([&] { return decodeJob(replaced(job, from, to)); }));
     }
@@ -116,7 +118,9 @@
         { R"("timeoutMs":3000)", R"("timeoutMs":3000,"advice":{"validityMs":1e300})" },
         { R"("maxAttempts":4)", R"("maxAttempts":4294967297)" },
     };
-    for (const auto &[from, to] : queueChanges) {
+    for (const auto &change : queueChanges) {
+        const std::string &from = change.first;
+        const std::string &to = change.second;
         CAPTURE(to);
         CHECK_FALSE(takes([&] { return decodeQueues(replaced(config, from, to)); }));
     }
@@ -221,7 +225,9 @@
         { R"("sequence":4)", R"("sequence":1e300)" },
         { R"("ready")", R"("\ud800")" },
     };
-    for (const auto &[from, to] : changes) {
+    for (const auto &change : changes) {
+        const std::string &from = change.first;
+        const std::string &to = change.second;
         CAPTURE(from);
         CAPTURE(to.substr(0, 100));
         CHECK_FALSE(taken("i-1", replaced(beat, from, to)));
@@ -376,7 +382,9 @@
         { "null", -1 },
         { "[[85]]", -1 },
     };
-    for (const auto &[text, number] : cases) {
+    for (const auto &it : cases) {
+        const std::string &text = it.first;
+        const std::int64_t number = it.second;
         CAPTURE(text);
         const auto lists = decoded<jobs::RenewalAnswer>([&] {
             return decodeLists(replaced(replaced(body, "PERCENT", text), "LOAD", text));
