Prefer any other worker to one whose last start failed

Passing over ends after 2 s at most now, while such a worker stays the last choice for a step whose start has failed, and a new life begins without.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -61,7 +61,7 @@
     /// with each further start that fails, up to the limit: such a worker is emptier than others
     /// and would be the first choice each time.
     Duration avoidAfterRefusal = std::chrono::milliseconds(500);
-    Duration maxAvoidAfterRefusal = std::chrono::seconds(8);
+    Duration maxAvoidAfterRefusal = std::chrono::seconds(2);
     /// How long a worker gets no new work after repeated failures of its runs.
     Duration avoidAfterFailures = std::chrono::seconds(3);
     /// Backfill tasks are paused once a tail latency beside them has exceeded its target for this
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -131,6 +131,8 @@
     worker->consecutiveFailures = 0;
     worker->backfillPercent = 100;
     worker->leftAt = Timestamp::max();
+    worker->failedStarts = 0;
+    worker->avoidUntil = Worker::distantPast();
     worker->immediateRenewalAt = now;
     recordWorker(worker);
 }
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -275,6 +275,8 @@
 {
     if (step.failedStarts == 0)
         return 0;
+    if (worker.failedStarts > 0)
+        return 2 * maxUnconfirmedPenalty;
     const auto age = static_cast<double>((now - worker.startConfirmedAt).count());
     const double penalty =
             maxUnconfirmedPenalty * age / (age + static_cast<double>(unconfirmedHalfLife.count()));
