--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -229,6 +229,9 @@
             return;
         if (placeTrial(now, task, it->since))
             return;
+        // An earlier entry may have been for the same task.
+        if (!task || !task.get().awaitsTrial)
+            return;
         failed[task.step] = quiet;
         failedCount += reserved.contains(task.step->key(0)) ? 0 : 1;
     };
