Count the wait for a trial through trials that do not begin

A suspected task whose trial was refused, left unanswered or abandoned began its wait anew, so it was never overdue and went on asking for the longest quiet. It waits since its last confirmed run now, as a step does. Found in review; the property tests of trials pass as before.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -243,7 +243,7 @@
     // The members of a gang start together, so a suspected one waits with the others.
     if (task.crashes.isSuspect() && !step->spec->gang) {
         task.awaitsTrial = true;
-        m_waitingSuspects.push_back({ .task = ref.key(), .since = now });
+        m_waitingSuspects.push_back({ .task = ref.key(), .since = task.idleSince });
         return;
     }
     step->waitingSince =
