Let a crash before a trial's start was ordered count for nothing

Callers saw: a job shown as failed that crashes nothing. Cause: a trial counts as begun when its exposure is opened, and its start is ordered once that is recorded. When its worker turned out meanwhile to have crashed before, the crash counted as one of a trial, with the highest blame.

--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -40,6 +40,13 @@
         const CrashExposure *exposure = task ? task.get().crashes.find(it.run.run) : nullptr;
         if (exposure == nullptr || exposure->hasCrashed)
             continue;
+        // Its start was not ordered yet.
+        const RunRef run = findRun(task, it.run.run);
+        const bool isRecording = run.task && run.get().phase == RunPhase::Recording;
+        if (isRecording) {
+            clearExposure(now, task, it.run.run);
+            continue;
+        }
         if (!exposure->isTrial && it.startedAt < suspectedFrom)
             clearExposure(now, task, it.run.run);
         else
