Release runs of which neither the start nor a stop was answered

Cause (hypothesis A): a run whose start got no answer is told to stop, and holds its task until the stop is answered or the lease of its worker is over. Other runs on that worker renew the lease, so where stops get no answer either, it held its task for good: a run that is on no worker, in no queue and in no line of the log. A job with such a run is not overdue either.

A worker rejects a start once its deadline has passed on its own clock, however late the order arrives. So two lists made after that, further apart than a stop takes, that don't have the run show that it is over. Orders that may reach another incarnation are left to the bounds on those.

Evidence: the test fails on the code before (the job is not completed after 8 s; its run is in Stopping to the end) and passes now.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -302,6 +302,12 @@
     /// The longest that a run is at work after its worker was told to stop it.
     [[nodiscard]] Duration longestStop() const;
     void releaseUnlisted(Timestamp now, Worker *worker, const RenewalAnswer &answer);
+    /// True when a run is over of which neither the start nor a stop was answered: its worker does
+    /// not list it, and its start has expired.
+    bool isOverUnconfirmed(Timestamp now, Worker *worker, Run *run,
+                           const RenewalAnswer &answer) const;
+    /// A run is over without an end.
+    void loseUnlisted(Timestamp now, Worker *worker, const RunRef &run);
     void markRunsLost(Timestamp now, Worker *worker, std::string_view reason);
     /// The worker's incarnation has ended; that is a crash unless it had announced it.
     /// @param[in] evidence what shows it: "reborn" or "address"
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -229,6 +229,9 @@
     };
     const auto tryTrial = [&](WaitingSuspect *it) {
         const TaskRef task = m_jobs.find(it->task);
+        // An earlier entry may have been for the same task.
+        if (!task || !task.get().awaitsTrial)
+            return;
         const Duration quiet = quietBeforeTrial(task.get(), now - it->since);
         it->triedAt = now;
         const auto known = failed.find(task.step);
@@ -236,9 +239,6 @@
             return;
         if (placeTrial(now, task, it->since))
             return;
-        // An earlier entry may have been for the same task.
-        if (!task || !task.get().awaitsTrial)
-            return;
         failed[task.step] = quiet;
         failedCount += reserved.contains(task.step->key(0)) ? 0 : 1;
     };
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -95,9 +95,10 @@
     run.startedAt = now;
     ++m_counts.started;
     const Permit *permit = step->permits == nullptr ? nullptr : step->permits->find(*worker, now);
+    run.startDeadlineMs = worker->grantLease(now, m_settings.lease);
     m_commands.emplace_back(StartRun { .target = targetOf(*worker),
                                        .run = ref.key(),
-                                       .leaseEndMs = worker->grantLease(now, m_settings.lease),
+                                       .leaseEndMs = run.startDeadlineMs,
                                        .checkpoint = step->checkpointOf(ref.task.get()),
                                        .permit = permit == nullptr ? std::string() : permit->text,
                                        .freeBefore = freeBefore,
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -114,6 +114,8 @@
     worker->life = life;
     worker->isKnown = false;
     worker->isIncarnationConfirmed = false;
+    for (const RunRef &it : worker->runs)
+        it.get().startDeadlineMs = INT64_MAX;
     worker->lease = {};
     // Of what was ordered, nothing begins after maxOrderDelay: no restart prolongs that.
     const Timestamp lastBegin = worker->leaseOrderedAt + m_settings.maxOrderDelay;
@@ -129,10 +131,10 @@
     worker->sequence = 0;
     worker->unansweredRenewals = 0;
     worker->consecutiveFailures = 0;
-    worker->backfillPercent = 100;
-    worker->leftAt = Timestamp::max();
     worker->failedStarts = 0;
     worker->avoidUntil = Worker::distantPast();
+    worker->backfillPercent = 100;
+    worker->leftAt = Timestamp::max();
     worker->immediateRenewalAt = now;
     recordWorker(worker);
 }
@@ -387,9 +389,13 @@
     const Duration stopTime = longestStop();
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
-        const Run &run = it.get();
-        const bool mayBeOver = run.phase == RunPhase::Running
-                || (run.phase == RunPhase::Stopping && run.stopConfirmed);
+        Run &run = it.get();
+        if (run.phase == RunPhase::Stopping && !run.stopConfirmed) {
+            if (!listed.contains(it.task.key()) && isOverUnconfirmed(now, worker, &run, answer))
+                loseUnlisted(now, worker, it);
+            continue;
+        }
+        const bool mayBeOver = run.phase == RunPhase::Running || run.phase == RunPhase::Stopping;
         // A list requested before the worker last confirmed the run or its stop says nothing about
         // it.
         const Timestamp since =
@@ -401,14 +407,35 @@
             requestStop(now, it, "unlisted");
             continue;
         }
-        note("run-lost", it.key(), worker, "reason=unlisted");
-        clearExposure(now, it.task, run.number);
-        ++m_counts.lost;
-        releaseRun(it);
-        requeue(now, it.task);
+        loseUnlisted(now, worker, it);
     }
 }
 
+bool JobScheduler::isOverUnconfirmed(Timestamp now, Worker *worker, Run *run,
+                                     const RenewalAnswer &answer) const
+{
+    if (worker->hasUnreadableRows || answer.clockMs <= run->startDeadlineMs)
+        return false;
+    // It can't start any more. What is being stopped is on no list, so a second one decides.
+    const Duration stopTime = longestStop();
+    if (run->unlistedSince != Timestamp::max())
+        return answer.sentAt > run->unlistedSince + stopTime;
+    run->unlistedSince = now;
+    worker->immediateRenewalAt =
+            std::min(worker->immediateRenewalAt, now + stopTime + m_settings.recordDelay);
+    return false;
+}
+
+void JobScheduler::loseUnlisted(Timestamp now, Worker *worker, const RunRef &ref)
+{
+    note("run-lost", ref.key(), worker, "reason=unlisted");
+    clearExposure(now, ref.task, ref.get().number);
+    ++m_counts.lost;
+    const TaskRef task = ref.task;
+    releaseRun(ref);
+    requeue(now, task);
+}
+
 // ---- periodic checks
 
 void JobScheduler::checkExpiredLeases(Timestamp now)
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -39,6 +39,11 @@
     bool stopConfirmed = false;
     /// A stop order is in flight.
     bool stopInFlight = false;
+    /// When the order of its start expires, on the worker's clock: the worker rejects it from then
+    /// on, however late it arrives. INT64_MAX when the order may reach another incarnation.
+    std::int64_t startDeadlineMs = INT64_MAX;
+    /// When a list without the run came that was made after that; Timestamp::max() before.
+    Timestamp unlistedSince = Timestamp::max();
     Timestamp stopRetryAt;
     /// When its stop was first ordered; valid in RunPhase::Stopping.
     Timestamp stoppingSince;
--- a/tests/control/FakeWorker.h
+++ b/tests/control/FakeWorker.h
@@ -55,6 +55,8 @@
     jobs::Size formerCapacity;
     Timestamp formerUntil;
     StartFault startFault = StartFault::None;
+    /// Stops are not carried out, and get no answer.
+    bool ignoresStops = false;
     /// Its reports are lost, though it answers calls.
     bool isMute = false;
     /// Calls get no answer, though its reports come.
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -690,6 +690,16 @@
                                 .tenure = tenure,
                                 .order = command.target.order };
     JobWorld *world = m_world;
+    const FakeWorker *sentTo = world->find(command.target.name);
+    if (sentTo != nullptr && sentTo->ignoresStops) {
+        world->at(world->m_now + orderTimeout, [this, answer, run = command.run, born = life] {
+            WorkerAnswer it = answer;
+            it.outcome = jobs::OrderOutcome::Unanswered;
+            if (born == life)
+                answers->stopAnswered(m_world->moment(), it, run);
+        });
+        return;
+    }
     world->order(
             this, command.target, orderTimeout,
             [world, command, tenure](FakeWorker &worker) {
--- a/tests/control/UnansweredStartsTest.cpp
+++ b/tests/control/UnansweredStartsTest.cpp
@@ -84,3 +84,28 @@
     CHECK(runningTasks(&world, 100, 2) == 12);
     checkNoBreach(world);
 }
+
+TEST_CASE("a run whose start and stop get no answer does not hold its task while other runs renew "
+          "the "
+          "lease")
+{
+    // Issue 40: such a run was given up only when the lease of its worker was over.
+    JobWorld world({ .workers = 2 });
+    world.run(2s);
+    wire::JobSpec lasting = simpleJob(2, 3000, 300);
+    lasting.mutable_steps(0)->set_long_running(true);
+    lasting.mutable_steps(0)->set_most_per_worker(1);
+    world.submit(1, lasting);
+    world.run(1s);
+    lasting.mutable_steps(0)->set_count(1);
+    world.submit(2, lasting);
+    world.run(1s);
+    const std::size_t emptier = world.worker(0).running.size() == 1 ? 0 : 1;
+    REQUIRE(world.worker(emptier).running.size() == 1);
+    world.worker(emptier).startFault = StartFault::Unanswered;
+    world.worker(emptier).ignoresStops = true;
+    world.submit(3, simpleJob(1, 1000, 500));
+    world.run(8s);
+    CHECK(world.stateOf(3) == wire::JOB_STATE_COMPLETED);
+    checkNoBreach(world);
+}
