--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -55,9 +55,13 @@
         worker.guardsCapacity = !m_unguardedPools.contains(it.pool);
         worker.lastHeardAt = at.now;
         worker.lease.assumeGranted(at.now, m_settings.lease);
+        worker.leaseOrderedAt = at.now;
     }
     m_crashRate.reset(at.now);
     m_isTakingOver = !workers.empty();
+    m_tenureBeganAt = at.now;
+    m_earlierLeases = {};
+    m_earlierLeases.assumeGranted(at.now + m_settings.maxOrderDelay, m_settings.maxLease);
     for (const JobView &it : jobs)
         addJob(at, it, true);
     restoreExposures(at.now);
@@ -234,15 +238,16 @@
         || step->job->phase != JobPhase::Active)
         return;
     task.isReady = true;
+    task.idleSince = std::min(task.idleSince, now);
     m_placementDue = true;
     // The members of a gang start together, so a suspected one waits with the others.
     if (task.crashes.isSuspect() && !step->spec->gang) {
         task.awaitsTrial = true;
-        m_waitingSuspects.push_back({ .task = ref.key(), .since = now });
+        m_waitingSuspects.push_back({ .task = ref.key(), .since = task.idleSince });
         return;
     }
-    if (step->ready.empty())
-        step->waitingSince = now;
+    step->waitingSince =
+            step->ready.empty() ? task.idleSince : std::min(step->waitingSince, task.idleSince);
     step->ready.push_back(ref.task);
     m_order.insert(now, step);
 }
@@ -387,6 +392,7 @@
     m_exploration.expire(at.now);
     m_crashRate.advance(at.now, m_workers.all().size());
     checkExpiredLeases(at.now);
+    abandonOverdueTrials(at.now);
     checkTakeover(at.now);
     startSpeculativeCopies(at.now);
     placeOverdueSteps(at.now);
@@ -396,6 +402,8 @@
         m_nextSummary = at.now + summaryInterval;
         logSummary(at.now);
         logBlockedSteps(at.now);
+        logWaitingTasks(at.now);
+        logTakeover(at.now);
     }
     recordInterference(at.now);
 }
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -30,6 +30,13 @@
 {
     /// Lease granted to a worker with each order; the workers' own limit is 6 s.
     Duration lease = std::chrono::milliseconds(4000);
+    /// Longest time for which a worker holds a lease, whatever it is told; a bound given by the
+    /// worker interface.
+    Duration maxLease = std::chrono::seconds(6);
+    /// Longest time after which an order that got no answer may still be carried out, also by a
+    /// later incarnation of its worker. Bounds the take-over: what earlier leaders ordered runs for
+    /// no longer than this and maxLease after the tenure began.
+    Duration maxOrderDelay = std::chrono::seconds(12);
     /// How long a worker may wait for a run to end before it answers a renewal.
     Duration renewalWait = std::chrono::milliseconds(1500);
     /// The same on workers that run both serving and backfill tasks; shorter, so that interference
@@ -47,8 +54,14 @@
     Duration stopTimeout = std::chrono::milliseconds(400);
     /// How long run ends may wait to be recorded in one batch.
     Duration recordDelay = std::chrono::milliseconds(15);
-    /// How long a worker gets no new work after it refused some for lack of capacity or health.
+    /// A trial whose record takes longer than this is abandoned, and no other begins until the
+    /// record is committed.
+    Duration trialRecordTimeout = std::chrono::seconds(2);
+    /// How long a worker gets no new work after it refused a start or left it unanswered. Doubles
+    /// with each further start that fails, up to the limit: such a worker is emptier than others
+    /// and would be the first choice each time.
     Duration avoidAfterRefusal = std::chrono::milliseconds(500);
+    Duration maxAvoidAfterRefusal = std::chrono::seconds(2);
     /// How long a worker gets no new work after repeated failures of its runs.
     Duration avoidAfterFailures = std::chrono::seconds(3);
     /// Backfill tasks are paused once a tail latency beside them has exceeded its target for this
@@ -126,6 +139,10 @@
     /// steps that have waited for long; as of the last summary.
     Duration longestWait {};
     std::size_t blockedSteps = 0;
+    /// Longest time for which a task whose turn has come has no confirmed run, whatever it waits
+    /// for, and the number of tasks that nothing will start; as of the last summary.
+    Duration longestTaskWait {};
+    std::size_t strayTasks = 0;
 };
 
 /// Assigns tasks to workers, renews leases, and tracks every run to its end. Runs on the leader
@@ -223,11 +240,19 @@
         RunKey run;
         Size freeBefore;
     };
+    /// Trials that wait for the same record.
+    struct TrialBatch
+    {
+        Timestamp since;
+        std::vector<PendingTrial> trials;
+    };
     /// Suspected task that waits for a worker.
     struct WaitingSuspect
     {
         TaskKey task;
         Timestamp since;
+        /// When a placement round last tried it.
+        Timestamp triedAt;
     };
     /// Occurrence of a scheduled job that is not due yet.
     struct ScheduledOccurrence
@@ -256,6 +281,9 @@
                       PlacementMode mode);
     void orderStart(Timestamp now, const RunRef &run, const Size &freeBefore);
     bool adoptRun(Timestamp now, TaskRef task, const RunningRow &row, Worker *worker);
+    /// A start that the worker refused or left unanswered.
+    void startFailed(Timestamp now, Worker *worker, const RunRef &run);
+    void startConfirmed(Timestamp now, Worker *worker, const RunRef &run) const;
     /// Run that a worker's answer refers to; none when that run is already over.
     RunRef findAnswered(WorkerId id, const RunKey &run, OrderOutcome outcome);
     void requestStop(Timestamp now, const RunRef &run, std::string_view reason);
@@ -274,6 +302,12 @@
     /// The longest that a run is at work after its worker was told to stop it.
     [[nodiscard]] Duration longestStop() const;
     void releaseUnlisted(Timestamp now, Worker *worker, const RenewalAnswer &answer);
+    /// True when a run is over of which neither the start nor a stop was answered: its worker does
+    /// not list it, and its start has expired.
+    bool isOverUnconfirmed(Timestamp now, Worker *worker, Run *run,
+                           const RenewalAnswer &answer) const;
+    /// A run is over without an end.
+    void loseUnlisted(Timestamp now, Worker *worker, const RunRef &run);
     void markRunsLost(Timestamp now, Worker *worker, std::string_view reason);
     /// The worker's incarnation has ended; that is a crash unless it had announced it.
     /// @param[in] evidence what shows it: "reborn" or "address"
@@ -305,6 +339,10 @@
     bool placeTrial(Timestamp now, TaskRef task, Timestamp waitingSince);
     void beginTrial(Timestamp now, TaskRef task, Worker *worker, RunNumber number,
                     PlacementMode mode);
+    /// True while the record of a trial has been awaited for long.
+    [[nodiscard]] bool isTrialRecordOverdue(Timestamp now) const;
+    /// Lets go of the workers whose trials wait for an overdue record.
+    void abandonOverdueTrials(Timestamp now);
     /// Gives up a trial that was recorded too late to begin.
     void abandonTrial(Timestamp now, const RunRef &run);
     /// True while a task of the step may still run at a worker that has not answered this leader.
@@ -312,8 +350,15 @@
     {
         return m_isTakingOver && step.mayRunUnseen;
     }
-    /// Keeps workers for the trials that found none.
+    /// Keeps workers for the trials that found none, until these begin, for a bounded time.
     void reserveForTrials(Timestamp now);
+    /// True while a suspected task of the step waits for a worker.
+    [[nodiscard]] static bool needsTrial(const Step &step);
+    /// How long a worker must have started nothing before a trial of a task that has waited for
+    /// one: the length of the trial at first, the least of them for an overdue task.
+    [[nodiscard]] Duration quietBeforeTrial(const Task &task, Duration waited) const;
+    /// Longest time for which a worker may have to start nothing before a trial of the step.
+    [[nodiscard]] Duration longestQuiet(const Step &step) const;
     void finishTrials(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     [[nodiscard]] std::size_t trialsInProgress() const;
     void replaceIncarnation(Timestamp now, Worker *worker, const WorkerLife &life);
@@ -332,9 +377,15 @@
     void sendRenewal(Timestamp now, Worker *worker, Duration wait, bool isImmediate = false);
     void checkExpiredLeases(Timestamp now);
     void checkTakeover(Timestamp now);
+    /// Workers that may have runs of earlier leaders which this one has not seen.
+    [[nodiscard]] std::vector<const Worker *> unseenWorkers(Timestamp now) const;
     void startDueOccurrences(Moment at);
     void logSummary(Timestamp now);
     void logBlockedSteps(Timestamp now);
+    void logWaitingTasks(Timestamp now);
+    void logTakeover(Timestamp now);
+    /// A worker has accepted orders of a later leader.
+    void becomeFenced(const Worker *worker);
     void recordInterference(Timestamp now);
     void startSpeculativeCopies(Timestamp now);
     void throttleBackfill(Timestamp now, Worker *worker);
@@ -402,6 +453,9 @@
     Tenure m_tenure;
     bool m_isFenced = false;
     bool m_isTakingOver = false;
+    Timestamp m_tenureBeganAt;
+    /// The leases that late orders of earlier leaders may bring to workers.
+    LeaseClock m_earlierLeases;
     std::map<std::string, QueueSpec> m_queues;
     /// Pools whose workers start what exceeds their capacity.
     std::set<std::string> m_unguardedPools;
@@ -432,12 +486,12 @@
     Timestamp m_oldestExposureAt;
     bool m_flushExposuresNow = false;
     std::vector<PendingTrial> m_pendingTrials;
-    std::map<std::uint64_t, std::vector<PendingTrial>> m_trialBatches;
+    std::map<std::uint64_t, TrialBatch> m_trialBatches;
     std::uint64_t m_lastExposureBatch = 0;
     /// Suspected tasks without a run, in the order in which they began to wait; entries whose task
     /// no longer waits are dropped in the next placement round.
     std::vector<WaitingSuspect> m_waitingSuspects;
-    /// Steps of the suspected tasks that found no worker in the placement round, one entry each.
+    /// Steps of the suspected tasks that have no worker after the placement round, one entry each.
     std::vector<Step *> m_unplacedTrials;
 
     /// Ended jobs without any runs left; removed at the end of the turn.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -8,9 +8,9 @@
 namespace acaciafork::jobs {
 namespace {
 
-/// A worker is kept for a trial for this long at a time; placement rounds come more often while
-/// suspected tasks wait.
-constexpr Duration reservationLength = std::chrono::milliseconds(250);
+/// A worker is kept for a trial for this long after the quiet before it: the time to confirm what
+/// was starting there, and for some of its runs to make room.
+constexpr Duration reservationMargin = std::chrono::seconds(1);
 
 } // namespace
 
@@ -31,12 +31,25 @@
     if (!worker->wasInTrial)
         m_crashRate.add(1);
     const std::uint32_t trialBlame = CrashHistory::blameOf(ordinaryCrashProbability(*worker));
-    std::vector<RunKey> runs;
+    // No trial lasts long enough to tell whether a run that was at work for longer is the cause.
+    const Timestamp suspectedFrom = worker->heardBeforeSilence - m_settings.crashes.maxTrialLength;
+    std::vector<ExposedRun> runs;
     runs.swap(worker->exposedRuns);
-    for (const RunKey &it : runs) {
-        const TaskRef task = m_jobs.find(it.task);
-        const CrashExposure *exposure = task ? task.get().crashes.find(it.run) : nullptr;
-        if (exposure != nullptr && !exposure->hasCrashed)
+    for (const ExposedRun &it : runs) {
+        const TaskRef task = m_jobs.find(it.run.task);
+        const CrashExposure *exposure = task ? task.get().crashes.find(it.run.run) : nullptr;
+        if (exposure == nullptr || exposure->hasCrashed)
+            continue;
+        // Its start was not ordered yet.
+        const RunRef run = findRun(task, it.run.run);
+        const bool isRecording = run.task && run.get().phase == RunPhase::Recording;
+        if (isRecording) {
+            clearExposure(now, task, it.run.run);
+            continue;
+        }
+        if (!exposure->isTrial && it.startedAt < suspectedFrom)
+            clearExposure(now, task, it.run.run);
+        else
             countCrash(now, task, *exposure, exposure->isTrial ? trialBlame : 0);
     }
 }
@@ -119,7 +132,7 @@
                                    .born = worker->life.born,
                                    .isTrial = isTrial };
     ref.task.get().crashes.open(exposure);
-    worker->exposedRuns.push_back(ref.key());
+    worker->exposedRuns.push_back({ .run = ref.key(), .startedAt = now });
     recordExposure(now, ref.task.key(), ExposureChange::Opened, exposure);
 }
 
@@ -135,13 +148,13 @@
 
 void JobScheduler::clearOldExposures(Timestamp now, Worker *worker)
 {
-    std::erase_if(worker->exposedRuns, [&](const RunKey &it) {
-        const TaskRef task = m_jobs.find(it.task);
-        const RunRef run = findRun(task, it.run);
+    std::erase_if(worker->exposedRuns, [&](const ExposedRun &it) {
+        const TaskRef task = m_jobs.find(it.run.task);
+        const RunRef run = findRun(task, it.run.run);
         if (run.task && run.get().worker == worker->id && !worker->hasCrashed)
             return false;
         if (task)
-            clearExposure(now, task, it.run);
+            clearExposure(now, task, it.run.run);
         return true;
     });
 }
@@ -170,7 +183,8 @@
                     if (exposure.hasCrashed || worker == nullptr)
                         continue;
                     if (worker->life.born == exposure.born)
-                        worker->exposedRuns.push_back({ .task = task.key(), .run = exposure.run });
+                        worker->exposedRuns.push_back(
+                                { .run = { .task = task.key(), .run = exposure.run } });
                     else if (worker->life.born > exposure.born)
                         countCrash(now, task, exposure, exposure.isTrial ? blameUnobserved : 0);
                 }
@@ -186,7 +200,7 @@
         return;
     const std::uint64_t batch = ++m_lastExposureBatch;
     if (!m_pendingTrials.empty())
-        m_trialBatches[batch] = std::move(m_pendingTrials);
+        m_trialBatches[batch] = { .since = now, .trials = std::move(m_pendingTrials) };
     m_pendingTrials.clear();
     m_commands.emplace_back(
             RecordExposures { .batch = batch, .records = std::move(m_exposureRecords) });
@@ -199,24 +213,70 @@
 void JobScheduler::placeTrials(Timestamp now)
 {
     m_unplacedTrials.clear();
-    std::size_t tried = 0;
+    std::set<TaskKey> reserved;
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (now < worker->reservedUntil)
+            reserved.insert(worker->reservedFor);
+    }
     std::vector<WaitingSuspect> waiting;
     waiting.swap(m_waitingSuspects);
-    // Those that find no worker go behind the others.
-    std::vector<WaitingSuspect> unplaced;
+    // Tasks of one step differ in the quiet that their trials need only.
+    std::map<const Step *, Duration> failed;
+    std::size_t failedCount = 0;
+    const bool isRecordOverdue = isTrialRecordOverdue(now);
+    const auto mayTry = [&](const TaskRef &task) {
+        return !isRecordOverdue && !awaitsTakeOver(*task.step);
+    };
+    const auto tryTrial = [&](WaitingSuspect *it) {
+        const TaskRef task = m_jobs.find(it->task);
+        // An earlier entry may have been for the same task.
+        if (!task || !task.get().awaitsTrial)
+            return;
+        const Duration quiet = quietBeforeTrial(task.get(), now - it->since);
+        it->triedAt = now;
+        const auto known = failed.find(task.step);
+        if (known != failed.end() && known->second <= quiet)
+            return;
+        if (placeTrial(now, task, it->since))
+            return;
+        failed[task.step] = quiet;
+        failedCount += reserved.contains(task.step->key(0)) ? 0 : 1;
+    };
+    // Those that have waited longest come first; any number of them may fit nowhere, so half of
+    // the tries go to the others in turn.
+    std::vector<WaitingSuspect *> later;
+    for (WaitingSuspect &it : waiting) {
+        const TaskRef task = m_jobs.find(it.task);
+        if (!task || !task.get().awaitsTrial || !mayTry(task))
+            continue;
+        if (failedCount < m_settings.crashes.maxTrialsPerRound / 2
+            || reserved.contains(task.step->key(0)))
+            tryTrial(&it);
+        else
+            later.push_back(&it);
+    }
+    std::ranges::stable_sort(later, {}, &WaitingSuspect::triedAt);
+    for (WaitingSuspect *it : later) {
+        if (failedCount >= m_settings.crashes.maxTrialsPerRound)
+            break;
+        tryTrial(it);
+    }
     for (const WaitingSuspect &it : waiting) {
         const TaskRef task = m_jobs.find(it.task);
         if (!task || !task.get().awaitsTrial)
             continue;
-        if (tried == m_settings.crashes.maxTrialsPerRound || awaitsTakeOver(*task.step)) {
-            m_waitingSuspects.push_back(it);
-            continue;
-        }
-        ++tried;
-        if (!placeTrial(now, task, it.since))
-            unplaced.push_back(it);
+        m_waitingSuspects.push_back(it);
+        if (mayTry(task))
+            m_unplacedTrials.push_back(task.step);
     }
-    m_waitingSuspects.insert(m_waitingSuspects.end(), unplaced.begin(), unplaced.end());
+}
+
+Duration JobScheduler::quietBeforeTrial(const Task &task, Duration waited) const
+{
+    // Longer quiet rules out more of the tasks beside it. Without it a crash is no more likely
+    // than on any worker where tasks start, and by that its blame is reckoned.
+    return waited >= m_settings.overdueAfter ? m_settings.crashes.trialLength
+                                             : task.crashes.trialLength(m_settings.crashes);
 }
 
 bool JobScheduler::placeTrial(Timestamp now, TaskRef ref, Timestamp waitingSince)
@@ -224,11 +284,10 @@
     Task &task = ref.get();
     const bool isOverdue = now - waitingSince >= m_settings.overdueAfter;
     const PlacementMode mode = isOverdue ? PlacementMode::Overdue : PlacementMode::Usual;
-    const Duration length = task.crashes.trialLength(m_settings.crashes);
-    Worker *worker = m_placer.chooseForTrial(now, m_workers, *ref.step, length, nullptr, mode);
+    const Duration quiet = quietBeforeTrial(task, now - waitingSince);
+    Worker *worker = m_placer.chooseForTrial(now, m_workers, *ref.step, quiet, nullptr, mode);
     if (worker == nullptr) {
         requestPermits(now, ref.step);
-        m_unplacedTrials.push_back(ref.step);
         return false;
     }
     dropFromReady(ref);
@@ -243,7 +302,7 @@
     const std::size_t beside = worker->runs.size();
     const RunRef run = reserveRun(now, ref, worker, number, mode);
     // The worker counts as leased from now on, since the order follows as soon as it is recorded.
-    worker->lease.grant(now, m_settings.lease);
+    worker->grantLease(now, m_settings.lease);
     worker->trials.push_back(run.key());
     worker->holdForTrial(now, ref.get().crashes.trialLength(m_settings.crashes));
     worker->reservedUntil = now;
@@ -260,7 +319,7 @@
     const RunKey run = ref.key();
     Worker *worker = m_workers.find(ref.get().worker);
     ref.task.get().crashes.clear(run.run);
-    std::erase(worker->exposedRuns, run);
+    std::erase_if(worker->exposedRuns, [&](const ExposedRun &it) { return it.run == run; });
     std::erase_if(m_exposureRecords, [&](const ExposureRecord &it) {
         return it.task == run.task && it.exposure.run == run.run;
     });
@@ -272,7 +331,7 @@
     const auto node = m_trialBatches.extract(batch);
     if (node.empty())
         return;
-    for (const PendingTrial &it : node.mapped()) {
+    for (const PendingTrial &it : node.mapped().trials) {
         const RunRef run = findRun(m_jobs.find(it.run.task), it.run.run);
         if (!run.task || run.get().phase != RunPhase::Recording)
             continue;
@@ -289,6 +348,33 @@
     }
 }
 
+bool JobScheduler::isTrialRecordOverdue(Timestamp now) const
+{
+    return !m_trialBatches.empty()
+            && now - m_trialBatches.begin()->second.since >= m_settings.trialRecordTimeout;
+}
+
+void JobScheduler::abandonOverdueTrials(Timestamp now)
+{
+    const auto isOverdue = [&](const RunRef &run) {
+        return run.task && run.get().phase == RunPhase::Recording
+                && now - run.get().startedAt >= m_settings.trialRecordTimeout;
+    };
+    std::vector<RunKey> overdue;
+    for (const auto &[id, worker] : m_workers.all()) {
+        for (const RunRef &it : worker->runs) {
+            if (isOverdue(it))
+                overdue.push_back(it.key());
+        }
+    }
+    for (const RunKey &it : overdue) {
+        // An abandoned member of a gang stops the others.
+        const RunRef run = findRun(m_jobs.find(it.task), it.run);
+        if (isOverdue(run))
+            abandonTrial(now, run);
+    }
+}
+
 void JobScheduler::abandonTrial(Timestamp now, const RunRef &ref)
 {
     const RunKey run = ref.key();
@@ -314,7 +400,8 @@
         if (const CrashExposure *exposure = crashes.find(it.run)) {
             recordExposure(now, it.task, ExposureChange::Survived, *exposure);
             crashes.survive(it.run);
-            std::erase(worker->exposedRuns, it);
+            std::erase_if(worker->exposedRuns,
+                          [&](const ExposedRun &other) { return other.run == it; });
         }
         note("trial-passed", it, worker, "crashes=" + std::to_string(crashes.crashes()));
         return true;
@@ -323,36 +410,56 @@
 
 void JobScheduler::reserveForTrials(Timestamp now)
 {
-    std::set<TaskKey> wanted;
-    for (const Step *it : m_unplacedTrials)
-        wanted.insert(it->key(0));
-    std::size_t reserved = 0;
+    std::set<TaskKey> served;
     for (const auto &[id, worker] : m_workers.all()) {
         if (now >= worker->reservedUntil)
             continue;
-        if (wanted.erase(worker->reservedFor) == 0) {
+        const TaskRef task = m_jobs.find(worker->reservedFor);
+        if (task && needsTrial(*task.step) && m_placer.isReachable(now, *worker))
+            served.insert(worker->reservedFor);
+        else
             worker->reservedUntil = now;
-            continue;
-        }
-        ++reserved;
-        worker->reservedUntil = now + reservationLength;
     }
     const std::size_t most =
             std::max<std::size_t>(1,
                                   m_workers.all().size() * m_settings.crashes.maxReservedPercent
                                           / static_cast<std::size_t>(wholePercent));
-    for (const Step *it : m_unplacedTrials) {
-        if (reserved >= most)
+    if (served.size() >= most)
+        return;
+    // In turn, since the worker kept for a task may never have room for it.
+    std::ranges::stable_sort(m_unplacedTrials, {}, &Step::reservedAt);
+    std::size_t tried = 0;
+    for (Step *it : m_unplacedTrials) {
+        if (served.size() >= most || tried >= m_settings.crashes.maxTrialsPerRound)
             break;
-        if (wanted.erase(it->key(0)) == 0)
+        if (it->reservedAt == now || served.contains(it->key(0)))
             continue;
+        ++tried;
         Worker *worker = m_placer.chooseToReserve(now, m_workers, *it);
+        it->reservedAt = now;
         if (worker == nullptr)
             continue;
+        served.insert(it->key(0));
         worker->reservedFor = it->key(0);
-        worker->reservedUntil = now + reservationLength;
-        ++reserved;
+        worker->reservedUntil = now + longestQuiet(*it) + reservationMargin;
+    }
+}
+
+bool JobScheduler::needsTrial(const Step &step)
+{
+    return std::ranges::any_of(step.tasks, [&](const Task &it) {
+        return it.awaitsTrial || (step.spec->gang && it.isReady && it.crashes.isSuspect());
+    });
+}
+
+Duration JobScheduler::longestQuiet(const Step &step) const
+{
+    Duration longest {};
+    for (const Task &it : step.tasks) {
+        if (it.isReady && it.crashes.isSuspect())
+            longest = std::max(longest, it.crashes.trialLength(m_settings.crashes));
     }
+    return std::min(longest, m_settings.overdueAfter);
 }
 
 std::size_t JobScheduler::trialsInProgress() const
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -95,9 +95,10 @@
     run.startedAt = now;
     ++m_counts.started;
     const Permit *permit = step->permits == nullptr ? nullptr : step->permits->find(*worker, now);
+    run.startDeadlineMs = worker->grantLease(now, m_settings.lease);
     m_commands.emplace_back(StartRun { .target = targetOf(*worker),
                                        .run = ref.key(),
-                                       .leaseEndMs = worker->lease.grant(now, m_settings.lease),
+                                       .leaseEndMs = run.startDeadlineMs,
                                        .checkpoint = step->checkpointOf(ref.task.get()),
                                        .permit = permit == nullptr ? std::string() : permit->text,
                                        .freeBefore = freeBefore,
@@ -135,6 +136,7 @@
                         .startedAt = now,
                         .confirmedAt = now };
     task.lastRun = std::max(task.lastRun, row.run.run);
+    task.idleSince = Timestamp::max();
     ref.step->updateCheckpoint(&task, row.checkpoint);
     dropFromReady(ref);
     worker->runs.push_back({ .task = ref, .slot = slot });
@@ -146,6 +148,9 @@
     // copied task, another run may have ended before.
     if (m_settings.promptTakeOver && !ref.step->spec->gang && !ref.step->spec->speculative)
         ref.step->clearUnseenSuccessors();
+    const auto exposed = std::ranges::find(worker->exposedRuns, row.run, &ExposedRun::run);
+    if (exposed != worker->exposedRuns.end())
+        exposed->startedAt = std::min(exposed->startedAt, now);
     const CrashExposure *exposure = task.crashes.find(row.run.run);
     if (exposure != nullptr && exposure->isTrial && !exposure->hasCrashed) {
         // The rest of an earlier leader's trial can't be told: it begins anew.
@@ -197,7 +202,7 @@
 RunRef JobScheduler::findAnswered(WorkerId id, const RunKey &key, OrderOutcome outcome)
 {
     if (outcome == OrderOutcome::Fenced)
-        m_isFenced = true;
+        becomeFenced(m_workers.find(id));
     const RunRef ref = findRun(m_jobs.find(key.task), key.run);
     const bool isCurrent = ref.task && ref.get().worker == id && m_workers.find(id) != nullptr;
     return isCurrent ? ref : RunRef {};
@@ -216,6 +221,7 @@
         run.confirmedAt = now;
         if (run.phase == RunPhase::Starting)
             run.phase = RunPhase::Running;
+        startConfirmed(now, worker, ref);
         // Workers start every task at its full share.
         if (run.isOverdue && run.phase == RunPhase::Running && run.percent < wholePercent) {
             worker->pacedAt = now;
@@ -228,7 +234,7 @@
     if (outcome == OrderOutcome::Unanswered) {
         // The run may still start: only a confirmed stop or the expiry of the lease rules that out.
         ++m_counts.unanswered;
-        worker->avoidUntil = std::max(worker->avoidUntil, now + m_settings.avoidAfterRefusal);
+        startFailed(now, worker, ref);
         requestStop(now, ref, "start-unanswered");
         // The other members would wait until their workers time out.
         if (ref.task.step->spec->gang)
@@ -241,19 +247,36 @@
     clearExposure(now, ref.task, key.run);
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Stopping) {
         Step *step = ref.task.step;
-        releaseRun(ref);
         if (outcome == OrderOutcome::NoPermit && step->permits != nullptr)
             step->permits->discard(worker->life.name);
-        else if (outcome == OrderOutcome::OtherLife)
-            worker->avoidUntil = now + m_settings.avoidAfterFailures;
         else if (outcome != OrderOutcome::OldRun)
-            worker->avoidUntil = now + m_settings.avoidAfterRefusal;
+            startFailed(now, worker, ref);
+        if (outcome == OrderOutcome::OtherLife)
+            worker->avoidUntil = std::max(worker->avoidUntil, now + m_settings.avoidAfterFailures);
+        releaseRun(ref);
         if (step->spec->gang)
             stopGang(now, step, "member-refused");
         requeue(now, ref.task);
     }
 }
 
+void JobScheduler::startFailed(Timestamp now, Worker *worker, const RunRef &run)
+{
+    worker->startFailed(now, run.get().startedAt);
+    Duration length = m_settings.avoidAfterRefusal;
+    for (std::uint32_t it = 1; it < worker->failedStarts; ++it)
+        length = std::min(2 * length, m_settings.maxAvoidAfterRefusal);
+    worker->avoidUntil = std::max(worker->avoidUntil, now + length);
+    ++run.task.step->failedStarts;
+}
+
+void JobScheduler::startConfirmed(Timestamp now, Worker *worker, const RunRef &run) const
+{
+    worker->startConfirmed(now);
+    run.task.get().idleSince = Timestamp::max();
+    run.task.step->failedStarts = 0;
+}
+
 void JobScheduler::stopAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
 {
     const RunRef ref = findAnswered(id, key, outcome);
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -114,8 +114,13 @@
     worker->life = life;
     worker->isKnown = false;
     worker->isIncarnationConfirmed = false;
+    for (const RunRef &it : worker->runs)
+        it.get().startDeadlineMs = INT64_MAX;
     worker->lease = {};
-    worker->lease.assumeGranted(now, m_settings.lease);
+    // Of what was ordered, nothing begins after maxOrderDelay: no restart prolongs that.
+    const Timestamp lastBegin = worker->leaseOrderedAt + m_settings.maxOrderDelay;
+    worker->lease.assumeGranted(std::min(now, lastBegin + m_settings.maxLease - m_settings.lease),
+                                m_settings.lease);
     worker->strayRunsUntil = Worker::distantPast();
     worker->seenEnds = 0;
     worker->recordedEnds = 0;
@@ -126,6 +131,8 @@
     worker->sequence = 0;
     worker->unansweredRenewals = 0;
     worker->consecutiveFailures = 0;
+    worker->failedStarts = 0;
+    worker->avoidUntil = Worker::distantPast();
     worker->backfillPercent = 100;
     worker->leftAt = Timestamp::max();
     worker->immediateRenewalAt = now;
@@ -221,15 +228,19 @@
     (isImmediate ? worker->immediateRenewalCursor : worker->renewalCursor) = cursor;
     // The lease is not extended for a worker whose clock has not been observed or that runs
     // nothing. Nor is it for a silent worker: any lease that it may hold has to expire before its
-    // tasks can run elsewhere.
-    const bool renews =
-            worker->lease.isKnown() && !worker->runs.empty() && worker->unansweredRenewals == 0;
-    m_commands.emplace_back(RenewWorkerLease {
-            .target = targetOf(*worker),
-            .recordedEnds = cursor,
-            .leaseEndMs = renews ? worker->lease.grant(now, m_settings.lease) : 0,
-            .wait = wait,
-            .isImmediate = isImmediate });
+    // tasks can run elsewhere. Nor for one that may have runs which can't be read from its lists:
+    // tasks of earlier leaders wait until they have ended. Nor for a new incarnation that has not
+    // answered yet.
+    const bool mayHideRuns = !worker->isKnown && worker->hasUnreadableRows;
+    const bool hasAnswered = worker->isKnown || worker->isIncarnationConfirmed;
+    const bool renews = worker->lease.isKnown() && hasAnswered && !worker->runs.empty()
+            && worker->unansweredRenewals == 0 && !mayHideRuns;
+    m_commands.emplace_back(
+            RenewWorkerLease { .target = targetOf(*worker),
+                               .recordedEnds = cursor,
+                               .leaseEndMs = renews ? worker->grantLease(now, m_settings.lease) : 0,
+                               .wait = wait,
+                               .isImmediate = isImmediate });
 }
 
 void JobScheduler::renewalAnswered(Moment at, WorkerId id, bool wasImmediate, OrderOutcome outcome,
@@ -238,7 +249,7 @@
     const Timestamp now = at.now;
     Worker *worker = m_workers.find(id);
     if (outcome == OrderOutcome::Fenced)
-        m_isFenced = true;
+        becomeFenced(worker);
     if (worker == nullptr)
         return;
     (wasImmediate ? worker->immediateRenewalInFlight : worker->renewalInFlight) = false;
@@ -276,7 +287,7 @@
         replaceIncarnation(now, worker, life);
         worker->awaitsReport = true;
     }
-    if (worker->unansweredRenewals > 0 || !worker->isKnown)
+    if (worker->unansweredRenewals > 0 || (!worker->isKnown && !worker->hasUnreadableRows))
         note("worker-reached", {}, worker,
              "running=" + std::to_string(answer->running.size())
                      + " ended=" + std::to_string(answer->ended.size()));
@@ -285,6 +296,7 @@
     worker->lastHeardAt = now;
     worker->renewalAt = now;
     worker->lease.observe(now, answer->clockMs);
+    worker->hasUnreadableRows = answer->unreadableRows > 0;
     worker->acknowledgedEnds =
             std::max(worker->acknowledgedEnds,
                      wasImmediate ? worker->immediateRenewalCursor : worker->renewalCursor);
@@ -301,16 +313,23 @@
         worker->recordedEnds = worker->seenEnds;
     if (answer->sentAt >= worker->strayRunsUntil)
         worker->strayRunsUntil = Worker::distantPast();
+    else
+        worker->immediateRenewalAt = std::min(worker->immediateRenewalAt, worker->strayRunsUntil);
     reconcileRunning(now, worker, *answer);
     if (!answer->hasMore) {
         releaseUnlisted(now, worker, *answer);
-        clearOldExposures(now, worker);
+        if (!worker->hasUnreadableRows)
+            clearOldExposures(now, worker);
     }
     finishTrials(now, worker, *answer);
     // What an earlier leader has told to stop is on no list and still at work.
     if (!worker->isKnown && !worker->guardsCapacity)
         awaitStrayRuns(now, worker);
-    worker->isKnown = worker->isKnown || !answer->hasMore;
+    const bool hasUnknownRuns =
+            worker->hasUnreadableRows && answer->sentAt < worker->lease.expiresAt();
+    worker->isKnown = worker->isKnown || (!answer->hasMore && !hasUnknownRuns);
+    if (!worker->isKnown && worker->hasUnreadableRows)
+        worker->renewalAt = now + m_settings.retryDelay;
     if (answer->sentAt >= worker->leftAt && !answer->hasMore) {
         removeLeft(now, worker);
         return;
@@ -336,8 +355,10 @@
             continue;
         }
         Run &run = ref.get();
-        if (run.phase == RunPhase::Starting)
+        if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
+            startConfirmed(now, worker, ref);
+        }
         if (run.phase == RunPhase::Running)
             run.confirmedAt = now;
         run.load = row.load;
@@ -368,23 +389,53 @@
     const Duration stopTime = longestStop();
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
-        const Run &run = it.get();
-        const bool mayBeOver = run.phase == RunPhase::Running
-                || (run.phase == RunPhase::Stopping && run.stopConfirmed);
+        Run &run = it.get();
+        if (run.phase == RunPhase::Stopping && !run.stopConfirmed) {
+            if (!listed.contains(it.task.key()) && isOverUnconfirmed(now, worker, &run, answer))
+                loseUnlisted(now, worker, it);
+            continue;
+        }
+        const bool mayBeOver = run.phase == RunPhase::Running || run.phase == RunPhase::Stopping;
         // A list requested before the worker last confirmed the run or its stop says nothing about
         // it.
         const Timestamp since =
                 run.phase == RunPhase::Stopping ? run.confirmedAt + stopTime : run.confirmedAt;
         if (!mayBeOver || listed.contains(it.task.key()) || answer.sentAt <= since)
             continue;
-        note("run-lost", it.key(), worker, "reason=unlisted");
-        clearExposure(now, it.task, run.number);
-        ++m_counts.lost;
-        releaseRun(it);
-        requeue(now, it.task);
+        // It may be in a row that could not be read, so it is over only once its stop has passed.
+        if (run.phase == RunPhase::Running && worker->hasUnreadableRows) {
+            requestStop(now, it, "unlisted");
+            continue;
+        }
+        loseUnlisted(now, worker, it);
     }
 }
 
+bool JobScheduler::isOverUnconfirmed(Timestamp now, Worker *worker, Run *run,
+                                     const RenewalAnswer &answer) const
+{
+    if (worker->hasUnreadableRows || answer.clockMs <= run->startDeadlineMs)
+        return false;
+    // It can't start any more. What is being stopped is on no list, so a second one decides.
+    const Duration stopTime = longestStop();
+    if (run->unlistedSince != Timestamp::max())
+        return answer.sentAt > run->unlistedSince + stopTime;
+    run->unlistedSince = now;
+    worker->immediateRenewalAt =
+            std::min(worker->immediateRenewalAt, now + stopTime + m_settings.recordDelay);
+    return false;
+}
+
+void JobScheduler::loseUnlisted(Timestamp now, Worker *worker, const RunRef &ref)
+{
+    note("run-lost", ref.key(), worker, "reason=unlisted");
+    clearExposure(now, ref.task, ref.get().number);
+    ++m_counts.lost;
+    const TaskRef task = ref.task;
+    releaseRun(ref);
+    requeue(now, task);
+}
+
 // ---- periodic checks
 
 void JobScheduler::checkExpiredLeases(Timestamp now)
@@ -423,17 +474,35 @@
     }
 }
 
-void JobScheduler::checkTakeover(Timestamp now)
+void JobScheduler::becomeFenced(const Worker *worker)
 {
-    if (!m_isTakingOver)
-        return;
-    std::size_t unknown = 0;
+    if (!m_isFenced)
+        note("fenced", {}, worker, "tenure=" + std::to_string(m_tenure.value));
+    m_isFenced = true;
+}
+
+std::vector<const Worker *> JobScheduler::unseenWorkers(Timestamp now) const
+{
+    std::vector<const Worker *> unseen;
     for (const auto &[id, worker] : m_workers.all()) {
         if (!worker->isKnown && now < worker->lease.expiresAt())
-            ++unknown;
+            unseen.push_back(worker.get());
     }
-    if (unknown > 0)
+    return unseen;
+}
+
+void JobScheduler::checkTakeover(Timestamp now)
+{
+    if (!m_isTakingOver)
+        return;
+    const std::vector<const Worker *> unseen = unseenWorkers(now);
+    // Workers that restart without answering would prolong it each time.
+    if (!unseen.empty() && now < m_earlierLeases.expiresAt())
         return;
+    for (const Worker *it : unseen)
+        note("take-over-not-awaited", {}, it,
+             "since-ms=" + std::to_string((now - m_tenureBeganAt) / std::chrono::milliseconds(1))
+                     + " unanswered=" + std::to_string(it->unansweredRenewals));
     m_isTakingOver = false;
     m_placementDue = true;
     note("take-over-ended", {}, nullptr, "workers=" + std::to_string(m_workers.all().size()));
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -39,6 +39,11 @@
     bool stopConfirmed = false;
     /// A stop order is in flight.
     bool stopInFlight = false;
+    /// When the order of its start expires, on the worker's clock: the worker rejects it from then
+    /// on, however late it arrives. INT64_MAX when the order may reach another incarnation.
+    std::int64_t startDeadlineMs = INT64_MAX;
+    /// When a list without the run came that was made after that; Timestamp::max() before.
+    Timestamp unlistedSince = Timestamp::max();
     Timestamp stopRetryAt;
     /// When its stop was first ordered; valid in RunPhase::Stopping.
     Timestamp stoppingSince;
@@ -79,6 +84,9 @@
     bool done = false;
     /// The task is in its step's list of ready tasks.
     bool isReady = false;
+    /// When its turn came, or its last confirmed run ended; Timestamp::max() before, and while a
+    /// worker has confirmed a run.
+    Timestamp idleSince = Timestamp::max();
     /// Latest checkpoint; empty for none.
     std::string checkpoint;
     /// Worker on which it failed last; the next run avoids it if possible.
@@ -127,13 +135,19 @@
     /// Indices of the tasks that wait for a worker.
     std::deque<std::uint32_t> ready;
     /// While tasks wait: when the first of them began to wait or a task of the step last started.
+    /// A start that fails does not count.
     Timestamp waitingSince;
+    /// Consecutive starts of its tasks that were refused or not answered. After one, workers that
+    /// confirm starts are preferred.
+    std::uint32_t failedStarts = 0;
     /// When a placement round last tried the step. A round may end before it reaches all steps.
     Timestamp lastTriedAt;
     /// The bound on exploratory starts has held back its tasks.
     bool wasHeldBack = false;
     /// When the step was last tried as an overdue one.
     Timestamp lastTriedOverdueAt;
+    /// When a worker was last looked for to be kept for a trial of its tasks.
+    Timestamp reservedAt;
     /// Longest chain of estimated durations from its start to the end of the job.
     Duration remainingPath {};
     /// The step is in the StepOrder.
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -22,6 +22,24 @@
 /// of the task takes longer.
 constexpr double wholeRunColdPenalty = 2;
 
+/// For a step whose last start failed. Outweighs another rack once the worker has confirmed no
+/// start for about as long as the half-life.
+constexpr double maxUnconfirmedPenalty = 16;
+constexpr Duration unconfirmedHalfLife = std::chrono::seconds(1);
+
+/// Part of that penalty that differs at random between workers.
+constexpr double unconfirmedSpread = 0.25;
+
+/// A number from 0 to 1 that has no order among the workers, and another one for each try.
+double shuffle(WorkerId worker, std::uint32_t attempt)
+{
+    constexpr std::uint64_t goldenRatio = 0x9e3779b97f4a7c15U;
+    constexpr std::uint64_t multiplier = 0xbf58476d1ce4e5b9U;
+    std::uint64_t n = (static_cast<std::uint64_t>(attempt) << 32U | worker.value) * goldenRatio;
+    n = (n ^ (n >> 30U)) * multiplier;
+    return static_cast<double>(n >> 32U) / static_cast<double>(UINT32_MAX);
+}
+
 /// Free processor capacity at which emptiness() is half; about half of a worker.
 constexpr double halfEmptyMillicores = 16'000;
 
@@ -105,14 +123,28 @@
     if (worker.life.pool == step.job->pool && isInClosedZone(worker))
         return PlacementObstacle::ClosedZone;
     if (worker.life.pool == step.job->pool && !isUsable(now, worker))
-        return PlacementObstacle::NotUsable;
+        return reasonNotUsable(now, worker);
     const PlacementObstacle obstacle = findObstacle(worker, step, PlacementMode::Usual);
     if (obstacle == PlacementObstacle::None && step.permits != nullptr
         && step.permits->find(worker, now) == nullptr)
         return PlacementObstacle::Permit;
+    if (obstacle == PlacementObstacle::None && m_limits.gaps != nullptr
+        && m_limits.gaps->isClosedTo(now, worker, step))
+        return PlacementObstacle::Kept;
     return obstacle;
 }
 
+PlacementObstacle Placer::reasonNotUsable(Timestamp now, const Worker &worker) const
+{
+    if (worker.unansweredRenewals > 0 || now - worker.lastHeardAt >= m_settings.maxSilence)
+        return PlacementObstacle::Silent;
+    if (now < worker.avoidUntil)
+        return PlacementObstacle::Avoided;
+    if (!worker.trials.empty() || now < worker.reservedUntil)
+        return PlacementObstacle::OnTrial;
+    return PlacementObstacle::NotUsable;
+}
+
 PlacementObstacle Placer::findObstacle(const Worker &worker, const Step &step,
                                        PlacementMode mode) const
 {
@@ -239,6 +271,19 @@
     return std::max(static_cast<std::int64_t>(percent), m_settings.minOverduePercent);
 }
 
+double Placer::unconfirmedPenalty(Timestamp now, const Worker &worker, const Step &step)
+{
+    if (step.failedStarts == 0)
+        return 0;
+    if (worker.failedStarts > 0)
+        return 2 * maxUnconfirmedPenalty;
+    const auto age = static_cast<double>((now - worker.startConfirmedAt).count());
+    const double penalty =
+            maxUnconfirmedPenalty * age / (age + static_cast<double>(unconfirmedHalfLife.count()));
+    // Workers of which nothing is known are tried in another order each time.
+    return penalty * (1 - unconfirmedSpread * shuffle(worker.id, step.failedStarts));
+}
+
 double Placer::coldPenalty(Timestamp now, const Worker &worker, const StepSpec &spec) const
 {
     if (!m_settings.prefersWarmWorkers || spec.fills || worker.warmAt <= now)
@@ -270,6 +315,7 @@
     if (worker.consecutiveFailures >= m_settings.suspectAfterFailures)
         score -= failedHerePenalty;
     score -= coldPenalty(now, worker, spec);
+    score -= unconfirmedPenalty(now, worker, step);
     return score;
 }
 
@@ -339,13 +385,14 @@
 Worker *Placer::chooseToReserve(Timestamp now, const WorkerTable &workers, const Step &step) const
 {
     Worker *best = nullptr;
-    std::pair<bool, TrialRank> bestRank;
+    std::tuple<bool, bool, TrialRank> bestRank;
     for (const auto &[id, worker] : workers.all()) {
         if (!isUsable(now, *worker) || !canEverFit(*worker, step)
             || (step.permits != nullptr && step.permits->find(*worker, now) == nullptr))
             continue;
-        const std::pair rank { !fits(*worker, step),
-                               rankForTrial(*worker, score(now, *worker, step)) };
+        // One that was kept for the step in vain comes last.
+        const std::tuple rank { !fits(*worker, step), worker->reservedFor == step.key(0),
+                                rankForTrial(*worker, score(now, *worker, step)) };
         if (best == nullptr || rank < bestRank) {
             best = worker.get();
             bestRank = rank;
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -21,12 +21,32 @@
     return shareOf(worker, spec.size.millicores);
 }
 
+void Worker::startFailed(Timestamp now, Timestamp orderedAt)
+{
+    if (orderedAt < startFailedAt)
+        return;
+    ++failedStarts;
+    startFailedAt = now;
+}
+
+void Worker::startConfirmed(Timestamp now)
+{
+    failedStarts = 0;
+    startConfirmedAt = now;
+}
+
 void Worker::holdForTrial(Timestamp now, Duration length)
 {
     trialBeganAt = now;
     trialEndsAt = std::max(trialEndsAt, now + length);
 }
 
+std::int64_t Worker::grantLease(Timestamp now, Duration length)
+{
+    leaseOrderedAt = now;
+    return lease.grant(now, length);
+}
+
 void Worker::reserve(const Step &step)
 {
     const StepSpec &spec = *step.spec;
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -10,6 +10,14 @@
 
 namespace acaciafork::jobs {
 
+/// Run with an open exposure to crashes of its worker.
+struct ExposedRun
+{
+    RunKey run;
+    /// When this leader ordered its start or adopted it; Timestamp::max() if it has done neither.
+    Timestamp startedAt = Timestamp::max();
+};
+
 /// State of one worker as known to the scheduler.
 struct Worker
 {
@@ -21,6 +29,8 @@
     /// Its lists of runs have been received in this tenure. Until then it may have runs that an
     /// earlier leader started.
     bool isKnown = false;
+    /// Rows of its latest lists could not be read.
+    bool hasUnreadableRows = false;
     std::uint64_t sequence = 0;
     /// When it last reported or answered.
     Timestamp lastHeardAt = distantPast();
@@ -36,6 +46,8 @@
     /// is not known: nothing starts until a list made after this time has none.
     Timestamp strayRunsUntil = distantPast();
     LeaseClock lease;
+    /// When an order that brings a lease was last sent to any of its incarnations.
+    Timestamp leaseOrderedAt;
 
     /// Resources reserved for its runs.
     Size used;
@@ -82,7 +94,7 @@
     /// Its incarnation is known to have crashed.
     bool hasCrashed = false;
     /// Runs on this incarnation that have an open exposure.
-    std::vector<RunKey> exposedRuns;
+    std::vector<ExposedRun> exposedRuns;
     /// Trials in progress, of one step: nothing else starts until they have passed.
     std::vector<RunKey> trials;
     Timestamp trialBeganAt;
@@ -98,6 +110,11 @@
 
     /// No new work until then, because the worker refused work or its runs failed.
     Timestamp avoidUntil = distantPast();
+    /// Consecutive starts that it refused or left unanswered, where those in flight together count
+    /// once; when the last of them failed, and when it last confirmed a start.
+    std::uint32_t failedStarts = 0;
+    Timestamp startFailedAt = distantPast();
+    Timestamp startConfirmedAt = distantPast();
     /// Consecutive failed runs of different jobs, without a successful one in between.
     std::uint32_t consecutiveFailures = 0;
     JobId lastFailedJob;
@@ -133,8 +150,13 @@
     /// Images of the serving tasks on this worker, each with its number of tasks.
     std::vector<std::pair<batch::Index, std::uint32_t>> servedImages;
 
+    /// @param[in] orderedAt when the start was ordered
+    void startFailed(Timestamp now, Timestamp orderedAt);
+    void startConfirmed(Timestamp now);
     /// Nothing else starts for the length of a trial that begins now.
     void holdForTrial(Timestamp now, Duration length);
+    /// Returns the end, on the worker's clock, of a lease that is ordered now.
+    std::int64_t grantLease(Timestamp now, Duration length);
     /// Reserve and release the resources of one task of the step.
     void reserve(const Step &step);
     void release(const Step &step);
--- a/acaciafork/net/JsonReader.cpp
+++ b/acaciafork/net/JsonReader.cpp
@@ -10,6 +10,13 @@
 
 namespace json = boost::json;
 
+namespace {
+
+/// Levels of arrays and objects that withoutDeepValues() keeps; fewer than the parser takes.
+constexpr std::size_t keptLevels = 16;
+
+} // namespace
+
 Result<json::object> parseJsonObject(std::string_view text)
 {
     boost::system::error_code ec;
@@ -31,6 +38,33 @@
             [] { return std::optional<json::object>(); });
 }
 
+std::string withoutDeepValues(std::string_view text)
+{
+    std::string kept;
+    kept.reserve(text.size());
+    std::size_t depth = 0;
+    bool isQuoted = false;
+    bool isEscaped = false;
+    for (const char it : text) {
+        const std::size_t before = depth;
+        if (isQuoted) {
+            isQuoted = isEscaped || it != '"';
+            isEscaped = !isEscaped && it == '\\';
+        } else if (it == '"') {
+            isQuoted = true;
+        } else if (it == '[' || it == '{') {
+            ++depth;
+        } else if ((it == ']' || it == '}') && depth > 0) {
+            --depth;
+        }
+        if (std::max(before, depth) <= keptLevels)
+            kept += it;
+        else if (before == keptLevels)
+            kept += "null";
+    }
+    return kept;
+}
+
 const json::value *JsonReader::find(std::string_view key)
 {
     return m_object.if_contains(key);
@@ -80,14 +114,14 @@
     return find(key) == nullptr ? absent : number(key, least, most);
 }
 
-double JsonReader::optionalReal(std::string_view key, double absent)
+double JsonReader::optionalReal(std::string_view key, double absent, double most)
 {
     const json::value *value = find(key);
     if (value == nullptr)
         return absent;
     const double n = value->is_number() ? value->to_number<double>() : -1;
-    if (n < 0) {
-        refuse(key, "a number from 0 on");
+    if (n < 0 || n > most) {
+        refuse(key, "a number from 0 to " + std::to_string(most));
         return absent;
     }
     return n;
@@ -108,11 +142,12 @@
 Address JsonReader::address(std::string_view key)
 {
     const std::string found = text(key);
-    return leaf::try_handle_all([&]() -> Result<Address> { return parseAddress(found); },
-                                [&] {
-                                    refuse(key, "an IP number and port");
-                                    return Address();
-                                });
+    Address address = leaf::try_handle_all([&]() -> Result<Address> { return parseAddress(found); },
+                                           [] { return Address(); });
+    // Port 0 is for listeners, which get one from the system.
+    if (address.port == 0)
+        refuse(key, "an IP number and port");
+    return address;
 }
 
 std::size_t JsonReader::choice(std::string_view key, std::initializer_list<std::string_view> words)
--- a/acaciafork/net/JsonReader.h
+++ b/acaciafork/net/JsonReader.h
@@ -19,6 +19,10 @@
 /// The object, or none when the text is no JSON object: for answers of which only some have a body.
 std::optional<boost::json::object> findJsonObject(std::string_view text);
 
+/// The JSON text with null in place of all that is nested too deeply to be parsed, so that one such
+/// value does not make the rest unreadable.
+std::string withoutDeepValues(std::string_view text);
+
 /// Reads typed fields out of one JSON object. The first thing wrong is kept and names its field, so
 /// that a decoder reads all fields in a row and checks once.
 class JsonReader
@@ -43,11 +47,16 @@
     {
         return optionalNumber(key, 0, most, 0);
     }
-    /// Number from 0 on, whole or not; `absent` when the key is not there.
-    double optionalReal(std::string_view key, double absent = 0);
+    /// Number from 0 to `most`, whole or not; `absent` when the key is not there.
+    double optionalReal(std::string_view key, double absent = 0, double most = UINT32_MAX);
+    /// Whole milliseconds of a number from 0 to 2^32 - 1; 0 when absent.
+    std::uint32_t optionalMilliseconds(std::string_view key)
+    {
+        return static_cast<std::uint32_t>(optionalReal(key));
+    }
     /// False when absent.
     bool optionalFlag(std::string_view key);
-    /// IP number and port.
+    /// IP number and port, one that can be connected to.
     Address address(std::string_view key);
     /// Index of the word that stands there among those allowed.
     std::size_t choice(std::string_view key, std::initializer_list<std::string_view> words);
--- a/tests/consensus/LogFolderTest.cpp
+++ b/tests/consensus/LogFolderTest.cpp
@@ -393,3 +393,68 @@
         CHECK(last.recoveredState.entries.back().index == recovered + 1);
     }
 }
+
+TEST_CASE("a log goes on after a fetched snapshot whose new segment had no room")
+{
+    SnapshotMeta meta { .index = 20, .term = 1, .membership = {}, .size = 0, .checksum = 0 };
+    const std::string bytes(1000, 'x');
+    {
+        MemoryDisk source(1);
+        FolderSession session(&source);
+        REQUIRE(resultOf([&] { return session.folder->storeSnapshot(&meta, bytes); }).done);
+    }
+    MemoryDisk disk(1);
+    writeEntries(&disk, 10);
+    {
+        // The next segment starts only after the snapshot's index.
+        FolderSession session(&disk, 1500);
+        REQUIRE(session.write(11).done);
+        REQUIRE(resultOf([&] { return session.folder->writeChunk({ meta, 0, bytes }); }).done);
+        disk.setFull(true);
+        CHECK(resultOf([&] { return session.folder->finishPartial(true); }).kind
+              == FailureKind::Full);
+        disk.setFull(false);
+        // The next leader still has the entries, so that no snapshot is needed.
+        for (LogIndex it = 12; it <= 40; ++it)
+            REQUIRE(session.write(it).done);
+    }
+    disk.restart();
+    const FolderSession session(&disk);
+    INFO(session.result.detail);
+    REQUIRE(session.result.done);
+    CHECK(session.recoveredState.baseIndex + session.recoveredState.entries.size() == 40);
+}
+
+TEST_CASE("a folder goes on once a full disk that refused every call has room")
+{
+    const std::array refusals { FullDisk { .truncate = true }, FullDisk { .names = true },
+                                FullDisk { .truncate = true, .names = true } };
+    for (const FullDisk &refused : refusals) {
+        for (std::uint64_t call = 1; call <= 30; ++call) {
+            CAPTURE(call);
+            MemoryDisk disk(call);
+            LogIndex done = 0;
+            {
+                FolderSession session(&disk, 300);
+                for (LogIndex it = 1; it <= 3; ++it)
+                    REQUIRE(session.write(it).done);
+                // The disk gets full within a write or between two.
+                disk.fullAfter(call, refused);
+                for (LogIndex it = 4; it <= 12; ++it) {
+                    CallResult written = session.write(it);
+                    for (int retry = 0; !written.done && retry < 3; ++retry) {
+                        CHECK(written.kind == FailureKind::Full);
+                        if (retry == 1)
+                            disk.setFull(false);
+                        written = session.write(it);
+                    }
+                    REQUIRE(written.done);
+                }
+                done = 12;
+            }
+            disk.setFull(false);
+            disk.restart();
+            checkNothingLost(&disk, done);
+        }
+    }
+}
--- a/tests/consensus/ReplicaTest.cpp
+++ b/tests/consensus/ReplicaTest.cpp
@@ -214,3 +214,78 @@
     CHECK(group.member(slow.value).state.version() == 2000);
     CHECK(group.violation() == "");
 }
+
+TEST_CASE("a leader whose transfer of the leadership failed accepts changes again")
+{
+    // The target's disk got full and it restarted, so that it never started its election.
+    Group group({ .members = 3, .seed = 13 });
+    REQUIRE(group.awaitLeader());
+    REQUIRE(writeThrough(&group, 1));
+    GroupMember *old = group.leader();
+    GroupMember &target = group.member(old->id.value % 3 + 1);
+    target.disk.setFull(true);
+    REQUIRE(old->replica->transferLeadership(old->clock(), target.id));
+    group.run(std::chrono::milliseconds(100));
+    target.crash();
+    const NodeSettings node;
+    group.run(node.transferTimeout);
+    target.disk.setFull(false);
+    REQUIRE(target.start());
+    group.run(3 * node.maxElectionTimeout);
+    GroupMember *leader = group.leader();
+    REQUIRE(leader != nullptr);
+    CHECK(leader->replica->canReadNow(leader->clock()));
+    CHECK(writeThrough(&group, 2));
+    CHECK(group.violation() == "");
+}
+
+TEST_CASE("a member that can't store its term on a full disk tries again at intervals")
+{
+    Group group({ .members = 3, .seed = 14 });
+    REQUIRE(group.awaitLeader());
+    GroupMember *old = group.leader();
+    GroupMember &next = group.member(old->id.value % 3 + 1);
+    old->disk.setFull(true);
+    REQUIRE(old->replica->transferLeadership(old->clock(), next.id));
+    group.run(std::chrono::seconds(1));
+    REQUIRE(group.leader() == &next);
+    const std::uint64_t before = old->disk.calls();
+    group.run(std::chrono::seconds(2));
+    // An append and a truncation each time.
+    const auto tries = static_cast<std::uint64_t>(std::chrono::seconds(2)
+                                                  / NodeSettings {}.diskFullRetryInterval);
+    CHECK(old->disk.calls() - before <= 2 * (tries + 1));
+    old->disk.setFull(false);
+    group.run(std::chrono::seconds(1));
+    REQUIRE(writeThrough(&group, 1));
+    group.run(std::chrono::milliseconds(200));
+    CHECK(old->state.find(1) != nullptr);
+    CHECK(group.violation() == "");
+}
+
+TEST_CASE("changes are accepted after the disks of a leader and its successor were full in turn")
+{
+    Group group({ .members = 3, .seed = 15 });
+    REQUIRE(group.awaitLeader());
+    REQUIRE(writeThrough(&group, 1));
+    GroupMember *old = group.leader();
+    GroupMember &successor = group.member(old->id.value == 1 ? 2 : 1);
+    const NodeSettings node;
+    old->disk.setFull(true);
+    REQUIRE(old->replica->propose(old->clock(), Register::command(2, 0, 2)));
+    // The leader hands over before it tries its own disk again.
+    group.run(node.maxElectionTimeout - std::chrono::milliseconds(20));
+    old->disk.setFull(false);
+    successor.disk.setFull(true);
+    group.run(std::chrono::milliseconds(100));
+    successor.crash();
+    group.run(node.transferTimeout);
+    successor.disk.setFull(false);
+    REQUIRE(successor.start());
+    group.run(node.diskFullRetryInterval + 3 * node.maxElectionTimeout);
+    GroupMember *leader = group.leader();
+    REQUIRE(leader != nullptr);
+    CHECK(leader->replica->canReadNow(leader->clock()));
+    CHECK(writeThrough(&group, 3));
+    CHECK(group.violation() == "");
+}
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -23,6 +23,13 @@
     double orderLost = 0;
     /// The worker is unhealthy for that moment: it says so and does nothing.
     double unhealthy = 0;
+    /// A row of what runs on a worker can't be read.
+    double rowUnreadable = 0;
+    /// Rows of each list that can't be read and stand for no run.
+    std::uint32_t oddRows = 0;
+    /// The leader goes on leading and does not learn whether a record of it is committed; half of
+    /// them are.
+    double recordUnknown = 0;
     /// A run fails.
     double runFails = 0;
     /// A message between the leader and a relay is lost, arrives twice, or takes up to 2 s.
@@ -59,6 +66,9 @@
     std::uint64_t seed = 1;
     /// Faults planted in the scheduler's surroundings, to see that the checks catch them.
     bool tellsDoneAsStopped = false;
+    /// Orders that are carried out late reach the next lives of their workers, also deaf ones. The
+    /// workers keep the numbers of the runs that they were told to start or stop.
+    bool lateOrdersOutliveWorkers = false;
     /// Relays carry out orders however late they come.
     bool relaysTakeLateOrders = false;
     /// Rate of every second worker's clock; the interface allows down to 0.98.
@@ -124,6 +134,8 @@
     void deafenRelay(std::size_t relay, bool isDeaf) { m_relays[relay].isDeaf = isDeaf; }
     /// The leader can propose nothing, as with a full disk.
     void refuseProposals(bool isRefusing) { m_refusesProposals = isRefusing; }
+    /// The leader can propose, and nothing is committed until this ends.
+    void holdCommits(bool isHeld) { m_holdsCommits = isHeld; }
     void setAdvisorDown(bool isDown) { m_isAdvisorDown = isDown; }
     WorldFaults &faults() { return m_options.faults; }
     /// @}
@@ -217,6 +229,11 @@
                                jobs::Tenure tenure);
     /// Checks that no run waits for an answer that does not come.
     void checkOrders();
+    /// Checks that each task of an active job is in a state that it leaves, and each run in a phase
+    /// that is not older than its bound.
+    void checkTasks();
+    void checkTask(const jobs::TaskRef &task, bool isTakingOver);
+    void checkRun(const jobs::RunRef &run);
     /// Checks that no task starts in a zone that has been closed for long.
     void checkZone(const FakeWorker &worker, const jobs::TaskKey &task);
     void checkStart(const FakeWorker &worker, const jobs::StartRun &order);
@@ -291,10 +308,15 @@
     std::set<std::uint64_t> m_advised;
     bool m_isAdvisorDown = false;
     bool m_refusesProposals = false;
+    bool m_holdsCommits = false;
     Timestamp m_advisorFreeAt;
     std::uint64_t m_askedWorkers = 0;
     std::uint64_t m_noPermit = 0;
     Timestamp m_nextBeat;
+    Timestamp m_nextTaskCheck;
+    /// Tenure that the checks saw last, and since when.
+    jobs::Tenure m_checkedTenure;
+    Timestamp m_tenureSince;
 };
 
 /// Fails the test for each of the first breaches.
