--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -241,7 +241,7 @@
 
 void JobDriver::carryOut(Moment at)
 {
-    // The next tenure learns again what this one would still record.
+    // What is not recorded yet is in the workers' lists again for the next tenure.
     if (!m_isActive || m_isRenewing)
         return;
     const JobCommandRunner runner { .driver = *this, .at = at };
--- a/acaciafork/decisions/jobs/TaskState.h
+++ b/acaciafork/decisions/jobs/TaskState.h
@@ -8,7 +8,7 @@
 namespace acaciafork::jobs {
 
 /// What a task of an active job is doing, or what it waits for. Every task is in exactly one of
-/// these states; each state but Astray is left by an event with a bound.
+/// these states.
 enum class TaskState : std::uint8_t {
     Done,
     Running, ///< its worker has confirmed the run
