--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -79,7 +79,7 @@
     , m_longestWait(&counters->counter("steps_longest_wait_ms", MetricKind::Gauge))
     , m_blockedSteps(&counters->counter("steps_blocked", MetricKind::Gauge))
     , m_longestTaskWait(&counters->counter("tasks_longest_wait_ms", MetricKind::Gauge))
-    , m_strayTasks(&counters->counter("tasks_astray", MetricKind::Gauge))
+    , m_astrayTasks(&counters->counter("tasks_astray", MetricKind::Gauge))
     , m_zonesClosed(&counters->counter("zones_closed", MetricKind::Gauge))
     , m_gapsKept(&counters->counter("gaps_kept", MetricKind::Gauge))
     , m_gapsUsed(&counters->counter("gaps_used", MetricKind::Gauge))
@@ -232,7 +232,7 @@
     m_longestWait->set(counts.longestWait / std::chrono::milliseconds(1));
     m_blockedSteps->set(static_cast<std::int64_t>(counts.blockedSteps));
     m_longestTaskWait->set(counts.longestTaskWait / std::chrono::milliseconds(1));
-    m_strayTasks->set(static_cast<std::int64_t>(counts.strayTasks));
+    m_astrayTasks->set(static_cast<std::int64_t>(counts.astrayTasks));
     m_zonesClosed->set(static_cast<std::int64_t>(m_scheduler.closedZones().size()));
     m_gapsKept->set(static_cast<std::int64_t>(counts.gapsKept));
     m_gapsUsed->set(static_cast<std::int64_t>(counts.gapsUsed));
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -165,7 +165,7 @@
     Counter *m_longestWait;
     Counter *m_blockedSteps;
     Counter *m_longestTaskWait;
-    Counter *m_strayTasks;
+    Counter *m_astrayTasks;
     Counter *m_zonesClosed;
     Counter *m_gapsKept;
     Counter *m_gapsUsed;
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -142,7 +142,7 @@
     /// Longest time for which a task whose turn has come has no confirmed run, whatever it waits
     /// for, and the number of tasks that nothing will start; as of the last summary.
     Duration longestTaskWait {};
-    std::size_t strayTasks = 0;
+    std::size_t astrayTasks = 0;
 };
 
 /// Assigns tasks to workers, renews leases, and tracks every run to its end. Runs on the leader
--- a/acaciafork/decisions/jobs/JobSchedulerReports.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -133,7 +133,7 @@
             }
         }
     }
-    m_counts.strayTasks = counts.at(static_cast<std::size_t>(TaskState::Astray));
+    m_counts.astrayTasks = counts.at(static_cast<std::size_t>(TaskState::Astray));
     std::string detail =
             "longest-ms=" + std::to_string(m_counts.longestTaskWait / std::chrono::milliseconds(1));
     for (std::size_t it = 0; it < counts.size(); ++it) {
