--- a/tests/control/JobWorldChecks.cpp
+++ b/tests/control/JobWorldChecks.cpp
@@ -157,8 +157,7 @@
     if (failures != m_failuresNoted.end()
         && failures->second.size() >= m_attempts.at(task.job.value))
         breach("start of " + nameOf(task) + " beyond its attempts");
-    // A task whose workers crash for reasons of their own has to be started again each time.
-    if (m_deadly.contains(task) && crashesUnder(task) >= 3 && ++m_startsAfterCrashes[task] >= 3)
+    if (crashesUnder(task) >= 3 && ++m_startsAfterCrashes[task] >= 3)
         breach("start of " + nameOf(task) + " three times more after three crashes");
     const auto cancelled = m_cancelledAt.find(task.job.value);
     if (cancelled != m_cancelledAt.end() && m_now - cancelled->second > cancelBound)
