--- a/acaciafork/control/JobCommandRunner.h
+++ b/acaciafork/control/JobCommandRunner.h
@@ -26,8 +26,8 @@
     void proposeRecords() const;
 
 private:
-    /// Once a record is committed the scheduler is told, unless the leadership is over: the next
-    /// leader sees again what the record would have told.
+    /// The scheduler is notified once a record is committed, unless the leadership is over: the
+    /// next leader learns the same from the workers' lists.
     template <typename Record>
     void proposeRecords(RecordQueue<Record> *queue) const;
 };
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -241,7 +241,7 @@
 
 void JobDriver::carryOut(Moment at)
 {
-    // What is not recorded yet is in the workers' lists again for the next tenure.
+    // The next tenure reads from the workers' lists what is not recorded yet.
     if (!m_isActive || m_isRenewing)
         return;
     const JobCommandRunner runner { .driver = *this, .at = at };
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -88,7 +88,7 @@
     /// Begins a new tenure where a worker's fence is above this one and this member still leads.
     void renewIfFenced(Timestamp now);
     void begin(Moment at, std::uint64_t tenure);
-    /// Forgets what the scheduler of a tenure that ends was to be told.
+    /// Discards the records and the waiting calls of a tenure that ends.
     void leaveTenure();
     [[nodiscard]] std::vector<std::string> closedZones() const;
     [[nodiscard]] bool isKnownZone(std::string_view zone) const;
--- a/acaciafork/decisions/jobs/CrashHistory.h
+++ b/acaciafork/decisions/jobs/CrashHistory.h
@@ -28,7 +28,7 @@
     /// starts after the third crash.
     std::size_t maxCrashes = 5;
     std::uint32_t convictingBlameAtMaxCrashes = 7'000;
-    /// Maximum number of steps with suspected tasks that are tried in vain in one placement round.
+    /// A placement round ends its search for trials after this many steps that found no worker.
     std::size_t maxTrialsPerRound = 16;
     /// Maximum part of the workers that are kept from other starts for trials to come, in percent.
     std::size_t maxReservedPercent = 12;
--- a/acaciafork/decisions/jobs/GapPlanner.h
+++ b/acaciafork/decisions/jobs/GapPlanner.h
@@ -81,7 +81,7 @@
 
     /// True when the worker is kept and the step must not start a task there now.
     [[nodiscard]] bool isClosedTo(Timestamp now, const Worker &worker, const Step &step) const;
-    /// The same; notes that the step did not get the worker.
+    /// The same, and adds the step to KeptGap::turnedAway.
     bool turnsAway(Timestamp now, const Worker &worker, const Step &step);
     /// Takes a start on a worker into account.
     /// @return the gap that the start has used, if the worker was kept for the step
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -30,8 +30,8 @@
 {
     /// Lease granted to a worker with each order; the workers' own limit is 6 s.
     Duration lease = std::chrono::milliseconds(4000);
-    /// Longest time for which a worker holds a lease, whatever it is told; a bound given by the
-    /// worker interface.
+    /// Longest lease that a worker accepts; longer ones are shortened to it. Fixed by the worker
+    /// interface.
     Duration maxLease = std::chrono::seconds(6);
     /// Longest time after which an order that got no answer may still be carried out, also by a
     /// later incarnation of its worker. Bounds the take-over: what earlier leaders ordered runs for
@@ -341,7 +341,7 @@
                     PlacementMode mode);
     /// True while the record of a trial has been awaited for long.
     [[nodiscard]] bool isTrialRecordOverdue(Timestamp now) const;
-    /// Lets go of the workers whose trials wait for an overdue record.
+    /// Abandons the trials that wait for an overdue record, so that their workers are usable again.
     void abandonOverdueTrials(Timestamp now);
     /// Gives up a trial that was recorded too late to begin.
     void abandonTrial(Timestamp now, const RunRef &run);
@@ -354,11 +354,12 @@
     void reserveForTrials(Timestamp now);
     /// True while a suspected task of the step waits for a worker.
     [[nodiscard]] static bool needsTrial(const Step &step);
-    /// How long a worker must have started nothing before a trial of a task that has waited for
-    /// one: the length of the trial at first, the least of them for an overdue task.
-    [[nodiscard]] Duration quietBeforeTrial(const Task &task, Duration waited) const;
-    /// Longest time for which a worker may have to start nothing before a trial of the step.
-    [[nodiscard]] Duration longestQuiet(const Step &step) const;
+    /// Isolation time: how long a worker must have started nothing before a trial of the task. It
+    /// is the length of the trial, and the shortest length for an overdue task.
+    /// @param[in] waited how long the task has waited for a trial
+    [[nodiscard]] Duration isolationTime(const Task &task, Duration waited) const;
+    /// Longest isolation time of the suspected tasks of the step.
+    [[nodiscard]] Duration longestIsolation(const Step &step) const;
     void finishTrials(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     [[nodiscard]] std::size_t trialsInProgress() const;
     void replaceIncarnation(Timestamp now, Worker *worker, const WorkerLife &life);
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -8,8 +8,8 @@
 namespace acaciafork::jobs {
 namespace {
 
-/// A worker is kept for a trial for this long after the quiet before it: the time to confirm what
-/// was starting there, and for some of its runs to make room.
+/// A worker is kept for a trial for its isolation time and this long: the time to confirm what was
+/// starting there, and for some of its runs to make room.
 constexpr Duration reservationMargin = std::chrono::seconds(1);
 
 } // namespace
@@ -220,7 +220,7 @@
     }
     std::vector<WaitingSuspect> waiting;
     waiting.swap(m_waitingSuspects);
-    // Tasks of one step differ in the quiet that their trials need only.
+    // Tasks of one step differ only in the isolation times of their trials.
     std::map<const Step *, Duration> failed;
     std::size_t failedCount = 0;
     const bool isRecordOverdue = isTrialRecordOverdue(now);
@@ -232,14 +232,14 @@
         // An earlier entry may have been for the same task.
         if (!task || !task.get().awaitsTrial)
             return;
-        const Duration quiet = quietBeforeTrial(task.get(), now - it->since);
+        const Duration isolation = isolationTime(task.get(), now - it->since);
         it->triedAt = now;
         const auto known = failed.find(task.step);
-        if (known != failed.end() && known->second <= quiet)
+        if (known != failed.end() && known->second <= isolation)
             return;
         if (placeTrial(now, task, it->since))
             return;
-        failed[task.step] = quiet;
+        failed[task.step] = isolation;
         failedCount += reserved.contains(task.step->key(0)) ? 0 : 1;
     };
     // Those that have waited longest come first; any number of them may fit nowhere, so half of
@@ -271,10 +271,10 @@
     }
 }
 
-Duration JobScheduler::quietBeforeTrial(const Task &task, Duration waited) const
+Duration JobScheduler::isolationTime(const Task &task, Duration waited) const
 {
-    // Longer quiet rules out more of the tasks beside it. Without it a crash is no more likely
-    // than on any worker where tasks start, and by that its blame is reckoned.
+    // A longer isolation rules out more of the tasks beside it. With a short one, a crash is no
+    // more likely than on any worker where tasks start, and the blame is computed from that rate.
     return waited >= m_settings.overdueAfter ? m_settings.crashes.trialLength
                                              : task.crashes.trialLength(m_settings.crashes);
 }
@@ -284,8 +284,8 @@
     Task &task = ref.get();
     const bool isOverdue = now - waitingSince >= m_settings.overdueAfter;
     const PlacementMode mode = isOverdue ? PlacementMode::Overdue : PlacementMode::Usual;
-    const Duration quiet = quietBeforeTrial(task, now - waitingSince);
-    Worker *worker = m_placer.chooseForTrial(now, m_workers, *ref.step, quiet, nullptr, mode);
+    const Duration isolation = isolationTime(task, now - waitingSince);
+    Worker *worker = m_placer.chooseForTrial(now, m_workers, *ref.step, isolation, nullptr, mode);
     if (worker == nullptr) {
         requestPermits(now, ref.step);
         return false;
@@ -426,7 +426,7 @@
                                           / static_cast<std::size_t>(wholePercent));
     if (served.size() >= most)
         return;
-    // In turn, since the worker kept for a task may never have room for it.
+    // Round robin, since the worker kept for a task may never have room for it.
     std::ranges::stable_sort(m_unplacedTrials, {}, &Step::reservedAt);
     std::size_t tried = 0;
     for (Step *it : m_unplacedTrials) {
@@ -441,7 +441,7 @@
             continue;
         served.insert(it->key(0));
         worker->reservedFor = it->key(0);
-        worker->reservedUntil = now + longestQuiet(*it) + reservationMargin;
+        worker->reservedUntil = now + longestIsolation(*it) + reservationMargin;
     }
 }
 
@@ -452,7 +452,7 @@
     });
 }
 
-Duration JobScheduler::longestQuiet(const Step &step) const
+Duration JobScheduler::longestIsolation(const Step &step) const
 {
     Duration longest {};
     for (const Task &it : step.tasks) {
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -348,7 +348,7 @@
         // A member may also join a trial of its own gang: only their job is at stake.
         if (worker == nullptr)
             worker = m_placer.chooseForTrial(now, m_workers, *step,
-                                             quietBeforeTrial(task.get(), now - waitingSince), rack,
+                                             isolationTime(task.get(), now - waitingSince), rack,
                                              mode, !isTrial);
         if (worker == nullptr) {
             if (isTrial)
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -117,7 +117,7 @@
     for (const RunRef &it : worker->runs)
         it.get().startDeadlineMs = INT64_MAX;
     worker->lease = {};
-    // Of what was ordered, nothing begins after maxOrderDelay: no restart prolongs that.
+    // No order is carried out later than maxOrderDelay, however often the worker restarts.
     const Timestamp lastBegin = worker->leaseOrderedAt + m_settings.maxOrderDelay;
     worker->lease.assumeGranted(std::min(now, lastBegin + m_settings.maxLease - m_settings.lease),
                                 m_settings.lease);
@@ -416,7 +416,8 @@
 {
     if (worker->hasUnreadableRows || answer.clockMs <= run->startDeadlineMs)
         return false;
-    // It can't start any more. What is being stopped is on no list, so a second one decides.
+    // The run can't start any more. A run that is being stopped is on no list either, so only a
+    // second list without it shows that it is over.
     const Duration stopTime = longestStop();
     if (run->unlistedSince != Timestamp::max())
         return answer.sentAt > run->unlistedSince + stopTime;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -30,7 +30,7 @@
 /// Part of that penalty that differs at random between workers.
 constexpr double unconfirmedSpread = 0.25;
 
-/// A number from 0 to 1 that has no order among the workers, and another one for each try.
+/// Pseudo-random number from 0 to 1 for a worker and an attempt.
 double shuffle(WorkerId worker, std::uint32_t attempt)
 {
     constexpr std::uint64_t goldenRatio = 0x9e3779b97f4a7c15U;
@@ -280,7 +280,7 @@
     const auto age = static_cast<double>((now - worker.startConfirmedAt).count());
     const double penalty =
             maxUnconfirmedPenalty * age / (age + static_cast<double>(unconfirmedHalfLife.count()));
-    // Workers of which nothing is known are tried in another order each time.
+    // Breaks ties between workers that have confirmed no start, in another order at each attempt.
     return penalty * (1 - unconfirmedSpread * shuffle(worker.id, step.failedStarts));
 }
 
@@ -390,7 +390,7 @@
         if (!isUsable(now, *worker) || !canEverFit(*worker, step)
             || (step.permits != nullptr && step.permits->find(*worker, now) == nullptr))
             continue;
-        // One that was kept for the step in vain comes last.
+        // A worker that was kept for the step before and had no room for it comes last.
         const std::tuple rank { !fits(*worker, step), worker->reservedFor == step.key(0),
                                 rankForTrial(*worker, score(now, *worker, step)) };
         if (best == nullptr || rank < bestRank) {
--- a/acaciafork/decisions/jobs/TaskState.h
+++ b/acaciafork/decisions/jobs/TaskState.h
@@ -20,7 +20,7 @@
     AwaitsTakeOver, ///< an earlier leader may have started it
     AwaitsSteps, ///< it waits for the end of earlier steps
     NotDue, ///< its occurrence is not due yet
-    Astray, ///< none of these: nothing will start it
+    Astray, ///< none of these; a fault of the scheduler, since nothing will start it
 };
 
 /// Number of values of TaskState.
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -66,8 +66,8 @@
     std::uint64_t seed = 1;
     /// Faults planted in the scheduler's surroundings, to see that the checks catch them.
     bool tellsDoneAsStopped = false;
-    /// Orders that are carried out late reach the next lives of their workers, also deaf ones. The
-    /// workers keep the numbers of the runs that they were told to start or stop.
+    /// Orders that are carried out late also reach later incarnations of their workers. These keep
+    /// the run numbers of the starts and stops of the earlier ones.
     bool lateOrdersOutliveWorkers = false;
     /// Relays carry out orders however late they come.
     bool relaysTakeLateOrders = false;
--- a/tests/control/TrialTest.cpp
+++ b/tests/control/TrialTest.cpp
@@ -251,7 +251,7 @@
 
 TEST_CASE("tasks that ran on a crashed worker for longer than any trial lasts are not suspected")
 {
-    // Issue 40: each task on a crashed worker waited for a trial that could show nothing of it.
+    // Issue 40: tasks that had run for longer than any trial lasts waited for one.
     struct Case
     {
         Duration ranFor;
--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -397,7 +397,8 @@
 
 TEST_CASE("a worker that listed a stray run twice gets work again once the run is gone")
 {
-    // It was looked at once, too early for its second list, and an idle worker isn't asked again.
+    // Its lists were requested once more, too early for the second one; idle workers get no
+    // renewals.
     SchedulerFixture fixture;
     const std::array queues { QueueSpec {
             .name = "q", .pool = "pool", .maxAttempts = 3, .guardsCapacity = false } };
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -179,7 +179,7 @@
 
 TEST_CASE("an odd heartbeat names no worker")
 {
-    // Recorded, it would take those beside it along, or overflow in the arithmetic of leases.
+    // Such values made a record of several workers invalid, or overflowed in computing leases.
     const std::string beat = R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
                              R"("capacity":{"cpu":8,"memMb":9,"gpu":0},"labels":["a","r1-3"],)"
                              R"("clockMs":5,"sequence":4,"born":6,"version":"v1"})";
