Let jobs whose only runs are unconfirmed be overdue

Cause: any run in the leader's table counted as work of the job, so a run that waited for its end or its record kept the rest of the job from overdue placement and from kept workers for as long as it was there, up to 18 s. Only runs that are being started or are running count now.

Evidence: the test fails on the code before (no second start within 2.5 s).

--- a/acaciafork/decisions/jobs/GapPlanner.cpp
+++ b/acaciafork/decisions/jobs/GapPlanner.cpp
@@ -110,7 +110,7 @@
         if (waited >= m_settings.openAfter / 2 && room.fitsIn(worker.freeCapacity()))
             return false;
     }
-    return waited < m_settings.openAfter || (!spec.longRunning && step.job->runCount > 0);
+    return waited < m_settings.openAfter || (!spec.longRunning && step.job->isAtWork());
 }
 
 bool GapPlanner::turnsAway(Timestamp now, const Worker &worker, const Step &step)
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -202,9 +202,10 @@
 {
     std::vector<Step *> steps;
     for (const auto &[rank, step] : m_order.steps()) {
+        if (now - step->waitingSince < m_settings.overdueAfter || awaitsTakeOver(*step))
+            continue;
         // Each long-running task counts by itself, whether others of its job run or not.
-        const bool isIdle = step->job->runCount == 0 || step->spec->longRunning;
-        if (isIdle && now - step->waitingSince >= m_settings.overdueAfter && !awaitsTakeOver(*step))
+        if (step->spec->longRunning || !step->job->isAtWork())
             steps.push_back(step);
     }
     const std::size_t n = std::min(m_settings.maxOverdueTries, steps.size());
@@ -221,7 +222,7 @@
     for (Step *step : overdueSteps(now)) {
         step->lastTriedOverdueAt = now;
         // A step before this one may have started a task of the same job.
-        if (step->job->runCount > 0 && !step->spec->longRunning)
+        if (!step->spec->longRunning && step->job->isAtWork())
             continue;
         if (step->spec->gang) {
             placeGang(now, step, PlacementMode::Overdue);
--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -35,6 +35,19 @@
         gangCheckpoint = checkpoint;
 }
 
+bool Job::isAtWork() const
+{
+    if (runCount == 0)
+        return false;
+    return std::ranges::any_of(steps, [](const Step &step) {
+        return std::ranges::any_of(step.tasks, [](const Task &task) {
+            return std::ranges::any_of(task.runs, [](const Run &run) {
+                return run.phase == RunPhase::Starting || run.phase == RunPhase::Running;
+            });
+        });
+    });
+}
+
 Duration objectiveOf(const JobSpec &spec, const QueueSpec &queue)
 {
     const auto chain = static_cast<double>(spec.criticalPath().count());
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -206,6 +206,10 @@
     bool hasBegun = false;
     /// Ordered by occurrence, then by step.
     std::vector<Step> steps;
+
+    /// True when a task runs or is being started. A run that waits for its record or its end may be
+    /// on no worker.
+    [[nodiscard]] bool isAtWork() const;
 };
 
 /// Reference to a task of a step.
--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -137,3 +137,22 @@
     CHECK(fixture.scheduler.counts().blockedSteps == 1);
     CHECK(fixture.scheduler.counts().longestWait >= 4s);
 }
+
+TEST_CASE("a job whose only run is unconfirmed is overdue")
+{
+    // Any run in the table counted as work, whether its worker had it or not.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, { .count = 2, .size = { 26'000, 100, 0 }, .longRunning = true });
+    for (const StartRun &it : fixture.take<StartRun>())
+        fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run, OrderOutcome::Done);
+    // Less than half of what a task asks for is unused anywhere, so only overdue ones start.
+    fixture.acceptJob(2,
+                      { .count = 2, .size = { 14'000, 100, 0 }, .image = "image", .fills = true });
+    const std::vector<StartRun> first = fixture.startsWithin(3s, { 2 });
+    REQUIRE(first.size() == 1);
+    fixture.scheduler.startAnswered(fixture.at, first[0].target.worker, first[0].run,
+                                    OrderOutcome::Unanswered);
+    const std::vector<StartRun> second = fixture.startsWithin(2500ms, { 2 });
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].run.task != first[0].run.task);
+}
