Pause before a worker with an unreadable row is asked again

Nothing acknowledges an end that can't be read, and a worker that lists an end may answer a renewal at once, so it was asked without a pause: 100 renewals a second at 10 ms a turn in the test, of which 10 are allowed now (each 200 ms; before, only until it was known).

--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -328,7 +328,7 @@
     const bool hasUnknownRuns =
             worker->hasUnreadableRows && answer->sentAt < worker->lease.expiresAt();
     worker->isKnown = worker->isKnown || (!answer->hasMore && !hasUnknownRuns);
-    if (!worker->isKnown && worker->hasUnreadableRows)
+    if (worker->hasUnreadableRows)
         worker->renewalAt = now + m_settings.retryDelay;
     if (answer->sentAt >= worker->leftAt && !answer->hasMore) {
         removeLeft(now, worker);
--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -156,3 +156,31 @@
     REQUIRE(second.size() == 1);
     CHECK(second[0].run.task != first[0].run.task);
 }
+
+TEST_CASE("a worker that lists an unreadable end is not asked for its lists without a pause")
+{
+    // Nothing acknowledges such an end, and a worker that lists an end answers at once.
+    SchedulerFixture fixture;
+    fixture.acceptJob(1, { .count = 1, .size = { 1000, 100, 0 }, .longRunning = true });
+    const auto starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 1);
+    fixture.scheduler.startAnswered(fixture.at, starts[0].target.worker, starts[0].run,
+                                    OrderOutcome::Done);
+    int renewals = 0;
+    for (int it = 0; it < 100; ++it) {
+        fixture.advance(10ms);
+        for (const RenewWorkerLease &renewal : fixture.take<RenewWorkerLease>()) {
+            if (renewal.target.worker != starts[0].target.worker)
+                continue;
+            ++renewals;
+            const RenewalAnswer lists { .sentAt = fixture.at.now,
+                                        .born = { 1 },
+                                        .clockMs = fixture.clockMs(),
+                                        .running = { { .run = starts[0].run } },
+                                        .unreadableRows = 1 };
+            fixture.scheduler.renewalAnswered(fixture.at, renewal.target.worker,
+                                              renewal.isImmediate, OrderOutcome::Done, &lists);
+        }
+    }
+    CHECK(renewals <= 10);
+}
