Name the long-running tasks that wait, and what starts meanwhile

Before any change of logic: step-blocked and task-waits name three of the longest waits of all kinds, so long-running tasks behind backfill that waits for longer were in no line, and none told of other starts on workers with room for them. The new lines count all of them by state, name eight steps with what excludes the workers, and count such starts.

--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -80,6 +80,10 @@
     , m_blockedSteps(&counters->counter("steps_blocked", MetricKind::Gauge))
     , m_longestTaskWait(&counters->counter("tasks_longest_wait_ms", MetricKind::Gauge))
     , m_astrayTasks(&counters->counter("tasks_astray", MetricKind::Gauge))
+    , m_longestLongRunningWait(
+              &counters->counter("long_running_longest_wait_ms", MetricKind::Gauge))
+    , m_waitingLongRunning(&counters->counter("long_running_tasks_waiting", MetricKind::Gauge))
+    , m_passedOver(&counters->counter("long_running_passed_over", MetricKind::Gauge))
     , m_zonesClosed(&counters->counter("zones_closed", MetricKind::Gauge))
     , m_gapsKept(&counters->counter("gaps_kept", MetricKind::Gauge))
     , m_gapsUsed(&counters->counter("gaps_used", MetricKind::Gauge))
@@ -233,6 +237,9 @@
     m_blockedSteps->set(static_cast<std::int64_t>(counts.blockedSteps));
     m_longestTaskWait->set(counts.longestTaskWait / std::chrono::milliseconds(1));
     m_astrayTasks->set(static_cast<std::int64_t>(counts.astrayTasks));
+    m_longestLongRunningWait->set(counts.longestLongRunningWait / std::chrono::milliseconds(1));
+    m_waitingLongRunning->set(static_cast<std::int64_t>(counts.waitingLongRunning));
+    m_passedOver->set(static_cast<std::int64_t>(counts.passedOver));
     m_zonesClosed->set(static_cast<std::int64_t>(m_scheduler.closedZones().size()));
     m_gapsKept->set(static_cast<std::int64_t>(counts.gapsKept));
     m_gapsUsed->set(static_cast<std::int64_t>(counts.gapsUsed));
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -166,6 +166,9 @@
     Counter *m_blockedSteps;
     Counter *m_longestTaskWait;
     Counter *m_astrayTasks;
+    Counter *m_longestLongRunningWait;
+    Counter *m_waitingLongRunning;
+    Counter *m_passedOver;
     Counter *m_zonesClosed;
     Counter *m_gapsKept;
     Counter *m_gapsUsed;
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -77,6 +77,7 @@
     m_gaps.clear();
     m_counts.gapsKept = 0;
     m_order.clear();
+    m_overdueLongRunning.clear();
     m_jobs.clear();
     m_workers.clear();
     m_exploration.clear();
@@ -403,6 +404,7 @@
         logSummary(at.now);
         logBlockedSteps(at.now);
         logWaitingTasks(at.now);
+        logLongRunningWaits(at.now);
         logTakeover(at.now);
     }
     recordInterference(at.now);
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -143,6 +143,12 @@
     /// for, and the number of tasks that nothing will start; as of the last summary.
     Duration longestTaskWait {};
     std::size_t astrayTasks = 0;
+    /// The same for long-running tasks alone, and how many of them have waited for long; as of the
+    /// last summary.
+    Duration longestLongRunningWait {};
+    std::size_t waitingLongRunning = 0;
+    /// Starts of other tasks on a worker with room for two of a long-running step that was overdue.
+    std::uint64_t passedOver = 0;
 };
 
 /// Assigns tasks to workers, renews leases, and tracks every run to its end. Runs on the leader
@@ -384,6 +390,9 @@
     void logSummary(Timestamp now);
     void logBlockedSteps(Timestamp now);
     void logWaitingTasks(Timestamp now);
+    void logLongRunningWaits(Timestamp now);
+    /// How many workers each obstacle excludes for a task of the step.
+    [[nodiscard]] std::string describeObstacles(Timestamp now, const Step &step) const;
     void logTakeover(Timestamp now);
     /// A worker has accepted orders of a later leader.
     void becomeFenced(const Worker *worker);
@@ -419,6 +428,9 @@
     void removeLeft(Timestamp now, Worker *worker);
     void moveLongRunningTasks(Timestamp now, Worker *worker);
     bool place(Timestamp now);
+    void findOverdueLongRunning(Timestamp now);
+    /// True when a task of an overdue long-running step would fit twice on the worker.
+    [[nodiscard]] bool passesOverLongRunning(const Worker &worker) const;
     /// Steps in order from the given one that were not tried for long, the longest first.
     [[nodiscard]] std::vector<Step *>
     unreachedSteps(Timestamp now, std::map<StepOrder::Rank, Step *>::const_iterator from);
@@ -463,6 +475,11 @@
     JobTable m_jobs;
     WorkerTable m_workers;
     StepOrder m_order;
+    /// Long-running steps that are overdue, those first that were tried longest ago; empty outside
+    /// of place() and placeOverdueSteps().
+    std::vector<Step *> m_overdueLongRunning;
+    /// JobSchedulerCounts::passedOver at the last summary.
+    std::uint64_t m_passedOverBefore = 0;
     /// Pending occurrences by wall-clock time, in microseconds.
     std::multimap<std::int64_t, ScheduledOccurrence> m_scheduledOccurrences;
     /// Number of requests to the advisor that have no answer yet.
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -59,6 +59,7 @@
     placeTrials(now);
     giveUpGaps(now);
     m_round.reset();
+    findOverdueLongRunning(now);
     const auto tryStep = [&](Step *step) {
         if (awaitsTakeOver(*step))
             return;
@@ -99,9 +100,30 @@
     }
     keepGaps(now);
     reserveForTrials(now);
+    m_overdueLongRunning.clear();
     return failedCount == 0 && m_waitingSuspects.empty();
 }
 
+void JobScheduler::findOverdueLongRunning(Timestamp now)
+{
+    m_overdueLongRunning.clear();
+    for (const auto &[number, step] : m_order.longRunningSteps()) {
+        if (now - step->waitingSince >= m_settings.overdueAfter && !awaitsTakeOver(*step))
+            m_overdueLongRunning.push_back(step);
+    }
+    std::ranges::stable_sort(m_overdueLongRunning, {}, &Step::lastTriedAt);
+}
+
+bool JobScheduler::passesOverLongRunning(const Worker &worker) const
+{
+    return std::ranges::any_of(m_overdueLongRunning, [&](const Step *it) {
+        Size two = it->spec->reserved();
+        two += two;
+        return it->isQueued && two.fitsIn(worker.freeCapacity()) && Placer::canEverFit(worker, *it)
+                && m_placer.fits(worker, *it);
+    });
+}
+
 void JobScheduler::keepGaps(Timestamp now)
 {
     if (!m_settings.lookAhead || now < m_nextGapPlanning)
@@ -219,6 +241,7 @@
 {
     if (m_isFenced)
         return;
+    findOverdueLongRunning(now);
     for (Step *step : overdueSteps(now)) {
         step->lastTriedOverdueAt = now;
         // A step before this one may have started a task of the same job.
@@ -233,6 +256,7 @@
             placeStep(now, step);
         }
     }
+    m_overdueLongRunning.clear();
 }
 
 void JobScheduler::placeOverdueTask(Timestamp now, Step *step)
--- a/acaciafork/decisions/jobs/JobSchedulerReports.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -15,6 +15,7 @@
 /// Maximum number of blocked steps, and of waiting tasks in each state, logged at a time.
 constexpr std::size_t maxLoggedSteps = 3;
 constexpr std::size_t maxLoggedTasks = 3;
+constexpr std::size_t maxLoggedLongRunning = 8;
 
 } // namespace
 
@@ -85,26 +86,32 @@
                               &Step::waitingSince);
     blocked.resize(n);
     for (const Step *step : blocked) {
-        std::array<std::size_t, placementObstacleCount> workers {};
-        for (const auto &[id, worker] : m_workers.all())
-            ++workers.at(static_cast<std::size_t>(m_placer.findObstacle(now, *worker, *step)));
         std::string detail = "waited-ms="
                 + std::to_string((now - step->waitingSince) / std::chrono::milliseconds(1))
                 + " tried-ms-ago="
                 + std::to_string((now - step->lastTriedAt) / std::chrono::milliseconds(1))
                 + " ready=" + std::to_string(step->ready.size())
-                + " remaining=" + std::to_string(step->remainingTasks)
-                + " blocked-steps=" + std::to_string(m_counts.blockedSteps);
-        for (std::size_t it = 0; it < workers.size(); ++it) {
-            if (workers.at(it) > 0)
-                detail += " workers." + std::string(placementObstacleName(PlacementObstacle(it)))
-                        + '=' + std::to_string(workers.at(it));
-        }
+                + " remaining=" + std::to_string(step->remainingTasks) + " blocked-steps="
+                + std::to_string(m_counts.blockedSteps) + describeObstacles(now, *step);
         note("step-blocked", { .task = step->key(step->ready.front()), .run = {} }, nullptr,
              std::move(detail));
     }
 }
 
+std::string JobScheduler::describeObstacles(Timestamp now, const Step &step) const
+{
+    std::array<std::size_t, placementObstacleCount> workers {};
+    for (const auto &[id, worker] : m_workers.all())
+        ++workers.at(static_cast<std::size_t>(m_placer.findObstacle(now, *worker, step)));
+    std::string detail;
+    for (std::size_t it = 0; it < workers.size(); ++it) {
+        if (workers.at(it) > 0)
+            detail += " workers." + std::string(placementObstacleName(PlacementObstacle(it))) + '='
+                    + std::to_string(workers.at(it));
+    }
+    return detail;
+}
+
 void JobScheduler::logWaitingTasks(Timestamp now)
 {
     struct Waiting
@@ -159,6 +166,69 @@
     }
 }
 
+void JobScheduler::logLongRunningWaits(Timestamp now)
+{
+    struct Waiting
+    {
+        TaskRef longest;
+        Duration waited {};
+        std::size_t tasks = 0;
+    };
+    std::vector<Waiting> steps;
+    std::array<std::size_t, taskStateCount> counts {};
+    m_counts.longestLongRunningWait = {};
+    m_counts.waitingLongRunning = 0;
+    for (const auto &[id, job] : m_jobs.all()) {
+        if (job->phase != JobPhase::Active)
+            continue;
+        for (Step &step : job->steps) {
+            Waiting waiting;
+            for (std::uint32_t it = 0; step.spec->longRunning && it < step.tasks.size(); ++it) {
+                const TaskRef task { .step = &step, .task = it };
+                const TaskState state = stateOf(task, m_isTakingOver);
+                const Duration waited = isWaiting(state) ? waitedFor(now, task) : Duration {};
+                m_counts.longestLongRunningWait = std::max(m_counts.longestLongRunningWait, waited);
+                if (waited < blockedAfter)
+                    continue;
+                ++counts.at(static_cast<std::size_t>(state));
+                ++waiting.tasks;
+                if (waited > waiting.waited) {
+                    waiting.longest = task;
+                    waiting.waited = waited;
+                }
+            }
+            m_counts.waitingLongRunning += waiting.tasks;
+            if (waiting.tasks > 0)
+                steps.push_back(waiting);
+        }
+    }
+    const std::uint64_t passedOver = m_counts.passedOver - m_passedOverBefore;
+    m_passedOverBefore = m_counts.passedOver;
+    if (steps.empty())
+        return;
+    std::string detail = "tasks=" + std::to_string(m_counts.waitingLongRunning)
+            + " steps=" + std::to_string(steps.size()) + " longest-ms="
+            + std::to_string(m_counts.longestLongRunningWait / std::chrono::milliseconds(1))
+            + " passed-over=" + std::to_string(passedOver);
+    for (std::size_t it = 0; it < counts.size(); ++it) {
+        if (counts.at(it) > 0)
+            detail += " " + std::string(taskStateName(TaskState(it))) + '='
+                    + std::to_string(counts.at(it));
+    }
+    note("long-running-waits", {}, nullptr, std::move(detail));
+    const std::size_t n = std::min(maxLoggedLongRunning, steps.size());
+    std::ranges::partial_sort(steps, steps.begin() + static_cast<std::ptrdiff_t>(n),
+                              std::ranges::greater(), &Waiting::waited);
+    for (const Waiting &it : std::span(steps).first(n)) {
+        const Step &step = *it.longest.step;
+        note("long-running-step-waits", { .task = it.longest.key(), .run = {} }, nullptr,
+             "waited-ms=" + std::to_string(it.waited / std::chrono::milliseconds(1))
+                     + " tasks=" + std::to_string(it.tasks) + " state="
+                     + std::string(taskStateName(stateOf(it.longest, m_isTakingOver))) + " kept="
+                     + std::to_string(m_gaps.keptFor(step)) + describeObstacles(now, step));
+    }
+}
+
 void JobScheduler::logTakeover(Timestamp now)
 {
     if (!m_isTakingOver)
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -70,6 +70,8 @@
     worker->isIncarnationConfirmed = worker->isIncarnationConfirmed && !worker->runs.empty();
     if (m_settings.cautiousBackfill && ref.step->spec->fills)
         explorePairs(now, worker, run);
+    if (!ref.step->spec->longRunning && passesOverLongRunning(*worker))
+        ++m_counts.passedOver;
     worker->runs.push_back(run);
     worker->reserve(*ref.step);
     if (const auto gap = m_gaps.started(now, *worker, *ref.step)) {
--- a/acaciafork/decisions/jobs/StepOrder.cpp
+++ b/acaciafork/decisions/jobs/StepOrder.cpp
@@ -50,7 +50,10 @@
     step->isQueued = true;
     const Rank rank = rankOf(now, *step);
     m_steps.emplace(rank, step);
-    m_ranks.emplace(step, rank);
+    const std::uint64_t number = step->spec->longRunning ? ++m_lastNumber : 0;
+    if (number > 0)
+        m_longRunning.emplace(number, step);
+    m_entries.emplace(step, Entry { .rank = rank, .number = number });
 }
 
 void StepOrder::erase(Step *step)
@@ -58,16 +61,18 @@
     if (!step->isQueued)
         return;
     step->isQueued = false;
-    const auto it = m_ranks.find(step);
-    ACACIAFORK_ASSERT(it != m_ranks.end());
-    m_steps.erase(it->second);
-    m_ranks.erase(it);
+    const auto it = m_entries.find(step);
+    ACACIAFORK_ASSERT(it != m_entries.end());
+    m_steps.erase(it->second.rank);
+    m_longRunning.erase(it->second.number);
+    m_entries.erase(it);
 }
 
 void StepOrder::clear()
 {
     m_steps.clear();
-    m_ranks.clear();
+    m_longRunning.clear();
+    m_entries.clear();
 }
 
 void StepOrder::refresh(Timestamp now)
@@ -82,7 +87,7 @@
         }
         it = m_steps.erase(it);
         m_steps.emplace(rank, step);
-        m_ranks[step] = rank;
+        m_entries.at(step).rank = rank;
     }
 }
 
--- a/acaciafork/decisions/jobs/StepOrder.h
+++ b/acaciafork/decisions/jobs/StepOrder.h
@@ -66,11 +66,25 @@
     void refresh(Timestamp now);
     /// All steps in order.
     [[nodiscard]] const std::map<Rank, Step *> &steps() const { return m_steps; }
+    /// The long-running ones among them, in the order in which they were inserted.
+    [[nodiscard]] const std::map<std::uint64_t, Step *> &longRunningSteps() const
+    {
+        return m_longRunning;
+    }
 
 private:
+    struct Entry
+    {
+        Rank rank;
+        /// Position among the long-running steps; 0 for the others.
+        std::uint64_t number = 0;
+    };
+
     bool m_lookAhead;
     std::map<Rank, Step *> m_steps;
-    std::unordered_map<const Step *, Rank> m_ranks;
+    std::unordered_map<const Step *, Entry> m_entries;
+    std::map<std::uint64_t, Step *> m_longRunning;
+    std::uint64_t m_lastNumber = 0;
 };
 
 } // namespace acaciafork::jobs
--- a/tests/decisions/jobs/LookAheadTest.cpp
+++ b/tests/decisions/jobs/LookAheadTest.cpp
@@ -378,6 +378,39 @@
     CHECK(other.startsWithin(800ms, { 5 }).size() == 1);
 }
 
+TEST_CASE("a serving task that waits for over 3 s is named with what excludes the workers")
+{
+    // Guards against waits that no line tells of while other steps have waited for longer.
+    LookAheadFixture fixture(true);
+    fixture.occupy(1, servingStep(1, 30'000), "w0");
+    fixture.occupy(2, servingStep(1, 30'000), "w1");
+    for (std::uint64_t id = 3; id < 10; ++id) {
+        StepSpec backfill = shortStep(4, 4000, 60s);
+        backfill.fills = true;
+        backfill.label = "nowhere";
+        fixture.acceptJob(id, backfill, shortQueue);
+    }
+    fixture.advance(500ms);
+    fixture.acceptJob(10, servingStep(2, 6400), servingQueue);
+    std::vector<LogEvent> events;
+    for (Duration passed {}; passed < 6s; passed += 100ms) {
+        fixture.advance(100ms);
+        fixture.report();
+        for (LogEvent &it : fixture.take<LogEvent>()) {
+            if (it.event.starts_with("long-running-"))
+                events.push_back(std::move(it));
+        }
+    }
+    REQUIRE(events.size() >= 2);
+    CHECK(events[0].event == "long-running-waits");
+    CHECK(events[0].detail.starts_with("tasks=2 steps=1 longest-ms="));
+    CHECK(events[0].detail.ends_with("passed-over=0 ready=2"));
+    CHECK(events[1].event == "long-running-step-waits");
+    CHECK(events[1].task.job == JobId { 10 });
+    CHECK(events[1].detail.ends_with("state=ready kept=0 workers.processor=2"));
+    CHECK(fixture.scheduler.counts().waitingLongRunning == 2);
+}
+
 namespace {
 
 /// Replays of the same loads, one for each seed.
