Look in turn for workers to keep for urgent long-running steps

Steps that have lost a run come first, and may have a worker that is kept for a short step, which held them up for up to 5 s on small pools.

--- a/acaciafork/decisions/jobs/GapPlanner.h
+++ b/acaciafork/decisions/jobs/GapPlanner.h
@@ -86,6 +86,11 @@
     /// @param[in] workers number of workers there are
     [[nodiscard]] std::size_t mayKeepUrgently(const Step &step, std::size_t workers) const;
     [[nodiscard]] bool isKept(const Worker &worker) const { return m_kept.contains(worker.id); }
+    [[nodiscard]] bool isKeptUrgently(const Worker &worker) const
+    {
+        const auto it = m_kept.find(worker.id);
+        return it != m_kept.end() && it->second.isUrgent;
+    }
     [[nodiscard]] std::size_t keptFor(const Step &step) const;
     void keep(Timestamp now, const Worker &worker, const Step &step, const GapForecast &forecast,
               bool isUrgent = false);
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -436,6 +436,8 @@
     void findOverdueLongRunning(Timestamp now);
     /// True when the step is long-running and comes before all others.
     [[nodiscard]] bool isUrgent(Timestamp now, const Step &step) const;
+    /// True when a task of the step has lost its run and waits for another.
+    [[nodiscard]] bool hasLostRun(Timestamp now, const Step &step) const;
     /// @return true when none of them is left without a worker
     bool placeUrgentSteps(Timestamp now);
     /// True when a task of an overdue long-running step would fit twice on the worker.
@@ -449,8 +451,9 @@
     void keepGaps(Timestamp now, const Step &step, std::size_t count, bool isUrgent);
     /// Workers on which a task of the step is expected to fit soonest, apart from kept ones, at
     /// most the given number, the soonest first.
+    /// @param[in] takesOver a worker that is kept for a step that is not urgent counts as well
     [[nodiscard]] std::vector<std::pair<const Worker *, GapForecast>>
-    findSoonest(Timestamp now, const Step &step, std::size_t count) const;
+    findSoonest(Timestamp now, const Step &step, std::size_t count, bool takesOver) const;
     void giveUpGaps(Timestamp now);
     bool placeGang(Timestamp now, Step *step, PlacementMode mode);
     bool placeGang(Timestamp now, Step *step, const RackName *rack, PlacementMode mode);
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -129,8 +129,12 @@
 bool JobScheduler::isUrgent(Timestamp now, const Step &step) const
 {
     return step.spec->longRunning && !step.spec->gang && !step.spec->fills
-            && (step.firstDisplacedSince() <= now - m_settings.displacedUrgentAfter
-                || step.firstReadySince() <= now - m_settings.urgentAfter);
+            && (hasLostRun(now, step) || step.firstReadySince() <= now - m_settings.urgentAfter);
+}
+
+bool JobScheduler::hasLostRun(Timestamp now, const Step &step) const
+{
+    return step.firstDisplacedSince() <= now - m_settings.displacedUrgentAfter;
 }
 
 bool JobScheduler::placeUrgentSteps(Timestamp now)
@@ -159,7 +163,12 @@
         return;
     m_nextGapPlanning = now + gapPlanningInterval;
     std::size_t plans = 0;
-    for (const Step *it : m_urgentSteps) {
+    // In turn, since there may be no worker to keep for some of them; those that have lost a run
+    // first.
+    std::ranges::stable_sort(m_urgentSteps, {}, [&](const Step *it) {
+        return std::pair(!hasLostRun(now, *it), it->lastPlannedAt);
+    });
+    for (Step *it : m_urgentSteps) {
         if (plans >= maxUrgentGapPlans)
             break;
         if (!it->isQueued)
@@ -168,6 +177,7 @@
         if (n == 0)
             continue;
         ++plans;
+        it->lastPlannedAt = now;
         keepGaps(now, *it, n, true);
     }
     for (const auto &[rank, step] : m_order.steps()) {
@@ -182,7 +192,16 @@
 
 void JobScheduler::keepGaps(Timestamp now, const Step &step, std::size_t count, bool isUrgent)
 {
-    for (const auto &[worker, forecast] : findSoonest(now, step, count)) {
+    // A worker kept for a short task may stay so for longer than a lost task may wait.
+    const bool takesOver = isUrgent && hasLostRun(now, step);
+    for (const auto &[worker, forecast] : findSoonest(now, step, count, takesOver)) {
+        if (m_gaps.isKept(*worker)) {
+            const KeptGap &old = m_gaps.kept().at(worker->id);
+            ++m_counts.gapsGivenUp;
+            note("gap-given-up", { .task = old.step, .run = {} }, worker,
+                 old.describe(now) + " reason=urgent");
+            m_gaps.giveUp(worker->id);
+        }
         m_gaps.keep(now, *worker, step, forecast, isUrgent);
         m_counts.gapsKept = m_gaps.kept().size();
         const KeptGap &gap = m_gaps.kept().at(worker->id);
@@ -191,7 +210,7 @@
 }
 
 std::vector<std::pair<const Worker *, GapForecast>>
-JobScheduler::findSoonest(Timestamp now, const Step &step, std::size_t count) const
+JobScheduler::findSoonest(Timestamp now, const Step &step, std::size_t count, bool takesOver) const
 {
     std::vector<std::pair<const Worker *, GapForecast>> soonest;
     const Timestamp latest = now + m_gaps.longestKeep();
@@ -199,7 +218,8 @@
     m_round.forEachWorker(step.job->pool, [&](const Worker &worker) {
         // A quick look; it rules out most of the workers that serve.
         if (worker.life.capacity.millicores - worker.servingMillicores < size.millicores
-            || m_gaps.isKept(worker) || !Placer::canEverFit(worker, step)
+            || (takesOver ? m_gaps.isKeptUrgently(worker) : m_gaps.isKept(worker))
+            || !Placer::canEverFit(worker, step)
             || (step.spec->maxPerWorker > 0 && worker.runsOf(&step) >= step.spec->maxPerWorker))
             return;
         const std::optional<GapForecast> forecast = GapPlanner::forecast(now, worker, size);
