Place long-running tasks that have lost their run before those of their step that had none

The lost task went to the end of its step's queue, so its own room went to a sibling that had never run.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -250,7 +250,12 @@
     }
     step->waitingSince =
             step->ready.empty() ? task.idleSince : std::min(step->waitingSince, task.idleSince);
-    step->ready.push_back(ref.task);
+    // A long-running task that has lost its run comes before those that have had none.
+    const auto hadNoRun = [step](std::uint32_t it) { return !step->tasks[it].hasRunBefore; };
+    const auto position = step->spec->longRunning && task.hasRunBefore
+            ? std::ranges::find_if(step->ready, hadNoRun)
+            : step->ready.end();
+    step->ready.insert(position, ref.task);
     m_order.insert(now, step);
 }
 
--- a/tests/decisions/jobs/LongRunningWaitTest.cpp
+++ b/tests/decisions/jobs/LongRunningWaitTest.cpp
@@ -266,3 +266,16 @@
     CAPTURE(waited / 1ms);
     CHECK(waited <= 3s);
 }
+
+TEST_CASE("a lost serving task comes before those of its step that have had no run")
+{
+    BusyFixture fixture;
+    fixture.acceptJob(1, servingStep(20'000, 4), servingQueue);
+    fixture.turns(1s);
+    REQUIRE(fixture.runs(BusyFixture::task(1, 0)));
+    REQUIRE(fixture.runs(BusyFixture::task(1, 1)));
+    fixture.loseRun(BusyFixture::task(1, 0));
+    const Duration waited = fixture.waitOf(BusyFixture::task(1, 0), 10s);
+    CAPTURE(waited / 1ms);
+    CHECK(waited <= 3s);
+}
