Count the runs that earlier leaders ordered as runs before

After a change of leader, a job none of whose tasks runs any more counted as one that had never run, and became urgent after 5 s instead of 0.5 s.

--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -122,8 +122,10 @@
     }
     for (const auto &[key, exposures] : view.exposures) {
         const std::size_t index = key.occurrence * view.spec->steps.size() + key.step;
-        if (index < job->steps.size() && key.task < job->steps[index].tasks.size())
+        if (index < job->steps.size() && key.task < job->steps[index].tasks.size()) {
             job->steps[index].tasks[key.task].crashes.restore(exposures);
+            job->steps[index].tasks[key.task].hasRunBefore = true;
+        }
     }
     for (Step &it : job->steps) {
         const std::size_t base = it.occurrence * view.spec->steps.size();
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -89,7 +89,7 @@
     Timestamp idleSince = Timestamp::max();
     /// Latest checkpoint; empty for none.
     std::string checkpoint;
-    /// A worker has confirmed a run of it in this tenure.
+    /// A worker has confirmed a run of it in this tenure, or an earlier leader has ordered one.
     bool hasRunBefore = false;
     /// Worker on which it failed last; the next run avoids it if possible.
     WorkerId lastFailedWorker;
--- a/tests/decisions/jobs/LongRunningWaitTest.cpp
+++ b/tests/decisions/jobs/LongRunningWaitTest.cpp
@@ -279,3 +279,42 @@
     CAPTURE(waited / 1ms);
     CHECK(waited <= 3s);
 }
+
+TEST_CASE("a serving task that lost its run before the leader changed does not wait for long")
+{
+    // Guards against a loss that only the leader before knew of. The worker that is gone holds up
+    // the take-over for 4 s.
+    BusyFixture fixture;
+    const std::array lives { WorkerLife { .name = { "w0" },
+                                          .born = { 1 },
+                                          .pool = "pool",
+                                          .address = "w",
+                                          .capacity = { 32'000, 128'000, 0 } },
+                             WorkerLife { .name = { "w1" },
+                                          .born = { 1 },
+                                          .pool = "pool",
+                                          .address = "w",
+                                          .capacity = { 32'000, 128'000, 0 } },
+                             WorkerLife { .name = { "w9" },
+                                          .born = { 1 },
+                                          .pool = "pool",
+                                          .address = "x",
+                                          .capacity = { 32'000, 128'000, 0 } } };
+    auto spec = std::make_shared<JobSpec>();
+    spec->steps.push_back(servingStep(13'000));
+    // The earlier leader had started it on a worker that is gone since then.
+    const CrashExposure exposure { .run = { 1 }, .worker = { "w9" }, .born = { 1 } };
+    const std::array jobs { JobView { .id = { 1 },
+                                      .queue = servingQueue,
+                                      .spec = spec,
+                                      .exposures = { { BusyFixture::task(1), { exposure } } } } };
+    fixture.streams = true;
+    fixture.turns(3s);
+    fixture.running.clear();
+    fixture.ends.clear();
+    fixture.ended.clear();
+    fixture.scheduler.begin(fixture.at, { 2 }, {}, jobs, lives);
+    const Duration waited = fixture.waitOf(BusyFixture::task(1), 10s);
+    CAPTURE(waited / 1ms);
+    CHECK(waited <= 5s);
+}
