Let only long-running tasks that have lost their run come first

Tasks that had had no run came first as well, after 5 s: in overload by long-running work they took all that was freed.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -88,11 +88,10 @@
     /// from the placement rounds, which may end before they reach it. A job that could run counts
     /// as lost to its caller after 3 s without any run.
     Duration overdueAfter = std::chrono::milliseconds(1800);
-    /// A long-running task comes before all others, wherever it fits, once it has been without a
-    /// run for this long after it lost one; and, of those that have had none yet, once it has
-    /// waited for the longer time. Until then short tasks come first.
-    Duration displacedUrgentAfter = std::chrono::milliseconds(500);
-    Duration urgentAfter = std::chrono::seconds(5);
+    /// A long-running task that has lost its run comes before all others, wherever it fits, once it
+    /// has been without one for this long. Until then short tasks come first, as they do before
+    /// those that have had no run yet: these ask for capacity that they have not held.
+    Duration urgentAfter = std::chrono::milliseconds(500);
     /// Maximum number of overdue steps tried in one check.
     std::size_t maxOverdueTries = 16;
     /// Maximum number of requests to the advisor in flight; it processes one at a time.
@@ -436,8 +435,6 @@
     void findOverdueLongRunning(Timestamp now);
     /// True when the step is long-running and comes before all others.
     [[nodiscard]] bool isUrgent(Timestamp now, const Step &step) const;
-    /// True when a task of the step has lost its run and waits for another.
-    [[nodiscard]] bool hasLostRun(Timestamp now, const Step &step) const;
     /// @return true when none of them is left without a worker
     bool placeUrgentSteps(Timestamp now);
     /// True when a task of an overdue long-running step would fit twice on the worker.
@@ -489,8 +486,8 @@
     JobTable m_jobs;
     WorkerTable m_workers;
     StepOrder m_order;
-    /// Long-running steps that are overdue or urgent, and the urgent ones among them, those first
-    /// that were tried longest ago; empty outside of place() and placeOverdueSteps().
+    /// Long-running steps that are overdue or urgent; and the urgent ones among them, those first
+    /// that were tried longest ago. Empty outside of place() and placeOverdueSteps().
     std::vector<Step *> m_overdueLongRunning;
     std::vector<Step *> m_urgentSteps;
     /// JobSchedulerCounts::passedOver at the last summary.
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -66,7 +66,7 @@
     findOverdueLongRunning(now);
     const bool placedUrgent = placeUrgentSteps(now);
     const auto tryStep = [&](Step *step) {
-        if (awaitsTakeOver(*step) || isUrgent(now, *step))
+        if (awaitsTakeOver(*step) || step->isUrgent)
             return;
         if (cannotFit(failedPlacements, *step) && m_gaps.keptFor(*step) == 0) {
             // That it fits nowhere is known as if it had been tried.
@@ -117,10 +117,10 @@
     for (const auto &[number, step] : m_order.longRunningSteps()) {
         if (awaitsTakeOver(*step))
             continue;
-        const bool urgent = isUrgent(now, *step);
-        if (urgent)
+        step->isUrgent = isUrgent(now, *step);
+        if (step->isUrgent)
             m_urgentSteps.push_back(step);
-        if (urgent || step->firstReadySince() <= now - m_settings.overdueAfter)
+        if (step->isUrgent || step->firstReadySince() <= now - m_settings.overdueAfter)
             m_overdueLongRunning.push_back(step);
     }
     std::ranges::stable_sort(m_urgentSteps, {}, &Step::lastTriedAt);
@@ -128,13 +128,8 @@
 
 bool JobScheduler::isUrgent(Timestamp now, const Step &step) const
 {
-    return step.spec->longRunning && !step.spec->gang && !step.spec->fills
-            && (hasLostRun(now, step) || step.firstReadySince() <= now - m_settings.urgentAfter);
-}
-
-bool JobScheduler::hasLostRun(Timestamp now, const Step &step) const
-{
-    return step.firstDisplacedSince() <= now - m_settings.displacedUrgentAfter;
+    return !step.spec->gang && !step.spec->fills
+            && step.firstDisplacedSince() <= now - m_settings.urgentAfter;
 }
 
 bool JobScheduler::placeUrgentSteps(Timestamp now)
@@ -163,11 +158,8 @@
         return;
     m_nextGapPlanning = now + gapPlanningInterval;
     std::size_t plans = 0;
-    // In turn, since there may be no worker to keep for some of them; those that have lost a run
-    // first.
-    std::ranges::stable_sort(m_urgentSteps, {}, [&](const Step *it) {
-        return std::pair(!hasLostRun(now, *it), it->lastPlannedAt);
-    });
+    // In turn, since there may be no worker to keep for some of them.
+    std::ranges::stable_sort(m_urgentSteps, {}, &Step::lastPlannedAt);
     for (Step *it : m_urgentSteps) {
         if (plans >= maxUrgentGapPlans)
             break;
@@ -193,8 +185,7 @@
 void JobScheduler::keepGaps(Timestamp now, const Step &step, std::size_t count, bool isUrgent)
 {
     // A worker kept for a short task may stay so for longer than a lost task may wait.
-    const bool takesOver = isUrgent && hasLostRun(now, step);
-    for (const auto &[worker, forecast] : findSoonest(now, step, count, takesOver)) {
+    for (const auto &[worker, forecast] : findSoonest(now, step, count, isUrgent)) {
         if (m_gaps.isKept(*worker)) {
             const KeptGap &old = m_gaps.kept().at(worker->id);
             ++m_counts.gapsGivenUp;
@@ -293,7 +284,7 @@
     for (const auto &[rank, step] : m_order.steps()) {
         // Urgent steps have been tried in each round.
         if (now - step->waitingSince < m_settings.overdueAfter || awaitsTakeOver(*step)
-            || isUrgent(now, *step))
+            || step->isUrgent)
             continue;
         // Each long-running task counts by itself, whether others of its job run or not.
         if (step->spec->longRunning || !step->job->isAtWork())
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -150,6 +150,8 @@
     Timestamp lastTriedOverdueAt;
     /// When a worker was last looked for to be kept for a trial of its tasks.
     Timestamp reservedAt;
+    /// It is long-running and comes before all others, as of the current placement round.
+    bool isUrgent = false;
     /// When workers were last looked for to be kept for it as an urgent step.
     Timestamp lastPlannedAt;
     /// Longest chain of estimated durations from its start to the end of the job.
--- a/acaciafork/decisions/jobs/StepOrder.h
+++ b/acaciafork/decisions/jobs/StepOrder.h
@@ -21,7 +21,8 @@
 ///
 /// With look-ahead, long-running and backfill steps are one band lower. A short task delays a
 /// long-running one by about a second, while a long-running one holds its capacity for a minute, so
-/// short steps come first even when they are late, as long as a late result still counts. Backfill
+/// short steps come first even when they are late, as long as a late result still counts. The
+/// exception are tasks that have lost their run (see JobSchedulerSettings::urgentAfter). Backfill
 /// steps reserve no processor time; they move with the long-running steps so that the order between
 /// these two does not change.
 class StepOrder
--- a/tests/decisions/jobs/LongRunningWaitTest.cpp
+++ b/tests/decisions/jobs/LongRunningWaitTest.cpp
@@ -318,3 +318,78 @@
     CAPTURE(waited / 1ms);
     CHECK(waited <= 5s);
 }
+
+TEST_CASE("a short job without any run starts where room is kept for a long-running task")
+{
+    // Guards against jobs that are lost to their caller beside free room.
+    // The first run takes longer than estimated, and no other worker has room.
+    BusyFixture fixture;
+    fixture.acceptJob(1, shortStep(20'000), shortQueue);
+    fixture.turn();
+    fixture.acceptJob(2, servingStep(30'000), servingQueue);
+    fixture.turn();
+    fixture.acceptJob(3, servingStep(30'000), servingQueue);
+    fixture.turns(5200ms);
+    REQUIRE(fixture.runs(BusyFixture::task(1)));
+    REQUIRE(fixture.runs(BusyFixture::task(2)));
+    fixture.acceptJob(4, shortStep(4000, 8s), shortQueue);
+    const Duration waited = fixture.waitOf(BusyFixture::task(4), 20s);
+    CAPTURE(waited / 1ms);
+    CHECK(waited <= 3s);
+}
+
+TEST_CASE("a lost serving task doesn't wait behind large ones that have had no run")
+{
+    // Guards against workers that are kept for new long-running work alone.
+    BusyFixture fixture;
+    fixture.acceptJob(1, shortStep(18'000), shortQueue);
+    fixture.turn();
+    fixture.acceptJob(2, servingStep(16'000), servingQueue);
+    fixture.turn();
+    fixture.acceptJob(3, servingStep(13'000), servingQueue);
+    fixture.turn();
+    REQUIRE(fixture.runs(BusyFixture::task(3)));
+    fixture.acceptJob(4, servingStep(30'000), servingQueue);
+    fixture.turns(5000ms);
+    fixture.streams = true;
+    fixture.turns(1s);
+    fixture.loseRun(BusyFixture::task(3));
+    const Duration waited = fixture.waitOf(BusyFixture::task(3), 10s);
+    CAPTURE(waited / 1ms);
+    CHECK(waited <= 3s);
+}
+
+TEST_CASE("a lost serving task of an advised queue doesn't wait for as long as short ones arrive"
+          * doctest::should_fail())
+{
+    BusyFixture fixture;
+    QueueSpec advised = servingQueue;
+    advised.name = "advised";
+    advised.advice = AdvicePolicy { .decision = 100ms, .perWorker = 10ms, .validity = 3s };
+    fixture.acceptJob(1, servingStep(13'000), advised);
+    fixture.turns(1s);
+    fixture.streams = true;
+    fixture.turns(6s);
+    fixture.loseRun(BusyFixture::task(1));
+    const Duration waited = fixture.waitOf(BusyFixture::task(1), 10s);
+    CAPTURE(waited / 1ms);
+    CHECK(waited <= 3s);
+}
+
+TEST_CASE("a lost serving gang does not wait for as long as short tasks arrive"
+          * doctest::should_fail())
+{
+    BusyFixture fixture;
+    StepSpec step = servingStep(13'000, 2);
+    step.gang = true;
+    fixture.acceptJob(1, step, servingQueue);
+    fixture.turns(1s);
+    REQUIRE(fixture.runs(BusyFixture::task(1, 1)));
+    fixture.streams = true;
+    fixture.turns(6s);
+    fixture.loseRun(BusyFixture::task(1, 0));
+    fixture.turns(100ms);
+    const Duration waited = fixture.waitOf(BusyFixture::task(1, 0), 10s);
+    CAPTURE(waited / 1ms);
+    CHECK(waited <= 3s);
+}
