--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -430,6 +430,7 @@
         self.d, self.name, self.ip, self.zone, self.rack = deployment, name, ip, zone, rack
         self.cpu, self.mem = cpu, mem
         self.kind = "a"
+        self.service = deployment.service
         self.port = port or random.randint(20000, 60000)
         self.life = 0
         self.is_up = False
@@ -511,7 +512,7 @@
 
     def report(self):
         self.sequence += 1
-        return {"service": self.d.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
+        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
                 "state": self.state, "coldRemainingMs": 0,
                 "capacity": {"cpu": self.cpu, "memMb": self.mem, "gpu": 0}, "labels": self.labels(),
                 "clockMs": self.clock_ms(), "sequence": self.sequence, "born": self.born}
