--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,17 +1,13 @@
-"""Tasks that last wait for many seconds after one crash of a worker, beside workers with room for them."""
+"""Jobs of which no task has started are left out of a queue's count of pending jobs."""
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 from stand import *  # noqa: E402,F403
 
-WORKERS = 8  # one of them crashes: a share of 0.125
-DOWN_S = 1.0
-JOBS = 110
-CPU = 65
-# A task that lasts counts as lost after 3 s without a run, from 6 s after its last run on.
-FROM_S = 6.0
-WITHOUT_S = 3.0
+WORKERS = 12  # one of them is grey: a share of 0.083
+GREY_S = 6.5
+WAITING = 8
 
 
 async def play(record):
@@ -19,40 +15,50 @@
     try:
         d.start()
         d.start_workers(WORKERS)
-        for it in d.workers[:2]:
-            it.kind = "b"
         if not await d.configure([d.route("q")]):
             return 2
-        await asyncio.sleep(4)
-        jobs = [await d.submit("q", [{"count": 1, "cpu": CPU, "memMb": 64, "estimateMs": 300, "longRunning": True,
-                                      "constraints": "b"}]) for _ in range(JOBS)]
-        if None in jobs:
+        await asyncio.sleep(3)
+        # Long jobs fill all workers but one.
+        for _ in range(WORKERS - 1):
+            if await d.submit("q", [{"count": 1, "cpu": 8000, "memMb": 512, "estimateMs": 60000}]) is None:
+                return 2
+        await asyncio.sleep(2)
+        free = [it for it in d.workers if not it.running]
+        if len(free) != 1:
             return 2
-        await asyncio.sleep(1)
-        worker = max(d.workers[:2], key=lambda it: len(it.running))
-        record(f"worker {worker.name} runs {len(worker.running)} of {JOBS} tasks")
-        crashed = now()
+        grey = free[0]
         if TROUBLE:
-            worker.crash("crash")
-            await asyncio.sleep(DOWN_S)
-            worker.start()
-        broken = set()
-        ended, begun = {}, {}
-        while now() - crashed < FROM_S + WITHOUT_S + 12:
-            await asyncio.sleep(0.25)
-            for t, _, _, what, task, _, _ in d.events:
-                if what == "end":
-                    ended[task] = t
-                elif what == "begin":
-                    begun[task] = t
-            free = [it.cpu - it.used("cpu") for it in d.workers[:2]]
-            waiting = [it for it in ended if begun.get(it, 0) < ended[it]]
-            over = [it for it in waiting if now() - ended[it] > FROM_S + WITHOUT_S]
-            record(f"{now() - crashed:.1f} s after the crash: {len(waiting)} tasks without a run, {len(over)} for over "
-                   f"9 s; free millicores of the two workers of their kind {free}")
-            if max(free) >= 2 * CPU and sum(it.used("cpu") for it in d.workers) < WORKERS * 8000 / 2:
-                broken.update(over)
-        record(f"tasks that were without a run for over 9 s: {len(broken)}")
+            record(f"worker {grey.name} is unhealthy from now on: it answers starts with 503")
+            sound = grey.do_start
+            grey.do_start = lambda body: (503, {})
+            asyncio.get_running_loop().call_later(GREY_S, lambda: setattr(grey, "do_start", sound))
+        else:
+            # Without the unhealthy worker nothing has room either.
+            if await d.submit("q", [{"count": 1, "cpu": 8000, "memMb": 512, "estimateMs": 60000}]) is None:
+                return 2
+            await asyncio.sleep(0.5)
+        jobs = []
+        for _ in range(WAITING):
+            jobs.append(await d.submit("q", [{"count": 1, "cpu": 1000, "memMb": 256, "estimateMs": 2000}]))
+        if None in jobs:
+            return 2
+        # visible_ms + 2 s and a little more after the last was accepted.
+        await asyncio.sleep(d.bounds["visible_ms"] / 1000 + 2 + 0.5)
+        broken = 0
+        for front in d.fronts():
+            asked = now()
+            status, shown = await d.client("GET", "q", "", front=front)
+            if status != 200:
+                return 2
+            pending = json.loads(shown)["pending"]
+            begun = {it[4].split(".")[0] for it in d.events if it[3] == "begin"}
+            older = [it for it in jobs if it not in begun
+                     and asked - d.jobs[it]["accepted"] > d.bounds["visible_ms"] / 1000 + 2]
+            record(f"pending {pending}; accepted over 5 s before and not begun: {len(older)}")
+            if 2 * pending < len(older):
+                broken += 1
+        for it in jobs[:2]:
+            await d.state("q", it)
         return 1 if broken else 0
     finally:
         await d.stop()
