--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -218,8 +218,6 @@
         role = self.deployment.roles[self.role]
         ini.write_text(render((REPO / role["template"]).read_text(), values))
         command = role["run"].replace("/etc/acaciafork/local.toml", str(ini)).split()
-        if "REVIEW_BIN" in os.environ:
-            command[0] = os.path.join(os.environ["REVIEW_BIN"], os.path.basename(command[0]))
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         self.process = subprocess.Popen(command, cwd=REPO, stdout=self.log, stderr=self.log,
                                         env=dict(env, ACACIAFORK_BOOT=str(boot)))
@@ -653,6 +651,8 @@
             if it.timer:
                 it.timer.cancel()
                 it.timer = None
+        if run.step.get("longRunning"):
+            return
         how = "failed" if self.fails(self, task, run.number) else "done"
         members["timer"] = loop.call_later(run.step.get("estimateMs", 100) / 1000, self.finish_gang, key, how)
 
