Let jobs go by the definition that their queue has now

Cause: a job copied its queue's definition (pool, priority, attempts, objective, advice policy) when it was accepted, its steps their place in the order when they began to wait, and queuesChanged() replaced only the table of queues. A new leader looked the queue up again, but fell back to the definition at acceptance once the queue had been removed.

Change: Job::follow() is the only place that copies a definition. queuesChanged() calls it for each job whose definition differs, renews ranks, gives up jobs that have used the attempts in force, and withdraws starts that were decided and not taken. Workers kept as gaps and for trials, and trials that wait for their record, are let go. The replicated copy follows as well, so a later leader knows the last definition of a removed queue; a renamed queue is known by its address. Pools that no queue names any more keep their capacity guard.

Why it works: nothing that decides where, when or how often a task starts is older than the configuration in force.

Tests that called queuesChanged() pass the time now; no check is changed.

--- a/acaciafork/control/JobCodec.cpp
+++ b/acaciafork/control/JobCodec.cpp
@@ -48,9 +48,10 @@
     return result;
 }
 
-jobs::QueueSpec toJobs(const wire::Queue &queue)
+jobs::QueueSpec toJobs(const wire::Queue &queue, const wire::QueueConfig &config)
 {
     jobs::QueueSpec spec { .name = queue.name(),
+                           .address = queue.host() + queue.path_prefix(),
                            .pool = queue.pool(),
                            .priority = queue.priority(),
                            .maxAttempts = queue.most_attempts(),
@@ -60,24 +61,23 @@
         spec.advice = { .decision = std::chrono::milliseconds(queue.advice().decision_ms()),
                         .perWorker = std::chrono::milliseconds(queue.advice().per_worker_ms()),
                         .validity = std::chrono::milliseconds(queue.advice().validity_ms()) };
+    const auto pool = std::ranges::find(config.pools(), spec.pool, &wire::WorkerPool::name);
+    spec.guardsCapacity = pool != config.pools().end() && pool->enforces_capacity();
     return spec;
 }
 
 std::vector<jobs::QueueSpec> toJobs(const wire::QueueConfig &config)
 {
     std::vector<jobs::QueueSpec> queues;
-    for (const wire::Queue &it : config.queues()) {
-        jobs::QueueSpec &queue = queues.emplace_back(toJobs(it));
-        const auto pool = std::ranges::find(config.pools(), queue.pool, &wire::WorkerPool::name);
-        queue.guardsCapacity = pool != config.pools().end() && pool->enforces_capacity();
-    }
+    for (const wire::Queue &it : config.queues())
+        queues.push_back(toJobs(it, config));
     return queues;
 }
 
-jobs::JobView toJobs(const state::Job &job)
+jobs::JobView toJobs(const state::Job &job, const wire::QueueConfig &config)
 {
     jobs::JobView view { .id = { job.id },
-                         .queue = toJobs(job.queue),
+                         .queue = toJobs(job.queue, config),
                          .spec = toJobs(*job.spec),
                          .submittedUs = job.submittedUs,
                          .done = job.done };
--- a/acaciafork/control/JobCodec.h
+++ b/acaciafork/control/JobCodec.h
@@ -8,14 +8,16 @@
 /// A job's spec as the scheduler takes it.
 std::shared_ptr<const jobs::JobSpec> toJobs(const wire::JobSpec &spec);
 
-/// A queue as the scheduler takes it.
-jobs::QueueSpec toJobs(const wire::Queue &queue);
+/// A queue as the scheduler takes it. A pool that the configuration does not name counts as one
+/// that starts what exceeds its capacity.
+jobs::QueueSpec toJobs(const wire::Queue &queue, const wire::QueueConfig &config);
 
 /// All queues of a configuration as the scheduler takes them.
 std::vector<jobs::QueueSpec> toJobs(const wire::QueueConfig &config);
 
 /// A job as the scheduler takes it; `done` stays a view of the state's.
-jobs::JobView toJobs(const state::Job &job);
+/// @param[in] config in force; names the pools
+jobs::JobView toJobs(const state::Job &job, const wire::QueueConfig &config);
 
 /// A worker as the scheduler takes it.
 jobs::WorkerLife toJobs(const wire::WorkerLife &life);
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -142,7 +142,7 @@
     std::vector<jobs::JobView> views;
     for (const auto &[id, job] : m_state->jobs().all()) {
         if (job.state == wire::JOB_STATE_ACTIVE)
-            views.push_back(toJobs(job));
+            views.push_back(toJobs(job, m_state->queues().current()));
     }
     std::vector<jobs::WorkerLife> workers;
     for (const auto &[name, life] : m_state->workers().all())
@@ -266,7 +266,7 @@
         m_accepted->add();
         spdlog::info("event=job-accepted job={:016x} queue={} steps={} tasks={}", job->id,
                      job->queue.name(), job->spec->steps_size(), job->done.size());
-        m_scheduler.jobAccepted(at, toJobs(*job));
+        m_scheduler.jobAccepted(at, toJobs(*job, m_state->queues().current()));
     } else if (command.body_case() == wire::Command::kCancelJob) {
         m_cancelled->add();
         spdlog::info("event=job-cancelled job={:016x}", command.cancel_job().job());
@@ -278,7 +278,7 @@
         const std::vector<jobs::QueueSpec> queues = toJobs(m_state->queues().current());
         spdlog::info("event=queues-in-force version={} queues={}", m_state->queues().version(),
                      queues.size());
-        m_scheduler.queuesChanged(queues);
+        m_scheduler.queuesChanged(at, queues);
     } else if (command.body_case() == wire::Command::kChangeZone) {
         const wire::ChangeZone &change = command.change_zone();
         if (change.closed())
--- a/acaciafork/decisions/jobs/GapPlanner.cpp
+++ b/acaciafork/decisions/jobs/GapPlanner.cpp
@@ -70,7 +70,7 @@
 bool GapPlanner::mayKeep(Timestamp now, const Step &step) const
 {
     const StepSpec &spec = *step.spec;
-    if (spec.fills || spec.longRunning || spec.gang || step.permits != nullptr)
+    if (spec.fills || spec.longRunning || spec.gang || step.permits() != nullptr)
         return false;
     const std::size_t wanted = std::min(m_settings.maxKeptPerStep, step.ready.size());
     return now - step.readyAt >= m_settings.keepAfter
@@ -80,7 +80,7 @@
 std::size_t GapPlanner::mayKeepUrgently(const Step &step, std::size_t workers) const
 {
     const StepSpec &spec = *step.spec;
-    if (spec.fills || spec.gang || step.permits != nullptr)
+    if (spec.fills || spec.gang || step.permits() != nullptr)
         return 0;
     const std::size_t most = std::max<std::size_t>(
             1, workers * m_settings.maxUrgentPercent / static_cast<std::size_t>(wholePercent));
@@ -183,6 +183,8 @@
         return "unusable";
     if (step == nullptr || !step->isQueued || keptFor(*step) > step->ready.size())
         return "placed";
+    if (worker->life.pool != step->job->pool)
+        return "moved";
     if (now - gap.since >= m_settings.longestKeep)
         return "expired";
     if (!forecast(now, *worker, gap.size))
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -47,12 +47,11 @@
     end();
     m_closedZones.assign(closedZones);
     m_tenure = tenure;
-    queuesChanged(queues);
+    setQueues(queues);
     m_interference.restore(estimates);
     for (const WorkerLife &it : workers) {
         Worker &worker = m_workers.add(it);
         worker.isRecorded = true;
-        worker.guardsCapacity = !m_unguardedPools.contains(it.pool);
         worker.lastHeardAt = at.now;
         worker.lease.assumeGranted(at.now, m_settings.lease);
         worker.leaseOrderedAt = at.now;
@@ -64,6 +63,7 @@
     m_earlierLeases.assumeGranted(at.now + m_settings.maxOrderDelay, m_settings.maxLease);
     for (const JobView &it : jobs)
         addJob(at, it, true);
+    updateUnguardedPools();
     restoreExposures(at.now);
     note("tenure-began", {}, nullptr,
          "tenure=" + std::to_string(tenure.value) + " jobs=" + std::to_string(jobs.size())
@@ -118,34 +118,80 @@
 
 // ---- queues and jobs
 
-void JobScheduler::queuesChanged(std::span<const QueueSpec> queues)
+void JobScheduler::queuesChanged(Moment at, std::span<const QueueSpec> queues)
+{
+    const std::map<std::string, QueueSpec> before = m_queues;
+    std::map<std::string, std::size_t> moved;
+    setQueues(queues);
+    for (const auto &[id, job] : m_jobs.all()) {
+        const QueueSpec *queue = findQueue(job->queue, job->queueAddress);
+        if (job->phase != JobPhase::Active || queue == nullptr)
+            continue;
+        const auto known = before.find(job->queue);
+        if (known != before.end() && known->second == *queue)
+            continue;
+        if (job->pool != queue->pool)
+            ++moved[queue->name];
+        job->follow(*queue);
+        for (Step &it : job->steps)
+            m_order.update(at.now, &it);
+        failIfExhausted(at.now, job.get());
+    }
+    for (const auto &[name, n] : moved)
+        note("queue-moved", {}, nullptr,
+             "queue=" + name + " pool=" + m_queues.at(name).pool + " jobs=" + std::to_string(n));
+    updateUnguardedPools();
+    m_placementDue = true;
+    withdrawStarts(at, [this](const StartRun &it) {
+        const Job *job = m_jobs.find(it.run.task.job);
+        const Worker *worker = m_workers.find(it.target.worker);
+        return job != nullptr && worker != nullptr && worker->life.pool != job->pool;
+    });
+}
+
+void JobScheduler::setQueues(std::span<const QueueSpec> queues)
 {
     m_queues.clear();
-    m_unguardedPools.clear();
-    for (const QueueSpec &it : queues) {
+    for (const QueueSpec &it : queues)
         m_queues[it.name] = it;
-        if (!it.guardsCapacity)
-            m_unguardedPools.insert(it.pool);
-    }
-    for (const auto &[id, worker] : m_workers.all())
-        worker->guardsCapacity = !m_unguardedPools.contains(worker->life.pool);
 }
 
-const QueueSpec &JobScheduler::queueOf(const QueueSpec &accepted) const
+const QueueSpec *JobScheduler::findQueue(const std::string &name, const std::string &address) const
 {
-    const auto it = m_queues.find(accepted.name);
-    return it == m_queues.end() ? accepted : it->second;
+    const auto known = m_queues.find(name);
+    if (known != m_queues.end())
+        return &known->second;
+    const auto isThere = [&](const auto &it) { return it.second.address == address; };
+    const auto renamed = address.empty() ? m_queues.end() : std::ranges::find_if(m_queues, isThere);
+    return renamed == m_queues.end() ? nullptr : &renamed->second;
 }
 
-void JobScheduler::zonesChanged(Moment at, std::span<const std::string> closed)
+void JobScheduler::updateUnguardedPools()
+{
+    m_unguardedPools.clear();
+    // Jobs may outlive the queue that names their pool.
+    for (const auto &[id, job] : m_jobs.all()) {
+        if (!job->guardsCapacity)
+            m_unguardedPools.insert(job->pool);
+    }
+    for (const auto &[name, queue] : m_queues) {
+        if (queue.guardsCapacity)
+            m_unguardedPools.erase(queue.pool);
+        else
+            m_unguardedPools.insert(queue.pool);
+    }
+    for (const auto &[id, worker] : m_workers.all())
+        worker->guardsCapacity = !m_unguardedPools.contains(worker->life.pool);
+}
+
+template <typename Predicate>
+void JobScheduler::withdrawStarts(Moment at, Predicate isObsolete)
 {
-    m_closedZones.assign(closed);
-    m_placementDue = true;
     // A leader that may not act for a while would order these starts later.
     std::vector<StartRun> untaken;
     std::erase_if(m_commands, [&](const Command &it) {
         const auto *start = std::get_if<StartRun>(&it);
-        if (start == nullptr || !m_closedZones.isClosed(start->target.zone))
+        if (start == nullptr || !isObsolete(*start))
             return false;
         untaken.push_back(*start);
         return true;
@@ -154,6 +200,14 @@
         startAnswered(at, it.target.worker, it.run, OrderOutcome::NotSent);
 }
 
+void JobScheduler::zonesChanged(Moment at, std::span<const std::string> closed)
+{
+    m_closedZones.assign(closed);
+    m_placementDue = true;
+    withdrawStarts(at,
+                   [this](const StartRun &it) { return m_closedZones.isClosed(it.target.zone); });
+}
+
 void JobScheduler::jobAccepted(Moment at, const JobView &job)
 {
     addJob(at, job, false);
@@ -163,10 +217,15 @@
 {
     if (m_jobs.find(view.id) != nullptr)
         return;
-    Job *job = m_jobs.add(at.now, at.wallMicroseconds, view, queueOf(view.queue));
+    const QueueSpec *queue = findQueue(view.queue.name, view.queue.address);
+    Job *job =
+            m_jobs.add(at.now, at.wallMicroseconds, view, queue == nullptr ? view.queue : *queue);
     job->isInherited = isInherited;
-    if (!isInherited)
+    if (!isInherited) {
         job->acceptedAt = at.now;
+        if (!job->guardsCapacity)
+            updateUnguardedPools();
+    }
     std::uint32_t tasks = 0;
     for (Step &it : job->steps) {
         it.dueAt = job->acceptedAt;
@@ -239,6 +298,11 @@
     if (task.done || task.isReady || task.hasRun() || !step->mayStart()
         || step->job->phase != JobPhase::Active)
         return;
+    // Fewer attempts may be allowed now than when its last run started.
+    if (hasUsedAttempts(ref) && !awaitsTakeOver(*step)) {
+        giveUpJob(now, ref, nullptr, {});
+        return;
+    }
     task.isReady = true;
     task.idleSince = std::min(task.idleSince, now);
     m_placementDue = true;
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -183,7 +183,10 @@
 
     /// @name Changes of the replicated state
     /// @{
-    void queuesChanged(std::span<const QueueSpec> queues);
+    /// From now on, each job goes by the definition that its queue has here. What runs or is
+    /// ordered stays where it is; what was decided and not taken yet is withdrawn where its pool
+    /// has changed. Jobs of a queue that is not defined any more keep its last definition.
+    void queuesChanged(Moment at, std::span<const QueueSpec> queues);
     void jobAccepted(Moment at, const JobView &job);
     void jobCancelled(Moment at, JobId job);
     void endsRecorded(Moment at, std::uint64_t batch);
@@ -271,7 +274,16 @@
         std::uint32_t occurrence = 0;
     };
 
-    [[nodiscard]] const QueueSpec &queueOf(const QueueSpec &accepted) const;
+    /// Definition in force of a queue by its name, or else by its address: it may have been
+    /// renamed. Null when there is none.
+    [[nodiscard]] const QueueSpec *findQueue(const std::string &name,
+                                             const std::string &address) const;
+    void setQueues(std::span<const QueueSpec> queues);
+    void updateUnguardedPools();
+    /// Takes back the starts that were decided and not taken yet and for which `isObsolete`, which
+    /// takes a StartRun, is true.
+    template <typename Predicate>
+    void withdrawStarts(Moment at, Predicate isObsolete);
     [[nodiscard]] static OrderTarget targetOf(const Worker &worker);
     void note(std::string_view event, const RunKey &run, const Worker *worker, std::string detail);
 
@@ -305,6 +317,13 @@
     void markDone(Timestamp now, TaskRef task, RunNumber run, Worker *worker);
     void dropFromReady(TaskRef task);
     void taskFailed(Timestamp now, TaskRef task, RunNumber run, Worker *worker);
+    /// Ends the job of a task as failed.
+    /// @param[in] worker on which the task ran last; null when that is not known
+    void giveUpJob(Timestamp now, TaskRef task, const Worker *worker, std::string detail);
+    /// True when the task has failed as often as its queue allows.
+    [[nodiscard]] static bool hasUsedAttempts(const TaskRef &task);
+    /// Gives up the job if one of its waiting tasks has used its attempts.
+    void failIfExhausted(Timestamp now, Job *job);
     void reconcileRunning(Timestamp now, Worker *worker, const RenewalAnswer &answer);
     /// Lets nothing start on a worker until runs that are not in the table have had the time to
     /// stop.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -111,11 +111,7 @@
         return;
     if (task.crashes.isConvicted(m_settings.crashes)) {
         ++m_counts.convictedTasks;
-        note("job-failed", { .task = ref.key(), .run = {} }, m_workers.find(exposure.worker),
-             "reason=crashes-workers " + counts);
-        m_failedJobs.push_back(job->id);
-        m_flushEndsNow = true;
-        endJob(now, job, JobPhase::Failed);
+        giveUpJob(now, ref, m_workers.find(exposure.worker), "reason=crashes-workers " + counts);
         return;
     }
     // From the ready tasks to those that wait for a trial.
@@ -337,8 +333,10 @@
             continue;
         Worker *worker = m_workers.find(run.get().worker);
         ACACIAFORK_ASSERT(worker != nullptr);
-        // The record may have taken long, and the zone may have closed meanwhile.
-        if (!m_placer.isReachable(at.now, *worker) || !Size {}.fitsIn(worker->freeCapacity())) {
+        // The record may have taken long, and the zone may have closed or the queue moved
+        // meanwhile.
+        if (!m_placer.isReachable(at.now, *worker) || !Size {}.fitsIn(worker->freeCapacity())
+            || worker->life.pool != run.task.step->job->pool) {
             abandonTrial(at.now, run);
             continue;
         }
@@ -415,7 +413,8 @@
         if (now >= worker->reservedUntil)
             continue;
         const TaskRef task = m_jobs.find(worker->reservedFor);
-        if (task && needsTrial(*task.step) && m_placer.isReachable(now, *worker))
+        if (task && needsTrial(*task.step) && m_placer.isReachable(now, *worker)
+            && worker->life.pool == task.step->job->pool)
             served.insert(worker->reservedFor);
         else
             worker->reservedUntil = now;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -79,7 +79,7 @@
             return;
         ++failedCount;
         // Where only kept workers have room, others of its size may still be let in.
-        if (isLimitedBySizeOnly(*step->spec) && step->permits == nullptr
+        if (isLimitedBySizeOnly(*step->spec) && step->permits() == nullptr
             && !m_round.wasTurnedAway())
             failedPlacements.push_back({ .pool = step->job->pool,
                                          .fills = step->spec->fills,
@@ -340,14 +340,14 @@
 
 void JobScheduler::requestPermits(Timestamp now, Step *step)
 {
-    if (step->permits == nullptr || m_permitRequestsInFlight >= m_settings.maxPermitRequests)
+    if (step->permits() == nullptr || m_permitRequestsInFlight >= m_settings.maxPermitRequests)
         return;
     std::vector<WorkerName> names =
-            step->permits->chooseWorkersToRequest(now, m_workers, m_placer, *step);
+            step->permits()->chooseWorkersToRequest(now, m_workers, m_placer, *step);
     if (names.empty())
         return;
     ++m_permitRequestsInFlight;
-    step->permits->requestSent(names, m_workers);
+    step->permits()->requestSent(names, m_workers);
     const AdvicePolicy &advice = *step->job->advice;
     const auto count = static_cast<std::int64_t>(names.size());
     // Allows for earlier requests, which the advisor answers first.
@@ -369,14 +369,16 @@
     note("permits-answered", { .task = key, .run = {} }, nullptr,
          allowed == nullptr ? "outcome=unanswered" : "good=" + std::to_string(allowed->size()));
     m_placementDue = true;
-    if (!task || task.step->permits == nullptr)
+    // The queue may have lost its policy, or got it back, since the request was sent.
+    if (!task || task.step->knownPermits == nullptr)
         return;
+    const std::optional<AdvicePolicy> &advice = task.step->job->advice;
     if (allowed == nullptr)
-        task.step->permits->requestFailed(at.now);
+        task.step->knownPermits->requestFailed(at.now);
+    else if (validity > Duration {} || !advice)
+        task.step->knownPermits->requestAnswered(at.now, *allowed, validity);
     else
-        task.step->permits->requestAnswered(
-                at.now, *allowed,
-                validity > Duration {} ? validity : task.step->job->advice->validity);
+        task.step->knownPermits->requestAnswered(at.now, *allowed, advice->validity);
 }
 
 bool JobScheduler::placeGang(Timestamp now, Step *step, PlacementMode mode)
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -96,7 +96,8 @@
     run.phase = RunPhase::Starting;
     run.startedAt = now;
     ++m_counts.started;
-    const Permit *permit = step->permits == nullptr ? nullptr : step->permits->find(*worker, now);
+    const Permit *permit =
+            step->permits() == nullptr ? nullptr : step->permits()->find(*worker, now);
     run.startDeadlineMs = worker->grantLease(now, m_settings.lease);
     m_commands.emplace_back(StartRun { .target = targetOf(*worker),
                                        .run = ref.key(),
@@ -250,8 +251,8 @@
     clearExposure(now, ref.task, key.run);
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Stopping) {
         Step *step = ref.task.step;
-        if (outcome == OrderOutcome::NoPermit && step->permits != nullptr)
-            step->permits->discard(worker->life.name);
+        if (outcome == OrderOutcome::NoPermit && step->permits() != nullptr)
+            step->permits()->discard(worker->life.name);
         else if (outcome != OrderOutcome::OldRun)
             startFailed(now, worker, ref);
         if (outcome == OrderOutcome::OtherLife)
@@ -449,15 +450,43 @@
             recordEnd(now, { .task = step->key(it), .run = run }, true, worker);
         }
     }
-    if (task.failedRuns.size() < job->maxAttempts) {
+    if (!hasUsedAttempts(ref)) {
         requeue(now, ref);
         return;
     }
-    note("job-failed", { .task = ref.key(), .run = {} }, worker,
-         "attempts=" + std::to_string(task.failedRuns.size()));
-    m_failedJobs.push_back(job->id);
+    giveUpJob(now, ref, worker, {});
+}
+
+void JobScheduler::giveUpJob(Timestamp now, TaskRef ref, const Worker *worker, std::string detail)
+{
+    if (detail.empty())
+        detail = "attempts=" + std::to_string(ref.get().failedRuns.size());
+    note("job-failed", { .task = ref.key(), .run = {} }, worker, std::move(detail));
+    m_failedJobs.push_back(ref.step->job->id);
     m_flushEndsNow = true;
-    endJob(now, job, JobPhase::Failed);
+    endJob(now, ref.step->job, JobPhase::Failed);
+}
+
+bool JobScheduler::hasUsedAttempts(const TaskRef &ref)
+{
+    return !ref.step->spec->longRunning
+            && ref.get().failedRuns.size() >= ref.step->job->maxAttempts;
+}
+
+void JobScheduler::failIfExhausted(Timestamp now, Job *job)
+{
+    for (Step &step : job->steps) {
+        // Until then, the last run may be at a worker that this leader hasn't heard of.
+        if (!step.mayStart() || awaitsTakeOver(step))
+            continue;
+        for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
+            const TaskRef task { .step = &step, .task = it };
+            if (!task.get().isReady || !hasUsedAttempts(task))
+                continue;
+            giveUpJob(now, task, nullptr, {});
+            return;
+        }
+    }
 }
 
 void JobScheduler::stopGang(Timestamp now, Step *step, std::string_view reason)
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -522,6 +522,10 @@
     m_isTakingOver = false;
     m_placementDue = true;
     note("take-over-ended", {}, nullptr, "workers=" + std::to_string(m_workers.all().size()));
+    for (const auto &[id, job] : m_jobs.all()) {
+        if (job->phase == JobPhase::Active)
+            failIfExhausted(now, job.get());
+    }
 }
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -26,6 +26,11 @@
     }
 }
 
+StepPermits *Step::permits() const
+{
+    return job->advice ? knownPermits.get() : nullptr;
+}
+
 Timestamp Step::firstReadySince() const
 {
     Timestamp first = Timestamp::max();
@@ -55,6 +60,22 @@
         gangCheckpoint = checkpoint;
 }
 
+void Job::follow(const QueueSpec &definition)
+{
+    queue = definition.name;
+    queueAddress = definition.address;
+    priority = definition.priority;
+    maxAttempts = std::max<std::uint32_t>(definition.maxAttempts, 1);
+    pool = definition.pool;
+    guardsCapacity = definition.guardsCapacity;
+    advice = definition.advice;
+    objective = objectiveOf(*spec, definition);
+    for (Step &it : steps) {
+        if (advice && it.knownPermits == nullptr)
+            it.knownPermits = std::make_unique<StepPermits>();
+    }
+}
+
 bool Job::isAtWork() const
 {
     if (runCount == 0)
@@ -78,16 +99,10 @@
 {
     auto job = std::make_unique<Job>();
     job->id = view.id;
-    job->queue = queue.name;
-    job->priority = queue.priority;
-    job->maxAttempts = std::max<std::uint32_t>(queue.maxAttempts, 1);
-    job->pool = queue.pool;
-    job->advice = queue.advice;
     job->spec = view.spec;
     // The age comes from wall clocks that may differ between processes; never negative.
     const Duration age = std::max(Duration {}, Duration(wallUs - view.submittedUs));
     job->acceptedAt = now - age;
-    job->objective = objectiveOf(*view.spec, queue);
 
     const std::vector<Duration> paths = view.spec->remainingPaths();
     const std::uint32_t occurrences = view.spec->occurrences();
@@ -103,8 +118,6 @@
             step.number = number;
             step.readyAt = now;
             step.dueAt = job->acceptedAt;
-            if (queue.advice)
-                step.permits = std::make_unique<StepPermits>();
             step.remainingPath = paths[number];
             step.tasks.resize(spec.count);
             for (Task &it : step.tasks) {
@@ -115,6 +128,7 @@
             job->tasksLeft += step.remainingTasks;
         }
     }
+    job->follow(queue);
     for (const auto &[key, runs] : view.failures) {
         const std::size_t index = key.occurrence * view.spec->steps.size() + key.step;
         if (index < job->steps.size() && key.task < job->steps[index].tasks.size())
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -119,8 +119,8 @@
     std::uint32_t number = 0;
     /// Number of preceding steps that are not done yet.
     std::uint32_t pendingPredecessors = 0;
-    /// Permits to run on workers; null when the queue's policy requires none.
-    std::unique_ptr<StepPermits> permits;
+    /// What the advisor has said of the step; null until the queue's policy first requires permits.
+    std::unique_ptr<StepPermits> knownPermits;
     /// Number of tasks that are not done.
     std::uint32_t remainingTasks = 0;
     /// Its occurrence is not due yet.
@@ -166,6 +166,8 @@
     std::uint32_t doneCount = 0;
 
     [[nodiscard]] bool mayStart() const { return pendingPredecessors == 0 && !isDeferred; }
+    /// Permits to run on workers; null when the queue's policy requires none.
+    [[nodiscard]] StepPermits *permits() const;
     [[nodiscard]] TaskKey key(std::uint32_t task) const;
     /// A task of this step runs for certain, so no earlier leader has started a step after it.
     void clearUnseenSuccessors() const;
@@ -196,22 +198,28 @@
 struct Job
 {
     JobId id;
+    /// @name Definition of its queue
+    /// As last in force; see follow().
+    /// @{
     std::string queue;
+    std::string queueAddress;
     std::uint32_t priority = 0;
     std::uint32_t maxAttempts = 1;
     std::string pool;
+    bool guardsCapacity = true;
+    std::optional<AdvicePolicy> advice;
+    /// Time allowed for the job, counted from its acceptance, or from each time that it becomes
+    /// due.
+    Duration objective {};
+    /// @}
     std::shared_ptr<const JobSpec> spec;
     JobPhase phase = JobPhase::Active;
     /// When it was accepted, on this process's clock.
     Timestamp acceptedAt;
-    /// Time allowed for the job, counted from its acceptance, or from each time that it becomes
-    /// due.
-    Duration objective {};
     /// How much longer than estimated its steps are expected to take, as a factor of at least 1.
     double stretch = 1;
     /// Its steps go before those of jobs that have not begun.
     bool isFinishedFirst = false;
-    std::optional<AdvicePolicy> advice;
     /// The job was accepted before this tenure: its tasks may already be running.
     bool isInherited = false;
     std::uint32_t tasksLeft = 0;
@@ -221,6 +229,8 @@
     /// Ordered by occurrence, then by step.
     std::vector<Step> steps;
 
+    /// Adopts the definition of its queue. Runs that exist stay where they are.
+    void follow(const QueueSpec &definition);
     /// True when a task runs or is being started. A run that waits for its record or its end may be
     /// on no worker.
     [[nodiscard]] bool isAtWork() const;
--- a/acaciafork/decisions/jobs/PlacementRound.cpp
+++ b/acaciafork/decisions/jobs/PlacementRound.cpp
@@ -65,7 +65,7 @@
 {
     const Worker &worker = *(*m_candidates)[candidate].worker;
     if (!m_placer->fits(worker, *m_step)
-        || (m_step->permits != nullptr && m_step->permits->find(worker, m_now) == nullptr))
+        || (m_step->permits() != nullptr && m_step->permits()->find(worker, m_now) == nullptr))
         return;
     if (m_placer->turnsAway(m_now, worker, *m_step)) {
         m_wasTurnedAway = true;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -125,8 +125,8 @@
     if (worker.life.pool == step.job->pool && !isUsable(now, worker))
         return reasonNotUsable(now, worker);
     const PlacementObstacle obstacle = findObstacle(worker, step, PlacementMode::Usual);
-    if (obstacle == PlacementObstacle::None && step.permits != nullptr
-        && step.permits->find(worker, now) == nullptr)
+    if (obstacle == PlacementObstacle::None && step.permits() != nullptr
+        && step.permits()->find(worker, now) == nullptr)
         return PlacementObstacle::Permit;
     if (obstacle == PlacementObstacle::None && m_limits.gaps != nullptr
         && m_limits.gaps->isClosedTo(now, worker, step))
@@ -336,7 +336,7 @@
             continue;
         if (rack != nullptr && worker->life.rack != *rack)
             continue;
-        if (step.permits != nullptr && step.permits->find(*worker, now) == nullptr)
+        if (step.permits() != nullptr && step.permits()->find(*worker, now) == nullptr)
             continue;
         // A speculative copy must run on a different worker than the first run.
         const bool runsHere = std::ranges::any_of(task.runs, [&](const Run &run) {
@@ -371,7 +371,7 @@
             || !isFreeForTrial(now, *worker, step, length)
             || findObstacle(*worker, step, mode) != PlacementObstacle::None
             || (rack != nullptr && worker->life.rack != *rack)
-            || (step.permits != nullptr && step.permits->find(*worker, now) == nullptr))
+            || (step.permits() != nullptr && step.permits()->find(*worker, now) == nullptr))
             continue;
         const TrialRank rank = rankForTrial(*worker, score(now, *worker, step));
         if (best == nullptr || rank < bestRank) {
@@ -388,7 +388,7 @@
     std::tuple<bool, bool, TrialRank> bestRank;
     for (const auto &[id, worker] : workers.all()) {
         if (!isUsable(now, *worker) || !canEverFit(*worker, step)
-            || (step.permits != nullptr && step.permits->find(*worker, now) == nullptr))
+            || (step.permits() != nullptr && step.permits()->find(*worker, now) == nullptr))
             continue;
         // A worker that was kept for the step before and had no room for it comes last.
         const std::tuple rank { !fits(*worker, step), worker->reservedFor == step.key(0),
--- a/acaciafork/decisions/jobs/StepOrder.cpp
+++ b/acaciafork/decisions/jobs/StepOrder.cpp
@@ -75,6 +75,17 @@
     m_entries.clear();
 }
 
+void StepOrder::update(Timestamp now, Step *step)
+{
+    if (!step->isQueued)
+        return;
+    const auto it = m_entries.find(step);
+    ACACIAFORK_ASSERT(it != m_entries.end());
+    m_steps.erase(it->second.rank);
+    it->second.rank = rankOf(now, *step);
+    m_steps.emplace(it->second.rank, step);
+}
+
 void StepOrder::refresh(Timestamp now)
 {
     // The rest of the rank stays as it was.
--- a/acaciafork/decisions/jobs/StepOrder.h
+++ b/acaciafork/decisions/jobs/StepOrder.h
@@ -63,6 +63,8 @@
     void erase(Step *step);
     void clear();
 
+    /// Moves a step to its place after the definition of its queue has changed.
+    void update(Timestamp now, Step *step);
     /// Reorders the steps whose lateness band has changed since they were inserted.
     void refresh(Timestamp now);
     /// All steps in order.
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -154,14 +154,19 @@
     Duration decision {};
     Duration perWorker {};
     Duration validity {};
+
+    bool operator==(const AdvicePolicy &) const = default;
 };
 
 /// Queue and the policy for its jobs.
 struct QueueSpec
 {
     std::string name;
+    /// Host and path prefix under which callers reach the queue.
+    std::string address;
     std::string pool;
     std::uint32_t priority = 0;
+    /// Number of failed runs of one task after which its job fails.
     std::uint32_t maxAttempts = 1;
     double stretch = 1;
     Duration objective {};
@@ -169,6 +174,8 @@
     bool guardsCapacity = true;
     /// Set when an external advisor decides which workers may run a step.
     std::optional<AdvicePolicy> advice;
+
+    bool operator==(const QueueSpec &) const = default;
 };
 
 /// A run of a task that has not ended, or that a crash of its worker has ended.
@@ -192,7 +199,7 @@
 struct JobView
 {
     JobId id;
-    /// Its queue as configured when the job was accepted.
+    /// Definition of its queue, as last in force while the queue existed.
     QueueSpec queue;
     std::shared_ptr<const JobSpec> spec;
     std::int64_t submittedUs = 0;
--- a/acaciafork/state/Jobs.cpp
+++ b/acaciafork/state/Jobs.cpp
@@ -20,6 +20,19 @@
     job->done.assign(static_cast<std::size_t>(n) * job->occurrences(), '\0');
 }
 
+/// The queue of a configuration that has the same name, or else the same host and path prefix; null
+/// if there is none.
+const wire::Queue *findQueue(const wire::QueueConfig &config, const wire::Queue &queue)
+{
+    const auto &queues = config.queues();
+    auto found = std::ranges::find(queues, queue.name(), &wire::Queue::name);
+    if (found == queues.end())
+        found = std::ranges::find_if(queues, [&](const wire::Queue &it) {
+            return it.host() == queue.host() && it.path_prefix() == queue.path_prefix();
+        });
+    return found == queues.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 std::uint32_t Job::occurrences() const
@@ -72,7 +85,8 @@
     return {};
 }
 
-ApplyResult Jobs::submit(const wire::SubmitJob &command, std::int64_t nowMicroseconds)
+ApplyResult Jobs::submit(const wire::SubmitJob &command, const wire::QueueConfig &config,
+                         std::int64_t nowMicroseconds)
 {
     if (m_jobs.contains(command.job()))
         return makeResult(wire::OUTCOME_ALREADY_APPLIED);
@@ -82,13 +96,30 @@
         return makeResult(wire::OUTCOME_FULL, 0, "too many jobs");
     Job &job = m_jobs[command.job()];
     job.id = command.job();
-    job.queue = command.queue();
+    const wire::Queue *queue = findQueue(config, command.queue());
+    job.queue = queue == nullptr ? command.queue() : *queue;
     job.spec = std::make_shared<const wire::JobSpec>(command.spec());
     job.submittedUs = nowMicroseconds;
     buildTaskLayout(&job);
     return makeResult(wire::OUTCOME_APPLIED);
 }
 
+void Jobs::configure(const wire::QueueConfig &config)
+{
+    std::unordered_map<std::string_view, const wire::Queue *> byName;
+    for (const wire::Queue &it : config.queues())
+        byName.emplace(it.name(), &it);
+    for (auto &[id, job] : m_jobs) {
+        if (job.state != wire::JOB_STATE_ACTIVE)
+            continue;
+        const auto known = byName.find(job.queue.name());
+        const wire::Queue *queue =
+                known != byName.end() ? known->second : findQueue(config, job.queue);
+        if (queue != nullptr)
+            job.queue = *queue;
+    }
+}
+
 ApplyResult Jobs::cancel(const wire::CancelJob &command, std::int64_t nowMicroseconds)
 {
     const auto it = m_jobs.find(command.job());
--- a/acaciafork/state/Jobs.h
+++ b/acaciafork/state/Jobs.h
@@ -29,7 +29,7 @@
 struct Job
 {
     std::uint64_t id = 0;
-    /// Configuration of its queue at the time the job was accepted.
+    /// Its queue as last configured; what it was before the queue was removed, if it was.
     wire::Queue queue;
     std::shared_ptr<const wire::JobSpec> spec;
     wire::JobState state = wire::JOB_STATE_ACTIVE;
@@ -66,7 +66,13 @@
 
     /// Accepts a job. If its id is known, the outcome is "already applied", even if the content
     /// differs.
-    ApplyResult submit(const wire::SubmitJob &command, std::int64_t nowMicroseconds);
+    /// @param[in] config in force, which may be later than the one that the command was made with
+    ApplyResult submit(const wire::SubmitJob &command, const wire::QueueConfig &config,
+                       std::int64_t nowMicroseconds);
+    /// Gives each active job the definition that its queue has in the configuration. A queue is
+    /// known by its name, or else by its host and path prefix. Jobs of a queue that is not in the
+    /// configuration keep its last definition.
+    void configure(const wire::QueueConfig &config);
     /// Cancels an active job; a job that has ended is left unchanged.
     ApplyResult cancel(const wire::CancelJob &command, std::int64_t nowMicroseconds);
     /// Records the ends of task runs and failed jobs. Those of unknown and ended jobs are ignored.
--- a/acaciafork/state/StateMachine.cpp
+++ b/acaciafork/state/StateMachine.cpp
@@ -162,10 +162,14 @@
         return tables.ledger.begin(command.ledger_begin(), now);
     case wire::Command::kLedgerEnd:
         return tables.ledger.end(command.ledger_end());
-    case wire::Command::kProposeQueues:
-        return tables.queues.propose(command.propose_queues());
+    case wire::Command::kProposeQueues: {
+        ApplyResult result = tables.queues.propose(command.propose_queues());
+        if (result.outcome() == wire::OUTCOME_APPLIED)
+            tables.jobs.configure(tables.queues.current());
+        return result;
+    }
     case wire::Command::kSubmitJob:
-        return tables.jobs.submit(command.submit_job(), now);
+        return tables.jobs.submit(command.submit_job(), tables.queues.current(), now);
     case wire::Command::kCancelJob:
         return tables.jobs.cancel(command.cancel_job(), now);
     case wire::Command::kRecordTaskEnds:
--- a/tests/control/FakeWorker.cpp
+++ b/tests/control/FakeWorker.cpp
@@ -22,7 +22,7 @@
 {
     return { .life = { .name = { name },
                        .born = { born },
-                       .pool = "pool",
+                       .pool = pool,
                        .address = address,
                        .zone = zone,
                        .labels = labels,
--- a/tests/control/FakeWorker.h
+++ b/tests/control/FakeWorker.h
@@ -48,6 +48,7 @@
     std::string name;
     std::string address;
     std::string zone;
+    std::string pool = "pool";
     std::uint64_t born;
     double clockRate;
     jobs::Size capacity;
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -79,29 +79,27 @@
     }
     newDriver();
     m_driver->start(moment());
-    wire::QueueConfig config;
-    config.set_version(1);
-    wire::Queue *queue = config.add_queues();
-    queue->set_name("queue");
-    queue->set_host("host");
-    queue->set_path_prefix("/q/");
-    queue->set_pool("pool");
-    queue->set_most_attempts(4);
-    queue->set_stretch(2);
-    queue->set_objective_ms(1000);
-    wire::Queue *advised = config.add_queues();
-    *advised = *queue;
-    advised->set_name("advised");
-    advised->set_path_prefix("/a/");
-    advised->mutable_advice()->set_decision_ms(decisionTime / 1ms);
-    advised->mutable_advice()->set_per_worker_ms(decisionTimePerWorker / 1ms);
-    advised->mutable_advice()->set_validity_ms(permitValidity / 1ms);
-    wire::WorkerPool *pool = config.add_pools();
-    pool->set_name("pool");
-    pool->set_enforces_capacity(m_options.guardsCapacity);
-    wire::Command command;
-    *command.mutable_propose_queues()->mutable_config() = config;
-    propose(moment(), command, [](Moment, const state::ApplyResult *) {});
+    configure([this](wire::QueueConfig *config) {
+        wire::Queue queue;
+        queue.set_name("queue");
+        queue.set_host("host");
+        queue.set_path_prefix("/q/");
+        queue.set_pool("pool");
+        queue.set_most_attempts(4);
+        queue.set_stretch(2);
+        queue.set_objective_ms(1000);
+        *config->add_queues() = queue;
+        wire::Queue *advised = config->add_queues();
+        *advised = queue;
+        advised->set_name("advised");
+        advised->set_path_prefix("/a/");
+        advised->mutable_advice()->set_decision_ms(decisionTime / 1ms);
+        advised->mutable_advice()->set_per_worker_ms(decisionTimePerWorker / 1ms);
+        advised->mutable_advice()->set_validity_ms(permitValidity / 1ms);
+        wire::WorkerPool *pool = config->add_pools();
+        pool->set_name("pool");
+        pool->set_enforces_capacity(m_options.guardsCapacity);
+    });
     run(50ms);
 }
 
@@ -332,6 +330,7 @@
         m_advised.insert(id);
     m_specs[id] = spec;
     m_attempts[id] = attempts;
+    m_paths[id] = path;
     wire::JobCall call;
     call.set_action(wire::JobCall::SUBMIT);
     call.set_host("host");
@@ -367,6 +366,54 @@
         m_driver->call(moment(), call, reply);
 }
 
+void JobWorld::configure(const std::function<void(wire::QueueConfig *)> &change)
+{
+    change(&m_queues);
+    m_queues.set_version(m_queues.version() + 1);
+    for (const wire::Queue &it : m_queues.queues())
+        m_pools[it.path_prefix()].insert(it.pool());
+    wire::Command command;
+    *command.mutable_propose_queues()->mutable_config() = m_queues;
+    propose(moment(), command, [](Moment, const state::ApplyResult *) {});
+}
+
+void JobWorld::moveQueue(std::string_view path, const std::string &pool)
+{
+    configure([&](wire::QueueConfig *config) {
+        for (wire::Queue &it : *config->mutable_queues()) {
+            if (it.path_prefix() == path)
+                it.set_pool(pool);
+        }
+        if (std::ranges::find(config->pools(), pool, &wire::WorkerPool::name)
+            == config->pools().end()) {
+            config->add_pools()->set_name(pool);
+            config->mutable_pools()->rbegin()->set_enforces_capacity(m_options.guardsCapacity);
+        }
+    });
+}
+
+std::optional<std::uint32_t> JobWorld::pending(std::string_view path)
+{
+    wire::JobCall call;
+    call.set_action(wire::JobCall::STATE);
+    call.set_host("host");
+    call.set_path(std::string(path));
+    std::optional<std::uint32_t> shown;
+    if (m_driver)
+        m_driver->call(moment(), call, [&](const peers::ApiAnswer &answer) {
+            constexpr std::string_view before = R"({"pending":)";
+            if (answer.status == 200 && answer.body.starts_with(before))
+                shown = static_cast<std::uint32_t>(std::stoul(answer.body.substr(before.size())));
+        });
+    return shown;
+}
+
+void JobWorld::checkPool(const FakeWorker &worker, const jobs::TaskKey &task)
+{
+    if (!m_pools.at(m_paths.at(task.job.value)).contains(worker.pool))
+        breach("start of " + nameOf(task) + " on " + worker.name + " of pool " + worker.pool);
+}
+
 void JobWorld::changeZone(const std::string &zone, bool closed)
 {
     m_zoneStatus[zone] = 0;
@@ -502,6 +549,7 @@
                                                old.clockRate, old.capacity);
     worker->address = old.address;
     worker->zone = old.zone;
+    worker->pool = old.pool;
     worker->bornAt = m_now;
     worker->labels = old.labels;
     if (m_options.lateOrdersOutliveWorkers)
@@ -666,8 +714,10 @@
         }
     }
     checkZone(worker, task);
+    checkPool(worker, task);
     checkStart(worker, command);
     ++m_starts;
+    m_begun.insert(task.job.value);
     worker.hasLease = true;
     worker.lastRun[task] = command.run.run.value;
     worker.running[task] = { .run = command.run.run,
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -100,6 +101,15 @@
     void ask(std::uint64_t id, Duration wait, const JobDriver::Reply &reply);
     /// Closes or opens a zone; see zoneStatus().
     void changeZone(const std::string &zone, bool closed);
+    /// Changes the configuration of the queues as its operator would.
+    void configure(const std::function<void(wire::QueueConfig *)> &change);
+    /// Lets the workers of another pool run the tasks of the queue with that path prefix.
+    void moveQueue(std::string_view path, const std::string &pool);
+    /// Number of jobs that wait, as the queue with that path prefix shows it; none when there is no
+    /// answer.
+    [[nodiscard]] std::optional<std::uint32_t> pending(std::string_view path);
+    /// True when a task of the job has started on a worker.
+    [[nodiscard]] bool hasBegun(std::uint64_t id) const { return m_begun.contains(id); }
     /// Status with which the last order for the zone was answered, 0 while it is not.
     [[nodiscard]] int zoneStatus(const std::string &zone) const;
     [[nodiscard]] const state::ClosedZones &closedZones() const { return m_machine.closedZones(); }
@@ -237,6 +247,8 @@
     /// Checks that no task starts in a zone that has been closed for long.
     void checkZone(const FakeWorker &worker, const jobs::TaskKey &task);
     void checkStart(const FakeWorker &worker, const jobs::StartRun &order);
+    /// Checks that a configuration has sent the task's queue to the worker's pool.
+    void checkPool(const FakeWorker &worker, const jobs::TaskKey &task);
     void checkStep(const FakeWorker &worker, const jobs::TaskKey &task, const wire::JobSpec &spec);
     /// Lets gangs begin that are whole, and ends those that are done, broken or alone.
     void advanceGangs();
@@ -274,6 +286,12 @@
     std::vector<std::unique_ptr<FakeWorker>> m_workers;
     std::map<std::uint64_t, wire::JobSpec> m_specs;
     std::map<std::uint64_t, std::uint32_t> m_attempts;
+    /// Path prefix of the queue of each job, and all pools that a queue has had.
+    std::map<std::uint64_t, std::string> m_paths;
+    std::map<std::string, std::set<std::string>> m_pools;
+    std::set<std::uint64_t> m_begun;
+    /// Configuration of the queues as last proposed.
+    wire::QueueConfig m_queues;
     std::map<std::uint64_t, int> m_status;
     std::map<std::uint64_t, Timestamp> m_cancelledAt;
     std::map<std::string, int> m_zoneStatus;
--- a/tests/decisions/jobs/WorkersTest.cpp
+++ b/tests/decisions/jobs/WorkersTest.cpp
@@ -297,7 +297,7 @@
     const QueueSpec queue {
         .name = "q", .pool = "pool", .maxAttempts = 3, .guardsCapacity = false
     };
-    fixture.scheduler.queuesChanged(std::array { queue });
+    fixture.scheduler.queuesChanged(fixture.at, std::array { queue });
     fixture.report();
     fixture.acceptJob(1, { .count = 2, .size = { 1000, 100, 0 } }, queue);
     CHECK(fixture.take<StartRun>().size() == 2);
@@ -402,7 +402,7 @@
     SchedulerFixture fixture;
     const std::array queues { QueueSpec {
             .name = "q", .pool = "pool", .maxAttempts = 3, .guardsCapacity = false } };
-    fixture.scheduler.queuesChanged(queues);
+    fixture.scheduler.queuesChanged(fixture.at, queues);
     fixture.advance(10ms);
     fixture.report();
     const RunKey stray { .task = { .job = { 99 } }, .run = { 1 } };
--- a/tests/state/JobsTest.cpp
+++ b/tests/state/JobsTest.cpp
@@ -160,3 +160,43 @@
     CHECK(driver.machine.jobs().find(5) == nullptr);
     CHECK(driver.machine.jobs().find(6) != nullptr);
 }
+
+TEST_CASE("active jobs go by the current definition of their queue, or by its last one")
+{
+    // Each job kept the definition that its queue had when the job was handed in.
+    const auto proposal = [](std::uint64_t version, const std::string &name,
+                             const std::string &prefix, const std::string &pool) {
+        wire::Command command = queueProposal(version, "");
+        wire::Queue *queue = command.mutable_propose_queues()->mutable_config()->add_queues();
+        queue->set_name(name);
+        queue->set_path_prefix(prefix);
+        queue->set_pool(pool);
+        return command;
+    };
+    Driver driver;
+    driver.apply(proposal(1, "q", "/q/", "one"));
+    const auto poolOf = [&](std::uint64_t id) {
+        return driver.machine.jobs().find(id)->queue.pool();
+    };
+    // The command was made before the definition changed, and is applied after that.
+    driver.apply(submission(5, 1));
+    CHECK(poolOf(5) == "one");
+    driver.apply(submission(6, 1));
+    driver.apply(ended(6, 0, false, 1));
+    driver.apply(proposal(2, "q", "/q/", "two"));
+    CHECK(poolOf(5) == "two");
+    CHECK(poolOf(6) == "one");
+    // An overtaken definition changes nothing.
+    driver.apply(proposal(1, "q", "/q/", "one"));
+    CHECK(poolOf(5) == "two");
+    driver.apply(proposal(3, "renamed", "/q/", "three"));
+    CHECK(driver.machine.jobs().find(5)->queue.name() == "renamed");
+    CHECK(poolOf(5) == "three");
+    driver.apply(proposal(4, "another", "/a/", "four"));
+    CHECK(poolOf(5) == "three");
+
+    const std::string bytes = driver.machine.snapshot();
+    StateMachine other(driver.machine.cell());
+    REQUIRE(other.restore(bytesOf(bytes)));
+    CHECK(other.jobs().find(5)->queue.pool() == "three");
+}
