Count a job as begun only once a worker has shown it

Cause: reserveRun() set Job::hasBegun when a start was decided, and nothing took it back when the start was refused, not answered or not sent. The order of steps let such jobs go first as well.

Change: hasBegun is set by the answer to a start, by a run that a worker lists, also one that is being stopped, and by the end of a run. The order of steps goes by Job::isUnderway(), which adds starts in flight.

--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -306,6 +306,8 @@
     /// A start that the worker refused or left unanswered.
     void startFailed(Timestamp now, Worker *worker, const RunRef &run);
     void startConfirmed(Timestamp now, Worker *worker, const RunRef &run) const;
+    /// A worker has shown that a run of the task has begun.
+    static void noteRun(const TaskRef &task);
     /// Run that a worker's answer refers to; none when that run is already over.
     RunRef findAnswered(WorkerId id, const RunKey &run, OrderOutcome outcome);
     void requestStop(Timestamp now, const RunRef &run, std::string_view reason);
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -419,7 +419,6 @@
     };
     const std::size_t commandsBefore = m_commands.size();
     const JobSchedulerCounts countsBefore = m_counts;
-    const bool hadBegun = step->job->hasBegun;
     const RackName rackBefore = step->rack;
     const Timestamp waitingSince = step->waitingSince;
     std::vector<Member> begun;
@@ -467,7 +466,6 @@
         it.task.get().lastRun = it.lastRun;
         it.worker->isIncarnationConfirmed = it.wasConfirmed;
     }
-    step->job->hasBegun = hadBegun;
     step->rack = rackBefore;
     step->waitingSince = waitingSince;
     m_commands.erase(m_commands.begin() + static_cast<std::ptrdiff_t>(commandsBefore),
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -81,7 +81,6 @@
     }
     ref.step->rack = worker->life.rack;
     ref.step->waitingSince = now;
-    ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     return run;
 }
@@ -140,12 +139,11 @@
                         .confirmedAt = now };
     task.lastRun = std::max(task.lastRun, row.run.run);
     task.idleSince = Timestamp::max();
-    task.hasRunBefore = true;
+    noteRun(ref);
     ref.step->updateCheckpoint(&task, row.checkpoint);
     dropFromReady(ref);
     worker->runs.push_back({ .task = ref, .slot = slot });
     worker->reserve(*ref.step);
-    ref.step->job->hasBegun = true;
     ++ref.step->job->runCount;
     note("run-adopted", row.run, worker, {});
     // The list was made in this tenure, when earlier leaders no longer decided. Of a gang or a
@@ -278,10 +276,16 @@
 {
     worker->startConfirmed(now);
     run.task.get().idleSince = Timestamp::max();
-    run.task.get().hasRunBefore = true;
+    noteRun(run.task);
     run.task.step->failedStarts = 0;
 }
 
+void JobScheduler::noteRun(const TaskRef &task)
+{
+    task.get().hasRunBefore = true;
+    task.step->job->hasBegun = true;
+}
+
 void JobScheduler::stopAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
 {
     const RunRef ref = findAnswered(id, key, outcome);
@@ -311,6 +315,7 @@
     const TaskRef task = m_jobs.find(row.run.task);
     if (!task)
         return;
+    noteRun(task);
     const RunRef ref = findRun(task, row.run.run);
     const bool isOurs = ref.task && ref.get().worker == worker->id;
     if (row.end != RunEnd::Done || !task.get().done) {
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -358,6 +358,8 @@
             continue;
         }
         Run &run = ref.get();
+        // Also where the answer to its start was lost and it is being stopped.
+        noteRun(task);
         if (answer.born)
             run.listedBy = answer.born;
         if (run.phase == RunPhase::Starting) {
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -224,13 +224,16 @@
     bool isInherited = false;
     std::uint32_t tasksLeft = 0;
     std::uint32_t runCount = 0;
-    /// At least one of its tasks has started.
+    /// A worker has confirmed a start of one of its tasks, or has listed a run of it. A start that
+    /// is ordered may be refused or lost.
     bool hasBegun = false;
     /// Ordered by occurrence, then by step.
     std::vector<Step> steps;
 
     /// Adopts the definition of its queue. Runs that exist stay where they are.
     void follow(const QueueSpec &definition);
+    /// True when the job has begun or one of its runs is being started.
+    [[nodiscard]] bool isUnderway() const { return hasBegun || runCount > 0; }
     /// True when a task runs or is being started. A run that waits for its record or its end may be
     /// on no worker.
     [[nodiscard]] bool isAtWork() const;
--- a/acaciafork/decisions/jobs/StepOrder.cpp
+++ b/acaciafork/decisions/jobs/StepOrder.cpp
@@ -12,7 +12,7 @@
     // Part of the slack is left, so that a job that has just arrived is not late already.
     constexpr double maxShareOfSlack = 0.7;
     const Job &job = *step.job;
-    if (job.hasBegun)
+    if (job.isUnderway())
         return {};
     const Duration slack = std::max(Duration {}, job.objective - step.remainingPath);
     const double wanted = static_cast<double>(step.remainingPath.count()) * (job.stretch - 1);
@@ -29,7 +29,7 @@
     Rank rank { .band = isLower ? 1U : 0U,
                 .priority = job.priority,
                 .isLongRunning = step.spec->longRunning,
-                .awaitsFirstStart = job.isFinishedFirst && !job.hasBegun,
+                .awaitsFirstStart = job.isFinishedFirst && !job.isUnderway(),
                 .latestStart = step.dueAt + job.objective - step.remainingPath - reserveOf(step),
                 .job = job.id,
                 .step = static_cast<std::uint32_t>(&step - job.steps.data()) };
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -110,6 +110,38 @@
     CHECK(answer == R"({"state":"completed"})");
 }
 
+TEST_CASE("jobs whose starts are refused are shown as waiting, and counted as pending")
+{
+    // From the first order on they were shown as running and missing from the count.
+    for (const StartFault fault : { StartFault::Refused, StartFault::Unanswered }) {
+        CAPTURE(static_cast<int>(fault));
+        JobWorld world({});
+        world.run(2s);
+        for (std::size_t it = 0; it < 6; ++it)
+            world.worker(it).startFault = fault;
+        std::string shown;
+        const auto ask = [&](std::uint64_t id) {
+            world.ask(id, {}, [&](const peers::ApiAnswer &answer) { shown = answer.body; });
+            return shown;
+        };
+        for (std::uint64_t id = 1; id <= 8; ++id)
+            world.submit(id, simpleJob(1, 1000, 2000));
+        world.run(6s);
+        CHECK(world.pending("/q/") == 8);
+        CHECK(ask(1) == R"({"state":"waiting"})");
+        // A new leader counts them as well.
+        world.changeLeader(300ms);
+        world.run(6s);
+        CHECK(world.pending("/q/") == 8);
+        for (std::size_t it = 0; it < 6; ++it)
+            world.worker(it).startFault = StartFault::None;
+        world.run(3s);
+        CHECK(world.pending("/q/") == 0);
+        CHECK(ask(1) != R"({"state":"waiting"})");
+        checkNoBreach(world);
+    }
+}
+
 TEST_CASE("a call for the state of a job waits no longer than it may, and only for the last tasks")
 {
     JobWorld world({});
