--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -142,6 +142,25 @@
     }
 }
 
+TEST_CASE("a job whose end is being recorded is shown as running")
+{
+    // It was shown as waiting: the scheduler had let go of it, and its record was not committed.
+    JobWorld world({});
+    world.run(2s);
+    world.submit(1, simpleJob(1, 1000, 500));
+    world.run(300ms);
+    REQUIRE(world.hasBegun(1));
+    world.holdCommits(true);
+    world.run(2s);
+    REQUIRE(world.driver().scheduler().jobs().find(jobs::JobId { 1 }) == nullptr);
+    std::string shown;
+    world.ask(1, {}, [&](const peers::ApiAnswer &answer) { shown = answer.body; });
+    CHECK(shown == R"({"state":"running"})");
+    world.holdCommits(false);
+    world.run(500ms);
+    CHECK(world.stateOf(1) == wire::JOB_STATE_COMPLETED);
+}
+
 TEST_CASE("a call for the state of a job waits no longer than it may, and only for the last tasks")
 {
     JobWorld world({});
