Take back all that a gang's failed placement has noted

A gang of which some members find a worker and others don't is tried every 20 ms.

Cause: each try starts the members that fit and undoes that when one doesn't. Undone were the runs, their numbers, the incarnation and whether the job had begun; not the lease that the worker was taken to hold (a silent worker is waited for longer), the length of a trial, the end of the time for which a worker is kept for a trial, an immediate renewal, and the spare room beside a kept worker's task, which shrank with each try until nothing else was let in.

Change: Worker::OrderState holds what an order changes; a failed placement restores it, and GapPlanner::withdrawn() gives the room back.

Evidence: "a gang that waits for room leaves its workers as they were" and "a gang that waits for room does not use up the room beside a kept worker's task" fail without the change; with it 124 cases of test_jobs and 101 of test_control pass.

--- a/acaciafork/decisions/jobs/GapPlanner.cpp
+++ b/acaciafork/decisions/jobs/GapPlanner.cpp
@@ -170,12 +170,23 @@
         erase(it);
         return used;
     }
-    // What ends before the room is free takes no part of it.
-    if (step.spec->longRunning || now + step.spec->estimate > gap.expectedAt)
+    if (takesSpare(now, gap, step))
         gap.spare -= step.spec->reserved();
     return std::nullopt;
 }
 
+void GapPlanner::withdrawn(Timestamp now, const Worker &worker, const Step &step)
+{
+    const auto it = m_kept.find(worker.id);
+    if (it != m_kept.end() && takesSpare(now, it->second, step))
+        it->second.spare += step.spec->reserved();
+}
+
+bool GapPlanner::takesSpare(Timestamp now, const KeptGap &gap, const Step &step)
+{
+    return step.spec->longRunning || now + step.spec->estimate > gap.expectedAt;
+}
+
 std::string_view GapPlanner::reasonToGiveUp(Timestamp now, const KeptGap &gap, const Worker *worker,
                                             bool isUsable, const Step *step) const
 {
--- a/acaciafork/decisions/jobs/GapPlanner.h
+++ b/acaciafork/decisions/jobs/GapPlanner.h
@@ -102,6 +102,9 @@
     /// Takes a start on a worker into account.
     /// @return the gap that the start has used, if the worker was kept for the step
     std::optional<KeptGap> started(Timestamp now, const Worker &worker, const Step &step);
+    /// Takes back a start of another step that has been taken into account at the same time and is
+    /// not ordered after all.
+    void withdrawn(Timestamp now, const Worker &worker, const Step &step);
 
     /// Ends the keep of a worker.
     void giveUp(WorkerId worker) { erase(m_kept.find(worker)); }
@@ -118,6 +121,8 @@
 private:
     using Kept = std::map<WorkerId, KeptGap>;
 
+    /// True when a task that starts now holds its room for longer than the gap can wait.
+    [[nodiscard]] static bool takesSpare(Timestamp now, const KeptGap &gap, const Step &step);
     void erase(Kept::iterator it);
 
     GapPlannerSettings m_settings;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -415,7 +415,7 @@
         TaskRef task;
         RunNumber lastRun;
         Worker *worker = nullptr;
-        bool wasConfirmed = false;
+        Worker::OrderState before;
     };
     const std::size_t commandsBefore = m_commands.size();
     const JobSchedulerCounts countsBefore = m_counts;
@@ -445,7 +445,7 @@
         begun.push_back({ .task = task,
                           .lastRun = task.get().lastRun,
                           .worker = worker,
-                          .wasConfirmed = worker->isIncarnationConfirmed });
+                          .before = worker->orderState() });
         if (isTrial)
             beginTrial(now, task, worker, number, mode);
         else
@@ -464,7 +464,8 @@
         undoExposure({ .task = it.task, .slot = 0 });
         releaseRun({ .task = it.task, .slot = 0 });
         it.task.get().lastRun = it.lastRun;
-        it.worker->isIncarnationConfirmed = it.wasConfirmed;
+        it.worker->restore(it.before);
+        m_gaps.withdrawn(now, *it.worker, *step);
     }
     step->rack = rackBefore;
     step->waitingSince = waitingSince;
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -41,6 +41,28 @@
     trialEndsAt = std::max(trialEndsAt, now + length);
 }
 
+Worker::OrderState Worker::orderState() const
+{
+    return { .isIncarnationConfirmed = isIncarnationConfirmed,
+             .immediateRenewalAt = immediateRenewalAt,
+             .lease = lease,
+             .leaseOrderedAt = leaseOrderedAt,
+             .trialBeganAt = trialBeganAt,
+             .trialEndsAt = trialEndsAt,
+             .reservedUntil = reservedUntil };
+}
+
+void Worker::restore(const OrderState &state)
+{
+    isIncarnationConfirmed = state.isIncarnationConfirmed;
+    immediateRenewalAt = state.immediateRenewalAt;
+    lease = state.lease;
+    leaseOrderedAt = state.leaseOrderedAt;
+    trialBeganAt = state.trialBeganAt;
+    trialEndsAt = state.trialEndsAt;
+    reservedUntil = state.reservedUntil;
+}
+
 std::int64_t Worker::grantLease(Timestamp now, Duration length)
 {
     leaseOrderedAt = now;
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -155,6 +155,20 @@
     void startConfirmed(Timestamp now);
     /// Nothing else starts for the length of a trial that begins now.
     void holdForTrial(Timestamp now, Duration length);
+    /// What a start order changes besides runs and reserved resources, so that a start which is
+    /// not ordered after all can be taken back.
+    struct OrderState
+    {
+        bool isIncarnationConfirmed = false;
+        Timestamp immediateRenewalAt;
+        LeaseClock lease;
+        Timestamp leaseOrderedAt;
+        Timestamp trialBeganAt;
+        Timestamp trialEndsAt;
+        Timestamp reservedUntil;
+    };
+    [[nodiscard]] OrderState orderState() const;
+    void restore(const OrderState &state);
     /// Returns the end, on the worker's clock, of a lease that is ordered now.
     std::int64_t grantLease(Timestamp now, Duration length);
     /// Reserve and release the resources of one task of the step.
--- a/tests/decisions/jobs/LookAheadTest.cpp
+++ b/tests/decisions/jobs/LookAheadTest.cpp
@@ -332,6 +332,19 @@
     CHECK(fixture.scheduler.counts().gapsKept == 0);
 }
 
+TEST_CASE("a gang that waits for room does not use up the room beside a kept worker's task")
+{
+    // Each try counted the members that found a worker, and none was taken back.
+    KeptWorkerFixture fixture;
+    StepSpec gang = shortStep(2, 3000, 5s);
+    gang.gang = true;
+    gang.maxPerWorker = 1;
+    fixture.acceptJob(5, gang, shortQueue);
+    CHECK(fixture.startsWithin(300ms, { 5 }).empty());
+    fixture.acceptJob(6, shortStep(1, 4000, 5s), shortQueue);
+    CHECK(fixture.startsWithin(100ms, { 6 }).size() == 1);
+}
+
 TEST_CASE("a kept worker is given up when it falls silent, shrinks or drains")
 {
     // Guards against room that is kept where the large task can't start.
--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include <doctest/doctest.h>
 
 #include "tests/decisions/jobs/SchedulerFixture.h"
@@ -83,6 +85,45 @@
         CHECK(it.run.run.value == 1);
 }
 
+TEST_CASE("a gang that waits for room leaves its workers as they were")
+{
+    // Each try renewed the lease that a worker may hold, so that a silent one was waited for
+    // longer, and ended the time for which a worker was kept for the trial of a member.
+    SchedulerFixture fixture;
+    auto spec = std::make_shared<JobSpec>();
+    spec->steps.push_back({ .count = 3, .size = { 20'000, 100, 0 }, .gang = true });
+    const CrashExposure crash {
+        .run = { 50'000 }, .worker = { "gone" }, .born = { 1 }, .hasCrashed = true
+    };
+    const TaskKey member { .job = { 1 }, .occurrence = 0, .step = 0, .task = 0 };
+    std::map<WorkerId, Worker::OrderState> before;
+    for (const auto &[id, worker] : fixture.scheduler.workers().all()) {
+        worker->reservedFor = member;
+        worker->reservedUntil = fixture.at.now + 10s;
+        before[WorkerId(id)] = worker->orderState();
+    }
+    fixture.scheduler.jobAccepted(fixture.at,
+                                  { .id = { 1 },
+                                    .queue = { .name = "q", .pool = "pool", .maxAttempts = 3 },
+                                    .spec = spec,
+                                    .exposures = { { member, { crash } } } });
+    fixture.at.now += 100ms;
+    CHECK(fixture.take<StartRun>().empty());
+    CHECK(fixture.scheduler.counts().trials == 0);
+    for (const auto &[id, state] : before) {
+        const Worker *worker = fixture.scheduler.workers().find(id);
+        REQUIRE(worker != nullptr);
+        CHECK(worker->runs.empty());
+        CHECK(worker->lease.expiresAt() == state.lease.expiresAt());
+        CHECK(worker->leaseOrderedAt == state.leaseOrderedAt);
+        CHECK(worker->isIncarnationConfirmed == state.isIncarnationConfirmed);
+        CHECK(worker->immediateRenewalAt == state.immediateRenewalAt);
+        CHECK(worker->trialBeganAt == state.trialBeganAt);
+        CHECK(worker->trialEndsAt == state.trialEndsAt);
+        CHECK(worker->reservedUntil == state.reservedUntil);
+    }
+}
+
 TEST_CASE("run ends are acknowledged while a gang waits for room")
 {
     // Each try took it as not known which life of the worker answers, so nothing was acknowledged.
