Bound the trials that begin in one placement round

All trials that find a worker begin in one placement round, and each looks at all 1,800 workers: 52 trials in a turn took 0.2 s, 273 took 1.04 s. The leader lost its leadership in that turn, its trials were lost with it, and so it went with each later leader when its take-over ended (12 tenures, 723 trials in the last turn).

Change: a round ends after 16 trials that have begun, as it did after 16 that found no worker, and the next one follows after the usual interval. Workers that are busy with other starts are left out once a round, not once a trial. No worker is kept for tasks that only wait for their turn.

--- a/acaciafork/decisions/jobs/CrashHistory.h
+++ b/acaciafork/decisions/jobs/CrashHistory.h
@@ -28,7 +28,9 @@
     /// starts after the third crash.
     std::size_t maxCrashes = 5;
     std::uint32_t convictingBlameAtMaxCrashes = 7'000;
-    /// A placement round ends its search for trials after this many steps that found no worker.
+    /// A placement round ends its search for trials after this many steps that found no worker, or
+    /// this many trials that have begun. Each looks at every candidate, and hundreds of tasks may
+    /// become suspected at once: the leader would stand still for longer than its members wait.
     std::size_t maxTrialsPerRound = 16;
     /// Maximum part of the workers that are kept from other starts for trials to come, in percent.
     std::size_t maxReservedPercent = 12;
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -370,7 +370,9 @@
     void restoreExposures(Timestamp now);
 
     void placeTrials(Timestamp now);
-    bool placeTrial(Timestamp now, TaskRef task, Timestamp waitingSince);
+    /// @param[in] candidates see Placer::trialCandidates()
+    bool placeTrial(Timestamp now, TaskRef task, Timestamp waitingSince,
+                    std::span<Worker *const> candidates);
     void beginTrial(Timestamp now, TaskRef task, Worker *worker, RunNumber number,
                     PlacementMode mode);
     /// True while the record of a trial has been awaited for long.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <set>
+#include <unordered_set>
 
 #include "acaciafork/decisions/jobs/JobScheduler.h"
 
@@ -216,9 +217,19 @@
     }
     std::vector<WaitingSuspect> waiting;
     waiting.swap(m_waitingSuspects);
+    std::unordered_set<const Step *> steps;
+    for (const WaitingSuspect &it : waiting) {
+        if (const TaskRef task = m_jobs.find(it.task); task && task.get().awaitsTrial)
+            steps.insert(task.step);
+    }
+    std::vector<Worker *> candidates;
+    if (!steps.empty())
+        candidates =
+                m_placer.trialCandidates(now, m_workers, m_settings.crashes.trialLength, steps);
     // Tasks of one step differ only in the isolation times of their trials.
     std::map<const Step *, Duration> failed;
     std::size_t failedCount = 0;
+    std::size_t begunCount = 0;
     const bool isRecordOverdue = isTrialRecordOverdue(now);
     const auto mayTry = [&](const TaskRef &task) {
         return !isRecordOverdue && !awaitsTakeOver(*task.step);
@@ -233,36 +244,43 @@
         const auto known = failed.find(task.step);
         if (known != failed.end() && known->second <= isolation)
             return;
-        if (placeTrial(now, task, it->since))
+        if (placeTrial(now, task, it->since, candidates)) {
+            ++begunCount;
             return;
+        }
         failed[task.step] = isolation;
         failedCount += reserved.contains(task.step->key(0)) ? 0 : 1;
     };
     // Those that have waited longest come first; any number of them may fit nowhere, so half of
     // the tries go to the others in turn.
     std::vector<WaitingSuspect *> later;
+    const std::size_t most = m_settings.crashes.maxTrialsPerRound;
     for (WaitingSuspect &it : waiting) {
+        if (begunCount >= most)
+            break;
         const TaskRef task = m_jobs.find(it.task);
         if (!task || !task.get().awaitsTrial || !mayTry(task))
             continue;
-        if (failedCount < m_settings.crashes.maxTrialsPerRound / 2
-            || reserved.contains(task.step->key(0)))
+        if (failedCount < most / 2 || reserved.contains(task.step->key(0)))
             tryTrial(&it);
         else
             later.push_back(&it);
     }
     std::ranges::stable_sort(later, {}, &WaitingSuspect::triedAt);
     for (WaitingSuspect *it : later) {
-        if (failedCount >= m_settings.crashes.maxTrialsPerRound)
+        if (failedCount >= most || begunCount >= most)
             break;
         tryTrial(it);
     }
+    // The next ones begin in the next round.
+    m_placementDue = m_placementDue || begunCount >= most;
     for (const WaitingSuspect &it : waiting) {
         const TaskRef task = m_jobs.find(it.task);
         if (!task || !task.get().awaitsTrial)
             continue;
         m_waitingSuspects.push_back(it);
-        if (mayTry(task))
+        // No worker has to be kept for those that this round has not reached.
+        if (mayTry(task) && (begunCount < most || it.triedAt == now))
             m_unplacedTrials.push_back(task.step);
     }
 }
@@ -275,13 +293,14 @@
                                              : task.crashes.trialLength(m_settings.crashes);
 }
 
-bool JobScheduler::placeTrial(Timestamp now, TaskRef ref, Timestamp waitingSince)
+bool JobScheduler::placeTrial(Timestamp now, TaskRef ref, Timestamp waitingSince,
+                              std::span<Worker *const> candidates)
 {
     Task &task = ref.get();
     const bool isOverdue = now - waitingSince >= m_settings.overdueAfter;
     const PlacementMode mode = isOverdue ? PlacementMode::Overdue : PlacementMode::Usual;
     const Duration isolation = isolationTime(task, now - waitingSince);
-    Worker *worker = m_placer.chooseForTrial(now, m_workers, *ref.step, isolation, nullptr, mode);
+    Worker *worker = m_placer.chooseForTrial(now, candidates, *ref.step, isolation, nullptr, mode);
     if (worker == nullptr) {
         requestPermits(now, ref.step);
         return false;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -360,13 +360,39 @@
     return best;
 }
 
+std::vector<Worker *> Placer::trialCandidates(Timestamp now, const WorkerTable &workers,
+                                              Duration length,
+                                              const std::unordered_set<const Step *> &steps) const
+{
+    std::vector<Worker *> candidates;
+    for (const auto &[id, worker] : workers.all()) {
+        const auto mayStay = [&](const RunRef &it) {
+            return now - it.get().startedAt > length || steps.contains(it.task.step);
+        };
+        if (isReachable(now, *worker) && std::ranges::all_of(worker->runs, mayStay))
+            candidates.push_back(worker.get());
+    }
+    return candidates;
+}
+
 Worker *Placer::chooseForTrial(Timestamp now, const WorkerTable &workers, const Step &step,
                                Duration length, const RackName *rack, PlacementMode mode,
                                bool joinsOnly) const
+{
+    std::vector<Worker *> all;
+    all.reserve(workers.all().size());
+    for (const auto &[id, worker] : workers.all())
+        all.push_back(worker.get());
+    return chooseForTrial(now, all, step, length, rack, mode, joinsOnly);
+}
+
+Worker *Placer::chooseForTrial(Timestamp now, std::span<Worker *const> workers, const Step &step,
+                               Duration length, const RackName *rack, PlacementMode mode,
+                               bool joinsOnly) const
 {
     Worker *best = nullptr;
     TrialRank bestRank;
-    for (const auto &[id, worker] : workers.all()) {
+    for (Worker *worker : workers) {
         if ((joinsOnly && worker->trials.empty()) || !isReachable(now, *worker)
             || !isFreeForTrial(now, *worker, step, length)
             || findObstacle(*worker, step, mode) != PlacementObstacle::None
@@ -375,7 +401,7 @@
             continue;
         const TrialRank rank = rankForTrial(*worker, score(now, *worker, step));
         if (best == nullptr || rank < bestRank) {
-            best = worker.get();
+            best = worker;
             bestRank = rank;
         }
     }
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <span>
+#include <unordered_set>
+#include <vector>
+
 #include "acaciafork/decisions/jobs/ClosedZones.h"
 #include "acaciafork/decisions/jobs/GapPlanner.h"
 #include "acaciafork/decisions/jobs/PairExploration.h"
@@ -111,6 +115,15 @@
     [[nodiscard]] Worker *chooseForTrial(Timestamp now, const WorkerTable &workers,
                                          const Step &step, Duration length, const RackName *rack,
                                          PlacementMode mode, bool joinsOnly = false) const;
+    /// The same among the given workers.
+    [[nodiscard]] Worker *chooseForTrial(Timestamp now, std::span<Worker *const> workers,
+                                         const Step &step, Duration length, const RackName *rack,
+                                         PlacementMode mode, bool joinsOnly = false) const;
+    /// All workers that may be free for a trial of one of the steps: no run of another step has
+    /// begun there within `length`.
+    [[nodiscard]] std::vector<Worker *>
+    trialCandidates(Timestamp now, const WorkerTable &workers, Duration length,
+                    const std::unordered_set<const Step *> &steps) const;
     /// Worker to keep for a trial of a task of the step, or null.
     [[nodiscard]] Worker *chooseToReserve(Timestamp now, const WorkerTable &workers,
                                           const Step &step) const;
