Search for a trial's worker in order of load, and keep fewer at once

Cause: each try still ranked every candidate, and each round looked at all workers for each of up to 16 steps for which to keep one.

Change: candidates are sorted once a round by what ranks first, whether they serve and how many runs they have; the search ends at the first load above that of a worker that was found, so the choice is the same. What excludes most workers is asked first. A round looks for a worker to keep for four steps at most.

Evidence: 125 cases of test_jobs and 101 of test_control pass.

--- a/acaciafork/decisions/jobs/CrashHistory.h
+++ b/acaciafork/decisions/jobs/CrashHistory.h
@@ -32,6 +32,8 @@
     /// this many trials that have begun. Each looks at every candidate, and hundreds of tasks may
     /// become suspected at once: the leader would stand still for longer than its members wait.
     std::size_t maxTrialsPerRound = 16;
+    /// Maximum number of steps for which a worker to keep is looked for in one placement round.
+    std::size_t maxReservationsPerRound = 4;
     /// Maximum part of the workers that are kept from other starts for trials to come, in percent.
     std::size_t maxReservedPercent = 12;
 };
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -372,7 +372,7 @@
     void placeTrials(Timestamp now);
     /// @param[in] candidates see Placer::trialCandidates()
     bool placeTrial(Timestamp now, TaskRef task, Timestamp waitingSince,
-                    std::span<Worker *const> candidates);
+                    std::span<const TrialCandidate> candidates);
     void beginTrial(Timestamp now, TaskRef task, Worker *worker, RunNumber number,
                     PlacementMode mode);
     /// True while the record of a trial has been awaited for long.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -222,7 +222,7 @@
         if (const TaskRef task = m_jobs.find(it.task); task && task.get().awaitsTrial)
             steps.insert(task.step);
     }
-    std::vector<Worker *> candidates;
+    std::vector<TrialCandidate> candidates;
     if (!steps.empty())
         candidates =
                 m_placer.trialCandidates(now, m_workers, m_settings.crashes.trialLength, steps);
@@ -294,7 +294,7 @@
 }
 
 bool JobScheduler::placeTrial(Timestamp now, TaskRef ref, Timestamp waitingSince,
-                              std::span<Worker *const> candidates)
+                              std::span<const TrialCandidate> candidates)
 {
     Task &task = ref.get();
     const bool isOverdue = now - waitingSince >= m_settings.overdueAfter;
@@ -448,7 +448,7 @@
     std::ranges::stable_sort(m_unplacedTrials, {}, &Step::reservedAt);
     std::size_t tried = 0;
     for (Step *it : m_unplacedTrials) {
-        if (served.size() >= most || tried >= m_settings.crashes.maxTrialsPerRound)
+        if (served.size() >= most || tried >= m_settings.crashes.maxReservationsPerRound)
             break;
         if (it->reservedAt == now || served.contains(it->key(0)))
             continue;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -57,12 +57,18 @@
     return label.empty() || std::ranges::find(life.labels, label) != life.labels.end();
 }
 
+/// Whether a worker serves, and its number of runs: what a crash in a trial would end.
+std::pair<bool, std::size_t> loadForTrial(const Worker &worker)
+{
+    return { worker.servingMillicores > 0, worker.runs.size() };
+}
+
 /// Order of the workers for a trial; the lowest comes first.
-using TrialRank = std::tuple<bool, std::size_t, double>;
+using TrialRank = std::pair<std::pair<bool, std::size_t>, double>;
 
 TrialRank rankForTrial(const Worker &worker, double score)
 {
-    return { worker.servingMillicores > 0, worker.runs.size(), -score };
+    return { loadForTrial(worker), -score };
 }
 
 /// True when a trial of the step may begin on the worker: it has confirmed each run of other steps,
@@ -360,18 +366,19 @@
     return best;
 }
 
-std::vector<Worker *> Placer::trialCandidates(Timestamp now, const WorkerTable &workers,
-                                              Duration length,
-                                              const std::unordered_set<const Step *> &steps) const
+std::vector<TrialCandidate>
+Placer::trialCandidates(Timestamp now, const WorkerTable &workers, Duration length,
+                        const std::unordered_set<const Step *> &steps) const
 {
-    std::vector<Worker *> candidates;
+    std::vector<TrialCandidate> candidates;
     for (const auto &[id, worker] : workers.all()) {
         const auto mayStay = [&](const RunRef &it) {
             return now - it.get().startedAt > length || steps.contains(it.task.step);
         };
         if (isReachable(now, *worker) && std::ranges::all_of(worker->runs, mayStay))
-            candidates.push_back(worker.get());
+            candidates.push_back({ .worker = worker.get(), .load = loadForTrial(*worker) });
     }
+    std::ranges::stable_sort(candidates, {}, &TrialCandidate::load);
     return candidates;
 }
 
@@ -379,23 +386,26 @@
                                Duration length, const RackName *rack, PlacementMode mode,
                                bool joinsOnly) const
 {
-    std::vector<Worker *> all;
+    std::vector<TrialCandidate> all;
     all.reserve(workers.all().size());
     for (const auto &[id, worker] : workers.all())
-        all.push_back(worker.get());
+        all.push_back({ .worker = worker.get(), .load = {} });
     return chooseForTrial(now, all, step, length, rack, mode, joinsOnly);
 }
 
-Worker *Placer::chooseForTrial(Timestamp now, std::span<Worker *const> workers, const Step &step,
-                               Duration length, const RackName *rack, PlacementMode mode,
-                               bool joinsOnly) const
+Worker *Placer::chooseForTrial(Timestamp now, std::span<const TrialCandidate> candidates,
+                               const Step &step, Duration length, const RackName *rack,
+                               PlacementMode mode, bool joinsOnly) const
 {
     Worker *best = nullptr;
     TrialRank bestRank;
-    for (Worker *worker : workers) {
+    for (const TrialCandidate &it : candidates) {
+        if (best != nullptr && it.load > bestRank.first)
+            break;
+        Worker *worker = it.worker;
         if ((joinsOnly && worker->trials.empty()) || !isReachable(now, *worker)
-            || !isFreeForTrial(now, *worker, step, length)
             || findObstacle(*worker, step, mode) != PlacementObstacle::None
+            || !isFreeForTrial(now, *worker, step, length)
             || (rack != nullptr && worker->life.rack != *rack)
             || (step.permits() != nullptr && step.permits()->find(*worker, now) == nullptr))
             continue;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -61,6 +61,15 @@
     GapPlanner *gaps = nullptr;
 };
 
+/// Worker that may be free for a trial.
+struct TrialCandidate
+{
+    Worker *worker = nullptr;
+    /// Whether it serves, and its number of runs, when it was collected: trials go to the lowest
+    /// first. Neither falls within a placement round.
+    std::pair<bool, std::size_t> load;
+};
+
 /// Chooses workers for tasks.
 ///
 /// Serving tasks are grouped by image, on the fullest worker that still has free capacity. This
@@ -115,13 +124,14 @@
     [[nodiscard]] Worker *chooseForTrial(Timestamp now, const WorkerTable &workers,
                                          const Step &step, Duration length, const RackName *rack,
                                          PlacementMode mode, bool joinsOnly = false) const;
-    /// The same among the given workers.
-    [[nodiscard]] Worker *chooseForTrial(Timestamp now, std::span<Worker *const> workers,
+    /// The same among the given workers, in the order of TrialCandidate::load: the search ends at
+    /// the first load above that of a worker that was found.
+    [[nodiscard]] Worker *chooseForTrial(Timestamp now, std::span<const TrialCandidate> candidates,
                                          const Step &step, Duration length, const RackName *rack,
                                          PlacementMode mode, bool joinsOnly = false) const;
     /// All workers that may be free for a trial of one of the steps: no run of another step has
-    /// begun there within `length`.
-    [[nodiscard]] std::vector<Worker *>
+    /// begun there within `length`. In the order of TrialCandidate::load.
+    [[nodiscard]] std::vector<TrialCandidate>
     trialCandidates(Timestamp now, const WorkerTable &workers, Duration length,
                     const std::unordered_set<const Step *> &steps) const;
     /// Worker to keep for a trial of a task of the step, or null.
--- a/tests/decisions/jobs/BegunJobsTest.cpp
+++ b/tests/decisions/jobs/BegunJobsTest.cpp
@@ -103,10 +103,10 @@
     for (const OrderOutcome outcome : failures) {
         CAPTURE(orderOutcomeName(outcome));
         const SchedulerFixture clock;
-        for (const auto &[name, view] : kindsOfJobs(clock.at)) {
-            CAPTURE(name);
+        for (const auto &it : kindsOfJobs(clock.at)) {
+            CAPTURE(it.first);
             SchedulerFixture fixture;
-            fixture.scheduler.jobAccepted(fixture.at, view);
+            fixture.scheduler.jobAccepted(fixture.at, it.second);
             CHECK(run(&fixture, 3s, outcome) > 0);
             CHECK_FALSE(isBegun(fixture));
             // A worker takes it in the end.
