--- a/tests/decisions/jobs/QueueChangesTest.cpp
+++ b/tests/decisions/jobs/QueueChangesTest.cpp
@@ -155,15 +155,14 @@
                      { { .job = { id }, .occurrence = 0, .step = 0, .task = 0 }, { crash } } } };
 }
 
-JobView failedBefore(std::uint64_t id, std::vector<std::uint64_t> runs)
+JobView failedBefore(std::uint64_t id, const std::vector<std::uint64_t> &runs)
 {
     auto spec = std::make_shared<JobSpec>();
     spec->steps.push_back(plain);
     return { .id = { id },
              .queue = queueIn("pool"),
              .spec = spec,
-             .failures = { { { .job = { id }, .occurrence = 0, .step = 0, .task = 0 },
-                             std::move(runs) } } };
+             .failures = { { { .job = { id }, .occurrence = 0, .step = 0, .task = 0 }, runs } } };
 }
 
 } // namespace
