--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -404,7 +404,7 @@
         break;
     default: {
         const jobs::Job *active = m_scheduler.jobs().find(jobs::JobId { id });
-        // A job that the scheduler has let go of is over; only its record is not committed yet.
+        // A job that the scheduler has removed has ended; its record is not committed yet.
         if (active == nullptr || active->hasBegun)
             word = "running";
         break;
--- a/acaciafork/decisions/jobs/CrashHistory.h
+++ b/acaciafork/decisions/jobs/CrashHistory.h
@@ -29,10 +29,10 @@
     std::size_t maxCrashes = 5;
     std::uint32_t convictingBlameAtMaxCrashes = 7'000;
     /// A placement round ends its search for trials after this many steps that found no worker, or
-    /// this many trials that have begun. Each looks at every candidate, and hundreds of tasks may
-    /// become suspected at once: the leader would stand still for longer than its members wait.
+    /// this many trials that have begun. Each search visits many workers, and hundreds of tasks may
+    /// become suspected at once: an unbounded round could exceed the election timeout.
     std::size_t maxTrialsPerRound = 16;
-    /// Maximum number of steps for which a worker to keep is looked for in one placement round.
+    /// Maximum number of steps for which one placement round searches for a worker to reserve.
     std::size_t maxReservationsPerRound = 4;
     /// Maximum part of the workers that are kept from other starts for trials to come, in percent.
     std::size_t maxReservedPercent = 12;
--- a/acaciafork/decisions/jobs/GapPlanner.h
+++ b/acaciafork/decisions/jobs/GapPlanner.h
@@ -121,7 +121,7 @@
 private:
     using Kept = std::map<WorkerId, KeptGap>;
 
-    /// True when a task that starts now holds its room for longer than the gap can wait.
+    /// True when a task that starts now is expected to run past the gap's expected start.
     [[nodiscard]] static bool takesSpare(Timestamp now, const KeptGap &gap, const Step &step);
     void erase(Kept::iterator it);
 
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -272,14 +272,14 @@
             break;
         tryTrial(it);
     }
-    // The next ones begin in the next round.
+    // The remaining trials are left to the next round.
     m_placementDue = m_placementDue || begunCount >= most;
     for (const WaitingSuspect &it : waiting) {
         const TaskRef task = m_jobs.find(it.task);
         if (!task || !task.get().awaitsTrial)
             continue;
         m_waitingSuspects.push_back(it);
-        // No worker has to be kept for those that this round has not reached.
+        // No worker is reserved for tasks that this round has not tried.
         if (mayTry(task) && (begunCount < most || it.triedAt == now))
             m_unplacedTrials.push_back(task.step);
     }
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -481,7 +481,7 @@
 void JobScheduler::failIfExhausted(Timestamp now, Job *job)
 {
     for (Step &step : job->steps) {
-        // Until then, the last run may be at a worker that this leader hasn't heard of.
+        // Until the take-over ends, the last run may still be active on a worker not reached yet.
         if (!step.mayStart() || awaitsTakeOver(step))
             continue;
         for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -57,7 +57,7 @@
     return label.empty() || std::ranges::find(life.labels, label) != life.labels.end();
 }
 
-/// Whether a worker serves, and its number of runs: what a crash in a trial would end.
+/// Whether a worker runs serving tasks, and its number of runs: the cost of a crash in a trial.
 std::pair<bool, std::size_t> loadForTrial(const Worker &worker)
 {
     return { worker.servingMillicores > 0, worker.runs.size() };
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -65,8 +65,8 @@
 struct TrialCandidate
 {
     Worker *worker = nullptr;
-    /// Whether it serves, and its number of runs, when it was collected: trials go to the lowest
-    /// first. Neither falls within a placement round.
+    /// Whether it runs serving tasks, and its number of runs, when it was collected. Trials prefer
+    /// the lowest; neither decreases within a placement round.
     std::pair<bool, std::size_t> load;
 };
 
--- a/tests/decisions/jobs/SuspectsTest.cpp
+++ b/tests/decisions/jobs/SuspectsTest.cpp
@@ -51,9 +51,8 @@
 
 TEST_CASE("hundreds of tasks that are suspected at once don't keep the leader from its other work")
 {
-    // All trials began in one turn, each with a look at all workers. On 1,800 workers the turn took
-    // over a second: the leader lost its leadership, and so did each later one as its take-over
-    // ended, while the tasks had no run.
+    // All trials began in one turn, and each search visited all workers. With 1,800 workers the
+    // turn exceeded the election timeout, under each new leader again.
     SuspectsFixture fixture;
     std::size_t started = 0;
     std::size_t kept = 0;
@@ -73,7 +72,7 @@
             kept += fixture.at.now < worker->reservedUntil ? 1 : 0;
         fixture.advance(20ms);
     }
-    // They all begin soon, and no worker is kept for those that only wait for their turn.
+    // All begin within a second, and no worker is reserved for tasks not tried yet.
     CHECK(started == suspectCount);
     CHECK(kept == 0);
 }
