--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -473,6 +473,7 @@
         m_nextSummary = at.now + summaryInterval;
         logSummary(at.now);
         logBlockedSteps(at.now);
+        logBackfill(at.now);
         logWaitingTasks(at.now);
         logLongRunningWaits(at.now);
         logTakeover(at.now);
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -419,6 +419,9 @@
     void startDueOccurrences(Moment at);
     void logSummary(Timestamp now);
     void logBlockedSteps(Timestamp now);
+    /// Processor time that backfill tasks use, and what keeps the images with the most waiting
+    /// tasks from the workers.
+    void logBackfill(Timestamp now);
     void logWaitingTasks(Timestamp now);
     void logLongRunningWaits(Timestamp now);
     /// How many workers each obstacle excludes for a task of the step.
--- a/acaciafork/decisions/jobs/JobSchedulerReports.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -98,6 +98,62 @@
     }
 }
 
+void JobScheduler::logBackfill(Timestamp now)
+{
+    std::size_t runs = 0;
+    std::size_t overdue = 0;
+    std::size_t slowed = 0;
+    std::int64_t used = 0;
+    std::int64_t asked = 0;
+    for (const auto &[id, worker] : m_workers.all()) {
+        asked += worker->backfillMillicores;
+        for (const RunRef &it : worker->runs) {
+            const Run &run = it.get();
+            if (!it.task.step->spec->fills)
+                continue;
+            ++runs;
+            overdue += run.isOverdue ? 1 : 0;
+            slowed += run.percent < wholePercent ? 1 : 0;
+            used += std::max<std::int64_t>(run.load, 0);
+        }
+    }
+    /// The waiting tasks of one image, and the first of its steps in order.
+    struct Waiting
+    {
+        const Step *first = nullptr;
+        std::size_t tasks = 0;
+        std::size_t steps = 0;
+    };
+    std::map<std::string_view, Waiting> images;
+    for (const auto &[rank, step] : m_order.steps()) {
+        if (!step->spec->fills)
+            continue;
+        Waiting &waiting = images[step->spec->image];
+        waiting.first = waiting.first == nullptr ? step : waiting.first;
+        waiting.tasks += step->ready.size();
+        ++waiting.steps;
+    }
+    if (runs == 0 && images.empty())
+        return;
+    const auto [pairs, interfering] = m_interference.countPairs(m_settings.placer.maxInterference);
+    note("backfill", {}, nullptr,
+         "runs=" + std::to_string(runs) + " overdue=" + std::to_string(overdue) + " slowed="
+                 + std::to_string(slowed) + " asked=" + std::to_string(asked / millicoresPerCore)
+                 + " used=" + std::to_string(used / millicoresPerCore) + " waiting-images="
+                 + std::to_string(images.size()) + " pairs=" + std::to_string(pairs)
+                 + " interfering=" + std::to_string(interfering));
+    std::vector<Waiting> longest;
+    for (const auto &[image, waiting] : images)
+        longest.push_back(waiting);
+    const std::size_t n = std::min(maxLoggedSteps, longest.size());
+    std::ranges::partial_sort(longest, longest.begin() + static_cast<std::ptrdiff_t>(n),
+                              std::ranges::greater(), &Waiting::tasks);
+    for (const Waiting &it : std::span(longest).first(n))
+        note("image-waits", { .task = it.first->key(it.first->ready.front()), .run = {} }, nullptr,
+             "image=" + it.first->spec->image + " ready=" + std::to_string(it.tasks)
+                     + " steps=" + std::to_string(it.steps) + describeObstacles(now, *it.first));
+}
+
 std::string JobScheduler::describeObstacles(Timestamp now, const Step &step) const
 {
     std::array<std::size_t, placementObstacleCount> workers {};
--- a/acaciafork/decisions/jobs/TailInterference.cpp
+++ b/acaciafork/decisions/jobs/TailInterference.cpp
@@ -151,6 +151,16 @@
     return pairs;
 }
 
+std::pair<std::size_t, std::size_t> TailInterference::countPairs(double growth) const
+{
+    constexpr double taskShare = 0.1;
+    const auto exceeds = [&](const auto &it) {
+        return expected(it.first, it.second, taskShare) > growth;
+    };
+    const auto n = std::ranges::count_if(m_observedPairs, exceeds);
+    return { m_observedPairs.size(), static_cast<std::size_t>(n) };
+}
+
 void TailInterference::restore(std::span<const InterferenceEstimate> pairs)
 {
     for (const InterferenceEstimate &it : pairs) {
--- a/acaciafork/decisions/jobs/TailInterference.h
+++ b/acaciafork/decisions/jobs/TailInterference.h
@@ -84,6 +84,9 @@
     [[nodiscard]] bool isHarmless(std::string_view serving, std::string_view filling,
                                   double share) const;
 
+    /// Number of observed pairs, and of those expected to increase the tail latency by more than
+    /// `growth` for use of a tenth of the worker, about that of one task.
+    [[nodiscard]] std::pair<std::size_t, std::size_t> countPairs(double growth) const;
     /// Estimates of all observed pairs.
     [[nodiscard]] std::vector<InterferenceEstimate> estimates() const;
     /// Restores estimates made by another instance.
