--- a/acaciafork/decisions/jobs/BackfillThrottle.h
+++ b/acaciafork/decisions/jobs/BackfillThrottle.h
@@ -54,6 +54,12 @@
 
     /// True when no tail latency exceeds the safety threshold.
     [[nodiscard]] bool isSafe(std::span<const TailReading> tails) const;
+    /// True while a tail latency that has exceeded the danger threshold is not safe again.
+    /// @param[in] wasRecovering the answer for the reading before
+    [[nodiscard]] bool isRecovering(const TailReading &tail, bool wasRecovering) const
+    {
+        return isInDanger(tail) || (wasRecovering && !isSafe(std::span(&tail, 1)));
+    }
     /// True when the tail latency exceeds the danger threshold.
     [[nodiscard]] bool isInDanger(const TailReading &tail) const
     {
--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -44,6 +44,7 @@
                 { .image = it.task.step->spec->image,
                   .share = shareOf(*worker, std::max<std::int64_t>(it.get().load, 0)) });
     }
+    std::map<std::string_view, double> worstRatios;
     for (const RunRef &it : worker->runs) {
         const StepSpec &spec = *it.task.step->spec;
         Run &run = it.get();
@@ -52,12 +53,18 @@
         const std::int64_t targetMs = spec.tailTarget / std::chrono::milliseconds(1);
         run.overTargetSince =
                 run.load > targetMs ? std::min(run.overTargetSince, now) : Timestamp::max();
-        tails->push_back({ .image = spec.image, .tailMs = run.load, .targetMs = targetMs });
-        if (isSteady && targetMs > 0)
-            m_interference.observe(spec.image,
-                                   static_cast<double>(run.load) / static_cast<double>(targetMs),
-                                   neighbours);
+        const TailReading tail { .image = spec.image, .tailMs = run.load, .targetMs = targetMs };
+        tails->push_back(tail);
+        const bool wasRecovering = run.isTailRecovering;
+        run.isTailRecovering = m_throttle.isRecovering(tail, wasRecovering);
+        if (!isSteady || targetMs <= 0 || wasRecovering)
+            continue;
+        // Runs of one image have the same neighbours here, so they all show the same.
+        double &worst = worstRatios.try_emplace(spec.image, 0).first->second;
+        worst = std::max(worst, static_cast<double>(run.load) / static_cast<double>(targetMs));
     }
+    for (const auto &[image, ratio] : worstRatios)
+        m_interference.observe(image, ratio, neighbours);
 }
 
 bool JobScheduler::evictInterferingTasks(Timestamp now, Worker *worker,
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -67,6 +67,9 @@
     std::int64_t load = -1;
     /// Time since which its tail latency has exceeded its target; Timestamp::max() if it does not.
     Timestamp overTargetSince = Timestamp::max();
+    /// Its tail latency has exceeded its target and was not safe since. Requests that have queued
+    /// up keep it high, whatever runs beside the task meanwhile.
+    bool isTailRecovering = false;
     /// Its tail latency, for a serving task where exploratory starts are bounded.
     TailTracker tail;
 
--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -540,3 +540,76 @@
     CHECK(starts > 0);
     CHECK(stops <= 3);
 }
+
+TEST_CASE("a backfill image isn't blamed for a tail that another one has left behind")
+{
+    // Guards against images that are kept away from all serving tasks: requests that have queued up
+    // keep a tail latency high for seconds, and whatever ran beside it then counted as the cause.
+    SchedulerFixture fixture;
+    StepSpec spread = serving;
+    spread.count = 2;
+    spread.maxPerWorker = 1;
+    fixture.acceptJob(1, spread);
+    const auto services = fixture.take<StartRun>();
+    REQUIRE(services.size() == 2);
+    for (const StartRun &it : services)
+        fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run, OrderOutcome::Done);
+
+    std::uint64_t ends = 0;
+    // Two tasks of an image run, one on each worker, at the given tail latencies; then they end.
+    const auto runBeside = [&](std::uint64_t job, const std::string &image,
+                               std::initializer_list<std::int64_t> tails) {
+        StepSpec step = filling;
+        step.count = 2;
+        step.maxPerWorker = 1;
+        step.image = image;
+        fixture.acceptJob(job, step);
+        const auto fills = fixture.startsWithin(100ms, { job });
+        REQUIRE(fills.size() == 2);
+        for (const StartRun &it : fills)
+            fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run,
+                                            OrderOutcome::Done);
+        ++ends;
+        for (auto it = tails.begin(); it != tails.end(); ++it) {
+            fixture.advance(700ms);
+            fixture.report();
+            for (std::size_t worker = 0; worker < services.size(); ++worker) {
+                RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
+                const WorkerId id = services[worker].target.worker;
+                answer.running.push_back(
+                        { .run = services[worker].run, .percent = 100, .load = *it });
+                for (const StartRun &fill : fills) {
+                    if (fill.target.worker != id)
+                        continue;
+                    if (it + 1 == tails.end())
+                        answer.ended.push_back(
+                                { .number = ends, .run = fill.run, .end = RunEnd::Done });
+                    else
+                        answer.running.push_back({ .run = fill.run, .percent = 50, .load = 3500 });
+                }
+                fixture.scheduler.renewalAnswered(fixture.at, id, false, OrderOutcome::Done,
+                                                  &answer);
+            }
+            (void)fixture.scheduler.takeCommands(fixture.at);
+        }
+    };
+    runBeside(2, "bad", { 20, 400, 400 });
+    runBeside(3, "good", { 400, 300, 150, 80, 20 });
+    // The throttle lets go.
+    for (int round = 0; round < 4; ++round) {
+        fixture.advance(900ms);
+        fixture.report();
+        for (const StartRun &it : services) {
+            RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
+            answer.running.push_back({ .run = it.run, .percent = 100, .load = 20 });
+            fixture.scheduler.renewalAnswered(fixture.at, it.target.worker, false,
+                                              OrderOutcome::Done, &answer);
+        }
+        (void)fixture.scheduler.takeCommands(fixture.at);
+    }
+    StepSpec good = filling;
+    good.count = 2;
+    good.image = "good";
+    fixture.acceptJob(4, good);
+    CHECK(fixture.startsWithin(500ms, { 4 }).size() == 2);
+}
