--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -33,7 +33,8 @@
     , m_placer(placerSettings(settings), &m_interference,
                { .closedZones = &m_closedZones,
                  .exploration = settings.cautiousBackfill ? &m_exploration : nullptr,
-                 .gaps = &m_gaps })
+                 .gaps = &m_gaps,
+                 .overdue = settings.cautiousBackfill ? nullptr : &m_overdueStarts })
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
     , m_order(settings.lookAhead)
@@ -75,6 +76,7 @@
     m_closedZones.assign({});
     m_round.reset();
     m_gaps.clear();
+    m_overdueStarts.clear();
     m_counts.gapsKept = 0;
     m_order.clear();
     m_overdueLongRunning.clear();
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -16,6 +16,7 @@
 #include "acaciafork/decisions/jobs/DurationModel.h"
 #include "acaciafork/decisions/jobs/GapPlanner.h"
 #include "acaciafork/decisions/jobs/JobTable.h"
+#include "acaciafork/decisions/jobs/OverdueStarts.h"
 #include "acaciafork/decisions/jobs/PairExploration.h"
 #include "acaciafork/decisions/jobs/PlacementRound.h"
 #include "acaciafork/decisions/jobs/Placer.h"
@@ -497,6 +498,7 @@
     JobSchedulerSettings m_settings;
     PairExploration m_exploration;
     GapPlanner m_gaps;
+    OverdueStarts m_overdueStarts;
     Timestamp m_nextGapPlanning;
     Placer m_placer;
     PlacementRound m_round;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -302,6 +302,7 @@
     if (m_isFenced)
         return;
     findOverdueLongRunning(now);
+    m_overdueStarts.update(m_workers);
     for (Step *step : overdueSteps(now)) {
         step->lastTriedOverdueAt = now;
         // A step before this one may have started a task of the same job.
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -172,6 +172,8 @@
             return PlacementObstacle::Processor;
         if (worker.backfillPercent == 0)
             return PlacementObstacle::Paused;
+        if (m_limits.overdue != nullptr && !m_limits.overdue->mayStart(worker, step.image))
+            return PlacementObstacle::Throttled;
         // Even at their lowest shares, several tasks may disturb more than one may.
         const double others = overdueInterference(worker, &step);
         const double lowest = (others + expectedInterference(worker, step))
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -6,6 +6,7 @@
 
 #include "acaciafork/decisions/jobs/ClosedZones.h"
 #include "acaciafork/decisions/jobs/GapPlanner.h"
+#include "acaciafork/decisions/jobs/OverdueStarts.h"
 #include "acaciafork/decisions/jobs/PairExploration.h"
 #include "acaciafork/decisions/jobs/PlacementObstacle.h"
 #include "acaciafork/decisions/jobs/TailInterference.h"
@@ -59,6 +60,8 @@
     const PairExploration *exploration = nullptr;
     /// Workers kept for large tasks; counts the starts that it keeps away.
     GapPlanner *gaps = nullptr;
+    /// Bound on overdue backfill tasks, where exploratory starts have none.
+    const OverdueStarts *overdue = nullptr;
 };
 
 /// Worker that may be free for a trial.
--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -613,3 +613,34 @@
     fixture.acceptJob(4, good);
     CHECK(fixture.startsWithin(500ms, { 4 }).size() == 2);
 }
+
+TEST_CASE("overdue backfill tasks of one image do not fill all workers while these serve")
+{
+    // Guards against a collapse of backfill: each waiting job started a slow task that disturbs
+    // others, these were slowed down, and more jobs became overdue, until 43 of 48 workers were
+    // slowed down for the rest of the day.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    StepSpec wide = serving;
+    wide.count = 6;
+    wide.maxPerWorker = 3;
+    fixture.acceptJob(20, wide);
+    REQUIRE(fixture.startsWithin(500ms, { 20 }).size() == 6);
+    StepSpec one = filling;
+    one.count = 1;
+    one.size.millicores = 1000;
+    for (std::uint64_t job = 4; job < 12; ++job)
+        fixture.acceptJob(job, one);
+    std::size_t starts = 0;
+    // Shorter than a lease: nothing is answered meanwhile.
+    for (int it = 0; it < 30; ++it) {
+        fixture.advance(100ms);
+        fixture.report();
+        for (const StartRun &start : fixture.take<StartRun>()) {
+            ++starts;
+            fixture.scheduler.startAnswered(fixture.at, start.target.worker, start.run,
+                                            OrderOutcome::Done);
+        }
+    }
+    CHECK(starts == 1);
+}
