--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -283,8 +283,12 @@
     std::vector<Step *> steps;
     for (const auto &[rank, step] : m_order.steps()) {
         // Urgent steps have been tried in each round.
-        if (now - step->waitingSince < m_settings.overdueAfter || awaitsTakeOver(*step)
-            || step->isUrgent)
+        // With room enough, the next task of a job need not wait anew when the one before has
+        // ended.
+        const Timestamp since = m_overdueStarts.isLimited()
+                ? step->waitingSince
+                : std::min(step->waitingSince, step->firstReadySince());
+        if (now - since < m_settings.overdueAfter || awaitsTakeOver(*step) || step->isUrgent)
             continue;
         // Each long-running task counts by itself, whether others of its job run or not.
         if (step->spec->longRunning || !step->job->isAtWork())
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -168,7 +168,7 @@
     if (reserved.accelerators > free.accelerators)
         return PlacementObstacle::Accelerators;
     if (spec.fills && mode == PlacementMode::Overdue) {
-        if (worker.unusedMillicores() + throttledMillicores(worker) <= 0)
+        if (worker.unusedMillicores() + throttledMillicores(worker) + overcommit(worker, step) <= 0)
             return PlacementObstacle::Processor;
         if (worker.backfillPercent == 0)
             return PlacementObstacle::Paused;
@@ -201,6 +201,14 @@
     return PlacementObstacle::None;
 }
 
+std::int64_t Placer::overcommit(const Worker &worker, const Step &step) const
+{
+    if (m_limits.overdue == nullptr || m_limits.overdue->isLimited()
+        || expectedInterference(worker, step) > m_settings.maxOverdueInterference)
+        return 0;
+    return worker.life.capacity.millicores;
+}
+
 double Placer::colocationBonus(const Worker &worker, const Step &step)
 {
     if (worker.servedImages.empty())
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -172,6 +172,9 @@
     /// Amount by which the score of a cold worker is lower; zero for a warm one.
     [[nodiscard]] double coldPenalty(Timestamp now, const Worker &worker,
                                      const StepSpec &spec) const;
+    /// Processor time that overdue tasks may ask for beyond what is unused, where they disturb
+    /// nobody: all backfill tasks there are slower then, and each job has one that runs.
+    [[nodiscard]] std::int64_t overcommit(const Worker &worker, const Step &step) const;
     [[nodiscard]] static double colocationBonus(const Worker &worker, const Step &step);
     [[nodiscard]] bool isHarmless(const Worker &worker, const Step &step) const;
     [[nodiscard]] double expectedInterference(const Worker &worker, const Step &step) const;
--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -644,3 +644,26 @@
     }
     CHECK(starts == 1);
 }
+
+TEST_CASE("an overdue backfill job has its next task at once when the one before has ended")
+{
+    // Guards against jobs that have nothing running for 1.8 s after each of their tasks, with room
+    // for all of them.
+    SchedulerFixture fixture;
+    learnInterference(&fixture);
+    fixture.advance(2s);
+    fixture.acceptJob(4, filling);
+    const std::vector<StartRun> starts = fixture.startsWithin(3s, { 4 });
+    REQUIRE(starts.size() == 1);
+    const WorkerId worker = starts[0].target.worker;
+    fixture.scheduler.startAnswered(fixture.at, worker, starts[0].run, OrderOutcome::Done);
+    fixture.advance(100ms);
+    RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
+    for (const RunRef &it : fixture.scheduler.workers().find(worker)->runs) {
+        if (it.task.step->spec->serves())
+            answer.running.push_back({ .run = it.key(), .percent = 100, .load = 20 });
+    }
+    answer.ended.push_back({ .number = 1, .run = starts[0].run, .end = RunEnd::Done });
+    fixture.scheduler.renewalAnswered(fixture.at, worker, false, OrderOutcome::Done, &answer);
+    CHECK(fixture.startsWithin(300ms, { 4 }).size() == 1);
+}
