--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -34,7 +34,8 @@
                { .closedZones = &m_closedZones,
                  .exploration = settings.cautiousBackfill ? &m_exploration : nullptr,
                  .gaps = &m_gaps,
-                 .overdue = settings.cautiousBackfill ? nullptr : &m_overdueStarts })
+                 .overdue = settings.cautiousBackfill ? nullptr : &m_overdueStarts,
+                 .demand = settings.cautiousBackfill ? nullptr : &m_backfillDemand })
     , m_round(&m_placer)
     , m_throttle(settings.throttle)
     , m_order(settings.lookAhead)
@@ -77,6 +78,7 @@
     m_round.reset();
     m_gaps.clear();
     m_overdueStarts.clear();
+    m_backfillDemand.clear();
     m_counts.gapsKept = 0;
     m_order.clear();
     m_overdueLongRunning.clear();
@@ -468,6 +470,7 @@
     abandonOverdueTrials(at.now);
     checkTakeover(at.now);
     startSpeculativeCopies(at.now);
+    m_backfillDemand.update(m_order, m_workers);
     placeOverdueSteps(at.now);
     m_order.refresh(at.now);
     m_placementDue = true;
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "acaciafork/decisions/jobs/BackfillDemand.h"
 #include "acaciafork/decisions/jobs/BackfillThrottle.h"
 #include "acaciafork/decisions/jobs/ClosedZones.h"
 #include "acaciafork/decisions/jobs/Commands.h"
@@ -499,6 +500,7 @@
     PairExploration m_exploration;
     GapPlanner m_gaps;
     OverdueStarts m_overdueStarts;
+    BackfillDemand m_backfillDemand;
     Timestamp m_nextGapPlanning;
     Placer m_placer;
     PlacementRound m_round;
--- a/acaciafork/decisions/jobs/JobSchedulerReports.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -143,6 +143,7 @@
                  + std::to_string(images.size()) + " pairs=" + std::to_string(pairs)
                  + " interfering=" + std::to_string(interfering));
     std::vector<Waiting> longest;
+    longest.reserve(images.size());
     for (const auto &[image, waiting] : images)
         longest.push_back(waiting);
     const std::size_t n = std::min(maxLoggedSteps, longest.size());
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -17,6 +17,12 @@
 /// interfere with it; it stays open to all others.
 constexpr double sameImageBonus = 2;
 constexpr double otherImagePenalty = 2;
+/// Once it is known which backfill images a serving image excludes, workers that lose nothing by it
+/// come first. Outweighs emptiness() where a quarter of the demand is displaced.
+constexpr double displacedDemandPenalty = 4;
+/// Share of a worker that one backfill task uses, and share of the demand that has to be known.
+constexpr double usualTaskShare = 0.1;
+constexpr double minKnownDemand = 0.5;
 /// For a task whose whole estimate falls into the time in which the worker is cold. Outweighs
 /// differences in unused processor time, and is below the penalty for another rack, where each run
 /// of the task takes longer.
@@ -209,8 +215,35 @@
     return worker.life.capacity.millicores;
 }
 
-double Placer::colocationBonus(const Worker &worker, const Step &step)
+std::optional<double> Placer::displacedDemand(const Worker &worker, const Step &step) const
 {
+    if (m_limits.demand == nullptr)
+        return {};
+    double known = 0;
+    double displaced = 0;
+    for (const BackfillDemand::ImageShare &it : m_limits.demand->images()) {
+        const auto excludes = [&](batch::Index serving) {
+            return m_interference->expected(serving, it.image, usualTaskShare)
+                    > m_settings.maxInterference;
+        };
+        if (!m_interference->isObserved(step.image, it.image))
+            continue;
+        known += it.share;
+        if (excludes(step.image)
+            && std::ranges::none_of(worker.servedImages,
+                                    [&](const auto &served) { return excludes(served.first); }))
+            displaced += it.share;
+    }
+    return known > minKnownDemand ? std::optional(displaced) : std::nullopt;
+}
+
+double Placer::colocationBonus(const Worker &worker, const Step &step) const
+{
+    if (const std::optional<double> displaced = displacedDemand(worker, step)) {
+        const std::int64_t forBackfill = worker.unusedMillicores() + worker.backfillMillicores;
+        return -displacedDemandPenalty * *displaced
+                * shareOf(worker, std::max<std::int64_t>(forBackfill, 0));
+    }
     if (worker.servedImages.empty())
         return 0;
     const bool sameOnly =
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <optional>
 #include <span>
 #include <unordered_set>
 #include <vector>
 
+#include "acaciafork/decisions/jobs/BackfillDemand.h"
 #include "acaciafork/decisions/jobs/ClosedZones.h"
 #include "acaciafork/decisions/jobs/GapPlanner.h"
 #include "acaciafork/decisions/jobs/OverdueStarts.h"
@@ -62,6 +64,8 @@
     GapPlanner *gaps = nullptr;
     /// Bound on overdue backfill tasks, where exploratory starts have none.
     const OverdueStarts *overdue = nullptr;
+    /// Demand for backfill by image; without it, serving tasks are only kept apart by image.
+    const BackfillDemand *demand = nullptr;
 };
 
 /// Worker that may be free for a trial.
@@ -175,7 +179,11 @@
     /// Processor time that overdue tasks may ask for beyond what is unused, where they disturb
     /// nobody: all backfill tasks there are slower then, and each job has one that runs.
     [[nodiscard]] std::int64_t overcommit(const Worker &worker, const Step &step) const;
-    [[nodiscard]] static double colocationBonus(const Worker &worker, const Step &step);
+    [[nodiscard]] double colocationBonus(const Worker &worker, const Step &step) const;
+    /// Share of the demand for backfill that could run on the worker now and not beside a task of
+    /// the serving step; none while too little is known of the step's image.
+    [[nodiscard]] std::optional<double> displacedDemand(const Worker &worker,
+                                                        const Step &step) const;
     [[nodiscard]] bool isHarmless(const Worker &worker, const Step &step) const;
     [[nodiscard]] double expectedInterference(const Worker &worker, const Step &step) const;
     /// Sum of the interference expected of the overdue tasks on the worker at their full shares.
--- a/acaciafork/decisions/jobs/TailInterference.cpp
+++ b/acaciafork/decisions/jobs/TailInterference.cpp
@@ -151,6 +151,11 @@
     return pairs;
 }
 
+bool TailInterference::isObserved(batch::Index serving, batch::Index filling) const
+{
+    return m_model.pair(serving, filling, level).variance < priorDeviation * priorDeviation;
+}
+
 std::pair<std::size_t, std::size_t> TailInterference::countPairs(double growth) const
 {
     constexpr double taskShare = 0.1;
--- a/acaciafork/decisions/jobs/TailInterference.h
+++ b/acaciafork/decisions/jobs/TailInterference.h
@@ -73,6 +73,8 @@
         return m_model.expected(serving, filling, 0) * share;
     }
     [[nodiscard]] bool isHarmless(batch::Index serving, batch::Index filling, double share) const;
+    /// True when the pair has been observed.
+    [[nodiscard]] bool isObserved(batch::Index serving, batch::Index filling) const;
 
     /// Expected increase of the tail latency of `serving`, as a share of its target, if a task of
     /// `filling` uses `share` of the same worker; never negative.
--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -570,18 +570,20 @@
             fixture.scheduler.startAnswered(fixture.at, it.target.worker, it.run,
                                             OrderOutcome::Done);
         ++ends;
-        for (auto it = tails.begin(); it != tails.end(); ++it) {
+        std::size_t readings = 0;
+        for (const std::int64_t tailMs : tails) {
+            const bool isLast = ++readings == tails.size();
             fixture.advance(700ms);
             fixture.report();
             for (std::size_t worker = 0; worker < services.size(); ++worker) {
                 RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
                 const WorkerId id = services[worker].target.worker;
                 answer.running.push_back(
-                        { .run = services[worker].run, .percent = 100, .load = *it });
+                        { .run = services[worker].run, .percent = 100, .load = tailMs });
                 for (const StartRun &fill : fills) {
                     if (fill.target.worker != id)
                         continue;
-                    if (it + 1 == tails.end())
+                    if (isLast)
                         answer.ended.push_back(
                                 { .number = ends, .run = fill.run, .end = RunEnd::Done });
                     else
@@ -667,3 +669,31 @@
     fixture.scheduler.renewalAnswered(fixture.at, worker, false, OrderOutcome::Done, &answer);
     CHECK(fixture.startsWithin(300ms, { 4 }).size() == 1);
 }
+
+TEST_CASE("a serving task leaves the worker alone that is the last one for a backfill image")
+{
+    // Guards against backfill that nothing but an empty worker bears: serving tasks of each image
+    // began a worker of their own as long as one was empty, and stayed there for a minute.
+    SchedulerFixture fixture;
+    const std::array<InterferenceEstimate, 2> estimates {
+        { { .serving = "serve", .filling = "fill", .mean = 8, .variance = 0.7F },
+          { .serving = "other", .filling = "fill", .mean = 8, .variance = 0.7F } }
+    };
+    fixture.scheduler.begin(fixture.at, { 2 }, {}, {}, {}, estimates);
+    fixture.report();
+    const std::array names { WorkerName { "w0" }, WorkerName { "w1" } };
+    fixture.scheduler.workersRecorded(fixture.at, names);
+    fixture.acceptJob(1, serving);
+    const auto first = fixture.startsWithin(100ms, { 1 });
+    REQUIRE(first.size() == 1);
+    fixture.acceptJob(2, filling);
+    const auto fills = fixture.startsWithin(200ms, { 2 });
+    REQUIRE(fills.size() == 3);
+    CHECK(fills[0].target.worker != first[0].target.worker);
+    StepSpec other = serving;
+    other.image = "other";
+    fixture.acceptJob(3, other);
+    const auto second = fixture.startsWithin(100ms, { 3 });
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].target.worker == first[0].target.worker);
+}
