--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -575,11 +575,10 @@
             const bool isLast = ++readings == tails.size();
             fixture.advance(700ms);
             fixture.report();
-            for (std::size_t worker = 0; worker < services.size(); ++worker) {
+            for (const StartRun &service : services) {
                 RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
-                const WorkerId id = services[worker].target.worker;
-                answer.running.push_back(
-                        { .run = services[worker].run, .percent = 100, .load = tailMs });
+                const WorkerId id = service.target.worker;
+                answer.running.push_back({ .run = service.run, .percent = 100, .load = tailMs });
                 for (const StartRun &fill : fills) {
                     if (fill.target.worker != id)
                         continue;
