--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -285,7 +285,7 @@
         // Urgent steps have been tried in each round.
         // With room enough, the next task of a job need not wait anew when the one before has
         // ended.
-        const Timestamp since = m_overdueStarts.isLimited()
+        const Timestamp since = m_overdueStarts.isLimited(step->job->pool)
                 ? step->waitingSince
                 : std::min(step->waitingSince, step->firstReadySince());
         if (now - since < m_settings.overdueAfter || awaitsTakeOver(*step) || step->isUrgent)
--- a/acaciafork/decisions/jobs/OverdueStarts.cpp
+++ b/acaciafork/decisions/jobs/OverdueStarts.cpp
@@ -1,23 +1,26 @@
 #include "acaciafork/decisions/jobs/OverdueStarts.h"
 
 #include <algorithm>
+#include <map>
 
 namespace acaciafork::jobs {
 
 void OverdueStarts::update(const WorkerTable &workers)
 {
     clear();
-    std::int64_t reserved = 0;
-    std::int64_t capacity = 0;
+    /// Millicores by which more than half of a pool is reserved; negative when less is.
+    std::map<std::string_view, std::int64_t> excess;
     for (const auto &[id, worker] : workers.all()) {
-        reserved += worker->used.millicores;
-        capacity += worker->life.capacity.millicores;
+        excess[worker->life.pool] += 2 * worker->used.millicores - worker->life.capacity.millicores;
         for (const RunRef &it : worker->runs) {
             if (it.get().isOverdue)
                 started(*worker, it.task.step->image);
         }
     }
-    m_isLimited = 2 * reserved > capacity;
+    for (const auto &[pool, millicores] : excess) {
+        if (millicores > 0)
+            m_limitedPools.emplace(pool);
+    }
 }
 
 void OverdueStarts::started(const Worker &worker, batch::Index filling)
@@ -28,13 +31,13 @@
 
 void OverdueStarts::clear()
 {
-    m_isLimited = false;
+    m_limitedPools.clear();
     m_pairs.clear();
 }
 
 bool OverdueStarts::mayStart(const Worker &worker, batch::Index filling) const
 {
-    if (!m_isLimited)
+    if (!isLimited(worker.life.pool))
         return true;
     // Where anything is slowed down already, one more makes it worse.
     return worker.backfillPercent == wholePercent
--- a/acaciafork/decisions/jobs/OverdueStarts.h
+++ b/acaciafork/decisions/jobs/OverdueStarts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <set>
+#include <string>
 #include <utility>
 
 #include "acaciafork/decisions/jobs/WorkerTable.h"
@@ -13,8 +14,8 @@
 /// Such a task is slow and disturbs the serving tasks beside it, so that other backfill is slowed
 /// down, too, and more jobs become overdue. Under a load that exceeds what the workers bear, their
 /// number must not grow with that of the waiting jobs. While more than half of the processor time
-/// is reserved, one such task at a time runs on a worker, and one of a backfill image beside each
-/// serving image; it shows whether the estimate still holds.
+/// of a pool is reserved, one such task at a time runs on a worker, and one of a backfill image
+/// beside each serving image; it shows whether the estimate still holds.
 class OverdueStarts
 {
 public:
@@ -24,13 +25,16 @@
     void started(const Worker &worker, batch::Index filling);
     void clear();
 
-    /// True when more than half of the processor time of all workers is reserved.
-    [[nodiscard]] bool isLimited() const { return m_isLimited; }
+    /// True when more than half of the processor time of the pool's workers is reserved.
+    [[nodiscard]] bool isLimited(const std::string &pool) const
+    {
+        return m_limitedPools.contains(pool);
+    }
     /// True when the bound allows an overdue task of `filling` on the worker.
     [[nodiscard]] bool mayStart(const Worker &worker, batch::Index filling) const;
 
 private:
-    bool m_isLimited = false;
+    std::set<std::string> m_limitedPools;
     /// Pairs of a serving and a backfill image with an overdue task.
     std::set<std::pair<batch::Index, batch::Index>> m_pairs;
 };
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -209,7 +209,7 @@
 
 std::int64_t Placer::overcommit(const Worker &worker, const Step &step) const
 {
-    if (m_limits.overdue == nullptr || m_limits.overdue->isLimited()
+    if (m_limits.overdue == nullptr || m_limits.overdue->isLimited(worker.life.pool)
         || expectedInterference(worker, step) > m_settings.maxOverdueInterference)
         return 0;
     return worker.life.capacity.millicores;
--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -696,3 +696,18 @@
     REQUIRE(second.size() == 1);
     CHECK(second[0].target.worker == first[0].target.worker);
 }
+
+TEST_CASE("overdue backfill of one pool is not held back since another pool is reserved")
+{
+    WorkerTable workers;
+    Worker &full = workers.add({ .name = { "w0" }, .pool = "full", .capacity = { 32'000, 1, 0 } });
+    Worker &free = workers.add({ .name = { "w1" }, .pool = "free", .capacity = { 32'000, 1, 0 } });
+    full.used.millicores = 32'000;
+    full.backfillPercent = 50;
+    free.used.millicores = 10'000;
+    free.backfillPercent = 50;
+    OverdueStarts overdue;
+    overdue.update(workers);
+    CHECK_FALSE(overdue.mayStart(full, 1));
+    CHECK(overdue.mayStart(free, 1));
+}
