--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -56,10 +56,12 @@
         const TailReading tail { .image = spec.image, .tailMs = run.load, .targetMs = targetMs };
         tails->push_back(tail);
         const bool wasRecovering = run.isTailRecovering;
-        run.isTailRecovering = m_throttle.isRecovering(tail, wasRecovering);
+        // The first steady reading in danger is learned from, the later ones are not.
+        run.isTailRecovering =
+                (isSteady || wasRecovering) && m_throttle.isRecovering(tail, wasRecovering);
         if (!isSteady || targetMs <= 0 || wasRecovering)
             continue;
-        // Runs of one image have the same neighbours here, so they all show the same.
+        // Runs of one image have the same neighbours here: together they count as one reading.
         double &worst = worstRatios.try_emplace(spec.image, 0).first->second;
         worst = std::max(worst, static_cast<double>(run.load) / static_cast<double>(targetMs));
     }
--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -711,3 +711,18 @@
     CHECK_FALSE(overdue.mayStart(full, 1));
     CHECK(overdue.mayStart(free, 1));
 }
+
+TEST_CASE("a backfill image that lifts a tail over its target at its start is learned from")
+{
+    // Guards against a reading that ends learning and has taught nothing: the first one after a
+    // start shows both the time before and after it.
+    SchedulerFixture fixture;
+    const ColocatedRuns colocated = placeColocatedRuns(&fixture);
+    for (const Duration delay : { 300ms, 500ms, 500ms, 500ms }) {
+        fixture.advance(delay);
+        const RenewalAnswer answer = colocated.renewalAnswer(fixture.at.now, 200);
+        fixture.scheduler.renewalAnswered(fixture.at, colocated.worker, false, OrderOutcome::Done,
+                                          &answer);
+    }
+    CHECK_FALSE(fixture.take<StopRun>().empty());
+}
