--- a/acaciafork/decisions/jobs/BackfillDemand.cpp
+++ b/acaciafork/decisions/jobs/BackfillDemand.cpp
@@ -30,6 +30,7 @@
                 add(*it.task.step, 1);
         }
     }
+    ++m_version;
     m_images.clear();
     const double sum = std::accumulate(m_millicores.begin(), m_millicores.end(), 0.0);
     for (std::size_t it = 0; it < m_millicores.size(); ++it) {
@@ -41,6 +42,7 @@
 
 void BackfillDemand::clear()
 {
+    ++m_version;
     m_millicores.clear();
     m_images.clear();
 }
--- a/acaciafork/decisions/jobs/BackfillDemand.h
+++ b/acaciafork/decisions/jobs/BackfillDemand.h
@@ -23,13 +23,16 @@
     void update(const StepOrder &order, const WorkerTable &workers);
     void clear();
 
-    /// Images with any demand; their shares add up to 1.
+    /// Images with any demand, and their shares of it.
     [[nodiscard]] std::span<const ImageShare> images() const { return m_images; }
+    /// Changes with each update.
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
 
 private:
     /// Smoothed millicores by image index.
     std::vector<double> m_millicores;
     std::vector<ImageShare> m_images;
+    std::uint64_t m_version = 0;
 };
 
 } // namespace acaciafork::jobs
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -472,6 +472,7 @@
         it.worker->restore(it.before);
         m_gaps.withdrawn(now, *it.worker, *step);
     }
+    m_overdueStarts.update(m_workers);
     step->rack = rackBefore;
     step->waitingSince = waitingSince;
     m_commands.erase(m_commands.begin() + static_cast<std::ptrdiff_t>(commandsBefore),
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -178,7 +178,9 @@
             return PlacementObstacle::Processor;
         if (worker.backfillPercent == 0)
             return PlacementObstacle::Paused;
-        if (m_limits.overdue != nullptr && !m_limits.overdue->mayStart(worker, step.image))
+        // The members of a gang start together and count as one start.
+        if (m_limits.overdue != nullptr && !spec.gang && !isHarmless(worker, step)
+            && !m_limits.overdue->mayStart(worker, step.image))
             return PlacementObstacle::Throttled;
         // Even at their lowest shares, several tasks may disturb more than one may.
         const double others = overdueInterference(worker, &step);
@@ -210,31 +212,50 @@
 std::int64_t Placer::overcommit(const Worker &worker, const Step &step) const
 {
     if (m_limits.overdue == nullptr || m_limits.overdue->isLimited(worker.life.pool)
-        || expectedInterference(worker, step) > m_settings.maxOverdueInterference)
+        || !isHarmless(worker, step))
         return 0;
     return worker.life.capacity.millicores;
 }
 
-std::optional<double> Placer::displacedDemand(const Worker &worker, const Step &step) const
+bool Placer::excludes(batch::Index serving, batch::Index filling) const
 {
-    if (m_limits.demand == nullptr)
-        return {};
+    return m_interference->expected(serving, filling, usualTaskShare) > m_settings.maxInterference;
+}
+
+void Placer::updateExclusions(batch::Index serving) const
+{
+    const std::uint64_t version = m_limits.demand->version();
+    if (m_exclusions.serving == serving && m_exclusions.demandVersion == version)
+        return;
+    m_exclusions.serving = serving;
+    m_exclusions.demandVersion = version;
+    m_exclusions.images.clear();
     double known = 0;
-    double displaced = 0;
     for (const BackfillDemand::ImageShare &it : m_limits.demand->images()) {
-        const auto excludes = [&](batch::Index serving) {
-            return m_interference->expected(serving, it.image, usualTaskShare)
-                    > m_settings.maxInterference;
-        };
-        if (!m_interference->isObserved(step.image, it.image))
+        if (!m_interference->isObserved(serving, it.image))
             continue;
         known += it.share;
-        if (excludes(step.image)
-            && std::ranges::none_of(worker.servedImages,
-                                    [&](const auto &served) { return excludes(served.first); }))
-            displaced += it.share;
+        if (excludes(serving, it.image))
+            m_exclusions.images.push_back(it);
+    }
+    m_exclusions.isKnown = known > minKnownDemand;
+}
+
+std::optional<double> Placer::displacedDemand(const Worker &worker, const Step &step) const
+{
+    if (m_limits.demand == nullptr)
+        return {};
+    updateExclusions(step.image);
+    if (!m_exclusions.isKnown)
+        return {};
+    double displaced = 0;
+    for (const BackfillDemand::ImageShare &it : m_exclusions.images) {
+        const bool isExcluded = std::ranges::any_of(worker.servedImages, [&](const auto &served) {
+            return excludes(served.first, it.image);
+        });
+        displaced += isExcluded ? 0 : it.share;
     }
-    return known > minKnownDemand ? std::optional(displaced) : std::nullopt;
+    return displaced;
 }
 
 double Placer::colocationBonus(const Worker &worker, const Step &step) const
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -184,6 +184,10 @@
     /// the serving step; none while too little is known of the step's image.
     [[nodiscard]] std::optional<double> displacedDemand(const Worker &worker,
                                                         const Step &step) const;
+    /// True when a usual task of `filling` is not placed beside `serving`.
+    [[nodiscard]] bool excludes(batch::Index serving, batch::Index filling) const;
+    /// Brings m_exclusions up to date for the image.
+    void updateExclusions(batch::Index serving) const;
     [[nodiscard]] bool isHarmless(const Worker &worker, const Step &step) const;
     [[nodiscard]] double expectedInterference(const Worker &worker, const Step &step) const;
     /// Sum of the interference expected of the overdue tasks on the worker at their full shares.
@@ -194,6 +198,16 @@
     /// True when the step's image is known to interfere with an image served on the worker.
     [[nodiscard]] bool isHarmful(const Worker &worker, const Step &step) const;
 
+    /// Backfill images with demand that a serving image excludes; kept while one step is placed.
+    struct Exclusions
+    {
+        batch::Index serving = batch::noIndex;
+        std::uint64_t demandVersion = 0;
+        bool isKnown = false;
+        std::vector<BackfillDemand::ImageShare> images;
+    };
+
+    mutable Exclusions m_exclusions;
     PlacerSettings m_settings;
     const TailInterference *m_interference;
     PlacementLimits m_limits;
