--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -298,9 +298,13 @@
 {
     Task &task = ref.get();
     const bool isOverdue = now - waitingSince >= m_settings.overdueAfter;
-    const PlacementMode mode = isOverdue ? PlacementMode::Overdue : PlacementMode::Usual;
+    PlacementMode mode = PlacementMode::Usual;
     const Duration isolation = isolationTime(task, now - waitingSince);
     Worker *worker = m_placer.chooseForTrial(now, candidates, *ref.step, isolation, nullptr, mode);
+    if (worker == nullptr && isOverdue) {
+        mode = PlacementMode::Overdue;
+        worker = m_placer.chooseForTrial(now, candidates, *ref.step, isolation, nullptr, mode);
+    }
     if (worker == nullptr) {
         requestPermits(now, ref.step);
         return false;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -179,7 +179,7 @@
         if (worker.backfillPercent == 0)
             return PlacementObstacle::Paused;
         // The members of a gang start together and count as one start.
-        if (m_limits.overdue != nullptr && !spec.gang && !isHarmless(worker, step)
+        if (m_limits.overdue != nullptr && !spec.gang
             && !m_limits.overdue->mayStart(worker, step.image))
             return PlacementObstacle::Throttled;
         // Even at their lowest shares, several tasks may disturb more than one may.
