--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -49,7 +49,8 @@
 enum class PlacementMode : std::uint8_t {
     Usual,
     /// For a backfill task of a step that has waited for too long: any unused processor time is
-    /// enough, and expected interference does not exclude a worker.
+    /// enough, and expected interference excludes a worker only beyond the bounds on such tasks,
+    /// see OverdueStarts.
     Overdue,
 };
 
@@ -81,9 +82,11 @@
 ///
 /// Serving tasks are grouped by image, on the fullest worker that still has free capacity. This
 /// keeps whole workers free for steps with many tasks, and each backfill image has to avoid only a
-/// few workers. Backfill tasks go to the worker with the most unused processor time where no
-/// interference is expected from what is known of their images. Other tasks go to the worker with
-/// the most unused processor time, so that the loss of one worker affects few of them.
+/// few workers. Once it is known which backfill images a serving image excludes, its tasks go where
+/// the least of the demand for backfill is displaced. Backfill tasks go to the worker with the most
+/// unused processor time where no interference is expected from what is known of their images.
+/// Other tasks go to the worker with the most unused processor time, so that the loss of one worker
+/// affects few of them.
 class Placer
 {
 public:
