--- a/acaciafork/decisions/jobs/BackfillDemand.h
+++ b/acaciafork/decisions/jobs/BackfillDemand.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <span>
 #include <vector>
 
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -282,12 +282,12 @@
 {
     std::vector<Step *> steps;
     for (const auto &[rank, step] : m_order.steps()) {
-        // Urgent steps have been tried in each round.
         // With room enough, the next task of a job need not wait anew when the one before has
         // ended.
         const Timestamp since = m_overdueStarts.isLimited(step->job->pool)
                 ? step->waitingSince
                 : std::min(step->waitingSince, step->firstReadySince());
+        // Urgent steps have been tried in each round.
         if (now - since < m_settings.overdueAfter || awaitsTakeOver(*step) || step->isUrgent)
             continue;
         // Each long-running task counts by itself, whether others of its job run or not.
@@ -472,7 +472,8 @@
         it.worker->restore(it.before);
         m_gaps.withdrawn(now, *it.worker, *step);
     }
-    m_overdueStarts.update(m_workers);
+    if (mode == PlacementMode::Overdue)
+        m_overdueStarts.update(m_workers);
     step->rack = rackBefore;
     step->waitingSince = waitingSince;
     m_commands.erase(m_commands.begin() + static_cast<std::ptrdiff_t>(commandsBefore),
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -179,8 +179,9 @@
     /// Amount by which the score of a cold worker is lower; zero for a warm one.
     [[nodiscard]] double coldPenalty(Timestamp now, const Worker &worker,
                                      const StepSpec &spec) const;
-    /// Processor time that overdue tasks may ask for beyond what is unused, where they disturb
-    /// nobody: all backfill tasks there are slower then, and each job has one that runs.
+    /// Processor time that overdue tasks may ask for beyond what is unused, where their
+    /// image is known as harmless: all backfill tasks there are slower then, but more jobs have
+    /// one.
     [[nodiscard]] std::int64_t overcommit(const Worker &worker, const Step &step) const;
     [[nodiscard]] double colocationBonus(const Worker &worker, const Step &step) const;
     /// Share of the demand for backfill that could run on the worker now and not beside a task of
--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -596,7 +596,7 @@
     };
     runBeside(2, "bad", { 20, 400, 400 });
     runBeside(3, "good", { 400, 300, 150, 80, 20 });
-    // The throttle lets go.
+    // Time for the throttle to return to the full share.
     for (int round = 0; round < 4; ++round) {
         fixture.advance(900ms);
         fixture.report();
@@ -669,10 +669,10 @@
     CHECK(fixture.startsWithin(300ms, { 4 }).size() == 1);
 }
 
-TEST_CASE("a serving task leaves the worker alone that is the last one for a backfill image")
+TEST_CASE("a serving task does not take the only worker where a backfill image can run")
 {
-    // Guards against backfill that nothing but an empty worker bears: serving tasks of each image
-    // began a worker of their own as long as one was empty, and stayed there for a minute.
+    // Guards against a backfill image that is excluded on every worker: the serving tasks of each
+    // image were placed on empty workers as long as there were any.
     SchedulerFixture fixture;
     const std::array<InterferenceEstimate, 2> estimates {
         { { .serving = "serve", .filling = "fill", .mean = 8, .variance = 0.7F },
