--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -101,12 +101,14 @@
         throttleCautiously(now, worker);
         return;
     }
+    std::vector<TailReading> tails;
+    readTails(now, worker, &tails);
+    worker->isTailInDanger = std::ranges::any_of(
+            tails, [this](const TailReading &it) { return m_throttle.isInDanger(it); });
     if (worker->backfillMillicores == 0) {
         worker->backfillPercent = wholePercent;
         return;
     }
-    std::vector<TailReading> tails;
-    readTails(now, worker, &tails);
     repeatLostPaces(now, *worker);
     movePausedRuns(now, *worker);
     const bool moved = evictInterferingTasks(now, worker, tails);
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -134,6 +134,7 @@
     worker->failedStarts = 0;
     worker->avoidUntil = Worker::distantPast();
     worker->backfillPercent = 100;
+    worker->isTailInDanger = false;
     worker->leftAt = Timestamp::max();
     worker->immediateRenewalAt = now;
     recordWorker(worker);
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -173,6 +173,9 @@
         return PlacementObstacle::Memory;
     if (reserved.accelerators > free.accelerators)
         return PlacementObstacle::Accelerators;
+    // Whatever the cause is, more load prolongs it.
+    if (spec.fills && worker.isTailInDanger)
+        return PlacementObstacle::Throttled;
     if (spec.fills && mode == PlacementMode::Overdue) {
         if (worker.unusedMillicores() + throttledMillicores(worker) + overcommit(worker, step) <= 0)
             return PlacementObstacle::Processor;
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -120,6 +120,8 @@
     JobId lastFailedJob;
     /// Share in percent at which backfill tasks run here, and when it was last changed.
     std::int64_t backfillPercent = 100;
+    /// A serving task here exceeds its target, by the worker's last list.
+    bool isTailInDanger = false;
     Timestamp pacedAt = distantPast();
 
     static constexpr Timestamp distantPast() { return timestampFromMicroseconds(INT64_MIN / 4); }
