--- /dev/null
+++ b/acaciafork/decisions/relocation/OpenWorkers.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciafork/decisions/relocation/FleetView.h"
+#include "acaciafork/decisions/relocation/RelocationSettings.h"
+
+namespace acaciafork::relocation {
+
+/// Workers open to blocked images: serving tasks that exclude these images are to leave them.
+///
+/// A worker stays open while its images ask for it, for at least minOpenTime, and is not opened
+/// again for minClosedTime after it was closed. Only serving tasks that need the room close it
+/// earlier.
+class OpenWorkers
+{
+public:
+    explicit OpenWorkers(const RelocationSettings &settings)
+        : m_settings(settings)
+    { }
+
+    /// Opens and closes workers for the demand.
+    void update(Timestamp now, const FleetView &fleet);
+
+    /// Records a try to move tasks away from an open worker.
+    /// @param[in] moved whether a task was moved, or room for one is made
+    void recordTry(Timestamp now, std::uint32_t worker, bool moved);
+
+    /// Images for which the worker is open, as bits of the last view; 0 for none.
+    [[nodiscard]] ImageSet openTo(std::uint32_t worker) const
+    {
+        const auto it = m_open.find(worker);
+        return it == m_open.end() ? 0 : it->second.images;
+    }
+    /// Time of the last failed try since a task was moved away; none if there is no such try.
+    [[nodiscard]] std::optional<Timestamp> lastFailure(std::uint32_t worker) const
+    {
+        const auto it = m_open.find(worker);
+        return it == m_open.end() ? std::nullopt : it->second.lastFailure;
+    }
+    [[nodiscard]] std::size_t count() const { return m_open.size(); }
+
+private:
+    struct OpenWorker
+    {
+        ImageSet images = 0;
+        Timestamp since;
+        /// First and last failed try since a task was moved away.
+        std::optional<Timestamp> failingSince;
+        std::optional<Timestamp> lastFailure;
+    };
+    /// Serving tasks of the fleet that exclude the same images.
+    struct ServingClass
+    {
+        ImageSet excluded = 0;
+        Room room;
+    };
+    /// Bounds on open workers.
+    struct Limit
+    {
+        /// Total capacity of the open workers.
+        Room capacity;
+        /// Number of open workers.
+        std::size_t workers = 0;
+    };
+    /// Images that share open workers, since the same serving tasks bear them.
+    struct Group
+    {
+        ImageSet images = 0;
+        /// Millicores that the images ask for.
+        std::int64_t demand = 0;
+        /// Millicores reserved by the serving tasks that bear all images of the group.
+        std::int64_t bearing = 0;
+        bool isBlocked = false;
+        /// Bounds on its open workers when one is opened, and above which some are closed.
+        Limit openLimit;
+        Limit closeLimit;
+        /// Part of the open capacity for the group while others are blocked too, in millicores.
+        std::int64_t share = 0;
+        /// Its open workers, and the millicores that its images may use there.
+        Room capacity;
+        std::size_t workers = 0;
+        std::int64_t supplied = 0;
+    };
+    /// Sums over the usable workers and over the tasks of a view.
+    struct Totals
+    {
+        Room capacity;
+        std::size_t usable = 0;
+        /// Millicores reserved by tasks that do not serve.
+        std::int64_t otherMillicores = 0;
+        std::vector<ServingClass> classes;
+        /// Number of workers that the tasks of a step need at least, for those with a limit.
+        std::vector<std::pair<ImageSet, std::size_t>> spreadSteps;
+    };
+
+    [[nodiscard]] static Totals sum(const FleetView &fleet);
+    /// Bounds on the workers open to one of the groups, so that the tasks which none of these
+    /// workers bears fit on the others.
+    [[nodiscard]] Limit limitOf(const Totals &totals, std::span<const ImageSet> groups,
+                                std::int64_t fillPercent) const;
+    /// Images of the groups that have open workers, and of the given one.
+    [[nodiscard]] static std::vector<ImageSet> openGroups(std::span<const Group> groups,
+                                                          const Group &with);
+    /// Expresses the images of the last view as bits of this one.
+    void renumber(const FleetView &fleet);
+    void dropUnusable(Timestamp now, const FleetView &fleet);
+    [[nodiscard]] std::vector<Group> findGroups(const FleetView &fleet, const Totals &totals);
+    void assign(Timestamp now, const FleetView &fleet, std::span<Group> groups);
+    /// Closes workers of a group; returns whether there were any.
+    /// @param[in] limit bound on all open workers
+    /// @param[in] isOtherLacking another group has less than its share
+    bool closeWorkers(Timestamp now, const FleetView &fleet, Group *group, const Limit &limit,
+                      bool isOtherLacking);
+    /// Opens workers for a group.
+    /// @param[in] limit bound on all open workers
+    /// @param[in] isShared other groups are blocked too
+    void openWorkers(Timestamp now, const FleetView &fleet, Group *group, const Limit &limit,
+                     bool isShared);
+    void close(Timestamp now, const WorkerView &worker, Group *group);
+    [[nodiscard]] std::int64_t supply(Timestamp now, const WorkerView &worker,
+                                      const Group &group) const;
+
+    RelocationSettings m_settings;
+    std::map<std::uint32_t, OpenWorker> m_open;
+    std::map<std::uint32_t, Timestamp> m_closedAt;
+    /// Ids of the images of the last view, by bit.
+    std::vector<std::uint32_t> m_imageIds;
+    /// Images of each group of the last plan.
+    std::vector<ImageSet> m_groups;
+    /// Capacity of all open workers.
+    Room m_capacity;
+};
+
+} // namespace acaciafork::relocation
