--- a/acaciafork/decisions/relocation/OpenWorkers.cpp
+++ b/acaciafork/decisions/relocation/OpenWorkers.cpp
@@ -51,7 +51,8 @@
 {
     ACACIAFORK_ASSERT(fleet.images.size() <= maxImages);
     renumber(fleet);
-    dropUnusable(now, fleet);
+    suspendUnusable(now, fleet);
+    dropUnwanted(now);
     std::erase_if(m_closedAt,
                   [&](const auto &it) { return now - it.second >= m_settings.minClosedTime; });
     const Totals totals = sum(fleet);
@@ -120,27 +121,49 @@
     };
     for (auto &[id, open] : m_open)
         open.images = renumbered(open.images);
+    for (auto &[id, open] : m_suspended)
+        open.images = renumbered(open.images);
     for (ImageSet &it : m_groups)
         it = renumbered(it);
     m_imageIds = std::move(ids);
 }
 
-void OpenWorkers::dropUnusable(Timestamp now, const FleetView &fleet)
+void OpenWorkers::suspendUnusable(Timestamp now, const FleetView &fleet)
 {
     std::unordered_map<std::uint32_t, bool> usable;
     for (const WorkerView &it : fleet.workers) {
         const bool isNew = usable.emplace(it.id, it.isUsable).second;
         ACACIAFORK_ASSERT(isNew);
     }
+    const auto isUsable = [&](std::uint32_t id) {
+        const auto it = usable.find(id);
+        return it != usable.end() && it->second;
+    };
+    std::erase_if(m_suspended, [&](const auto &it) {
+        const bool isResumed = isUsable(it.first);
+        if (isResumed)
+            m_open.insert(it);
+        return isResumed || now - it.second.suspendedAt >= m_settings.replaceAfter;
+    });
     std::erase_if(m_open, [&](const auto &it) {
-        const auto worker = usable.find(it.first);
-        const bool isDropped = worker == usable.end() || !worker->second || it.second.images == 0;
-        if (isDropped)
-            m_closedAt[it.first] = now;
-        return isDropped;
+        const bool isSuspended = !isUsable(it.first);
+        if (isSuspended)
+            m_suspended.insert(it).first->second.suspendedAt = now;
+        return isSuspended;
     });
 }
 
+void OpenWorkers::dropUnwanted(Timestamp now)
+{
+    const auto isUnwanted = [](const auto &it) { return it.second.images == 0; };
+    for (const auto &it : m_open) {
+        if (isUnwanted(it))
+            m_closedAt[it.first] = now;
+    }
+    std::erase_if(m_open, isUnwanted);
+    std::erase_if(m_suspended, isUnwanted);
+}
+
 OpenWorkers::Totals OpenWorkers::sum(const FleetView &fleet)
 {
     struct SpreadStep
@@ -217,6 +240,8 @@
     ImageSet wanted = 0;
     for (const auto &[id, open] : m_open)
         wanted |= open.images;
+    for (const auto &[id, open] : m_suspended)
+        wanted |= open.images;
     for (std::size_t it = 0; it < fleet.images.size(); ++it)
         wanted |= fleet.images[it].isBlocked ? bitOf(it) : 0;
 
@@ -302,11 +327,7 @@
 void OpenWorkers::assign(Timestamp now, const FleetView &fleet, std::span<Group> groups)
 {
     m_capacity = {};
-    for (const WorkerView &worker : fleet.workers) {
-        const auto open = m_open.find(worker.id);
-        if (open == m_open.end())
-            continue;
-        const ImageSet images = open->second.images;
+    const auto groupOf = [&](ImageSet images) {
         auto group = std::ranges::find(groups, images, &Group::images);
         if (group == groups.end()) {
             group = std::ranges::find_if(groups, [&](const Group &it) {
@@ -319,11 +340,21 @@
         }
         // Images that workers are open to are in a group.
         ACACIAFORK_ASSERT(group != groups.end());
-        open->second.images = group->images;
-        group->capacity += worker.capacity;
-        ++group->workers;
-        group->supplied += supply(now, worker, *group);
-        m_capacity += worker.capacity;
+        return group;
+    };
+    for (const WorkerView &worker : fleet.workers) {
+        if (const auto open = m_open.find(worker.id); open != m_open.end()) {
+            const auto group = groupOf(open->second.images);
+            open->second.images = group->images;
+            group->capacity += worker.capacity;
+            ++group->workers;
+            group->supplied += supply(now, worker, *group);
+            m_capacity += worker.capacity;
+        } else if (const auto held = m_suspended.find(worker.id); held != m_suspended.end()) {
+            const auto group = groupOf(held->second.images);
+            held->second.images = group->images;
+            group->supplied += supply(now, worker, *group);
+        }
     }
 }
 
--- a/acaciafork/decisions/relocation/OpenWorkers.h
+++ b/acaciafork/decisions/relocation/OpenWorkers.h
@@ -52,6 +52,8 @@
         /// First and last failed try since a task was moved away.
         std::optional<Timestamp> failingSince;
         std::optional<Timestamp> lastFailure;
+        /// Start of the time for which it is unusable.
+        Timestamp suspendedAt;
     };
     /// Serving tasks of the fleet that exclude the same images.
     struct ServingClass
@@ -108,7 +110,10 @@
                                                           const Group &with);
     /// Expresses the images of the last view as bits of this one.
     void renumber(const FleetView &fleet);
-    void dropUnusable(Timestamp now, const FleetView &fleet);
+    /// Suspends open workers that are unusable, and resumes those that are usable again.
+    void suspendUnusable(Timestamp now, const FleetView &fleet);
+    /// Closes the workers whose images are in demand no more.
+    void dropUnwanted(Timestamp now);
     [[nodiscard]] std::vector<Group> findGroups(const FleetView &fleet, const Totals &totals);
     void assign(Timestamp now, const FleetView &fleet, std::span<Group> groups);
     /// Closes workers of a group; returns whether there were any.
@@ -127,6 +132,8 @@
 
     RelocationSettings m_settings;
     std::map<std::uint32_t, OpenWorker> m_open;
+    /// Workers that were open and are unusable for a moment.
+    std::map<std::uint32_t, OpenWorker> m_suspended;
     std::map<std::uint32_t, Timestamp> m_closedAt;
     /// Ids of the images of the last view, by bit.
     std::vector<std::uint32_t> m_imageIds;
--- a/acaciafork/decisions/relocation/RelocationSettings.h
+++ b/acaciafork/decisions/relocation/RelocationSettings.h
@@ -26,6 +26,9 @@
     Duration minOpenTime = std::chrono::seconds(5);
     /// A closed worker is not opened again for this long.
     Duration minClosedTime = std::chrono::seconds(5);
+    /// An open worker that is unusable for less than this is not replaced, and open again
+    /// afterwards.
+    Duration replaceAfter = std::chrono::seconds(5);
     /// A task stays on a worker for at least this long.
     Duration minStayTime = std::chrono::seconds(5);
     /// An open worker none of whose tasks could be moved for this long supplies nothing.
--- a/tests/decisions/relocation/RelocationPlannerTest.cpp
+++ b/tests/decisions/relocation/RelocationPlannerTest.cpp
@@ -312,6 +312,28 @@
     }
 }
 
+TEST_CASE("an open worker that is unusable for a moment is replaced for good")
+{
+    RelocationFleet fleet;
+    addWorkers(&fleet, 20, 3, firstImage);
+    fleet.addImage(160'000);
+    REQUIRE(fleet.settle());
+    const std::set<std::uint32_t> before = fleet.open();
+    WorkerView &worker = *std::ranges::find(fleet.view.workers, *before.begin(), &WorkerView::id);
+    std::size_t moves = 0;
+    for (int it = 0; it < 100; ++it) {
+        worker.isUsable = it % 10 >= 3;
+        moves += fleet.step().size();
+        CHECK(fleet.open().contains(worker.id) == worker.isUsable);
+    }
+    CHECK(fleet.open() == before);
+    CHECK(moves == 0);
+    // It stays away.
+    worker.isUsable = false;
+    REQUIRE(fleet.settle());
+    CHECK(fleet.clearMillicores() == 160'000);
+}
+
 TEST_CASE("an empty view or one without usable workers breaks an assertion")
 {
     RelocationFleet fleet;
