Keep the disruption budget of long-running steps

What callers saw: of a step with mayMiss 1 all tasks of a worker were stopped at once when it drained, when they were backfill that disturbs serving tasks, and when they had been paused for 5 s.

Cause: mayMiss was read and stored as StepSpec::disruptionBudget, and no decision asked for it.

Now every stop by choice (disturbs, paused, worker-draining) goes through JobScheduler::stopByChoice(), which asks DisruptionBudget.

What is denied stays as it is and is logged once a run (stop-denied). A denied task that disturbs no longer counts as moved, so its worker's backfill is throttled as before. The repeated check also moves what a new leader adopts on a worker that was draining before: until now nothing did, as only the beginning of a drain was looked at.

--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -467,6 +467,7 @@
     m_exploration.expire(at.now);
     m_crashRate.advance(at.now, m_workers.all().size());
     checkExpiredLeases(at.now);
+    checkDrainingWorkers(at.now);
     abandonOverdueTrials(at.now);
     checkTakeover(at.now);
     startSpeculativeCopies(at.now);
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -313,6 +313,9 @@
     /// Run that a worker's answer refers to; none when that run is already over.
     RunRef findAnswered(WorkerId id, const RunKey &run, OrderOutcome outcome);
     void requestStop(Timestamp now, const RunRef &run, std::string_view reason);
+    /// Stops a run that could go on, unless that exceeds the disruption budget of its step.
+    /// @return true when the stop is ordered; else it may be tried again
+    bool stopByChoice(Timestamp now, const RunRef &run, std::string_view reason);
     void releaseRun(const RunRef &run);
     [[nodiscard]] static RunRef findRun(TaskRef task, RunNumber number);
 
@@ -438,6 +441,7 @@
     bool pauseIfOverTarget(Timestamp now, Worker *worker);
     [[nodiscard]] bool isHarmless(const Worker &worker, const RunRef &run,
                                   std::span<const TailReading> tails) const;
+    /// @return true when every task known to interfere is told to stop, and there are some
     bool evictInterferingTasks(Timestamp now, Worker *worker, std::span<const TailReading> tails);
     /// @name Cautious backfill
     /// @{
@@ -461,7 +465,10 @@
     void raisePercent(Timestamp now, Worker *worker);
     /// @}
     void removeLeft(Timestamp now, Worker *worker);
-    void moveLongRunningTasks(Timestamp now, Worker *worker);
+    /// Stops the long-running tasks of a draining worker; those that exceed their budget are tried
+    /// again while it drains.
+    void moveLongRunningTasks(Timestamp now, const Worker &worker);
+    void checkDrainingWorkers(Timestamp now);
     bool place(Timestamp now);
     void findOverdueLongRunning(Timestamp now);
     /// True when the step is long-running and comes before all others.
--- a/acaciafork/decisions/jobs/JobSchedulerCaution.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCaution.cpp
@@ -268,10 +268,9 @@
             mayDoubt = false;
             percent = std::min(percent, run.percent / 2);
         }
-        if (isInDanger && percent < m_settings.throttle.minPercent && !run.isOverdue) {
-            requestStop(now, it, "disturbs");
+        if (isInDanger && percent < m_settings.throttle.minPercent && !run.isOverdue
+            && stopByChoice(now, it, "disturbs"))
             return;
-        }
         if (run.isOverdue)
             percent = std::min(percent, m_placer.acceptablePercent(*worker, nullptr));
         percent = std::min(std::max(percent, m_settings.throttle.minPercent),
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "acaciafork/decisions/jobs/DisruptionBudget.h"
 #include "acaciafork/decisions/jobs/JobScheduler.h"
 
 // Starting and stopping runs, and handling their ends.
@@ -182,6 +183,21 @@
             StopRun { .target = targetOf(*worker), .run = ref.key(), .reason = reason });
 }
 
+bool JobScheduler::stopByChoice(Timestamp now, const RunRef &ref, std::string_view reason)
+{
+    Run &run = ref.get();
+    if (DisruptionBudget::allows(now, ref)) {
+        requestStop(now, ref, reason);
+        return true;
+    }
+    if (!run.isStopDenied)
+        note("stop-denied", ref.key(), m_workers.find(run.worker),
+             "reason=" + std::string(reason)
+                     + " budget=" + std::to_string(ref.task.step->spec->disruptionBudget));
+    run.isStopDenied = true;
+    return false;
+}
+
 void JobScheduler::releaseRun(const RunRef &ref)
 {
     Run &run = ref.get();
--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -74,7 +74,8 @@
 {
     // A task known to interfere is moved to another worker; the other backfill tasks are left
     // alone.
-    bool moved = false;
+    std::size_t moved = 0;
+    std::size_t kept = 0;
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
         const StepSpec &spec = *it.task.step->spec;
@@ -89,10 +90,9 @@
         });
         if (!disturbs)
             continue;
-        moved = true;
-        requestStop(now, it, "disturbs");
+        ++(stopByChoice(now, it, "disturbs") ? moved : kept);
     }
-    return moved;
+    return moved > 0 && kept == 0;
 }
 
 void JobScheduler::throttleBackfill(Timestamp now, Worker *worker)
@@ -202,7 +202,7 @@
         const Run &run = it.get();
         if (run.phase == RunPhase::Running && run.pausedSince != Timestamp::max()
             && now - run.pausedSince >= m_settings.maxPause)
-            requestStop(now, it, "paused");
+            stopByChoice(now, it, "paused");
     }
 }
 
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -64,7 +64,7 @@
     worker->lease.observe(at.now, report.clockMs);
     if (startsDraining) {
         note("worker-draining", {}, worker, "runs=" + std::to_string(worker->runs.size()));
-        moveLongRunningTasks(at.now, worker);
+        moveLongRunningTasks(at.now, *worker);
     }
     if (!worker->isRecorded && !worker->isRecording)
         recordWorker(worker);
@@ -171,13 +171,28 @@
     m_workers.remove(worker->id);
 }
 
-void JobScheduler::moveLongRunningTasks(Timestamp now, Worker *worker)
+void JobScheduler::moveLongRunningTasks(Timestamp now, const Worker &worker)
 {
     // Long-running tasks are moved now, rather than interrupted when the worker ends.
-    const std::vector<RunRef> runs = worker->runs;
+    const std::vector<RunRef> runs = worker.runs;
     for (const RunRef &it : runs) {
-        if (it.task.step->spec->longRunning)
+        const StepSpec &spec = *it.task.step->spec;
+        if (!spec.longRunning || it.get().phase == RunPhase::Stopping)
+            continue;
+        // The worker ends in any case: without a stated budget nothing is gained by a wait.
+        if (spec.disruptionBudget == 0)
             requestStop(now, it, "worker-draining");
+        else
+            stopByChoice(now, it, "worker-draining");
+    }
+}
+
+void JobScheduler::checkDrainingWorkers(Timestamp now)
+{
+    for (const auto &[id, worker] : m_workers.all()) {
+        const bool isLeaving = worker->leftAt != Timestamp::max();
+        if (worker->life.draining && worker->isRecorded && !isLeaving && !m_isFenced)
+            moveLongRunningTasks(now, *worker);
     }
 }
 
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -50,6 +50,8 @@
     Timestamp stopRetryAt;
     /// When its stop was first ordered; valid in RunPhase::Stopping.
     Timestamp stoppingSince;
+    /// A stop by choice was denied, and logged.
+    bool isStopDenied = false;
     /// Share of its processor time that it may use, in percent, as last ordered.
     std::int64_t percent = 100;
     /// When that share was last ordered, and how often it was given again since it changed.
