--- a/acaciafork/decisions/relocation/OpenWorkers.cpp
+++ b/acaciafork/decisions/relocation/OpenWorkers.cpp
@@ -71,14 +71,14 @@
             });
             const Limit limit =
                     limitOf(totals, openGroups(groups, *group), m_settings.closeFillPercent);
-            isChanged = closeWorkers(now, fleet, group, limit, isOtherLacking) || isChanged;
+            isChanged = closeWorkers(now, group, limit, isOtherLacking) || isChanged;
         }
     }
     const auto blocked = std::ranges::count(groups, true, &Group::isBlocked);
     for (Group &it : groups) {
         const Limit limit = limitOf(totals, openGroups(groups, it), m_settings.maxFillPercent);
         if (it.isBlocked)
-            openWorkers(now, fleet, &it, limit, blocked > 1);
+            openWorkers(now, fleet, totals, &it, limit, blocked > 1);
     }
     m_groups.clear();
     for (const Group &it : groups)
@@ -187,6 +187,11 @@
         }
         totals.otherMillicores += worker.otherMillicores;
         if (worker.isUsable) {
+            const Room least = totals.usable == 0 ? worker.capacity : totals.smallest;
+            totals.smallest = {
+                .millicores = std::min(least.millicores, worker.capacity.millicores),
+                .memoryMb = std::min(least.memoryMb, worker.capacity.memoryMb),
+            };
             totals.capacity += worker.capacity;
             ++totals.usable;
         }
@@ -301,6 +306,13 @@
     return groups;
 }
 
+bool OpenWorkers::isStuck(Timestamp now, std::uint32_t worker) const
+{
+    const auto it = m_open.find(worker);
+    return it != m_open.end() && it->second.failingSince
+            && now - *it->second.failingSince >= m_settings.stuckAfter;
+}
+
 std::int64_t OpenWorkers::supply(Timestamp now, const WorkerView &worker, const Group &group) const
 {
     std::int64_t bearing = 0;
@@ -310,9 +322,7 @@
         bearing += bears ? it.room.millicores : 0;
         isClear = isClear && bears;
     }
-    const auto open = m_open.find(worker.id);
-    if (!isClear && open != m_open.end() && open->second.failingSince
-        && now - *open->second.failingSince >= m_settings.stuckAfter)
+    if (!isClear && isStuck(now, worker.id))
         return 0;
     // Tasks that bear the images fill an open worker as far as there are any.
     const std::int64_t expected =
@@ -346,6 +356,7 @@
         if (const auto open = m_open.find(worker.id); open != m_open.end()) {
             const auto group = groupOf(open->second.images);
             open->second.images = group->images;
+            group->open.push_back(&worker);
             group->capacity += worker.capacity;
             ++group->workers;
             group->supplied += supply(now, worker, *group);
@@ -368,13 +379,12 @@
     m_closedAt[worker.id] = now;
 }
 
-bool OpenWorkers::closeWorkers(Timestamp now, const FleetView &fleet, Group *group,
-                               const Limit &limit, bool isOtherLacking)
+bool OpenWorkers::closeWorkers(Timestamp now, Group *group, const Limit &limit, bool isOtherLacking)
 {
     std::vector<std::pair<std::int64_t, const WorkerView *>> open;
-    for (const WorkerView &it : fleet.workers) {
-        if (openTo(it.id) == group->images)
-            open.emplace_back(clearingCost(it, group->images), &it);
+    for (const WorkerView *it : group->open) {
+        if (m_open.contains(it->id))
+            open.emplace_back(clearingCost(*it, group->images), it);
     }
     // Those whose clearing costs the least stay open the longest.
     std::ranges::stable_sort(open, std::ranges::greater(), [](const auto &it) { return it.first; });
@@ -397,33 +407,41 @@
     return group->workers != before;
 }
 
-void OpenWorkers::openWorkers(Timestamp now, const FleetView &fleet, Group *group,
-                              const Limit &limit, bool isShared)
+void OpenWorkers::openWorkers(Timestamp now, const FleetView &fleet, const Totals &totals,
+                              Group *group, const Limit &limit, bool isShared)
 {
-    if (group->supplied >= group->demand)
+    const auto mayOpen = [&](const Room &worker) {
+        Room own = group->capacity;
+        own += worker;
+        Room all = m_capacity;
+        all += worker;
+        const bool isOverShare = isShared && group->workers > 0 && own.millicores > group->share;
+        return !isOverShare && own.fitsIn(group->openLimit.capacity) && all.fitsIn(limit.capacity);
+    };
+    const auto isDone = [&] {
+        return group->supplied >= group->demand || group->workers >= group->openLimit.workers
+                || m_open.size() >= limit.workers || !mayOpen(totals.smallest);
+    };
+    if (isDone())
         return;
     std::vector<std::pair<std::int64_t, const WorkerView *>> closed;
     for (const WorkerView &it : fleet.workers) {
-        if (it.isUsable && openTo(it.id) == 0 && !m_closedAt.contains(it.id)
+        if (it.isUsable && !m_open.contains(it.id) && !m_closedAt.contains(it.id)
             && supply(now, it, *group) > 0)
             closed.emplace_back(clearingCost(it, group->images), &it);
     }
-    std::ranges::stable_sort(closed, {}, [](const auto &it) { return it.first; });
-    for (const auto &[cost, it] : closed) {
-        if (group->supplied >= group->demand || group->workers >= group->openLimit.workers
-            || m_open.size() >= limit.workers)
-            return;
-        Room own = group->capacity;
-        own += it->capacity;
-        Room all = m_capacity;
-        all += it->capacity;
-        if (!own.fitsIn(group->openLimit.capacity) || !all.fitsIn(limit.capacity)
-            || (isShared && group->workers > 0 && own.millicores > group->share))
+    // Few of them are opened, so a heap is cheaper than sorting all.
+    std::ranges::make_heap(closed, std::ranges::greater());
+    while (!closed.empty() && !isDone()) {
+        std::ranges::pop_heap(closed, std::ranges::greater());
+        const WorkerView *it = closed.back().second;
+        closed.pop_back();
+        if (!mayOpen(it->capacity))
             continue;
-        group->capacity = own;
+        group->capacity += it->capacity;
         ++group->workers;
         group->supplied += supply(now, *it, *group);
-        m_capacity = all;
+        m_capacity += it->capacity;
         m_open[it->id] = { .images = group->images, .since = now };
     }
 }
--- a/acaciafork/decisions/relocation/OpenWorkers.h
+++ b/acaciafork/decisions/relocation/OpenWorkers.h
@@ -83,9 +83,11 @@
         Limit closeLimit;
         /// Part of the open capacity for the group while others are blocked too, in millicores.
         std::int64_t share = 0;
-        /// Its open workers, and the millicores that its images may use there.
+        /// Its open workers at the start of a plan, and their capacity and number in its course.
+        std::vector<const WorkerView *> open;
         Room capacity;
         std::size_t workers = 0;
+        /// Millicores that its images may use there.
         std::int64_t supplied = 0;
     };
     /// Sums over the usable workers and over the tasks of a view.
@@ -93,6 +95,8 @@
     {
         Room capacity;
         std::size_t usable = 0;
+        /// The least that a usable worker has of each resource.
+        Room smallest;
         /// Millicores reserved by tasks that do not serve.
         std::int64_t otherMillicores = 0;
         std::vector<ServingClass> classes;
@@ -119,14 +123,16 @@
     /// Closes workers of a group; returns whether there were any.
     /// @param[in] limit bound on all open workers
     /// @param[in] isOtherLacking another group has less than its share
-    bool closeWorkers(Timestamp now, const FleetView &fleet, Group *group, const Limit &limit,
-                      bool isOtherLacking);
+    bool closeWorkers(Timestamp now, Group *group, const Limit &limit, bool isOtherLacking);
     /// Opens workers for a group.
     /// @param[in] limit bound on all open workers
     /// @param[in] isShared other groups are blocked too
-    void openWorkers(Timestamp now, const FleetView &fleet, Group *group, const Limit &limit,
-                     bool isShared);
+    void openWorkers(Timestamp now, const FleetView &fleet, const Totals &totals, Group *group,
+                     const Limit &limit, bool isShared);
     void close(Timestamp now, const WorkerView &worker, Group *group);
+    /// None of the tasks that are to leave the worker has left for stuckAfter.
+    [[nodiscard]] bool isStuck(Timestamp now, std::uint32_t worker) const;
+    /// Millicores that the images of the group may use on a worker that is open to them.
     [[nodiscard]] std::int64_t supply(Timestamp now, const WorkerView &worker,
                                       const Group &group) const;
 
--- a/acaciafork/decisions/relocation/RelocationPlanner.cpp
+++ b/acaciafork/decisions/relocation/RelocationPlanner.cpp
@@ -48,6 +48,7 @@
     planMoves(now, &fleet);
     // They refer to the view, which ends here.
     m_sites.clear();
+    m_openSites.clear();
     m_openDestinations.clear();
     m_movedSteps.clear();
     ACACIAFORK_ASSERT(m_moves.size() <= m_settings.maxMoves);
@@ -64,6 +65,11 @@
                 { .worker = &it, .openTo = m_open.openTo(it.id), .excluded = excludedBy(it) });
     }
 
+    for (Site &it : m_sites) {
+        if (it.openTo != 0)
+            m_openSites.push_back(&it);
+    }
+
     /// Open worker that tasks have to leave.
     struct Source
     {
@@ -72,11 +78,11 @@
         std::int64_t excluding = 0;
     };
     std::vector<Source> sources;
-    for (Site &it : m_sites) {
-        if ((it.openTo & blocked) != 0 && (it.excluded & it.openTo) != 0)
-            sources.push_back({ .site = &it,
-                                .lastFailure = m_open.lastFailure(it.worker->id),
-                                .excluding = excludingMillicores(*it.worker, it.openTo) });
+    for (Site *it : m_openSites) {
+        if ((it->openTo & blocked) != 0 && (it->excluded & it->openTo) != 0)
+            sources.push_back({ .site = it,
+                                .lastFailure = m_open.lastFailure(it->worker->id),
+                                .excluding = excludingMillicores(*it->worker, it->openTo) });
     }
     // The workers that need the fewest moves first: each is of use once all its tasks have moved.
     // Those where no task could move are tried in turn after the others.
@@ -155,16 +161,15 @@
 
 RelocationPlanner::Site *RelocationPlanner::findOpenDestination(const ServingTask &task)
 {
-    const auto fits = [&](const Site &it) {
-        return it.openTo != 0 && (task.excluded & it.openTo) == 0
-                && hasRoomFor(*it.worker, task, it.worker->free);
+    const auto fits = [&](const Site *it) {
+        return (task.excluded & it->openTo) == 0 && hasRoomFor(*it->worker, task, it->worker->free);
     };
     // Moves only take room, so a search that has failed once in a plan need not be repeated.
     const auto [known, isNew] = m_openDestinations.try_emplace(task.step, nullptr);
-    if (!isNew && (known->second == nullptr || fits(*known->second)))
+    if (!isNew && (known->second == nullptr || fits(known->second)))
         return known->second;
-    const auto found = std::ranges::find_if(m_sites, fits);
-    known->second = found == m_sites.end() ? nullptr : &*found;
+    const auto found = std::ranges::find_if(m_openSites, fits);
+    known->second = found == m_openSites.end() ? nullptr : *found;
     return known->second;
 }
 
--- a/acaciafork/decisions/relocation/RelocationPlanner.h
+++ b/acaciafork/decisions/relocation/RelocationPlanner.h
@@ -72,6 +72,7 @@
 
     // State of one plan.
     std::vector<Site> m_sites;
+    std::vector<Site *> m_openSites;
     std::vector<Relocation> m_moves;
     /// Steps with a task that moves in this plan.
     std::vector<std::uint32_t> m_movedSteps;
