--- a/acaciafork/decisions/relocation/OpenWorkers.cpp
+++ b/acaciafork/decisions/relocation/OpenWorkers.cpp
@@ -32,6 +32,15 @@
     return whole * percent / wholePercent;
 }
 
+/// Millicores of the tasks that exclude one of the images and may not move.
+std::int64_t pinnedMillicores(const WorkerView &worker, ImageSet images)
+{
+    std::int64_t sum = 0;
+    for (const ServingTask &it : worker.tasks)
+        sum += (it.excluded & images) != 0 && !it.mayMove ? it.room.millicores : 0;
+    return sum;
+}
+
 /// Cost of clearing a worker of the tasks that exclude the images; the lowest is opened first.
 std::int64_t clearingCost(const WorkerView &worker, ImageSet images)
 {
@@ -139,6 +148,7 @@
         const auto it = usable.find(id);
         return it != usable.end() && it->second;
     };
+    std::erase_if(m_stuck, [&](const auto &it) { return !usable.contains(it.first); });
     std::erase_if(m_suspended, [&](const auto &it) {
         const bool isResumed = isUsable(it.first);
         if (isResumed)
@@ -313,6 +323,18 @@
             && now - *it->second.failingSince >= m_settings.stuckAfter;
 }
 
+bool OpenWorkers::mayOpen(Timestamp now, const WorkerView &worker, const Group &group) const
+{
+    if (!worker.isUsable || m_open.contains(worker.id) || m_closedAt.contains(worker.id))
+        return false;
+    const auto stuck = m_stuck.find(worker.id);
+    if (stuck == m_stuck.end())
+        return true;
+    return stuck->second.pinned == 0
+            ? now - stuck->second.closedAt >= m_settings.retryStuckAfter
+            : pinnedMillicores(worker, group.images) < stuck->second.pinned;
+}
+
 std::int64_t OpenWorkers::supply(Timestamp now, const WorkerView &worker, const Group &group) const
 {
     std::int64_t bearing = 0;
@@ -375,6 +397,12 @@
     --group->workers;
     group->supplied -= supply(now, worker, *group);
     m_capacity -= worker.capacity;
+    const bool isClear = std::ranges::all_of(
+            worker.tasks, [&](const auto &it) { return (it.excluded & group->images) == 0; });
+    if (!isClear && isStuck(now, worker.id))
+        m_stuck[worker.id] = { .pinned = pinnedMillicores(worker, group->images), .closedAt = now };
+    else
+        m_stuck.erase(worker.id);
     m_open.erase(worker.id);
     m_closedAt[worker.id] = now;
 }
@@ -410,7 +438,7 @@
 void OpenWorkers::openWorkers(Timestamp now, const FleetView &fleet, const Totals &totals,
                               Group *group, const Limit &limit, bool isShared)
 {
-    const auto mayOpen = [&](const Room &worker) {
+    const auto isInLimits = [&](const Room &worker) {
         Room own = group->capacity;
         own += worker;
         Room all = m_capacity;
@@ -420,14 +448,13 @@
     };
     const auto isDone = [&] {
         return group->supplied >= group->demand || group->workers >= group->openLimit.workers
-                || m_open.size() >= limit.workers || !mayOpen(totals.smallest);
+                || m_open.size() >= limit.workers || !isInLimits(totals.smallest);
     };
     if (isDone())
         return;
     std::vector<std::pair<std::int64_t, const WorkerView *>> closed;
     for (const WorkerView &it : fleet.workers) {
-        if (it.isUsable && !m_open.contains(it.id) && !m_closedAt.contains(it.id)
-            && supply(now, it, *group) > 0)
+        if (mayOpen(now, it, *group) && supply(now, it, *group) > 0)
             closed.emplace_back(clearingCost(it, group->images), &it);
     }
     // Few of them are opened, so a heap is cheaper than sorting all.
@@ -436,7 +463,7 @@
         std::ranges::pop_heap(closed, std::ranges::greater());
         const WorkerView *it = closed.back().second;
         closed.pop_back();
-        if (!mayOpen(it->capacity))
+        if (!isInLimits(it->capacity))
             continue;
         group->capacity += it->capacity;
         ++group->workers;
--- a/acaciafork/decisions/relocation/OpenWorkers.h
+++ b/acaciafork/decisions/relocation/OpenWorkers.h
@@ -55,6 +55,13 @@
         /// Start of the time for which it is unusable.
         Timestamp suspendedAt;
     };
+    /// Worker that was closed since its tasks could not leave.
+    struct StuckWorker
+    {
+        /// Millicores of the tasks that were to leave and were not allowed to.
+        std::int64_t pinned = 0;
+        Timestamp closedAt;
+    };
     /// Serving tasks of the fleet that exclude the same images.
     struct ServingClass
     {
@@ -114,7 +121,8 @@
                                                           const Group &with);
     /// Expresses the images of the last view as bits of this one.
     void renumber(const FleetView &fleet);
-    /// Suspends open workers that are unusable, and resumes those that are usable again.
+    /// Suspends open workers that are unusable, and resumes those that are usable again; forgets
+    /// workers that have left.
     void suspendUnusable(Timestamp now, const FleetView &fleet);
     /// Closes the workers whose images are in demand no more.
     void dropUnwanted(Timestamp now);
@@ -132,6 +140,7 @@
     void close(Timestamp now, const WorkerView &worker, Group *group);
     /// None of the tasks that are to leave the worker has left for stuckAfter.
     [[nodiscard]] bool isStuck(Timestamp now, std::uint32_t worker) const;
+    [[nodiscard]] bool mayOpen(Timestamp now, const WorkerView &worker, const Group &group) const;
     /// Millicores that the images of the group may use on a worker that is open to them.
     [[nodiscard]] std::int64_t supply(Timestamp now, const WorkerView &worker,
                                       const Group &group) const;
@@ -141,6 +150,7 @@
     /// Workers that were open and are unusable for a moment.
     std::map<std::uint32_t, OpenWorker> m_suspended;
     std::map<std::uint32_t, Timestamp> m_closedAt;
+    std::map<std::uint32_t, StuckWorker> m_stuck;
     /// Ids of the images of the last view, by bit.
     std::vector<std::uint32_t> m_imageIds;
     /// Images of each group of the last plan.
--- a/acaciafork/decisions/relocation/RelocationSettings.h
+++ b/acaciafork/decisions/relocation/RelocationSettings.h
@@ -33,6 +33,9 @@
     Duration minStayTime = std::chrono::seconds(5);
     /// An open worker none of whose tasks could be moved for this long supplies nothing.
     Duration stuckAfter = std::chrono::seconds(10);
+    /// Such a worker, once closed, is not opened again for this long, or, where tasks on it may not
+    /// move, until there are fewer such tasks.
+    Duration retryStuckAfter = std::chrono::seconds(60);
     /// Room that a move is to vacate is waited for this long.
     Duration swapTimeout = std::chrono::seconds(3);
 };
--- a/tests/decisions/relocation/RelocationFleet.cpp
+++ b/tests/decisions/relocation/RelocationFleet.cpp
@@ -55,7 +55,7 @@
 
 std::optional<std::size_t> RelocationFleet::settle(std::size_t maxPlans)
 {
-    // Longer than each of the planner's times.
+    // Longer than each of the planner's times but retryStuckAfter.
     constexpr std::size_t quietPlans = 60;
     std::size_t moves = 0;
     std::size_t quiet = 0;
--- a/tests/decisions/relocation/RelocationPlannerTest.cpp
+++ b/tests/decisions/relocation/RelocationPlannerTest.cpp
@@ -121,6 +121,15 @@
     }
 }
 
+TEST_CASE("workers with tasks that can't move are opened in turn")
+{
+    for (const std::uint64_t seed : { 11104, 11284, 22072 }) {
+        CAPTURE(seed);
+        RelocationFleet fleet = randomFleet(seed);
+        CHECK(fleet.settle());
+    }
+}
+
 TEST_CASE("a plan breaks no limit while the fleet and the demand change")
 {
     for (std::uint64_t seed = 1; seed <= 150; ++seed) {
