--- a/tests/decisions/relocation/RelocationFleet.cpp
+++ b/tests/decisions/relocation/RelocationFleet.cpp
@@ -48,8 +48,9 @@
     std::vector<Relocation> moves = planner.plan(now, view);
     check(moves);
     for (const Relocation &it : moves)
-        carryOut(it);
+        beginMove(it);
     now += planInterval;
+    endMoves();
     return moves;
 }
 
@@ -162,16 +163,35 @@
     }
 }
 
-void RelocationFleet::carryOut(const Relocation &move)
+void RelocationFleet::beginMove(const Relocation &move)
 {
     const auto from = std::ranges::find(view.workers, move.from, &WorkerView::id);
     const auto to = std::ranges::find(view.workers, move.to, &WorkerView::id);
     const auto task = std::ranges::find(from->tasks, move.task, &ServingTask::id);
-    from->free += task->room;
     to->free -= task->room;
+    task->mayMove = false;
+    m_pending.push_back({ .move = move, .endsAt = now + moveTime });
+}
+
+void RelocationFleet::endMove(const Relocation &move)
+{
+    const auto from = std::ranges::find(view.workers, move.from, &WorkerView::id);
+    const auto to = std::ranges::find(view.workers, move.to, &WorkerView::id);
+    const auto task = std::ranges::find(from->tasks, move.task, &ServingTask::id);
+    from->free += task->room;
     to->tasks.push_back(*task);
+    to->tasks.back().mayMove = true;
     from->tasks.erase(task);
     m_startedAt[move.task] = now;
 }
 
+void RelocationFleet::endMoves()
+{
+    for (const PendingMove &it : m_pending) {
+        if (it.endsAt <= now)
+            endMove(it.move);
+    }
+    std::erase_if(m_pending, [&](const PendingMove &it) { return it.endsAt <= now; });
+}
+
 } // namespace acaciafork::relocation
--- a/tests/decisions/relocation/RelocationFleet.h
+++ b/tests/decisions/relocation/RelocationFleet.h
@@ -8,7 +8,7 @@
 
 namespace acaciafork::relocation {
 
-/// Workers and serving tasks that carry out the moves of a planner under test at once.
+/// Workers and serving tasks that carry out the moves of a planner under test.
 class RelocationFleet
 {
 public:
@@ -38,16 +38,28 @@
     /// Capacity of the open workers whose tasks all bear the images they are open to.
     [[nodiscard]] std::int64_t clearMillicores() const;
 
+    /// Time from the order of a move to the start at the new worker. Meanwhile the task is at the
+    /// old one and may not move, and its room at the new one is held.
+    Duration moveTime {};
     RelocationPlanner planner;
     FleetView view;
     Timestamp now = timestampFromMicroseconds(1'000'000);
 
 private:
+    struct PendingMove
+    {
+        Relocation move;
+        Timestamp endsAt;
+    };
+
     void check(std::span<const Relocation> moves) const;
-    void carryOut(const Relocation &move);
+    void endMoves();
+    void beginMove(const Relocation &move);
+    void endMove(const Relocation &move);
 
     RelocationSettings m_settings;
     std::uint32_t m_nextTask = 0;
+    std::vector<PendingMove> m_pending;
     std::map<std::uint32_t, Timestamp> m_startedAt;
 };
 
--- a/tests/decisions/relocation/RelocationPlannerTest.cpp
+++ b/tests/decisions/relocation/RelocationPlannerTest.cpp
@@ -28,6 +28,23 @@
     }
 }
 
+/// Adds one worker with the given number of tasks, to be opened for an image, and others that are
+/// full.
+void addSwapFleet(RelocationFleet *fleet, std::uint32_t tasks)
+{
+    // The only room is on the worker that is opened.
+    WorkerView &worker = fleet->addWorker(workerRoom);
+    std::uint32_t step = 0;
+    for (; step < tasks; ++step)
+        fleet->addTask(&worker, step, taskRoom, firstImage);
+    for (int n = 0; n < 7; ++n) {
+        WorkerView &full = fleet->addWorker(workerRoom);
+        for (int it = 0; it < 8; ++it)
+            fleet->addTask(&full, step++, taskRoom, it < 2 ? noImage : firstImage);
+    }
+    fleet->addImage(20'000);
+}
+
 /// Fleet drawn from a seed: workers of several sizes, some unusable, tasks with and without limits
 /// and some that may not move.
 RelocationFleet randomFleet(std::uint64_t seed)
@@ -91,21 +108,20 @@
 TEST_CASE("serving tasks on a full fleet are swapped to open a worker")
 {
     RelocationFleet fleet;
-    // The only room is on the worker that is opened.
-    WorkerView &worker = fleet.addWorker(workerRoom);
-    std::uint32_t step = 0;
-    for (; step < 4; ++step)
-        fleet.addTask(&worker, step, taskRoom, firstImage);
-    for (int n = 0; n < 7; ++n) {
-        WorkerView &full = fleet.addWorker(workerRoom);
-        for (int it = 0; it < 8; ++it)
-            fleet.addTask(&full, step++, taskRoom, it < 2 ? noImage : firstImage);
-    }
-    fleet.addImage(20'000);
+    addSwapFleet(&fleet, 4);
     CHECK(fleet.settle() == 8);
     CHECK(fleet.clearMillicores() == 32'000);
 }
 
+TEST_CASE("swaps that take two seconds are ordered again and again")
+{
+    RelocationFleet fleet;
+    fleet.moveTime = 2s;
+    addSwapFleet(&fleet, 1);
+    CHECK(fleet.settle() == 2);
+    CHECK(fleet.clearMillicores() == 32'000);
+}
+
 TEST_CASE("moves end")
 {
     for (std::uint64_t seed = 1; seed <= 400; ++seed) {
@@ -121,6 +137,16 @@
     }
 }
 
+TEST_CASE("moves that take two seconds don't end")
+{
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        CAPTURE(seed);
+        RelocationFleet fleet = randomFleet(seed);
+        fleet.moveTime = 2s;
+        CHECK(fleet.settle());
+    }
+}
+
 TEST_CASE("workers with tasks that can't move are opened in turn")
 {
     for (const std::uint64_t seed : { 11104, 11284, 22072 }) {
