--- a/acaciafork/decisions/relocation/OpenWorkers.cpp
+++ b/acaciafork/decisions/relocation/OpenWorkers.cpp
@@ -32,6 +32,15 @@
     return whole * percent / wholePercent;
 }
 
+/// Millicores of the tasks that exclude one of the images and may not move.
+std::int64_t pinnedMillicores(const WorkerView &worker, ImageSet images)
+{
+    std::int64_t sum = 0;
+    for (const ServingTask &it : worker.tasks)
+        sum += (it.excluded & images) != 0 && !it.mayMove ? it.room.millicores : 0;
+    return sum;
+}
+
 /// Cost of clearing a worker of the tasks that exclude the images; the lowest is opened first.
 std::int64_t clearingCost(const WorkerView &worker, ImageSet images)
 {
@@ -71,14 +80,14 @@
             });
             const Limit limit =
                     limitOf(totals, openGroups(groups, *group), m_settings.closeFillPercent);
-            isChanged = closeWorkers(now, fleet, group, limit, isOtherLacking) || isChanged;
+            isChanged = closeWorkers(now, group, limit, isOtherLacking) || isChanged;
         }
     }
     const auto blocked = std::ranges::count(groups, true, &Group::isBlocked);
     for (Group &it : groups) {
         const Limit limit = limitOf(totals, openGroups(groups, it), m_settings.maxFillPercent);
         if (it.isBlocked)
-            openWorkers(now, fleet, &it, limit, blocked > 1);
+            openWorkers(now, fleet, totals, &it, limit, blocked > 1);
     }
     m_groups.clear();
     for (const Group &it : groups)
@@ -139,6 +148,7 @@
         const auto it = usable.find(id);
         return it != usable.end() && it->second;
     };
+    std::erase_if(m_stuck, [&](const auto &it) { return !usable.contains(it.first); });
     std::erase_if(m_suspended, [&](const auto &it) {
         const bool isResumed = isUsable(it.first);
         if (isResumed)
@@ -187,6 +197,11 @@
         }
         totals.otherMillicores += worker.otherMillicores;
         if (worker.isUsable) {
+            const Room least = totals.usable == 0 ? worker.capacity : totals.smallest;
+            totals.smallest = {
+                .millicores = std::min(least.millicores, worker.capacity.millicores),
+                .memoryMb = std::min(least.memoryMb, worker.capacity.memoryMb),
+            };
             totals.capacity += worker.capacity;
             ++totals.usable;
         }
@@ -301,6 +316,25 @@
     return groups;
 }
 
+bool OpenWorkers::isStuck(Timestamp now, std::uint32_t worker) const
+{
+    const auto it = m_open.find(worker);
+    return it != m_open.end() && it->second.failingSince
+            && now - *it->second.failingSince >= m_settings.stuckAfter;
+}
+
+bool OpenWorkers::mayOpen(Timestamp now, const WorkerView &worker, const Group &group) const
+{
+    if (!worker.isUsable || m_open.contains(worker.id) || m_closedAt.contains(worker.id))
+        return false;
+    const auto stuck = m_stuck.find(worker.id);
+    if (stuck == m_stuck.end())
+        return true;
+    return stuck->second.pinned == 0
+            ? now - stuck->second.closedAt >= m_settings.retryStuckAfter
+            : pinnedMillicores(worker, group.images) < stuck->second.pinned;
+}
+
 std::int64_t OpenWorkers::supply(Timestamp now, const WorkerView &worker, const Group &group) const
 {
     std::int64_t bearing = 0;
@@ -310,9 +344,7 @@
         bearing += bears ? it.room.millicores : 0;
         isClear = isClear && bears;
     }
-    const auto open = m_open.find(worker.id);
-    if (!isClear && open != m_open.end() && open->second.failingSince
-        && now - *open->second.failingSince >= m_settings.stuckAfter)
+    if (!isClear && isStuck(now, worker.id))
         return 0;
     // Tasks that bear the images fill an open worker as far as there are any.
     const std::int64_t expected =
@@ -346,6 +378,7 @@
         if (const auto open = m_open.find(worker.id); open != m_open.end()) {
             const auto group = groupOf(open->second.images);
             open->second.images = group->images;
+            group->open.push_back(&worker);
             group->capacity += worker.capacity;
             ++group->workers;
             group->supplied += supply(now, worker, *group);
@@ -364,17 +397,22 @@
     --group->workers;
     group->supplied -= supply(now, worker, *group);
     m_capacity -= worker.capacity;
+    const bool isClear = std::ranges::all_of(
+            worker.tasks, [&](const auto &it) { return (it.excluded & group->images) == 0; });
+    if (!isClear && isStuck(now, worker.id))
+        m_stuck[worker.id] = { .pinned = pinnedMillicores(worker, group->images), .closedAt = now };
+    else
+        m_stuck.erase(worker.id);
     m_open.erase(worker.id);
     m_closedAt[worker.id] = now;
 }
 
-bool OpenWorkers::closeWorkers(Timestamp now, const FleetView &fleet, Group *group,
-                               const Limit &limit, bool isOtherLacking)
+bool OpenWorkers::closeWorkers(Timestamp now, Group *group, const Limit &limit, bool isOtherLacking)
 {
     std::vector<std::pair<std::int64_t, const WorkerView *>> open;
-    for (const WorkerView &it : fleet.workers) {
-        if (openTo(it.id) == group->images)
-            open.emplace_back(clearingCost(it, group->images), &it);
+    for (const WorkerView *it : group->open) {
+        if (m_open.contains(it->id))
+            open.emplace_back(clearingCost(*it, group->images), it);
     }
     // Those whose clearing costs the least stay open the longest.
     std::ranges::stable_sort(open, std::ranges::greater(), [](const auto &it) { return it.first; });
@@ -397,33 +435,40 @@
     return group->workers != before;
 }
 
-void OpenWorkers::openWorkers(Timestamp now, const FleetView &fleet, Group *group,
-                              const Limit &limit, bool isShared)
+void OpenWorkers::openWorkers(Timestamp now, const FleetView &fleet, const Totals &totals,
+                              Group *group, const Limit &limit, bool isShared)
 {
-    if (group->supplied >= group->demand)
+    const auto isInLimits = [&](const Room &worker) {
+        Room own = group->capacity;
+        own += worker;
+        Room all = m_capacity;
+        all += worker;
+        const bool isOverShare = isShared && group->workers > 0 && own.millicores > group->share;
+        return !isOverShare && own.fitsIn(group->openLimit.capacity) && all.fitsIn(limit.capacity);
+    };
+    const auto isDone = [&] {
+        return group->supplied >= group->demand || group->workers >= group->openLimit.workers
+                || m_open.size() >= limit.workers || !isInLimits(totals.smallest);
+    };
+    if (isDone())
         return;
     std::vector<std::pair<std::int64_t, const WorkerView *>> closed;
     for (const WorkerView &it : fleet.workers) {
-        if (it.isUsable && openTo(it.id) == 0 && !m_closedAt.contains(it.id)
-            && supply(now, it, *group) > 0)
+        if (mayOpen(now, it, *group) && supply(now, it, *group) > 0)
             closed.emplace_back(clearingCost(it, group->images), &it);
     }
-    std::ranges::stable_sort(closed, {}, [](const auto &it) { return it.first; });
-    for (const auto &[cost, it] : closed) {
-        if (group->supplied >= group->demand || group->workers >= group->openLimit.workers
-            || m_open.size() >= limit.workers)
-            return;
-        Room own = group->capacity;
-        own += it->capacity;
-        Room all = m_capacity;
-        all += it->capacity;
-        if (!own.fitsIn(group->openLimit.capacity) || !all.fitsIn(limit.capacity)
-            || (isShared && group->workers > 0 && own.millicores > group->share))
+    // Few of them are opened, so a heap is cheaper than sorting all.
+    std::ranges::make_heap(closed, std::ranges::greater());
+    while (!closed.empty() && !isDone()) {
+        std::ranges::pop_heap(closed, std::ranges::greater());
+        const WorkerView *it = closed.back().second;
+        closed.pop_back();
+        if (!isInLimits(it->capacity))
             continue;
-        group->capacity = own;
+        group->capacity += it->capacity;
         ++group->workers;
         group->supplied += supply(now, *it, *group);
-        m_capacity = all;
+        m_capacity += it->capacity;
         m_open[it->id] = { .images = group->images, .since = now };
     }
 }
--- a/acaciafork/decisions/relocation/OpenWorkers.h
+++ b/acaciafork/decisions/relocation/OpenWorkers.h
@@ -55,6 +55,13 @@
         /// Start of the time for which it is unusable.
         Timestamp suspendedAt;
     };
+    /// Worker that was closed since its tasks could not leave.
+    struct StuckWorker
+    {
+        /// Millicores of the tasks that were to leave and were not allowed to.
+        std::int64_t pinned = 0;
+        Timestamp closedAt;
+    };
     /// Serving tasks of the fleet that exclude the same images.
     struct ServingClass
     {
@@ -83,9 +90,11 @@
         Limit closeLimit;
         /// Part of the open capacity for the group while others are blocked too, in millicores.
         std::int64_t share = 0;
-        /// Its open workers, and the millicores that its images may use there.
+        /// Its open workers at the start of a plan, and their capacity and number in its course.
+        std::vector<const WorkerView *> open;
         Room capacity;
         std::size_t workers = 0;
+        /// Millicores that its images may use there.
         std::int64_t supplied = 0;
     };
     /// Sums over the usable workers and over the tasks of a view.
@@ -93,6 +102,8 @@
     {
         Room capacity;
         std::size_t usable = 0;
+        /// The least that a usable worker has of each resource.
+        Room smallest;
         /// Millicores reserved by tasks that do not serve.
         std::int64_t otherMillicores = 0;
         std::vector<ServingClass> classes;
@@ -110,7 +121,8 @@
                                                           const Group &with);
     /// Expresses the images of the last view as bits of this one.
     void renumber(const FleetView &fleet);
-    /// Suspends open workers that are unusable, and resumes those that are usable again.
+    /// Suspends open workers that are unusable, and resumes those that are usable again; forgets
+    /// workers that have left.
     void suspendUnusable(Timestamp now, const FleetView &fleet);
     /// Closes the workers whose images are in demand no more.
     void dropUnwanted(Timestamp now);
@@ -119,14 +131,17 @@
     /// Closes workers of a group; returns whether there were any.
     /// @param[in] limit bound on all open workers
     /// @param[in] isOtherLacking another group has less than its share
-    bool closeWorkers(Timestamp now, const FleetView &fleet, Group *group, const Limit &limit,
-                      bool isOtherLacking);
+    bool closeWorkers(Timestamp now, Group *group, const Limit &limit, bool isOtherLacking);
     /// Opens workers for a group.
     /// @param[in] limit bound on all open workers
     /// @param[in] isShared other groups are blocked too
-    void openWorkers(Timestamp now, const FleetView &fleet, Group *group, const Limit &limit,
-                     bool isShared);
+    void openWorkers(Timestamp now, const FleetView &fleet, const Totals &totals, Group *group,
+                     const Limit &limit, bool isShared);
     void close(Timestamp now, const WorkerView &worker, Group *group);
+    /// None of the tasks that are to leave the worker has left for stuckAfter.
+    [[nodiscard]] bool isStuck(Timestamp now, std::uint32_t worker) const;
+    [[nodiscard]] bool mayOpen(Timestamp now, const WorkerView &worker, const Group &group) const;
+    /// Millicores that the images of the group may use on a worker that is open to them.
     [[nodiscard]] std::int64_t supply(Timestamp now, const WorkerView &worker,
                                       const Group &group) const;
 
@@ -135,6 +150,7 @@
     /// Workers that were open and are unusable for a moment.
     std::map<std::uint32_t, OpenWorker> m_suspended;
     std::map<std::uint32_t, Timestamp> m_closedAt;
+    std::map<std::uint32_t, StuckWorker> m_stuck;
     /// Ids of the images of the last view, by bit.
     std::vector<std::uint32_t> m_imageIds;
     /// Images of each group of the last plan.
