--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -85,6 +85,8 @@
     , m_waitingLongRunning(&counters->counter("long_running_tasks_waiting", MetricKind::Gauge))
     , m_passedOver(&counters->counter("long_running_passed_over", MetricKind::Gauge))
     , m_zonesClosed(&counters->counter("zones_closed", MetricKind::Gauge))
+    , m_relocations(&counters->counter("serving_relocations", MetricKind::Gauge))
+    , m_openWorkers(&counters->counter("open_workers", MetricKind::Gauge))
     , m_gapsKept(&counters->counter("gaps_kept", MetricKind::Gauge))
     , m_gapsUsed(&counters->counter("gaps_used", MetricKind::Gauge))
     , m_gapsGivenUp(&counters->counter("gaps_given_up", MetricKind::Gauge))
@@ -241,6 +243,8 @@
     m_waitingLongRunning->set(static_cast<std::int64_t>(counts.waitingLongRunning));
     m_passedOver->set(static_cast<std::int64_t>(counts.passedOver));
     m_zonesClosed->set(static_cast<std::int64_t>(m_scheduler.closedZones().size()));
+    m_relocations->set(static_cast<std::int64_t>(counts.relocations));
+    m_openWorkers->set(static_cast<std::int64_t>(counts.openWorkers));
     m_gapsKept->set(static_cast<std::int64_t>(counts.gapsKept));
     m_gapsUsed->set(static_cast<std::int64_t>(counts.gapsUsed));
     m_gapsGivenUp->set(static_cast<std::int64_t>(counts.gapsGivenUp));
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -170,6 +170,8 @@
     Counter *m_waitingLongRunning;
     Counter *m_passedOver;
     Counter *m_zonesClosed;
+    Counter *m_relocations;
+    Counter *m_openWorkers;
     Counter *m_gapsKept;
     Counter *m_gapsUsed;
     Counter *m_gapsGivenUp;
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -78,8 +78,11 @@
     m_round.reset();
     m_gaps.clear();
     m_overdueStarts.clear();
+    m_relocation.clear();
+    m_nextRelocation = {};
     m_backfillDemand.clear();
     m_counts.gapsKept = 0;
+    m_counts.openWorkers = 0;
     m_order.clear();
     m_overdueLongRunning.clear();
     m_urgentSteps.clear();
@@ -472,6 +475,7 @@
     checkTakeover(at.now);
     startSpeculativeCopies(at.now);
     m_backfillDemand.update(m_order, m_workers);
+    relocateServing(at.now);
     placeOverdueSteps(at.now);
     m_order.refresh(at.now);
     m_placementDue = true;
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -21,6 +21,7 @@
 #include "acaciafork/decisions/jobs/PairExploration.h"
 #include "acaciafork/decisions/jobs/PlacementRound.h"
 #include "acaciafork/decisions/jobs/Placer.h"
+#include "acaciafork/decisions/jobs/ServingRelocation.h"
 #include "acaciafork/decisions/jobs/StepOrder.h"
 #include "acaciafork/decisions/jobs/TailInterference.h"
 #include "acaciafork/decisions/jobs/WorkerTable.h"
@@ -141,6 +142,10 @@
     std::size_t gapsKept = 0;
     std::uint64_t gapsUsed = 0;
     std::uint64_t gapsGivenUp = 0;
+    /// Serving tasks that were stopped to be moved, and workers that are open to blocked backfill
+    /// images now.
+    std::uint64_t relocations = 0;
+    std::size_t openWorkers = 0;
     /// Longest time for which tasks of a step have waited without any start, and the number of
     /// steps that have waited for long; as of the last summary.
     Duration longestWait {};
@@ -470,6 +475,11 @@
     void moveLongRunningTasks(Timestamp now, const Worker &worker);
     void checkDrainingWorkers(Timestamp now);
     bool place(Timestamp now);
+    /// True when a serving run may be stopped now to run elsewhere.
+    [[nodiscard]] static bool mayRelocate(Timestamp now, const RunRef &run);
+    void relocateServing(Timestamp now);
+    /// Starts the tasks that have stopped to be moved, at their new workers.
+    void placeRelocated(Timestamp now);
     void findOverdueLongRunning(Timestamp now);
     /// True when the step is long-running and comes before all others.
     [[nodiscard]] bool isUrgent(Timestamp now, const Step &step) const;
@@ -507,6 +517,8 @@
     PairExploration m_exploration;
     GapPlanner m_gaps;
     OverdueStarts m_overdueStarts;
+    ServingRelocation m_relocation;
+    Timestamp m_nextRelocation;
     BackfillDemand m_backfillDemand;
     Timestamp m_nextGapPlanning;
     Placer m_placer;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -62,6 +62,7 @@
     // Trials come first: each other start keeps its worker from having one.
     placeTrials(now);
     giveUpGaps(now);
+    placeRelocated(now);
     m_round.reset();
     findOverdueLongRunning(now);
     const bool placedUrgent = placeUrgentSteps(now);
@@ -463,6 +464,7 @@
         m_order.erase(step);
         return true;
     }
+    const bool marksPairs = mode == PlacementMode::Overdue && step->spec->fills && !begun.empty();
     // Backwards, since several members may have begun on one worker.
     for (; !begun.empty(); begun.pop_back()) {
         const Member &it = begun.back();
@@ -472,7 +474,7 @@
         it.worker->restore(it.before);
         m_gaps.withdrawn(now, *it.worker, *step);
     }
-    if (mode == PlacementMode::Overdue)
+    if (marksPairs)
         m_overdueStarts.update(m_workers);
     step->rack = rackBefore;
     step->waitingSince = waitingSince;
--- a/acaciafork/decisions/jobs/JobSchedulerReports.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -139,9 +139,11 @@
     note("backfill", {}, nullptr,
          "runs=" + std::to_string(runs) + " overdue=" + std::to_string(overdue) + " slowed="
                  + std::to_string(slowed) + " asked=" + std::to_string(asked / millicoresPerCore)
-                 + " used=" + std::to_string(used / millicoresPerCore) + " waiting-images="
-                 + std::to_string(images.size()) + " pairs=" + std::to_string(pairs)
-                 + " interfering=" + std::to_string(interfering));
+                 + " used=" + std::to_string(used / millicoresPerCore)
+                 + " waiting-images=" + std::to_string(images.size())
+                 + " pairs=" + std::to_string(pairs) + " interfering=" + std::to_string(interfering)
+                 + " open-workers=" + std::to_string(m_counts.openWorkers)
+                 + " moved=" + std::to_string(m_counts.relocations));
     std::vector<Waiting> longest;
     longest.reserve(images.size());
     for (const auto &[image, waiting] : images)
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -23,6 +23,13 @@
 /// Share of a worker that one backfill task uses, and share of the demand that has to be known.
 constexpr double usualTaskShare = 0.1;
 constexpr double minKnownDemand = 0.5;
+/// Increase of a tail latency by one usual task up to which a pair counts as harmless, whatever the
+/// number of tasks: estimates of harmless pairs vary by as much.
+constexpr double maxBorneInterference = 0.2;
+/// On a worker that is open to blocked backfill images, serving tasks that bear them come before
+/// those that use an empty worker, and those that do not come only where nothing else fits.
+constexpr double bearingServingBonus = 3;
+constexpr double excludingServingPenalty = 10;
 /// For a task whose whole estimate falls into the time in which the worker is cold. Outweighs
 /// differences in unused processor time, and is below the penalty for another rack, where each run
 /// of the task takes longer.
@@ -261,6 +268,26 @@
     return displaced;
 }
 
+bool Placer::bears(batch::Index serving, batch::Index filling) const
+{
+    return m_interference->expected(serving, filling, usualTaskShare) <= maxBorneInterference;
+}
+
+double Placer::openWorkerPenalty(const Worker &worker, const Step &step) const
+{
+    if (worker.openTo.empty())
+        return 0;
+    if (step.spec->fills) {
+        const bool isOpen = std::ranges::find(worker.openTo, step.image) != worker.openTo.end();
+        return isOpen ? 0 : otherImagePenalty;
+    }
+    if (!step.spec->serves())
+        return 0;
+    const bool bearsAll = std::ranges::all_of(
+            worker.openTo, [&](batch::Index it) { return bears(step.image, it); });
+    return bearsAll ? -bearingServingBonus : excludingServingPenalty;
+}
+
 double Placer::colocationBonus(const Worker &worker, const Step &step) const
 {
     if (const std::optional<double> displaced = displacedDemand(worker, step)) {
@@ -379,6 +406,7 @@
         score = colocationBonus(worker, step) - (m_settings.bestFit ? emptiness(worker) : left);
     else
         score = m_settings.bestFit ? -emptiness(worker) : left;
+    score -= openWorkerPenalty(worker, step);
     if (spec.fills || spec.serves())
         score -= interferencePenalty * expectedInterference(worker, step);
     if (!spec.dataRack.value.empty() && worker.life.rack != spec.dataRack)
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -161,6 +161,8 @@
     }
     /// How good the worker is for tasks of the step; the highest score wins.
     [[nodiscard]] double score(Timestamp now, const Worker &worker, const Step &step) const;
+    /// True when tasks of `filling` may run beside `serving` in any number.
+    [[nodiscard]] bool bears(batch::Index serving, batch::Index filling) const;
     /// Amount by which the score is lower for this task of the step; zero for most tasks.
     [[nodiscard]] static double taskPenalty(const Worker &worker, const Task &task);
 
@@ -183,6 +185,9 @@
     /// image is known as harmless: all backfill tasks there are slower then, but more jobs have
     /// one.
     [[nodiscard]] std::int64_t overcommit(const Worker &worker, const Step &step) const;
+    /// Amount by which the score of an open worker is lower for a serving or backfill task for
+    /// which it is not open.
+    [[nodiscard]] double openWorkerPenalty(const Worker &worker, const Step &step) const;
     [[nodiscard]] double colocationBonus(const Worker &worker, const Step &step) const;
     /// Share of the demand for backfill that could run on the worker now and not beside a task of
     /// the serving step; none while too little is known of the step's image.
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -51,6 +51,8 @@
 
     /// Resources reserved for its runs.
     Size used;
+    /// Resources held for serving tasks that are being moved here.
+    Size held;
     /// Part of `used` that is reserved by serving tasks, which use only a share of it.
     std::int64_t servingMillicores = 0;
     /// Millicores that the backfill tasks on this worker would use.
@@ -129,6 +131,7 @@
     {
         Size freeCapacity = life.capacity;
         freeCapacity -= used;
+        freeCapacity -= held;
         return freeCapacity;
     }
     /// Share of its reservation that a serving task is assumed to use, in percent: its average
@@ -149,6 +152,8 @@
         unused.millicores = unusedMillicores();
         return unused;
     }
+    /// Backfill images to which the worker is open: serving tasks that do not bear them keep away.
+    std::vector<batch::Index> openTo;
     /// Images of the serving tasks on this worker, each with its number of tasks.
     std::vector<std::pair<batch::Index, std::uint32_t>> servedImages;
 
--- a/acaciafork/decisions/relocation/FleetView.h
+++ b/acaciafork/decisions/relocation/FleetView.h
@@ -67,6 +67,8 @@
     Room free;
     /// Millicores reserved by tasks that do not serve.
     std::int64_t otherMillicores = 0;
+    /// Backfill images with a task at work there.
+    ImageSet running = 0;
     /// The worker accepts new tasks.
     bool isUsable = false;
     std::vector<ServingTask> tasks;
--- a/acaciafork/decisions/relocation/RelocationPlanner.cpp
+++ b/acaciafork/decisions/relocation/RelocationPlanner.cpp
@@ -145,7 +145,8 @@
     Site *best = nullptr;
     std::pair<int, std::int64_t> bestRank;
     for (Site &it : m_sites) {
-        if (&it == &from || (task.excluded & it.openTo) != 0
+        // Beside backfill that it excludes, one of the two would have to stop.
+        if (&it == &from || (task.excluded & (it.openTo | it.worker->running)) != 0
             || !hasRoomFor(*it.worker, task, it.worker->free))
             continue;
         // Where it excludes nothing that is not excluded already, and then the tightest fit.
--- a/tests/decisions/relocation/RelocationPlannerTest.cpp
+++ b/tests/decisions/relocation/RelocationPlannerTest.cpp
@@ -392,3 +392,30 @@
     CHECK(fleet.clearMillicores() == 32'000);
     CHECK(fleet.planner.openTo(*fleet.open().begin()) == ImageSet { 1 } << 63);
 }
+
+TEST_CASE("a serving task is moved beside backfill that it excludes")
+{
+    FleetView fleet { .images = { { .millicores = 20'000, .isBlocked = true } } };
+    for (std::uint32_t id = 0; id < 4; ++id) {
+        WorkerView worker {
+            .id = id, .capacity = workerRoom, .free = workerRoom, .isUsable = true
+        };
+        // The tightest fit is where the image runs.
+        const std::uint32_t tasks = id == 0 ? 1 : 5 - id;
+        for (std::uint32_t it = 0; it < tasks; ++it) {
+            worker.tasks.push_back({ .id = 10 * id + it,
+                                     .step = 10 * id + it,
+                                     .room = taskRoom,
+                                     .excluded = firstImage,
+                                     .mayMove = true });
+            worker.free -= taskRoom;
+        }
+        worker.running = id == 1 || id == 2 ? firstImage : noImage;
+        fleet.workers.push_back(worker);
+    }
+    RelocationPlanner planner;
+    const std::vector<Relocation> moves = planner.plan(Timestamp {}, fleet);
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].from == 0);
+    CHECK(moves[0].to == 3);
+}
