--- a/tests/decisions/jobs/ColocationFleet.cpp
+++ b/tests/decisions/jobs/ColocationFleet.cpp
@@ -26,6 +26,8 @@
 /// Time after the burst from which waits count.
 constexpr Duration settlingTime = 4s;
 constexpr Duration lastPart = 20s;
+/// Time without a leader when one takes over from another.
+constexpr Duration leaderless = 500ms;
 
 constexpr double servingSeconds = 70;
 constexpr double servingCores = 7;
@@ -73,6 +75,14 @@
                                 .stretch = 2,
                                 .objective = 1s };
 
+const QueueSpec advisedQueue { .name = "advised",
+                               .pool = "pool",
+                               .maxAttempts = 4,
+                               .stretch = 1.5,
+                               .objective = 800ms,
+                               .advice = AdvicePolicy {
+                                       .decision = 20ms, .perWorker = 1ms, .validity = 2s } };
+
 /// Number at the end of the name of an image.
 std::size_t imageNumber(const StepSpec &spec)
 {
@@ -90,7 +100,8 @@
                                  const ColocationLoad &load)
     : m_load(load)
     , m_random(seed)
-    , m_scheduler(settings)
+    , m_settings(settings)
+    , m_scheduler(std::make_unique<JobScheduler>(settings))
 {
     for (std::size_t it = 0; it < workerCount; ++it) {
         auto worker = std::make_unique<SimulatedWorker>();
@@ -110,28 +121,31 @@
     return static_cast<double>(m_random() >> 11U) * 0x1p-53;
 }
 
-double ColocationFleet::factor() const
+double ColocationFleet::factor(bool serving) const
 {
-    return m_at.now < m_beganAt + warmUp + m_load.burstLength ? m_load.burst : m_load.after;
+    if (m_at.now >= m_beganAt + warmUp + m_load.burstLength)
+        return m_load.after;
+    return serving ? m_load.servingBurst.value_or(m_load.burst) : m_load.burst;
 }
 
-void ColocationFleet::repeat(double perSecond, bool isEven, const std::function<void()> &fn)
+void ColocationFleet::repeat(double perSecond, bool isEven, const std::function<void()> &fn,
+                             bool serving)
 {
-    if (!m_acceptsLoad || factor() <= 0)
+    if (!m_acceptsLoad || factor(serving) <= 0)
         return;
     const double gap = isEven ? 1 : -std::log(1 - uniform());
-    at(Duration(static_cast<std::int64_t>(gap / perSecond / factor() * 1e6)),
-       [this, perSecond, isEven, fn] {
+    at(Duration(static_cast<std::int64_t>(gap / perSecond / factor(serving) * 1e6)),
+       [this, perSecond, isEven, fn, serving] {
            if (!m_acceptsLoad)
                return;
            fn();
-           repeat(perSecond, isEven, fn);
+           repeat(perSecond, isEven, fn, serving);
        });
 }
 
 ColocationResult ColocationFleet::run()
 {
-    m_scheduler.begin(m_at, { 1 }, {}, {}, {});
+    m_scheduler->begin(m_at, m_tenure, {}, {}, {});
     for (const auto &it : m_workers)
         at(Duration(static_cast<std::int64_t>(uniform() * 1e6)),
            [this, worker = it.get()] { report(worker); });
@@ -139,10 +153,20 @@
     for (int it = 0; it < static_cast<int>(usualTasks / servingTasks); ++it)
         at(1500ms + it * 10ms, [this] { submitServing(); });
     at(warmUp, [this, usualTasks] {
-        repeat(usualTasks / servingTasks / servingSeconds, false, [this] { submitServing(); });
+        repeat(
+                usualTasks / servingTasks / servingSeconds, false, [this] { submitServing(); },
+                true);
         repeat(backfillJobsPerSecond, true, [this] { submitBackfill(); });
         repeat(shortJobsPerSecond, false, [this] { submitShort(); });
+        for (auto it = static_cast<std::size_t>(WorkKind::LongRunningBackfill);
+             it < workKindCount && m_load.otherJobsPerSecond > 0; ++it)
+            repeat(m_load.otherJobsPerSecond, false,
+                   [this, kind = static_cast<WorkKind>(it)] { submitOther(kind); });
     });
+    if (m_load.leaderChange > Duration {}) {
+        at(warmUp + m_load.leaderChange, [this] { endTenure(); });
+        at(warmUp + m_load.leaderChange + leaderless, [this] { beginTenure(); });
+    }
     at(warmUp + m_load.burstLength, [this] { endBurst(); });
     const Timestamp endsAt = m_beganAt + warmUp + m_load.length;
     Timestamp nextStep = m_at.now;
@@ -160,21 +184,30 @@
             nextStep = m_at.now + runStep;
             for (const auto &it : m_workers)
                 advanceRuns(it.get());
-            checkJobs();
-            checkSuspects();
+            if (m_scheduler != nullptr) {
+                checkJobs();
+                checkTurns();
+                checkSuspects();
+            }
+            countServing();
             countLast();
         }
         if (m_at.now >= nextReadings) {
             nextReadings = m_at.now + readingSpan;
             takeReadings();
         }
-        m_scheduler.tick(m_at);
-        carryOut();
+        if (m_scheduler != nullptr) {
+            m_scheduler->tick(m_at);
+            carryOut();
+        }
     }
     const double lastSeconds = std::chrono::duration<double>(lastPart).count();
     m_result.arrivedPerSecond /= lastSeconds;
     m_result.donePerSecond /= lastSeconds;
     m_result.pacedShare /= static_cast<double>(std::max<std::size_t>(1, m_lastSamples));
+    const auto servingSamples = static_cast<double>(std::max<std::size_t>(1, m_servingSamples));
+    m_result.askedByServing /= servingSamples;
+    m_result.reservedByServing /= servingSamples;
     m_result.overTarget = m_overTargetTime / std::max(1.0, m_servingTime);
     return m_result;
 }
@@ -184,13 +217,13 @@
     m_acceptsLoad = m_load.after > 0;
     double cores = 0;
     for (const JobId it : m_servingJobs)
-        cores += coresOf(m_jobs.at(it.value)->steps.front()) * servingTasks;
+        cores += coresOf(m_jobs.at(it.value).spec->steps.front()) * servingTasks;
     while (cores >= m_load.servingShareAfter * totalCores && !m_servingJobs.empty()) {
         const std::size_t n = m_random() % m_servingJobs.size();
         const JobId id = m_servingJobs[n];
-        cores -= coresOf(m_jobs.at(id.value)->steps.front()) * servingTasks;
+        cores -= coresOf(m_jobs.at(id.value).spec->steps.front()) * servingTasks;
         m_servingJobs.erase(m_servingJobs.begin() + static_cast<std::ptrdiff_t>(n));
-        m_scheduler.jobCancelled(m_at, id);
+        cancel(id);
     }
     for (std::size_t it = 0; it < m_load.crashes; ++it)
         crash(m_workers[it * workerCount / m_load.crashes].get());
@@ -200,19 +233,20 @@
 void ColocationFleet::crash(SimulatedWorker *worker)
 {
     for (const auto &[number, renewal] : std::exchange(worker->waiting, {}))
-        at(delay, [this, command = renewal] {
-            m_scheduler.renewalAnswered(m_at, command.target.worker, command.isImmediate,
-                                        OrderOutcome::Unanswered, nullptr);
+        answerLater([this, command = renewal] {
+            m_scheduler->renewalAnswered(m_at, command.target.worker, command.isImmediate,
+                                         OrderOutcome::Unanswered, nullptr);
         });
     worker->running.clear();
     worker->ended.clear();
     worker->lastEnd = 0;
     worker->sequence = 0;
     worker->life.born = { worker->life.born.value + 1 };
-    m_scheduler.workerReported(m_at,
-                               { .life = worker->life,
-                                 .sequence = ++worker->sequence,
-                                 .clockMs = m_at.now.time_since_epoch() / 1ms });
+    if (m_scheduler != nullptr)
+        m_scheduler->workerReported(m_at,
+                                    { .life = worker->life,
+                                      .sequence = ++worker->sequence,
+                                      .clockMs = m_at.now.time_since_epoch() / 1ms });
 }
 
 void ColocationFleet::checkSuspects()
@@ -221,7 +255,7 @@
         return;
     double cores = 0;
     std::int64_t memory = 0;
-    for (const auto &[id, job] : m_scheduler.jobs().all()) {
+    for (const auto &[id, job] : m_scheduler->jobs().all()) {
         if (job->phase != JobPhase::Active)
             continue;
         for (const Step &step : job->steps) {
@@ -267,8 +301,9 @@
                 std::min(it->unusedCores / fillingCores, static_cast<double>(byMemory)));
     }
     std::vector<JobWait *> waiting;
-    for (const auto &[id, job] : m_scheduler.jobs().all()) {
-        if (!job->steps.front().spec->fills || job->phase != JobPhase::Active)
+    for (const auto &[id, job] : m_scheduler->jobs().all()) {
+        const StepSpec &spec = *job->steps.front().spec;
+        if (!spec.fills || spec.longRunning || job->phase != JobPhase::Active)
             continue;
         JobWait &wait =
                 m_jobWaits
@@ -285,6 +320,8 @@
     }
     const auto without = std::ranges::count_if(
             waiting, [&](const JobWait *it) { return it->lastRun < m_at.now; });
+    for (const JobWait *it : waiting)
+        m_result.longestWaitAfter = std::max(m_result.longestWaitAfter, m_at.now - it->lastRun);
     const bool hasRoom = rooms >= 2 * static_cast<std::size_t>(without);
     m_roomSince = hasRoom ? std::min(m_roomSince, m_at.now) : Timestamp::max();
     if (!hasRoom)
@@ -299,12 +336,131 @@
     m_result.timeWithRoom += runStep;
 }
 
+Size ColocationFleet::usableRoom(const SimulatedWorker &worker)
+{
+    Size room = worker.life.capacity;
+    for (const auto &[task, run] : worker.running) {
+        if (!run.spec->fills || run.percent == wholePercent)
+            room -= run.spec->size;
+    }
+    return room;
+}
+
+std::vector<ColocationFleet::Turn> ColocationFleet::findTurns()
+{
+    /// Jobs and long-running tasks with a run.
+    std::unordered_set<TaskKey> running;
+    for (const auto &worker : m_workers) {
+        for (const auto &[task, run] : worker->running)
+            running.insert(run.spec->longRunning ? task : TaskKey { .job = task.job });
+    }
+    std::vector<Turn> turns;
+    const auto add = [&](const TaskKey &key, const Step *step) {
+        TurnWait &wait =
+                m_turnWaits.try_emplace(key, TurnWait { .lastRun = m_at.now }).first->second;
+        if (step == nullptr || running.contains(key) || m_scheduler->isTakingOver())
+            wait.lastRun = m_at.now;
+        if (step != nullptr)
+            turns.push_back({ .job = &m_jobs.at(key.job.value),
+                              .wait = &wait,
+                              .size = step->spec->size,
+                              .tasks = step->spec->gang ? step->spec->count : 1 });
+    };
+    for (const auto &[id, job] : m_scheduler->jobs().all()) {
+        if (job->phase != JobPhase::Active)
+            continue;
+        const Step *next = nullptr;
+        for (const Step &step : job->steps) {
+            if (step.mayStart() && step.remainingTasks > 0)
+                next = &step;
+            for (std::uint32_t it = 0; it < step.tasks.size() && step.spec->longRunning; ++it)
+                add(step.key(it), step.mayStart() ? &step : nullptr);
+        }
+        if (!job->steps.front().spec->longRunning)
+            add({ .job = id }, next);
+    }
+    return turns;
+}
+
+void ColocationFleet::checkTurns()
+{
+    if (m_at.now < m_beganAt + warmUp + settlingTime)
+        return;
+    const std::vector<Turn> turns = findTurns();
+    if (m_tenure.value > 1 && m_scheduler->isTakingOver())
+        m_result.takeOver = m_at.now - m_tenureEndedAt;
+    if (m_scheduler->isTakingOver())
+        return;
+    for (const Turn &it : turns)
+        countTurn(it);
+    checkTurnsWithRoom(turns);
+}
+
+void ColocationFleet::countTurn(const Turn &turn)
+{
+    const auto kind = static_cast<std::size_t>(turn.job->kind);
+    const bool isInherited = turn.job->acceptedIn < m_tenure;
+    Duration &longest = (isInherited ? m_result.inheritedWaits : m_result.turnWaits).at(kind);
+    longest = std::max(longest, m_at.now - turn.wait->lastRun);
+    bool &hasCounted = isInherited ? turn.wait->hasCountedInherited : turn.wait->hasCounted;
+    if (!std::exchange(hasCounted, true))
+        ++(isInherited ? m_result.inherited : m_result.turns).at(kind);
+}
+
+void ColocationFleet::checkTurnsWithRoom(const std::vector<Turn> &turns)
+{
+    Size largest { 1, 1, 0 };
+    std::size_t tasks = 0;
+    for (const Turn &it : turns) {
+        if (it.wait->lastRun == m_at.now)
+            continue;
+        largest.millicores = std::max(largest.millicores, it.size.millicores);
+        largest.memoryMb = std::max(largest.memoryMb, it.size.memoryMb);
+        tasks += it.tasks;
+    }
+    std::size_t rooms = 0;
+    for (const auto &worker : m_workers) {
+        const Size room = usableRoom(*worker);
+        rooms += static_cast<std::size_t>(std::max<std::int64_t>(
+                0,
+                std::min(room.millicores / largest.millicores, room.memoryMb / largest.memoryMb)));
+    }
+    const bool hasRoom = rooms >= 2 * tasks;
+    m_roomForEachSince = hasRoom ? std::min(m_roomForEachSince, m_at.now) : Timestamp::max();
+    if (!hasRoom)
+        return;
+    m_result.timeWithRoomForEach += runStep;
+    for (const Turn &it : turns) {
+        const auto kind = static_cast<std::size_t>(it.job->kind);
+        Duration &longest = m_result.waitsWithRoom.at(kind);
+        longest = std::max(longest, m_at.now - std::max(m_roomForEachSince, it.wait->lastRun));
+        if (!std::exchange(it.wait->hasCountedWithRoom, true))
+            ++m_result.turnsWithRoom.at(kind);
+    }
+}
+
+void ColocationFleet::countServing()
+{
+    const Timestamp from = m_beganAt + warmUp + settlingTime;
+    if (m_at.now < from || m_at.now >= m_beganAt + warmUp + m_load.burstLength)
+        return;
+    for (const JobId it : m_servingJobs) {
+        const StepSpec &spec = m_jobs.at(it.value).spec->steps.front();
+        m_result.askedByServing += coresOf(spec) * spec.count / totalCores;
+    }
+    for (const auto &worker : m_workers) {
+        for (const auto &[task, run] : worker->running)
+            m_result.reservedByServing += run.spec->serves() ? coresOf(*run.spec) / totalCores : 0;
+    }
+    ++m_servingSamples;
+}
+
 void ColocationFleet::countLast()
 {
-    if (!m_isLastPart)
+    if (!m_isLastPart || m_scheduler == nullptr)
         return;
     ++m_lastSamples;
-    const auto &workers = m_scheduler.workers().all();
+    const auto &workers = m_scheduler->workers().all();
     const auto paced = std::ranges::count_if(
             workers, [](const auto &it) { return it.second->backfillPercent < wholePercent; });
     m_result.pacedShare += static_cast<double>(paced) / static_cast<double>(workers.size());
@@ -359,10 +515,11 @@
             if (run.spec->fills && share > 0) {
                 if (const auto it = m_jobWaits.find(task.job); it != m_jobWaits.end())
                     it->second.lastProgress = m_at.now;
-                if (m_isLastPart)
+                if (m_isLastPart && !run.spec->longRunning)
                     m_result.donePerSecond += share * stepSeconds * coresOf(*run.spec);
             }
-            if (run.progress >= (run.spec->fills ? fillingSeconds : shortSeconds))
+            if (!run.spec->longRunning
+                && run.progress >= (run.spec->fills ? fillingSeconds : shortSeconds))
                 done.push_back(task);
         }
         ++run.loads;
@@ -385,27 +542,169 @@
 
 void ColocationFleet::carryOut()
 {
-    for (const Command &command : m_scheduler.takeCommands(m_at)) {
+    for (const Command &command : m_scheduler->takeCommands(m_at)) {
         if (const auto *started = std::get_if<StartRun>(&command)) {
             start(*started);
         } else if (const auto *stopped = std::get_if<StopRun>(&command)) {
+            checkMove(*stopped);
             stop(*stopped);
         } else if (const auto *paced = std::get_if<PaceRun>(&command)) {
             pace(*paced);
         } else if (const auto *renewal = std::get_if<RenewWorkerLease>(&command)) {
             renew(*renewal);
+        } else if (const auto *request = std::get_if<RequestPermits>(&command)) {
+            answerAdvice(*request);
         } else if (const auto *ends = std::get_if<RecordEnds>(&command)) {
-            at(delay, [this, batch = ends->batch] { m_scheduler.endsRecorded(m_at, batch); });
+            recordEnds(*ends);
         } else if (const auto *exposures = std::get_if<RecordExposures>(&command)) {
-            at(delay,
-               [this, batch = exposures->batch] { m_scheduler.exposuresRecorded(m_at, batch); });
+            recordExposures(*exposures);
+        } else if (const auto *estimates = std::get_if<RecordDisturbance>(&command)) {
+            for (const InterferenceEstimate &it : estimates->pairs)
+                m_estimates[{ it.serving, it.filling }] = it;
         } else if (const auto *workers = std::get_if<RecordWorkers>(&command)) {
             std::vector<WorkerName> names;
-            for (const WorkerLife &it : workers->put)
+            for (const WorkerLife &it : workers->put) {
                 names.push_back(it.name);
-            at(delay, [this, names] { m_scheduler.workersRecorded(m_at, names); });
+                m_recordedWorkers[it.name] = it;
+            }
+            for (const WorkerName &it : workers->removed)
+                m_recordedWorkers.erase(it);
+            answerLater([this, names] { m_scheduler->workersRecorded(m_at, names); });
+        }
+    }
+}
+
+void ColocationFleet::answerLater(std::function<void()> fn)
+{
+    at(delay, [this, tenure = m_tenure, fn = std::move(fn)] {
+        if (m_scheduler != nullptr && tenure == m_tenure)
+            fn();
+    });
+}
+
+void ColocationFleet::answerAdvice(const RequestPermits &request)
+{
+    std::vector<std::pair<WorkerName, std::string>> allowed;
+    for (const WorkerName &it : request.workers)
+        allowed.emplace_back(it, "permit");
+    const AdvicePolicy &policy = *advisedQueue.advice;
+    m_advisorBusyUntil = std::max(m_advisorBusyUntil, m_at.now) + policy.decision
+            + policy.perWorker * static_cast<std::int64_t>(allowed.size());
+    at(m_advisorBusyUntil - m_at.now,
+       [this, allowed, step = request.step, validity = policy.validity] {
+           answerLater([this, allowed, step, validity] {
+               m_scheduler->permitsAnswered(m_at, step, &allowed, validity);
+           });
+       });
+}
+
+void ColocationFleet::recordEnds(const RecordEnds &command)
+{
+    for (const TaskEnd &it : command.ends) {
+        SimulatedJob &job = m_jobs.at(it.task.job.value);
+        std::size_t perOccurrence = 0;
+        std::size_t place = it.task.task;
+        for (std::size_t step = 0; step < job.spec->steps.size(); ++step) {
+            place += step < it.task.step ? job.spec->steps[step].count : 0;
+            perOccurrence += job.spec->steps[step].count;
+        }
+        job.done.resize(perOccurrence * job.spec->occurrences(), '\0');
+        job.done.at(perOccurrence * it.task.occurrence + place) = it.failed ? '\0' : '\1';
+        job.isOver = job.isOver || job.done.find('\0') == std::string::npos;
+    }
+    for (const JobId it : command.failedJobs)
+        m_jobs.at(it.value).isOver = true;
+    answerLater([this, batch = command.batch] { m_scheduler->endsRecorded(m_at, batch); });
+}
+
+void ColocationFleet::recordExposures(const RecordExposures &command)
+{
+    for (const ExposureRecord &it : command.records) {
+        CrashHistory &history = m_jobs.at(it.task.job.value).crashes[it.task];
+        switch (it.change) {
+        case ExposureChange::Opened:
+            history.open(it.exposure);
+            break;
+        case ExposureChange::Crashed:
+            if (CrashExposure *known = history.find(it.exposure.run); known != nullptr)
+                *known = it.exposure;
+            break;
+        case ExposureChange::Cleared:
+            history.clear(it.exposure.run);
+            break;
+        case ExposureChange::Survived:
+            history.survive(it.exposure.run);
+            break;
         }
     }
+    answerLater([this, batch = command.batch] { m_scheduler->exposuresRecorded(m_at, batch); });
+}
+
+void ColocationFleet::endTenure()
+{
+    m_scheduler->end();
+    m_scheduler.reset();
+    m_tenureEndedAt = m_at.now;
+    for (const auto &it : m_workers)
+        it->waiting.clear();
+}
+
+void ColocationFleet::beginTenure()
+{
+    std::vector<JobView> views;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.isOver)
+            continue;
+        views.push_back({ .id = { id },
+                          .queue = job.queue,
+                          .spec = job.spec,
+                          .submittedUs = job.submittedUs,
+                          .done = job.done });
+        for (const auto &[task, history] : job.crashes) {
+            if (!history.exposures().empty())
+                views.back().exposures.emplace_back(
+                        task,
+                        std::vector<CrashExposure>(history.exposures().begin(),
+                                                   history.exposures().end()));
+        }
+    }
+    std::ranges::sort(views, {}, &JobView::id);
+    std::vector<WorkerLife> workers;
+    for (const auto &[name, life] : m_recordedWorkers)
+        workers.push_back(life);
+    std::vector<InterferenceEstimate> estimates;
+    for (const auto &[pair, estimate] : m_estimates)
+        estimates.push_back(estimate);
+    m_tenure = { m_tenure.value + 1 };
+    m_scheduler = std::make_unique<JobScheduler>(m_settings);
+    m_scheduler->begin(m_at, m_tenure, {}, views, workers, estimates);
+}
+
+void ColocationFleet::checkMove(const StopRun &command)
+{
+    const TaskKey &task = command.run.task;
+    const StepSpec &spec = m_jobs.at(task.job.value).spec->steps[task.step];
+    // All other stops have a cause outside of the scheduler.
+    constexpr std::array<std::string_view, 8> causes { "job-over",         "task-done", "again",
+                                                       "start-unanswered", "not-ours",  "unlisted",
+                                                       "worker-draining",  "superseded" };
+    if (!spec.longRunning || std::ranges::find(causes, command.reason) != causes.end())
+        return;
+    std::size_t othersAtWork = 0;
+    for (const auto &worker : m_workers) {
+        for (auto &[other, run] : worker->running) {
+            if (other == task)
+                run.isStopping = run.isStopping || run.number == command.run.run;
+            else if (other.job == task.job && other.step == task.step && !run.isStopping)
+                ++othersAtWork;
+        }
+    }
+    const std::size_t othersAway =
+            spec.count - 1 - std::min<std::size_t>(othersAtWork, spec.count - 1);
+    const auto kind = static_cast<std::size_t>(m_jobs.at(task.job.value).kind);
+    ++m_result.moves.at(kind);
+    if (othersAway >= std::max<std::size_t>(1, spec.disruptionBudget))
+        ++m_result.movesOverBudget.at(kind);
 }
 
 void ColocationFleet::start(const StartRun &command)
@@ -416,26 +715,28 @@
         outcome = OrderOutcome::Done;
         const TaskKey &task = command.run.task;
         worker->running[task] = { .number = command.run.run,
-                                  .spec = &m_jobs.at(task.job.value)->steps[task.step],
+                                  .spec = &m_jobs.at(task.job.value).spec->steps[task.step],
                                   .progress = command.checkpoint.empty()
                                           ? 0
                                           : std::stod(command.checkpoint) };
     }
-    at(delay, [this, command, outcome] {
-        m_scheduler.startAnswered(m_at, command.target.worker, command.run, outcome);
+    answerLater([this, command, outcome] {
+        m_scheduler->startAnswered(m_at, command.target.worker, command.run, outcome);
     });
 }
 
 void ColocationFleet::stop(const StopRun &command)
 {
-    at(delay, [this, command] {
+    at(delay, [this, command, tenure = m_tenure] {
         SimulatedWorker *worker = m_names.at(command.target.name.value);
         const bool isSame = worker->life.born == command.target.born;
         const auto it = worker->running.find(command.run.task);
         if (isSame && it != worker->running.end() && it->second.number == command.run.run)
             end(worker, command.run.task, RunEnd::Stopped);
-        m_scheduler.stopAnswered(m_at, command.target.worker, command.run,
-                                 isSame ? OrderOutcome::Done : OrderOutcome::OtherLife);
+        if (m_scheduler == nullptr || tenure != m_tenure)
+            return;
+        m_scheduler->stopAnswered(m_at, command.target.worker, command.run,
+                                  isSame ? OrderOutcome::Done : OrderOutcome::OtherLife);
     });
 }
 
@@ -490,7 +791,7 @@
                           .born = worker.life.born,
                           .clockMs = m_at.now.time_since_epoch() / 1ms };
     for (const auto &[task, run] : worker.running) {
-        const bool isShort = !run.spec->serves();
+        const bool isShort = !run.spec->longRunning;
         const double work = run.spec->fills ? fillingSeconds : shortSeconds;
         lists.running.push_back(
                 { .run = { .task = task, .run = run.number },
@@ -499,74 +800,147 @@
                   .load = run.reading });
     }
     lists.ended = worker.ended;
-    at(delay, [this, lists, command = renewal] {
-        m_scheduler.renewalAnswered(m_at, command.target.worker, command.isImmediate,
-                                    OrderOutcome::Done, &lists);
+    answerLater([this, lists, command = renewal] {
+        m_scheduler->renewalAnswered(m_at, command.target.worker, command.isImmediate,
+                                     OrderOutcome::Done, &lists);
     });
 }
 
 void ColocationFleet::report(SimulatedWorker *worker)
 {
-    m_scheduler.workerReported(m_at,
-                               { .life = worker->life,
-                                 .sequence = ++worker->sequence,
-                                 .clockMs = m_at.now.time_since_epoch() / 1ms });
+    if (m_scheduler != nullptr)
+        m_scheduler->workerReported(m_at,
+                                    { .life = worker->life,
+                                      .sequence = ++worker->sequence,
+                                      .clockMs = m_at.now.time_since_epoch() / 1ms });
     at(reportInterval, [this, worker] { report(worker); });
 }
 
-JobId ColocationFleet::submit(const JobSpec &spec, const QueueSpec &queue)
+JobId ColocationFleet::submit(WorkKind kind, const JobSpec &spec, const QueueSpec &queue)
 {
-    const auto shared = std::make_shared<JobSpec>(spec);
     const JobId id { ++m_lastJob };
-    m_jobs[id.value] = shared;
-    m_scheduler.jobAccepted(m_at, { .id = id, .queue = queue, .spec = shared });
+    const SimulatedJob &job = m_jobs[id.value] = { .kind = kind,
+                                                   .queue = queue,
+                                                   .spec = std::make_shared<JobSpec>(spec),
+                                                   .submittedUs = m_at.wallMicroseconds,
+                                                   .acceptedIn = m_tenure };
+    if (m_scheduler != nullptr)
+        m_scheduler->jobAccepted(m_at, { .id = id, .queue = queue, .spec = job.spec });
     return id;
 }
 
+void ColocationFleet::cancel(JobId job)
+{
+    m_jobs.at(job.value).isOver = true;
+    if (m_scheduler != nullptr)
+        m_scheduler->jobCancelled(m_at, job);
+}
+
 void ColocationFleet::submitServing()
 {
-    const std::string image = "serving-" + std::to_string(m_random() % servingImages);
+    std::string image = "serving-" + std::to_string(m_random() % servingImages);
+    if (m_load.robustShare)
+        image = "serving-"
+                + std::to_string(uniform() < *m_load.robustShare ? robustImage
+                                                                 : m_random() % robustImage);
     const auto millicores = static_cast<std::int64_t>(5000 + 4000 * uniform());
     const std::uint32_t maxPerWorker = m_random() % 2;
-    const JobId id = submit({ .steps = { { .count = servingTasks,
+    const JobId id = submit(WorkKind::Serving,
+                            { .steps = { { .count = servingTasks,
                                            .size = { millicores, 13'000, 0 },
                                            .estimate = 270ms,
                                            .maxPerWorker = maxPerWorker,
                                            .longRunning = true,
                                            .image = image,
-                                           .tailTarget = 125ms } } },
+                                           .tailTarget = 125ms,
+                                           .disruptionBudget = m_load.disruptionBudget } } },
                             servingQueue);
     m_servingJobs.push_back(id);
     const double stay = -std::log(1 - uniform()) * servingSeconds;
     at(Duration(static_cast<std::int64_t>(stay * 1e6)), [this, id] {
         if (std::erase(m_servingJobs, id) > 0)
-            m_scheduler.jobCancelled(m_at, id);
+            cancel(id);
     });
 }
 
-void ColocationFleet::submitBackfill()
+std::string ColocationFleet::drawBackfillImage()
 {
     double rest = uniform();
     std::size_t image = 0;
     while (image + 1 < frequencies.size() && rest >= frequencies.at(image))
         rest -= frequencies.at(image++);
+    return "filling-" + std::to_string(image);
+}
+
+void ColocationFleet::submitBackfill()
+{
     StepSpec step { .count = fillingTasks,
                     .size = fillingSize,
                     .estimate = 1900ms,
                     .checkpoints = true,
-                    .image = "filling-" + std::to_string(image),
+                    .image = drawBackfillImage(),
                     .fills = true };
     StepSpec second = step;
     second.after = { 0 };
-    submit({ .steps = { step, second } }, backfillQueue);
+    submit(WorkKind::Backfill, { .steps = { step, second } }, backfillQueue);
     if (m_isLastPart)
         m_result.arrivedPerSecond += 2 * fillingTasks * fillingCores * fillingSeconds;
 }
 
 void ColocationFleet::submitShort()
 {
-    submit({ .steps = { { .count = 6, .size = { 2300, 3000, 0 }, .estimate = 540ms } } },
+    submit(WorkKind::Plain,
+           { .steps = { { .count = 6, .size = { 2300, 3000, 0 }, .estimate = 540ms } } },
            shortQueue);
 }
 
+void ColocationFleet::submitOther(WorkKind kind)
+{
+    const StepSpec plain { .count = 4, .size = { 2300, 3000, 0 }, .estimate = 540ms };
+    switch (kind) {
+    case WorkKind::LongRunningBackfill: {
+        const JobId id = submit(kind,
+                                { .steps = { { .count = 4,
+                                               .size = fillingSize,
+                                               .estimate = 1900ms,
+                                               .checkpoints = true,
+                                               .longRunning = true,
+                                               .image = drawBackfillImage(),
+                                               .fills = true,
+                                               .disruptionBudget = m_load.disruptionBudget } } },
+                                backfillQueue);
+        at(12s, [this, id] { cancel(id); });
+        break;
+    }
+    case WorkKind::Gang: {
+        StepSpec gang = plain;
+        gang.gang = true;
+        submit(kind, { .steps = { gang } }, shortQueue);
+        break;
+    }
+    case WorkKind::Scheduled:
+        submit(kind,
+               { .steps = { plain },
+                 .isScheduled = true,
+                 .schedule = { .firstUs = m_at.wallMicroseconds + 1'000'000,
+                               .interval = 2s,
+                               .times = 3 } },
+               shortQueue);
+        break;
+    case WorkKind::Advised:
+        submit(kind, { .steps = { plain } }, advisedQueue);
+        break;
+    case WorkKind::Chain: {
+        StepSpec second = plain;
+        second.after = { 0 };
+        StepSpec third = plain;
+        third.after = { 1 };
+        submit(kind, { .steps = { plain, second, third } }, shortQueue);
+        break;
+    }
+    default:
+        break;
+    }
+}
+
 } // namespace acaciafork::jobs
--- a/tests/decisions/jobs/ColocationFleet.h
+++ b/tests/decisions/jobs/ColocationFleet.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -13,6 +15,22 @@
 
 namespace acaciafork::jobs {
 
+/// Kinds of work that differ in how they are scheduled.
+enum class WorkKind : std::uint8_t {
+    Serving,
+    Backfill,
+    Plain,
+    LongRunningBackfill,
+    Gang,
+    Scheduled,
+    Advised,
+    Chain, ///< plain work in several steps
+};
+inline constexpr std::size_t workKindCount = 8;
+inline constexpr std::array<const char *, workKindCount> workKindNames {
+    "serving", "backfill", "plain", "long-running backfill", "gang", "scheduled", "advised", "chain"
+};
+
 /// What arrives in a simulation of a colocated fleet, and what goes wrong in it.
 struct ColocationLoad
 {
@@ -27,6 +45,17 @@
     double servingShareAfter = 1;
     /// Number of workers that crash together at the end of the burst and are back at once.
     std::size_t crashes = 0;
+    /// Factor on the usual load of serving tasks during the burst; unset for that of other tasks.
+    std::optional<double> servingBurst;
+    /// Share of the serving jobs whose image bears all backfill images; unset for equally frequent
+    /// serving images.
+    std::optional<double> robustShare;
+    /// Jobs per second of each kind besides serving, backfill and plain ones.
+    double otherJobsPerSecond = 0;
+    /// Disruption budget of long-running steps.
+    std::uint32_t disruptionBudget = 0;
+    /// Time after the warm-up at which a new leader takes over; zero for none.
+    Duration leaderChange {};
 };
 
 /// What a simulation has counted.
@@ -49,6 +78,36 @@
     std::array<Duration, 3> suspectWaits {};
     /// True when there has been room for each task twice over since the crash.
     bool hadRoomForAll = true;
+    /// @name Waits from the settling time on
+    /// Longest time for which a job of a kind whose turn had come was without a run, whatever room
+    /// there was, and the number of jobs whose turn has come. Each long-running task counts by
+    /// itself. Waits during a take-over do not count.
+    /// @{
+    std::array<Duration, workKindCount> turnWaits {};
+    std::array<std::size_t, workKindCount> turns {};
+    /// The same for what an earlier leader has accepted, from the end of the take-over on, and how
+    /// long that took.
+    std::array<Duration, workKindCount> inheritedWaits {};
+    std::array<std::size_t, workKindCount> inherited {};
+    Duration takeOver {};
+    /// The same for both while there was room for two tasks of each job and of each long-running
+    /// task that waits, where backfill tasks that are paused or slowed down count as absent; and
+    /// how long there was.
+    std::array<Duration, workKindCount> waitsWithRoom {};
+    std::array<std::size_t, workKindCount> turnsWithRoom {};
+    Duration timeWithRoomForEach {};
+    /// @}
+    /// Longest wait of a backfill job after the burst and the settling time, whatever room there
+    /// was.
+    Duration longestWaitAfter {};
+    /// Mean shares of the cores that serving jobs ask for, and that their running tasks reserve,
+    /// during the burst after the settling time.
+    double askedByServing = 0;
+    double reservedByServing = 0;
+    /// Long-running tasks that the scheduler has stopped to run them elsewhere, by kind, and how
+    /// many of these exceeded the disruption budget of their step.
+    std::array<std::size_t, workKindCount> moves {};
+    std::array<std::size_t, workKindCount> movesOverBudget {};
     /// Mean time of serving tasks over their target, as a share of their time.
     double overTarget = 0;
 };
@@ -76,6 +135,8 @@
         double loadSum = 0;
         int loads = 0;
         std::int64_t reading = -1;
+        /// Told to stop.
+        bool isStopping = false;
     };
     struct SimulatedWorker
     {
@@ -90,6 +151,20 @@
         double unusedCores = 0;
     };
 
+    /// A job as stored in the replicated state.
+    struct SimulatedJob
+    {
+        WorkKind kind = WorkKind::Plain;
+        QueueSpec queue;
+        std::shared_ptr<const JobSpec> spec;
+        std::int64_t submittedUs = 0;
+        Tenure acceptedIn;
+        /// See JobView::done.
+        std::string done;
+        std::map<TaskKey, CrashHistory> crashes;
+        bool isOver = false;
+    };
+
     /// When a backfill job last had a run, and last made progress; a time in which its turn has
     /// not come counts as both.
     struct JobWait
@@ -98,10 +173,31 @@
         Timestamp lastProgress;
     };
 
+    /// When a job or a long-running task last had a run; a time in which its turn has not come
+    /// counts as one.
+    struct TurnWait
+    {
+        Timestamp lastRun;
+        bool hasCounted = false;
+        bool hasCountedInherited = false;
+        bool hasCountedWithRoom = false;
+    };
+    /// A job or a long-running task whose turn has come.
+    struct Turn
+    {
+        const SimulatedJob *job = nullptr;
+        TurnWait *wait = nullptr;
+        /// Resources of each of the tasks that have to start together.
+        Size size;
+        std::size_t tasks = 1;
+    };
+
     void at(Duration delay, std::function<void()> fn)
     {
         m_events.emplace(m_at.now + delay, std::move(fn));
     }
+    /// Calls the scheduler after the delay, unless its tenure has ended by then.
+    void answerLater(std::function<void()> fn);
     void carryOut();
     void start(const StartRun &command);
     void stop(const StopRun &command);
@@ -113,16 +209,35 @@
     void advanceRuns(SimulatedWorker *worker);
     void takeReadings();
     [[nodiscard]] double ownLoad(JobId job) const;
-    JobId submit(const JobSpec &spec, const QueueSpec &queue);
+    void answerAdvice(const RequestPermits &request);
+    void recordEnds(const RecordEnds &command);
+    void recordExposures(const RecordExposures &command);
+    void endTenure();
+    void beginTenure();
+    void checkMove(const StopRun &command);
+    JobId submit(WorkKind kind, const JobSpec &spec, const QueueSpec &queue);
+    void cancel(JobId job);
     void submitServing();
     void submitBackfill();
     void submitShort();
+    void submitOther(WorkKind kind);
+    [[nodiscard]] std::string drawBackfillImage();
     /// Submits jobs at the given usual rate until the simulation ends.
-    void repeat(double perSecond, bool isEven, const std::function<void()> &fn);
-    [[nodiscard]] double factor() const;
+    void repeat(double perSecond, bool isEven, const std::function<void()> &fn,
+                bool serving = false);
+    /// @param[in] serving the rate is that of serving jobs
+    [[nodiscard]] double factor(bool serving) const;
     void endBurst();
     void crash(SimulatedWorker *worker);
     void checkJobs();
+    void checkTurns();
+    [[nodiscard]] std::vector<Turn> findTurns();
+    void countTurn(const Turn &turn);
+    void checkTurnsWithRoom(const std::vector<Turn> &turns);
+    /// Resources of a worker that no task uses or has reserved, where backfill tasks that are
+    /// paused or slowed down count as absent.
+    [[nodiscard]] static Size usableRoom(const SimulatedWorker &worker);
+    void countServing();
     void checkSuspects();
     void countLast();
     [[nodiscard]] double uniform();
@@ -131,15 +246,28 @@
     std::mt19937_64 m_random;
     Moment m_at { timestampFromMicroseconds(10'000'000), 1'000'000'000 };
     Timestamp m_beganAt = m_at.now;
-    JobScheduler m_scheduler;
+    JobSchedulerSettings m_settings;
+    /// Null while there is no leader.
+    std::unique_ptr<JobScheduler> m_scheduler;
+    Tenure m_tenure { 1 };
+    Timestamp m_tenureEndedAt;
+    std::map<WorkerName, WorkerLife> m_recordedWorkers;
+    std::map<std::pair<std::string, std::string>, InterferenceEstimate> m_estimates;
+    /// When the advisor is done with the requests so far.
+    Timestamp m_advisorBusyUntil;
     std::multimap<Timestamp, std::function<void()>> m_events;
     std::vector<std::unique_ptr<SimulatedWorker>> m_workers;
     std::unordered_map<std::string, SimulatedWorker *> m_names;
-    std::unordered_map<std::uint64_t, std::shared_ptr<JobSpec>> m_jobs;
+    std::unordered_map<std::uint64_t, SimulatedJob> m_jobs;
     std::vector<JobId> m_servingJobs;
     std::unordered_map<JobId, JobWait> m_jobWaits;
+    /// By job, or by long-running task.
+    std::unordered_map<TaskKey, TurnWait> m_turnWaits;
+    std::size_t m_servingSamples = 0;
     /// Since when there is room for two tasks of each backfill job without a run.
     Timestamp m_roomSince = Timestamp::max();
+    /// Since when there is room for two tasks of all that waits.
+    Timestamp m_roomForEachSince = Timestamp::max();
     /// Since when suspected tasks wait.
     std::map<TaskKey, Timestamp> m_suspects;
     std::uint64_t m_lastJob = 0;
