--- a/tests/decisions/jobs/ColocationFleet.cpp
+++ b/tests/decisions/jobs/ColocationFleet.cpp
@@ -357,9 +357,14 @@
     std::vector<Turn> turns;
     const auto add = [&](const TaskKey &key, const Step *step) {
         TurnWait &wait =
-                m_turnWaits.try_emplace(key, TurnWait { .lastRun = m_at.now }).first->second;
+                m_turnWaits
+                        .try_emplace(key,
+                                     TurnWait { .lastRun = m_at.now, .lastProgress = m_at.now })
+                        .first->second;
         if (step == nullptr || running.contains(key) || m_scheduler->isTakingOver())
             wait.lastRun = m_at.now;
+        if (step == nullptr || m_scheduler->isTakingOver())
+            wait.lastProgress = m_at.now;
         if (step != nullptr)
             turns.push_back({ .job = &m_jobs.at(key.job.value),
                               .wait = &wait,
@@ -402,6 +407,9 @@
     const bool isInherited = turn.job->acceptedIn < m_tenure;
     Duration &longest = (isInherited ? m_result.inheritedWaits : m_result.turnWaits).at(kind);
     longest = std::max(longest, m_at.now - turn.wait->lastRun);
+    if (turn.job->kind == WorkKind::Backfill)
+        m_result.longestTurnStandstill =
+                std::max(m_result.longestTurnStandstill, m_at.now - turn.wait->lastProgress);
     bool &hasCounted = isInherited ? turn.wait->hasCountedInherited : turn.wait->hasCounted;
     if (!std::exchange(hasCounted, true))
         ++(isInherited ? m_result.inherited : m_result.turns).at(kind);
@@ -519,6 +527,8 @@
             if (run.spec->fills && share > 0) {
                 if (const auto it = m_jobWaits.find(task.job); it != m_jobWaits.end())
                     it->second.lastProgress = m_at.now;
+                if (const auto it = m_turnWaits.find({ .job = task.job }); it != m_turnWaits.end())
+                    it->second.lastProgress = m_at.now;
                 if (m_isLastPart && !run.spec->longRunning)
                     m_result.donePerSecond += share * stepSeconds * coresOf(*run.spec);
             }
--- a/tests/decisions/jobs/ColocationFleet.h
+++ b/tests/decisions/jobs/ColocationFleet.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -78,6 +78,9 @@
     std::array<Duration, 3> suspectWaits {};
     /// True when there has been room for each task twice over since the crash.
     bool hadRoomForAll = true;
+    /// Longest time from the settling time on for which a backfill job whose turn had come made no
+    /// progress, with or without a run. Take-overs do not count.
+    Duration longestTurnStandstill {};
     /// @name Waits from the settling time on
     /// Longest time for which a job of a kind whose turn had come was without a run, whatever room
     /// there was, and the number of jobs whose turn has come. Each long-running task counts by
@@ -183,6 +186,8 @@
     struct TurnWait
     {
         Timestamp lastRun;
+        /// When a backfill run of it last got a share of the processor.
+        Timestamp lastProgress;
         bool hasCounted = false;
         bool hasCountedInherited = false;
         bool hasCountedWithRoom = false;
--- a/tests/decisions/jobs/TurnBoundTest.cpp
+++ b/tests/decisions/jobs/TurnBoundTest.cpp
@@ -68,6 +68,12 @@
         CAPTURE(seed);
         const ColocationResult result = run(seed, load);
         REQUIRE(result.timeWithRoomForEach > 20s);
+        if (load.leaderChange > Duration {}) {
+            REQUIRE(result.takeOver > Duration {});
+            for (const WorkKind it :
+                 { WorkKind::Serving, WorkKind::Backfill, WorkKind::LongRunningBackfill })
+                REQUIRE(result.inherited.at(indexOf(it)) > 0);
+        }
         Duration bound = 3s;
         // Each worker has the trials of one step at a time.
         if (load.crashes > 0) {
@@ -95,6 +101,7 @@
         CAPTURE(result.reservedByServing);
         CAPTURE(result.overTarget);
         REQUIRE(result.askedByServing >= 0.9);
+        CAPTURE(result.longestTurnStandstill / 1ms);
         CHECK(result.turnWaits.at(indexOf(WorkKind::Backfill)) / 1ms <= 10'000);
     }
 }
