--- a/acaciafork/decisions/relocation/RelocationPlanner.h
+++ b/acaciafork/decisions/relocation/RelocationPlanner.h
@@ -18,9 +18,9 @@
 /// images or which have none, and moves the serving tasks that exclude these images to the other
 /// workers. Where that is full, a task that bears them is moved to an open worker to make room.
 ///
-/// A task moves at most once in minStayTime. While the open workers stay the same, each move brings
-/// a task to where it may stay, so there are at most as many moves as serving tasks; a worker is
-/// opened at most once in minClosedTime.
+/// A task whose age the caller gives moves at most once in minStayTime. While the open workers stay
+/// the same, each move brings a task to where it may stay, so there are at most as many moves as
+/// serving tasks. A worker that was closed stays so for minClosedTime.
 class RelocationPlanner
 {
 public:
