--- a/acaciafork/control/JobCodec.cpp
+++ b/acaciafork/control/JobCodec.cpp
@@ -80,6 +80,7 @@
                          .queue = toJobs(job.queue, config),
                          .spec = toJobs(*job.spec),
                          .submittedUs = job.submittedUs,
+                         .lastRunEndUs = job.lastRunEndUs,
                          .done = job.done };
     const auto keyOf = [&job](const state::TaskKey &place) {
         return jobs::TaskKey { .job = { job.id },
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -141,10 +141,16 @@
 {
     leaveTenure();
     const std::vector<jobs::QueueSpec> queues = toJobs(m_state->queues().current());
+    // Ages are counted on the replicated clock: that of this process may have been stepped back.
+    const std::int64_t clockLagUs = m_state->nowMicroseconds() - at.wallMicroseconds;
     std::vector<jobs::JobView> views;
     for (const auto &[id, job] : m_state->jobs().all()) {
-        if (job.state == wire::JOB_STATE_ACTIVE)
-            views.push_back(toJobs(job, m_state->queues().current()));
+        if (job.state != wire::JOB_STATE_ACTIVE)
+            continue;
+        jobs::JobView &view = views.emplace_back(toJobs(job, m_state->queues().current()));
+        view.submittedUs -= clockLagUs;
+        if (view.lastRunEndUs != 0)
+            view.lastRunEndUs -= clockLagUs;
     }
     std::vector<jobs::WorkerLife> workers;
     for (const auto &[name, life] : m_state->workers().all())
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -285,19 +285,22 @@
 void JobScheduler::enqueueReadySteps(Timestamp now, Job *job, std::uint32_t occurrence)
 {
     for (Step &it : job->steps) {
+        // Callers count the wait over changes of leader.
         if (it.occurrence == occurrence && it.mayStart() && it.remainingTasks > 0)
-            makeReady(now, &it);
+            makeReady(now, &it, std::min(now, job->afterLastRun(it.dueAt)));
     }
 }
 
-void JobScheduler::makeReady(Timestamp now, Step *step)
+void JobScheduler::makeReady(Timestamp now, Step *step, Timestamp since)
 {
-    step->readyAt = now;
+    step->readyAt = since;
     step->job->isFinishedFirst = m_settings.learnDurations;
     if (m_settings.learnDurations)
         step->job->stretch = m_durations.stretch(step->job->queue);
-    for (std::uint32_t it = 0; it < step->tasks.size(); ++it)
+    for (std::uint32_t it = 0; it < step->tasks.size(); ++it) {
+        step->tasks[it].idleSince = std::min(step->tasks[it].idleSince, since);
         requeue(now, { .step = step, .task = it });
+    }
 }
 
 void JobScheduler::requeue(Timestamp now, TaskRef ref)
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -299,7 +299,8 @@
     void addJob(Moment at, const JobView &view, bool isInherited);
     void deferUntilDue(Moment at, Job *job);
     void enqueueReadySteps(Timestamp now, Job *job, std::uint32_t occurrence);
-    void makeReady(Timestamp now, Step *step);
+    /// @param[in] since when the step's turn came, which may be before this tenure
+    void makeReady(Timestamp now, Step *step, Timestamp since);
     void requeue(Timestamp now, TaskRef task);
     void endJob(Timestamp now, Job *job, JobPhase phase);
     void removeIfFinished(Job *job);
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -413,7 +413,7 @@
             const bool waits =
                     std::ranges::find(later.spec->after, step->number) != later.spec->after.end();
             if (waits && --later.pendingPredecessors == 0 && later.mayStart())
-                makeReady(now, &later);
+                makeReady(now, &later, now);
         }
     }
     if (job->tasksLeft == 0) {
--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -103,6 +103,9 @@
     // The age comes from wall clocks that may differ between processes; never negative.
     const Duration age = std::max(Duration {}, Duration(wallUs - view.submittedUs));
     job->acceptedAt = now - age;
+    // An end that was not recorded is unknown here, and the time since counts as waited.
+    if (view.lastRunEndUs != 0)
+        job->lastRunOverAt = now - std::max(Duration {}, Duration(wallUs - view.lastRunEndUs));
 
     const std::vector<Duration> paths = view.spec->remainingPaths();
     const std::uint32_t occurrences = view.spec->occurrences();
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -132,7 +133,7 @@
     bool isDeferred = false;
     /// An earlier leader may have started its tasks, so they may run at workers not reached yet.
     bool mayRunUnseen = false;
-    /// Time since which its tasks may start.
+    /// Time since which its tasks may start; it may be before this tenure.
     Timestamp readyAt;
     /// When its occurrence became due; for a job that runs once, when the job was accepted.
     Timestamp dueAt;
@@ -233,7 +234,8 @@
     bool isInherited = false;
     std::uint32_t tasksLeft = 0;
     std::uint32_t runCount = 0;
-    /// When the last of its runs that a worker had confirmed was over.
+    /// When the last of its runs that a worker had confirmed was over; of an inherited job, when the
+    /// last end of one was recorded. Timestamp {} if there is none.
     Timestamp lastRunOverAt;
     /// A worker has confirmed a start of one of its tasks, or has listed a run of it. A start that
     /// is ordered may be refused or lost.
@@ -243,6 +245,11 @@
 
     /// Adopts the definition of its queue. Runs that exist stay where they are.
     void follow(const QueueSpec &definition);
+    /// The later of the given time and the end of its last run.
+    [[nodiscard]] Timestamp afterLastRun(Timestamp since) const
+    {
+        return lastRunOverAt == Timestamp {} ? since : std::max(since, lastRunOverAt);
+    }
     /// True when the job has begun or one of its runs is being started.
     [[nodiscard]] bool isUnderway() const { return hasBegun || runCount > 0; }
     /// True when a task runs or is being started. A run that waits for its record or its end may be
--- a/acaciafork/decisions/jobs/TurnQueue.cpp
+++ b/acaciafork/decisions/jobs/TurnQueue.cpp
@@ -11,7 +11,7 @@
 /// How long the job of a step with ready tasks has had nothing running.
 Duration waitOf(Timestamp now, const Step &step)
 {
-    const Timestamp since = std::max(step.readyAt, step.job->lastRunOverAt);
+    const Timestamp since = step.job->afterLastRun(step.readyAt);
     // Rules most steps out without a look at their tasks.
     if (now - since < shortestWait || step.job->isAtWork())
         return {};
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -203,6 +203,8 @@
     QueueSpec queue;
     std::shared_ptr<const JobSpec> spec;
     std::int64_t submittedUs = 0;
+    /// When the last end of one of its runs was recorded; 0 if none was.
+    std::int64_t lastRunEndUs = 0;
     /// One byte per task, ordered by occurrence and step: 1 when the task is done. Empty when none
     /// is.
     std::string_view done;
--- a/acaciafork/state/Jobs.cpp
+++ b/acaciafork/state/Jobs.cpp
@@ -144,11 +144,14 @@
             continue;
         if (it.failed()) {
             std::vector<std::uint64_t> &runs = job.failures[key];
-            if (std::ranges::find(runs, it.run()) == runs.end())
+            if (std::ranges::find(runs, it.run()) == runs.end()) {
                 runs.push_back(it.run());
+                job.lastRunEndUs = nowMicroseconds;
+            }
             continue;
         }
         job.done[position] = 1;
+        job.lastRunEndUs = nowMicroseconds;
         job.exposures.erase(key);
         if (++job.doneCount == job.done.size())
             end(&job, wire::JOB_STATE_COMPLETED, nowMicroseconds);
@@ -251,6 +254,7 @@
         record->set_state(job->state);
         record->set_submitted_us(job->submittedUs);
         record->set_ended_us(job->endedUs);
+        record->set_last_run_end_us(job->lastRunEndUs);
         record->set_done(job->done);
         for (const auto &[key, runs] : job->failures) {
             wire::TaskFailures *failures = record->add_failures();
@@ -279,7 +283,8 @@
               .spec = std::make_shared<const wire::JobSpec>(record.spec()),
               .state = record.state(),
               .submittedUs = record.submitted_us(),
-              .endedUs = record.ended_us() };
+              .endedUs = record.ended_us(),
+              .lastRunEndUs = record.last_run_end_us() };
     buildTaskLayout(&job);
     if (record.done().size() != job.done.size())
         return false;
--- a/acaciafork/state/Jobs.h
+++ b/acaciafork/state/Jobs.h
@@ -36,6 +36,8 @@
     std::int64_t submittedUs = 0;
     /// 0 while the job is active.
     std::int64_t endedUs = 0;
+    /// When the last end of one of its runs was recorded; 0 if none was.
+    std::int64_t lastRunEndUs = 0;
     /// Offset of the first task of each step within one occurrence in `done`; the last element is
     /// the number of tasks per occurrence.
     std::vector<std::uint32_t> stepStarts;
--- a/tests/decisions/jobs/ColocationFleet.cpp
+++ b/tests/decisions/jobs/ColocationFleet.cpp
@@ -625,6 +625,7 @@
         job.done.resize(perOccurrence * job.spec->occurrences(), '\0');
         job.done.at(perOccurrence * it.task.occurrence + place) = it.failed ? '\0' : '\1';
         job.isOver = job.isOver || job.done.find('\0') == std::string::npos;
+        job.lastRunEndUs = m_at.wallMicroseconds;
     }
     for (const JobId it : command.failedJobs)
         m_jobs.at(it.value).isOver = true;
@@ -673,6 +674,7 @@
                           .queue = job.queue,
                           .spec = job.spec,
                           .submittedUs = job.submittedUs,
+                          .lastRunEndUs = job.lastRunEndUs,
                           .done = job.done });
         for (const auto &[task, history] : job.crashes) {
             if (!history.exposures().empty())
--- a/tests/decisions/jobs/ColocationFleet.h
+++ b/tests/decisions/jobs/ColocationFleet.h
@@ -166,6 +166,7 @@
         QueueSpec queue;
         std::shared_ptr<const JobSpec> spec;
         std::int64_t submittedUs = 0;
+        std::int64_t lastRunEndUs = 0;
         Tenure acceptedIn;
         /// See JobView::done.
         std::string done;
--- a/tests/state/JobsTest.cpp
+++ b/tests/state/JobsTest.cpp
@@ -76,6 +76,25 @@
     CHECK(driver.machine.jobs().find(5)->failures.begin()->second.size() == 2);
 }
 
+TEST_CASE("the time of the last run end of a job survives a restart")
+{
+    // A new leader counts the wait of the job from then on.
+    Driver driver;
+    driver.apply(submission(5, 3));
+    CHECK(driver.machine.jobs().find(5)->lastRunEndUs == 0);
+    for (const bool failed : { true, false }) {
+        driver.now += 1000;
+        driver.apply(ended(5, 0, failed, 1));
+        CHECK(driver.machine.jobs().find(5)->lastRunEndUs == driver.machine.nowMicroseconds());
+    }
+    const std::int64_t last = driver.now;
+    driver.now += 1000;
+    driver.apply(ended(5, 0, false, 1));
+    StateMachine other(driver.machine.cell());
+    REQUIRE(other.restore(bytesOf(driver.machine.snapshot())));
+    CHECK(other.jobs().find(5)->lastRunEndUs == last);
+}
+
 TEST_CASE("a crash under a task is recorded once and kept until the task is done")
 {
     Driver driver;
