--- a/acaciafork/control/JobCommandRunner.cpp
+++ b/acaciafork/control/JobCommandRunner.cpp
@@ -74,10 +74,12 @@
 {
     const state::Job *job = driver.m_state->jobs().find(command.run.task.job.value);
     spdlog::info("event=run-placed task={} run={} worker={} free-millicores={} free-mb={} "
-                 "waited-ms={} resumes={}",
+                 "waited-ms={} job-idle-ms={} image={} resumes={}",
                  jobs::taskName(command.run.task), command.run.run.value, command.target.name.value,
                  command.freeBefore.millicores, command.freeBefore.memoryMb,
-                 command.waited / std::chrono::milliseconds(1), !command.checkpoint.empty());
+                 command.waited / std::chrono::milliseconds(1),
+                 command.jobIdle / std::chrono::milliseconds(1), command.image,
+                 !command.checkpoint.empty());
     driver.m_waitTime->observe(command.waited);
     driver.m_orders->start(command, job == nullptr ? std::string_view() : job->spec->payload(),
                            driver.m_tenure);
--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -36,6 +36,10 @@
     Size freeBefore;
     /// How long the task was ready before it was placed.
     Duration waited {};
+    /// How long its job had no run before, by its caller's clock; zero while it has others.
+    Duration jobIdle {};
+    /// Image of the step; for the log.
+    std::string image;
     /// The start counts as unanswered after this time.
     Duration timeout {};
 };
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -330,8 +330,8 @@
         // Urgent steps have been tried in each round.
         if (now - since < m_settings.overdueAfter || awaitsTakeOver(*step) || step->isUrgent)
             continue;
-        // An inherited step has waited before this tenure. It is tried in the usual way first, where
-        // its tasks run at their full shares.
+        // An inherited step has waited before this tenure. It is tried in the usual way first,
+        // where its tasks run at their full shares.
         if (step->lastTriedAt == Timestamp {})
             continue;
         // Each long-running task counts by itself, whether others of its job run or not.
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -100,6 +100,8 @@
     const Permit *permit =
             step->permits() == nullptr ? nullptr : step->permits()->find(*worker, now);
     run.startDeadlineMs = worker->grantLease(now, m_settings.lease);
+    const bool isOnlyRun = step->job->runCount == 1;
+    const Duration jobIdle = isOnlyRun ? now - step->job->afterLastRun(step->readyAt) : Duration {};
     m_commands.emplace_back(StartRun { .target = targetOf(*worker),
                                        .run = ref.key(),
                                        .leaseEndMs = run.startDeadlineMs,
@@ -107,6 +109,8 @@
                                        .permit = permit == nullptr ? std::string() : permit->text,
                                        .freeBefore = freeBefore,
                                        .waited = now - step->readyAt,
+                                       .jobIdle = jobIdle,
+                                       .image = step->spec->image,
                                        .timeout = m_settings.startTimeout });
 }
 
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -234,8 +234,8 @@
     bool isInherited = false;
     std::uint32_t tasksLeft = 0;
     std::uint32_t runCount = 0;
-    /// When the last of its runs that a worker had confirmed was over; of an inherited job, when the
-    /// last end of one was recorded. Timestamp {} if there is none.
+    /// When the last of its runs that a worker had confirmed was over; of an inherited job, when
+    /// the last end of one was recorded. Timestamp {} if there is none.
     Timestamp lastRunOverAt;
     /// A worker has confirmed a start of one of its tasks, or has listed a run of it. A start that
     /// is ordered may be refused or lost.
--- a/tests/decisions/jobs/InheritedWaitTest.cpp
+++ b/tests/decisions/jobs/InheritedWaitTest.cpp
@@ -14,10 +14,9 @@
 {
     auto spec = std::make_shared<JobSpec>();
     spec->steps.push_back(step);
-    return { .id = { id },
-             .queue = queue,
-             .spec = spec,
-             .submittedUs = at.wallMicroseconds - age.count() };
+    return {
+        .id = { id }, .queue = queue, .spec = spec, .submittedUs = at.wallMicroseconds - age.count()
+    };
 }
 
 } // namespace
