--- a/tests/decisions/jobs/ColocationFleet.cpp
+++ b/tests/decisions/jobs/ColocationFleet.cpp
@@ -846,12 +846,12 @@
                 m_estimates[{ it.serving, it.filling }] = it;
         } else if (const auto *workers = std::get_if<RecordWorkers>(&command)) {
             std::vector<WorkerName> names;
+            for (const WorkerName &it : workers->removed)
+                m_recordedWorkers.erase(it);
             for (const WorkerLife &it : workers->put) {
                 names.push_back(it.name);
                 m_recordedWorkers[it.name] = it;
             }
-            for (const WorkerName &it : workers->removed)
-                m_recordedWorkers.erase(it);
             answerLater([this, names] { m_scheduler->workersRecorded(m_at, names); });
         }
     }
