--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -62,6 +62,7 @@
     m_crashRate.reset(at.now);
     m_isTakingOver = !workers.empty();
     m_tenureBeganAt = at.now;
+    m_takeOverEndedAt = at.now;
     m_earlierLeases = {};
     m_earlierLeases.assumeGranted(at.now + m_settings.maxOrderDelay, m_settings.maxLease);
     for (const JobView &it : jobs)
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -539,6 +539,7 @@
     bool m_isFenced = false;
     bool m_isTakingOver = false;
     Timestamp m_tenureBeganAt;
+    Timestamp m_takeOverEndedAt;
     /// The leases that late orders of earlier leaders may bring to workers.
     LeaseClock m_earlierLeases;
     std::map<std::string, QueueSpec> m_queues;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t maxGapPlans = 4;
 constexpr std::size_t maxUrgentGapPlans = 2;
 
+/// After a take-over, inherited steps are tried only in the usual way for this long: about as long
+/// as the rounds need to reach each step.
+constexpr Duration usualTriesOnlyFor = std::chrono::milliseconds(500);
+
 /// A start elsewhere counts as passing over a long-running task where this many of it would fit.
 constexpr std::int64_t passedOverRoom = 2;
 
@@ -330,9 +334,9 @@
         // Urgent steps have been tried in each round.
         if (now - since < m_settings.overdueAfter || awaitsTakeOver(*step) || step->isUrgent)
             continue;
-        // An inherited step has waited before this tenure. It is tried in the usual way first,
-        // where its tasks run at their full shares.
-        if (step->lastTriedAt == Timestamp {})
+        // Inherited steps have waited before this tenure. They are tried in the usual way first,
+        // where their tasks run at their full shares.
+        if (step->job->isInherited && now - m_takeOverEndedAt < usualTriesOnlyFor)
             continue;
         // Each long-running task counts by itself, whether others of its job run or not.
         if (step->spec->longRunning || !step->job->isAtWork())
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -538,6 +538,7 @@
              "since-ms=" + std::to_string((now - m_tenureBeganAt) / std::chrono::milliseconds(1))
                      + " unanswered=" + std::to_string(it->unansweredRenewals));
     m_isTakingOver = false;
+    m_takeOverEndedAt = now;
     m_placementDue = true;
     note("take-over-ended", {}, nullptr, "workers=" + std::to_string(m_workers.all().size()));
     for (const auto &[id, job] : m_jobs.all()) {
