--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -332,7 +332,7 @@
             continue;
         // An inherited step has waited before this tenure. It is tried in the usual way first,
         // where its tasks run at their full shares.
-        if (step->lastTriedAt == Timestamp {})
+        if (step->job->isInherited && step->lastTriedAt == Timestamp {})
             continue;
         // Each long-running task counts by itself, whether others of its job run or not.
         if (step->spec->longRunning || !step->job->isAtWork())
