--- a/acaciafork/decisions/jobs/GapPlanner.cpp
+++ b/acaciafork/decisions/jobs/GapPlanner.cpp
@@ -98,6 +98,13 @@
             std::ranges::count_if(m_kept, [&](const auto &it) { return it.second.step == key; }));
 }
 
+bool GapPlanner::isKeptUrgentlyFor(const Step &step) const
+{
+    const TaskKey key = step.key(0);
+    return std::ranges::any_of(
+            m_kept, [&](const auto &it) { return it.second.isUrgent && it.second.step == key; });
+}
+
 void GapPlanner::keep(Timestamp now, const Worker &worker, const Step &step,
                       const GapForecast &forecast, bool isUrgent)
 {
--- a/acaciafork/decisions/jobs/GapPlanner.h
+++ b/acaciafork/decisions/jobs/GapPlanner.h
@@ -92,6 +92,7 @@
         return it != m_kept.end() && it->second.isUrgent;
     }
     [[nodiscard]] std::size_t keptFor(const Step &step) const;
+    [[nodiscard]] bool isKeptUrgentlyFor(const Step &step) const;
     void keep(Timestamp now, const Worker &worker, const Step &step, const GapForecast &forecast,
               bool isUrgent = false);
 
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -80,6 +80,7 @@
     m_gaps.clear();
     m_overdueStarts.clear();
     m_turns.clear();
+    m_nextTurnAt.clear();
     m_relocation.clear();
     m_nextRelocation = {};
     m_backfillDemand.clear();
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -501,6 +501,11 @@
     bool placeStep(Timestamp now, Step *step);
     /// Keeps workers for large tasks that have waited; after the steps were tried.
     void keepGaps(Timestamp now);
+    /// True when the bound on turns that reserve processor time allows one of the step now.
+    [[nodiscard]] bool mayTakeTurn(Timestamp now, const Step &step) const;
+    void turnTaken(Timestamp now, const Step &step);
+    /// Keeps a worker for each job whose turn is due and whose tasks reserve processor time.
+    void keepGapsForTurns(Timestamp now);
     void keepGaps(Timestamp now, const Step &step, std::size_t count, bool isUrgent);
     /// Workers on which a task of the step is expected to fit soonest, apart from kept ones, at
     /// most the given number, the soonest first.
@@ -526,6 +531,8 @@
     GapPlanner m_gaps;
     OverdueStarts m_overdueStarts;
     TurnQueue m_turns;
+    /// Earliest next turn that reserves processor time, by pool.
+    std::map<std::string, Timestamp> m_nextTurnAt;
     ServingRelocation m_relocation;
     Timestamp m_nextRelocation;
     BackfillDemand m_backfillDemand;
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -24,6 +24,7 @@
 constexpr Duration gapPlanningInterval = std::chrono::milliseconds(100);
 constexpr std::size_t maxGapPlans = 4;
 constexpr std::size_t maxUrgentGapPlans = 2;
+constexpr std::size_t maxTurnGapPlans = 4;
 
 /// A start elsewhere counts as passing over a long-running task where this many of it would fit.
 constexpr std::int64_t passedOverRoom = 2;
@@ -121,11 +122,14 @@
             break;
         Step *step = m_jobs.find(it).step;
         if (step == nullptr || !step->isQueued || awaitsTakeOver(*step) || step->job->isAtWork()
-            || cannotFit(failedPlacements, *step))
+            || cannotFit(failedPlacements, *step) || !mayTakeTurn(now, *step))
             continue;
         step->lastTriedAt = now;
-        if (step->spec->gang ? placeGang(now, step, PlacementMode::Usual) : placeOne(now, step))
+        if (step->spec->gang ? placeGang(now, step, PlacementMode::Usual) : placeOne(now, step)) {
+            if (step->job->runCount > 0)
+                turnTaken(now, *step);
             continue;
+        }
         ++failedCount;
         if (isLimitedBySizeOnly(*step->spec) && step->permits() == nullptr)
             failedPlacements.push_back({ .pool = step->job->pool,
@@ -135,6 +139,26 @@
     }
 }
 
+bool JobScheduler::mayTakeTurn(Timestamp now, const Step &step) const
+{
+    const auto it = m_nextTurnAt.find(step.job->pool);
+    return step.spec->fills || it == m_nextTurnAt.end() || now >= it->second;
+}
+
+void JobScheduler::turnTaken(Timestamp now, const Step &step)
+{
+    if (step.spec->fills)
+        return;
+    std::int64_t capacity = 0;
+    for (const auto &[id, worker] : m_workers.all())
+        capacity += worker->life.pool == step.job->pool ? worker->life.capacity.millicores : 0;
+    const std::int64_t allowed = std::max<std::int64_t>(
+            1, capacity * m_settings.turns.maxReservingPercent / wholePercent);
+    const std::int64_t used = step.spec->size.millicores * (step.spec->gang ? step.spec->count : 1);
+    Timestamp &next = m_nextTurnAt[step.job->pool];
+    next = std::max(next, now) + step.spec->estimate * used / allowed;
+}
+
 bool JobScheduler::placeOne(Timestamp now, Step *step)
 {
     m_round.rank(now, m_workers, *step);
@@ -212,6 +236,8 @@
         it->lastPlannedAt = now;
         keepGaps(now, *it, n, true);
     }
+    keepGapsForTurns(now);
+    plans = 0;
     for (const auto &[rank, step] : m_order.steps()) {
         if (plans >= maxGapPlans)
             break;
@@ -222,6 +248,28 @@
     }
 }
 
+void JobScheduler::keepGapsForTurns(Timestamp now)
+{
+    std::vector<Step *> waiting;
+    for (const TaskKey &it : m_turns.due()) {
+        Step *step = m_jobs.find(it).step;
+        if (step != nullptr && step->isQueued && !awaitsTakeOver(*step) && !step->job->isAtWork()
+            && !m_gaps.isKeptUrgentlyFor(*step) && mayTakeTurn(now, *step))
+            waiting.push_back(step);
+    }
+    std::ranges::stable_sort(waiting, {}, &Step::lastPlannedAt);
+    std::size_t plans = 0;
+    for (Step *it : waiting) {
+        if (plans >= maxTurnGapPlans)
+            break;
+        if (m_gaps.mayKeepUrgently(*it, m_workers.all().size()) == 0)
+            continue;
+        ++plans;
+        it->lastPlannedAt = now;
+        keepGaps(now, *it, 1, true);
+    }
+}
+
 void JobScheduler::keepGaps(Timestamp now, const Step &step, std::size_t count, bool isUrgent)
 {
     // A worker kept for a short task may stay so for longer than a lost task may wait.
--- a/acaciafork/decisions/jobs/TurnQueue.cpp
+++ b/acaciafork/decisions/jobs/TurnQueue.cpp
@@ -33,9 +33,14 @@
     std::vector<std::pair<Duration, const Step *>> due;
     m_longestWait = {};
     for (const auto &[rank, step] : order.steps()) {
-        if (!step->spec->fills || step->spec->longRunning)
+        if (step->spec->longRunning)
             continue;
         const Duration wait = waitOf(now, *step);
+        if (!step->spec->fills) {
+            if (wait >= m_settings.reservingAfter)
+                due.emplace_back(wait, step);
+            continue;
+        }
         m_longestWait = std::max(m_longestWait, wait);
         step->acceptedInterference = acceptedInterference(wait);
         const bool isTooLate = StepOrder::isTooLate(now, *step);
--- a/acaciafork/decisions/jobs/TurnQueue.h
+++ b/acaciafork/decisions/jobs/TurnQueue.h
@@ -15,6 +15,12 @@
     /// of 10 s by the time in which one task of each job finds a worker.
     Duration firstAfter = std::chrono::milliseconds(5000);
     Duration tooLateAfter = std::chrono::milliseconds(8000);
+    /// The same for jobs whose tasks reserve their processor time. Late within the bound: a task of
+    /// each would share it among more jobs than can end in time.
+    Duration reservingAfter = std::chrono::milliseconds(6500);
+    /// Part of a pool's processor time that such turns use on average, in percent. Where more jobs
+    /// wait than can have one in time, others still end in time.
+    std::int64_t maxReservingPercent = 5;
     /// After this time a backfill task may start beside serving tasks that it disturbs, where this
     /// increase of a tail latency is expected of its lowest share; see Step::acceptedInterference.
     Duration slowlyAfter = std::chrono::milliseconds(5000);
@@ -24,14 +30,13 @@
     double lastAcceptedInterference = 0.3;
 };
 
-/// Backfill jobs that wait for a turn: some of their tasks are ready and none runs.
+/// Jobs that wait for a turn: some of their tasks are ready and none runs.
 ///
 /// In StepOrder, jobs that are too late come after all others, for as long as others arrive, and a
 /// backfill image may find no worker that bears it while its demand grows. A turn bounds how long a
 /// job has nothing running: it starts one task, and the job waits anew when that has ended.
 ///
-/// Jobs whose tasks reserve their processor time take no turns: starting a task of each would share
-/// it among more jobs than can end in time.
+/// Long-running tasks take no turns: each of them waits for itself.
 class TurnQueue
 {
 public:
@@ -49,7 +54,7 @@
 
     /// The steps whose turn is due, each named by its first task; the longest waiting first.
     [[nodiscard]] std::span<const TaskKey> due() const { return m_due; }
-    /// Longest time for which a job has waited, as of the last update.
+    /// Longest time for which a backfill job has waited, as of the last update.
     [[nodiscard]] Duration longestWait() const { return m_longestWait; }
 
 private:
--- a/tests/decisions/jobs/TurnBoundTest.cpp
+++ b/tests/decisions/jobs/TurnBoundTest.cpp
@@ -106,6 +106,25 @@
     }
 }
 
+TEST_CASE("no job that reserves processor time is without a turn for 10 s under overload")
+{
+    // Short tasks ask for several times what the serving tasks leave.
+    ColocationLoad load = overload;
+    load.burst = 4;
+    load.otherJobsPerSecond = 0.4;
+    for (const std::uint64_t seed : { 2, 3, 6 }) {
+        CAPTURE(seed);
+        const ColocationResult result = run(seed, load);
+        REQUIRE(result.askedByServing >= 0.9);
+        for (const WorkKind it : { WorkKind::Plain, WorkKind::Gang, WorkKind::Scheduled,
+                                   WorkKind::Advised, WorkKind::Chain }) {
+            INFO(std::string(workKindNames.at(indexOf(it))));
+            REQUIRE(result.turns.at(indexOf(it)) > 0);
+            CHECK(result.turnWaits.at(indexOf(it)) / 1ms <= 10'000);
+        }
+    }
+}
+
 TEST_CASE("no serving task is over its target for 4 s under overload" * doctest::should_fail())
 {
     for (const std::uint64_t seed : overloadSeeds) {
