--- a/acaciafork/decisions/jobs/CrashHistory.h
+++ b/acaciafork/decisions/jobs/CrashHistory.h
@@ -24,6 +24,12 @@
     Duration maxJointCrashWindow = std::chrono::seconds(1);
     /// A task is given up at this blame: one innocent task in 100,000 would see such crashes.
     std::uint32_t convictingBlame = 11'500;
+    /// Greatest blame for crashes of one worker, which may be at fault itself: below the former, so
+    /// that crashes of several workers are needed to reach it.
+    std::uint32_t maxBlamePerWorker = 10'000;
+    /// Blame for each further crash of a worker that has crashed in a trial of the task: such a
+    /// worker crashes again with a probability of about one in three.
+    std::uint32_t repeatedCrashBlame = 1100;
     /// The same for a task under which this many workers have crashed: the interface allows two
     /// starts after the third crash.
     std::size_t maxCrashes = 5;
@@ -45,9 +51,11 @@
 /// crashed is suspected: its next run is a trial, on a worker where everything
 /// else has been running for longer than the trial lasts and nothing else starts meanwhile. Only a
 /// crash during a trial speaks against the task, the more so the less likely it is to be one of
-/// those that happen anyway, and a trial that passes clears it of earlier blame. So the tasks
-/// beside one that crashes its workers keep running, and a worker that fails for reasons of its own
-/// costs no task its job.
+/// those that happen anyway, and a trial that passes clears it of earlier blame. Crashes of one
+/// worker are not independent, so those after the first count little: a task is given up for
+/// crashes of several workers, or for as many of one worker as a pool of one worker must bear. So
+/// the tasks beside one that crashes its workers keep running, and a worker that fails for reasons
+/// of its own costs no task its job.
 class CrashHistory
 {
 public:
@@ -69,7 +77,9 @@
     [[nodiscard]] std::span<const CrashExposure> exposures() const { return m_exposures; }
     /// Number of workers that have crashed under the task.
     [[nodiscard]] std::size_t crashes() const;
-    [[nodiscard]] std::uint32_t blame() const;
+    [[nodiscard]] std::uint32_t blame(const CrashSettings &settings) const;
+    /// True when the worker, in any incarnation, has crashed under the task.
+    [[nodiscard]] bool hasCrashed(const WorkerName &worker) const;
     /// True when the next run must be a trial.
     [[nodiscard]] bool isSuspect() const { return !m_exposures.empty() && crashes() > 0; }
     /// True when the task is to be given up.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -27,6 +27,7 @@
         return;
     }
     ++m_counts.workerCrashes;
+    worker->crashedAt = now;
     note("worker-crashed", {}, worker,
          "evidence=" + std::string(evidence) + " runs=" + std::to_string(worker->runs.size()));
     if (!worker->wasInTrial)
@@ -105,7 +106,7 @@
     *task.crashes.find(exposure.run) = crashed;
     recordExposure(now, ref.key(), ExposureChange::Crashed, crashed);
     const std::string counts = "crashes=" + std::to_string(task.crashes.crashes())
-            + " blame=" + std::to_string(task.crashes.blame());
+            + " blame=" + std::to_string(task.crashes.blame(m_settings.crashes));
     note("task-suspected", { .task = ref.key(), .run = exposure.run },
          m_workers.find(exposure.worker), counts);
     if (job->phase != JobPhase::Active)
@@ -300,10 +301,10 @@
     const bool isOverdue = now - waitingSince >= m_settings.overdueAfter;
     PlacementMode mode = PlacementMode::Usual;
     const Duration isolation = isolationTime(task, now - waitingSince);
-    Worker *worker = m_placer.chooseForTrial(now, candidates, *ref.step, isolation, nullptr, mode);
+    Worker *worker = m_placer.chooseForTrial(now, candidates, ref, isolation, nullptr, mode);
     if (worker == nullptr && isOverdue) {
         mode = PlacementMode::Overdue;
-        worker = m_placer.chooseForTrial(now, candidates, *ref.step, isolation, nullptr, mode);
+        worker = m_placer.chooseForTrial(now, candidates, ref, isolation, nullptr, mode);
     }
     if (worker == nullptr) {
         requestPermits(now, ref.step);
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -488,7 +488,7 @@
                 isTrial ? nullptr : m_placer.choose(now, m_workers, *step, task.get(), rack, mode);
         // A member may also join a trial of its own gang: only their job is at stake.
         if (worker == nullptr)
-            worker = m_placer.chooseForTrial(now, m_workers, *step,
+            worker = m_placer.chooseForTrial(now, m_workers, task,
                                              isolationTime(task.get(), now - waitingSince), rack,
                                              mode, !isTrial);
         if (worker == nullptr) {
@@ -561,8 +561,8 @@
         if (isTrial && isTrialRecordOverdue(now))
             continue;
         const Duration length = task.get().crashes.trialLength(m_settings.crashes);
-        Worker *other = isTrial ? m_placer.chooseForTrial(now, m_workers, *task.step, length,
-                                                          nullptr, PlacementMode::Usual)
+        Worker *other = isTrial ? m_placer.chooseForTrial(now, m_workers, task, length, nullptr,
+                                                          PlacementMode::Usual)
                                 : m_placer.choose(now, m_workers, *task.step, task.get());
         if (other == nullptr || other == worker)
             continue;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -70,18 +70,22 @@
     return label.empty() || std::ranges::find(life.labels, label) != life.labels.end();
 }
 
-/// Whether a worker runs serving tasks, and its number of runs: the cost of a crash in a trial.
-std::pair<bool, std::size_t> loadForTrial(const Worker &worker)
+/// Time for which a worker that has crashed counts as likely to crash again.
+constexpr Duration crashMemory = std::chrono::seconds(30);
+
+TrialLoad loadForTrial(Timestamp now, const Worker &worker)
 {
-    return { worker.servingMillicores > 0, worker.runs.size() };
+    return { .hasCrashed =
+                     now - worker.crashedAt<crashMemory, .isServing = worker.servingMillicores> 0,
+             .runs = worker.runs.size() };
 }
 
 /// Order of the workers for a trial; the lowest comes first.
-using TrialRank = std::pair<std::pair<bool, std::size_t>, double>;
+using TrialRank = std::pair<TrialLoad, double>;
 
-TrialRank rankForTrial(const Worker &worker, double score)
+TrialRank rankForTrial(Timestamp now, const Worker &worker, double score)
 {
-    return { loadForTrial(worker), -score };
+    return { loadForTrial(now, worker), -score };
 }
 
 /// True when a trial of the step may begin on the worker: it has confirmed each run of other steps,
@@ -483,13 +487,13 @@
             return now - it.get().startedAt > length || steps.contains(it.task.step);
         };
         if (isReachable(now, *worker) && std::ranges::all_of(worker->runs, mayStay))
-            candidates.push_back({ .worker = worker.get(), .load = loadForTrial(*worker) });
+            candidates.push_back({ .worker = worker.get(), .load = loadForTrial(now, *worker) });
     }
     std::ranges::stable_sort(candidates, {}, &TrialCandidate::load);
     return candidates;
 }
 
-Worker *Placer::chooseForTrial(Timestamp now, const WorkerTable &workers, const Step &step,
+Worker *Placer::chooseForTrial(Timestamp now, const WorkerTable &workers, const TaskRef &task,
                                Duration length, const RackName *rack, PlacementMode mode,
                                bool joinsOnly) const
 {
@@ -497,17 +501,18 @@
     all.reserve(workers.all().size());
     for (const auto &[id, worker] : workers.all())
         all.push_back({ .worker = worker.get(), .load = {} });
-    return chooseForTrial(now, all, step, length, rack, mode, joinsOnly);
+    return chooseForTrial(now, all, task, length, rack, mode, joinsOnly);
 }
 
 Worker *Placer::chooseForTrial(Timestamp now, std::span<const TrialCandidate> candidates,
-                               const Step &step, Duration length, const RackName *rack,
+                               const TaskRef &task, Duration length, const RackName *rack,
                                PlacementMode mode, bool joinsOnly) const
 {
+    const Step &step = *task.step;
     Worker *best = nullptr;
-    TrialRank bestRank;
+    std::pair<bool, TrialRank> bestRank;
     for (const TrialCandidate &it : candidates) {
-        if (best != nullptr && it.load > bestRank.first)
+        if (best != nullptr && !bestRank.first && it.load > bestRank.second.first)
             break;
         Worker *worker = it.worker;
         if ((joinsOnly && worker->trials.empty()) || !isReachable(now, *worker)
@@ -516,7 +521,8 @@
             || (rack != nullptr && worker->life.rack != *rack)
             || (step.permits() != nullptr && step.permits()->find(*worker, now) == nullptr))
             continue;
-        const TrialRank rank = rankForTrial(*worker, score(now, *worker, step));
+        const std::pair rank { task.get().crashes.hasCrashed(worker->life.name),
+                               rankForTrial(now, *worker, score(now, *worker, step)) };
         if (best == nullptr || rank < bestRank) {
             best = worker;
             bestRank = rank;
@@ -535,7 +541,7 @@
             continue;
         // A worker that was kept for the step before and had no room for it comes last.
         const std::tuple rank { !fits(*worker, step), worker->reservedFor == step.key(0),
-                                rankForTrial(*worker, score(now, *worker, step)) };
+                                rankForTrial(now, *worker, score(now, *worker, step)) };
         if (best == nullptr || rank < bestRank) {
             best = worker.get();
             bestRank = rank;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -69,13 +69,25 @@
     const BackfillDemand *demand = nullptr;
 };
 
+/// What speaks against a trial on a worker, in descending order of weight; trials prefer the
+/// lowest.
+struct TrialLoad
+{
+    /// It has crashed lately, so a crash would say little.
+    bool hasCrashed = false;
+    /// A crash would end serving tasks, and this number of runs.
+    bool isServing = false;
+    std::size_t runs = 0;
+
+    auto operator<=>(const TrialLoad &) const = default;
+};
+
 /// Worker that may be free for a trial.
 struct TrialCandidate
 {
     Worker *worker = nullptr;
-    /// Whether it runs serving tasks, and its number of runs, when it was collected. Trials prefer
-    /// the lowest; neither decreases within a placement round.
-    std::pair<bool, std::size_t> load;
+    /// Its load when it was collected, which does not decrease within a placement round.
+    TrialLoad load;
 };
 
 /// Chooses workers for tasks.
@@ -128,16 +140,17 @@
     }
     /// Best worker for a trial of a task of the step, or null when none is free for one now: the
     /// worker has run everything of other steps for longer than the trial lasts. Prefers workers
-    /// without serving tasks, then those with the fewest runs, which a crash would end.
+    /// that have not crashed under the task, whose crash is further evidence, then those with the
+    /// lowest load.
     /// @param[in] joinsOnly restricts the choice to workers where a trial of the step is in
     /// progress
     [[nodiscard]] Worker *chooseForTrial(Timestamp now, const WorkerTable &workers,
-                                         const Step &step, Duration length, const RackName *rack,
+                                         const TaskRef &task, Duration length, const RackName *rack,
                                          PlacementMode mode, bool joinsOnly = false) const;
     /// The same among the given workers, in the order of TrialCandidate::load: the search ends at
     /// the first load above that of a worker that was found.
     [[nodiscard]] Worker *chooseForTrial(Timestamp now, std::span<const TrialCandidate> candidates,
-                                         const Step &step, Duration length, const RackName *rack,
+                                         const TaskRef &task, Duration length, const RackName *rack,
                                          PlacementMode mode, bool joinsOnly = false) const;
     /// All workers that may be free for a trial of one of the steps: no run of another step has
     /// begun there within `length`. In the order of TrialCandidate::load.
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -95,6 +95,8 @@
     bool wasInTrial = false;
     /// Its incarnation is known to have crashed.
     bool hasCrashed = false;
+    /// When an incarnation of it was last found to have crashed.
+    Timestamp crashedAt = distantPast();
     /// Runs on this incarnation that have an open exposure.
     std::vector<ExposedRun> exposedRuns;
     /// Trials in progress, of one step: nothing else starts until they have passed.
--- a/tests/control/CrashTest.cpp
+++ b/tests/control/CrashTest.cpp
@@ -194,6 +194,70 @@
     }
 }
 
+TEST_CASE("a task whose only fault is a worker that goes down and up by turns is not given up")
+{
+    // Two trials on the worker that had just crashed under it convicted the task.
+    for (const bool areOthersFull : { true, false }) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            CAPTURE(areOthersFull);
+            CAPTURE(seed);
+            JobWorld world({ .workers = 10, .seed = seed });
+            RandomGenerator random(seed * 2909);
+            // The rate of crashes is known to be low.
+            world.run(40s);
+            for (std::uint64_t it = 1; it < 10; ++it)
+                world.submit(it, simpleJob(1, areOthersFull ? 7000 : 4500, 60'000));
+            world.run(1s);
+            world.submit(10, simpleJob(1, 2000, 5000));
+            world.run(500ms);
+            const jobs::TaskKey task { .job = { 10 } };
+            std::size_t bad = 0;
+            while (bad < 10 && !world.worker(bad).running.contains(task))
+                ++bad;
+            REQUIRE(bad < 10);
+            // It goes down each time it has the task.
+            int crashes = 0;
+            for (int it = 0; it < 600 && crashes < 3; ++it) {
+                world.run(20ms);
+                if (!world.worker(bad).isUp || !world.worker(bad).running.contains(task))
+                    continue;
+                world.run(Duration(random() % 150'000));
+                world.crash(bad);
+                ++crashes;
+                world.run(1400ms);
+                world.revive(bad);
+            }
+            CHECK(crashes == (areOthersFull ? 3 : 1));
+            world.run(14s);
+            CHECK(world.stateOf(10) == wire::JOB_STATE_COMPLETED);
+            checkNoBreach(world);
+        }
+    }
+}
+
+TEST_CASE("a task that crashes the only worker of its pool is given up after five crashes")
+{
+    for (DeadlyTask how : deadlyKinds) {
+        for (const Duration delay : { 10ms, 150ms }) {
+            how.delay = delay;
+            CAPTURE(how.renames);
+            CAPTURE(how.isDark);
+            CAPTURE(delay / 1ms);
+            JobWorld world({ .workers = 1 });
+            world.makeDeadly(deadlyTask, how);
+            world.run(2s);
+            world.submit(deadlyJob, simpleJob(1, 1500, 400));
+            world.run(60s);
+            CHECK(world.stateOf(deadlyJob) == wire::JOB_STATE_FAILED);
+            CHECK(world.crashesUnder(deadlyTask) <= 5);
+            world.submit(1, simpleJob(1, 1500, 400));
+            world.run(10s);
+            checkCompleted(world, 1);
+            checkNoBreach(world);
+        }
+    }
+}
+
 TEST_CASE("deadly tasks among other faults are given up, and every other job completes")
 {
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
