--- a/acaciafork/decisions/jobs/CrashHistory.cpp
+++ b/acaciafork/decisions/jobs/CrashHistory.cpp
@@ -81,6 +81,12 @@
             || (crashes() >= settings.maxCrashes && sum >= settings.convictingBlameAtMaxCrashes);
 }
 
+std::size_t CrashHistory::maxSharedRuns(const CrashSettings &settings) const
+{
+    const std::size_t n = std::max<std::size_t>(crashes(), 1);
+    return settings.maxSharedRuns.at(std::min(n, settings.maxSharedRuns.size()) - 1);
+}
+
 Duration CrashHistory::trialLength(const CrashSettings &settings) const
 {
     const auto outsideTrials = std::ranges::count_if(
--- a/acaciafork/decisions/jobs/CrashHistory.h
+++ b/acaciafork/decisions/jobs/CrashHistory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <span>
 #include <vector>
 
@@ -16,6 +17,14 @@
     Duration trialLength = std::chrono::milliseconds(300);
     std::int64_t trialGrowth = 4;
     Duration maxTrialLength = std::chrono::milliseconds(4800);
+    /// Tasks of different steps that have waited for this long share a trial where none has a
+    /// worker to itself, if they come within `trialLength` of its begin: the wait does not grow
+    /// with the number of suspected tasks.
+    Duration shareAfter = std::chrono::milliseconds(500);
+    /// Maximum number of runs in a shared trial, for a task under which one, two and more workers
+    /// have crashed: a joint crash speaks against none of them, so the groups get smaller until the
+    /// cause is alone, after as many crashes as it takes to give it up.
+    std::array<std::size_t, 3> maxSharedRuns { 64, 8, 1 };
     /// Crashes are not told apart in time below this.
     Duration timeResolution = std::chrono::milliseconds(50);
     /// One event has ended several workers when at least this many others fell silent within the
@@ -62,6 +71,9 @@
     /// Blame of a crash that a worker would have had anyway with the given probability:
     /// -1000 times its natural logarithm.
     static std::uint32_t blameOf(double probability);
+    /// Blame of a crash in a trial that tasks of several steps shared: next to nothing, but other
+    /// than 0, since the trial was long enough.
+    static constexpr std::uint32_t sharedBlame = 1;
 
     void restore(std::span<const CrashExposure> exposures);
     /// Adds an exposure; the run must not have one.
@@ -86,6 +98,8 @@
     [[nodiscard]] bool isConvicted(const CrashSettings &settings) const;
     /// Length of the next trial.
     [[nodiscard]] Duration trialLength(const CrashSettings &settings) const;
+    /// Maximum number of runs in the next trial if it is shared.
+    [[nodiscard]] std::size_t maxSharedRuns(const CrashSettings &settings) const;
 
 private:
     std::vector<CrashExposure> m_exposures;
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -377,6 +377,8 @@
     /// Counts a crash under the task and gives it up if it is convicted.
     void countCrash(Timestamp now, TaskRef task, const CrashExposure &exposure,
                     std::uint32_t blame);
+    /// True when tasks of several steps were on trial on the worker.
+    [[nodiscard]] bool trialsOfSeveralSteps(const Worker &worker) const;
     /// Probability of the crash of a worker during a trial if the task on trial has no part in it.
     [[nodiscard]] double ordinaryCrashProbability(const Worker &worker) const;
     /// Takes over the exposures that earlier leaders recorded.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -32,7 +32,9 @@
          "evidence=" + std::string(evidence) + " runs=" + std::to_string(worker->runs.size()));
     if (!worker->wasInTrial)
         m_crashRate.add(1);
-    const std::uint32_t trialBlame = CrashHistory::blameOf(ordinaryCrashProbability(*worker));
+    const std::uint32_t trialBlame = trialsOfSeveralSteps(*worker)
+            ? CrashHistory::sharedBlame
+            : CrashHistory::blameOf(ordinaryCrashProbability(*worker));
     // No trial lasts long enough to tell whether a run that was at work for longer is the cause.
     const Timestamp suspectedFrom = worker->heardBeforeSilence - m_settings.crashes.maxTrialLength;
     std::vector<ExposedRun> runs;
@@ -95,6 +97,25 @@
     return std::max(byRate, byEvent);
 }
 
+bool JobScheduler::trialsOfSeveralSteps(const Worker &worker) const
+{
+    const Step *step = nullptr;
+    for (const ExposedRun &it : worker.exposedRuns) {
+        const TaskRef task = m_jobs.find(it.run.task);
+        if (!task)
+            continue;
+        const CrashExposure *exposure = task.get().crashes.find(it.run.run);
+        const RunRef run = findRun(task, it.run.run);
+        const bool isRecording = run.task && run.get().phase == RunPhase::Recording;
+        if (exposure == nullptr || !exposure->isTrial || exposure->hasCrashed || isRecording)
+            continue;
+        if (step != nullptr && step != task.step)
+            return true;
+        step = task.step;
+    }
+    return false;
+}
+
 void JobScheduler::countCrash(Timestamp now, TaskRef ref, const CrashExposure &exposure,
                               std::uint32_t blame)
 {
@@ -170,6 +191,24 @@
 {
     const std::uint32_t blameUnobserved =
             CrashHistory::blameOf(m_crashRate.probability(m_settings.crashes.maxTrialLength));
+    // Steps whose trials were in progress on an incarnation.
+    std::map<std::pair<WorkerName, Incarnation>, std::set<const Step *>> trials;
+    for (const auto &[id, job] : m_jobs.all()) {
+        for (const Step &step : job->steps) {
+            for (const Task &task : step.tasks) {
+                for (const CrashExposure &it : task.crashes.exposures()) {
+                    if (it.isTrial && !it.hasCrashed)
+                        trials[{ it.worker, it.born }].insert(&step);
+                }
+            }
+        }
+    }
+    const auto blameOf = [&](const CrashExposure &it) {
+        if (!it.isTrial)
+            return std::uint32_t {};
+        return trials[{ it.worker, it.born }].size() > 1 ? CrashHistory::sharedBlame
+                                                         : blameUnobserved;
+    };
     for (const auto &[id, job] : m_jobs.all()) {
         for (Step &step : job->steps) {
             for (std::uint32_t it = 0; it < step.tasks.size(); ++it) {
@@ -184,7 +223,7 @@
                         worker->exposedRuns.push_back(
                                 { .run = { .task = task.key(), .run = exposure.run } });
                     else if (worker->life.born > exposure.born)
-                        countCrash(now, task, exposure, exposure.isTrial ? blameUnobserved : 0);
+                        countCrash(now, task, exposure, blameOf(exposure));
                 }
             }
         }
@@ -302,9 +341,17 @@
     PlacementMode mode = PlacementMode::Usual;
     const Duration isolation = isolationTime(task, now - waitingSince);
     Worker *worker = m_placer.chooseForTrial(now, candidates, ref, isolation, nullptr, mode);
+    const TrialSharing sharing { .maxRuns = task.crashes.maxSharedRuns(m_settings.crashes),
+                                 .joinedWithin = m_settings.crashes.trialLength };
+    const bool mayShare =
+            now - waitingSince >= m_settings.crashes.shareAfter && sharing.maxRuns > 1;
+    if (worker == nullptr && mayShare)
+        worker = m_placer.chooseForTrial(now, candidates, ref, isolation, nullptr, mode, false,
+                                         sharing);
     if (worker == nullptr && isOverdue) {
         mode = PlacementMode::Overdue;
-        worker = m_placer.chooseForTrial(now, candidates, ref, isolation, nullptr, mode);
+        worker = m_placer.chooseForTrial(now, candidates, ref, isolation, nullptr, mode, false,
+                                         sharing);
     }
     if (worker == nullptr) {
         requestPermits(now, ref.step);
@@ -323,15 +370,16 @@
     const RunRef run = reserveRun(now, ref, worker, number, mode);
     // The worker counts as leased from now on, since the order follows as soon as it is recorded.
     worker->grantLease(now, m_settings.lease);
-    worker->trials.push_back(run.key());
-    worker->holdForTrial(now, ref.get().crashes.trialLength(m_settings.crashes));
+    const CrashHistory &crashes = ref.get().crashes;
+    worker->addTrial(now, run.key(), crashes.trialLength(m_settings.crashes),
+                     crashes.maxSharedRuns(m_settings.crashes));
     worker->reservedUntil = now;
     openExposure(now, worker, run, true);
     m_pendingTrials.push_back({ .run = run.key(), .freeBefore = freeBefore });
     ++m_counts.trials;
     note("trial-began", run.key(), worker,
-         "crashes=" + std::to_string(ref.get().crashes.crashes())
-                 + " beside=" + std::to_string(beside));
+         "crashes=" + std::to_string(crashes.crashes()) + " trials="
+                 + std::to_string(worker->trials.size()) + " beside=" + std::to_string(beside));
 }
 
 void JobScheduler::undoExposure(const RunRef &ref)
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -162,8 +162,8 @@
     const CrashExposure *exposure = task.crashes.find(row.run.run);
     if (exposure != nullptr && exposure->isTrial && !exposure->hasCrashed) {
         // The rest of an earlier leader's trial can't be told: it begins anew.
-        worker->trials.push_back(row.run);
-        worker->holdForTrial(now, task.crashes.trialLength(m_settings.crashes));
+        worker->addTrial(now, row.run, task.crashes.trialLength(m_settings.crashes),
+                         task.crashes.maxSharedRuns(m_settings.crashes));
         worker->immediateRenewalAt = std::min(worker->immediateRenewalAt, worker->trialEndsAt);
     }
     return true;
--- a/acaciafork/decisions/jobs/Placer.cpp
+++ b/acaciafork/decisions/jobs/Placer.cpp
@@ -88,17 +88,30 @@
     return { loadForTrial(now, worker), -score };
 }
 
+/// True when the trials in progress on the worker, if there are any, may be joined by one of
+/// another step.
+bool mayJoinTrials(Timestamp now, const Worker &worker, const TrialSharing &sharing)
+{
+    return worker.trials.size() < std::min(worker.maxTrials, sharing.maxRuns)
+            && now - worker.firstTrialAt < sharing.joinedWithin;
+}
+
 /// True when a trial of the step may begin on the worker: it has confirmed each run of other steps,
-/// all began longer than `length` ago, and it is not kept for another step.
-bool isFreeForTrial(Timestamp now, const Worker &worker, const Step &step, Duration length)
+/// all began longer than `length` ago unless they are trials that it may join, and it is not kept
+/// for another step.
+bool isFreeForTrial(Timestamp now, const Worker &worker, const Step &step, Duration length,
+                    const TrialSharing &sharing)
 {
     if (now < worker.reservedUntil && worker.reservedFor != step.key(0))
         return false;
+    const bool joinsTrials = mayJoinTrials(now, worker, sharing);
     return std::ranges::all_of(worker.runs, [&](const RunRef &it) {
         const Run &run = it.get();
-        return it.task.step == &step
-                || (run.confirmedAt != Timestamp {} && now - run.startedAt > length
-                    && std::ranges::find(worker.trials, it.key()) == worker.trials.end());
+        if (it.task.step == &step)
+            return true;
+        if (std::ranges::find(worker.trials, it.key()) != worker.trials.end())
+            return joinsTrials;
+        return run.confirmedAt != Timestamp {} && now - run.startedAt > length;
     });
 }
 
@@ -484,7 +497,8 @@
     std::vector<TrialCandidate> candidates;
     for (const auto &[id, worker] : workers.all()) {
         const auto mayStay = [&](const RunRef &it) {
-            return now - it.get().startedAt > length || steps.contains(it.task.step);
+            return now - it.get().startedAt > length || steps.contains(it.task.step)
+                    || std::ranges::find(worker->trials, it.key()) != worker->trials.end();
         };
         if (isReachable(now, *worker) && std::ranges::all_of(worker->runs, mayStay))
             candidates.push_back({ .worker = worker.get(), .load = loadForTrial(now, *worker) });
@@ -495,18 +509,19 @@
 
 Worker *Placer::chooseForTrial(Timestamp now, const WorkerTable &workers, const TaskRef &task,
                                Duration length, const RackName *rack, PlacementMode mode,
-                               bool joinsOnly) const
+                               bool joinsOnly, const TrialSharing &sharing) const
 {
     std::vector<TrialCandidate> all;
     all.reserve(workers.all().size());
     for (const auto &[id, worker] : workers.all())
         all.push_back({ .worker = worker.get(), .load = {} });
-    return chooseForTrial(now, all, task, length, rack, mode, joinsOnly);
+    return chooseForTrial(now, all, task, length, rack, mode, joinsOnly, sharing);
 }
 
 Worker *Placer::chooseForTrial(Timestamp now, std::span<const TrialCandidate> candidates,
                                const TaskRef &task, Duration length, const RackName *rack,
-                               PlacementMode mode, bool joinsOnly) const
+                               PlacementMode mode, bool joinsOnly,
+                               const TrialSharing &sharing) const
 {
     const Step &step = *task.step;
     Worker *best = nullptr;
@@ -517,7 +532,7 @@
         Worker *worker = it.worker;
         if ((joinsOnly && worker->trials.empty()) || !isReachable(now, *worker)
             || findObstacle(*worker, step, mode) != PlacementObstacle::None
-            || !isFreeForTrial(now, *worker, step, length)
+            || !isFreeForTrial(now, *worker, step, length, sharing)
             || (rack != nullptr && worker->life.rack != *rack)
             || (step.permits() != nullptr && step.permits()->find(*worker, now) == nullptr))
             continue;
--- a/acaciafork/decisions/jobs/Placer.h
+++ b/acaciafork/decisions/jobs/Placer.h
@@ -82,6 +82,15 @@
     auto operator<=>(const TrialLoad &) const = default;
 };
 
+/// Whether a trial may join trials of other steps, and which.
+struct TrialSharing
+{
+    /// Maximum number of runs in them; 1 if it must not join them.
+    std::size_t maxRuns = 1;
+    /// The first of them began within this time.
+    Duration joinedWithin {};
+};
+
 /// Worker that may be free for a trial.
 struct TrialCandidate
 {
@@ -144,14 +153,17 @@
     /// lowest load.
     /// @param[in] joinsOnly restricts the choice to workers where a trial of the step is in
     /// progress
+    /// @param[in] sharing which trials of other steps the trial may join
     [[nodiscard]] Worker *chooseForTrial(Timestamp now, const WorkerTable &workers,
                                          const TaskRef &task, Duration length, const RackName *rack,
-                                         PlacementMode mode, bool joinsOnly = false) const;
+                                         PlacementMode mode, bool joinsOnly = false,
+                                         const TrialSharing &sharing = {}) const;
     /// The same among the given workers, in the order of TrialCandidate::load: the search ends at
     /// the first load above that of a worker that was found.
     [[nodiscard]] Worker *chooseForTrial(Timestamp now, std::span<const TrialCandidate> candidates,
                                          const TaskRef &task, Duration length, const RackName *rack,
-                                         PlacementMode mode, bool joinsOnly = false) const;
+                                         PlacementMode mode, bool joinsOnly = false,
+                                         const TrialSharing &sharing = {}) const;
     /// All workers that may be free for a trial of one of the steps: no run of another step has
     /// begun there within `length`. In the order of TrialCandidate::load.
     [[nodiscard]] std::vector<TrialCandidate>
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -188,8 +188,8 @@
     bool isTrial = false;
     /// The worker is known to have crashed.
     bool hasCrashed = false;
-    /// How strongly the crash speaks against the task, see CrashHistory::blameOf(); 0 if other
-    /// tasks may have caused it.
+    /// How strongly the crash speaks against the task, see CrashHistory::blameOf(); 0 if it came
+    /// outside a trial, CrashHistory::sharedBlame in a trial that tasks of other steps shared.
     std::uint32_t blame = 0;
 
     bool operator==(const CrashExposure &) const = default;
--- a/acaciafork/decisions/jobs/WorkerTable.cpp
+++ b/acaciafork/decisions/jobs/WorkerTable.cpp
@@ -35,6 +35,17 @@
     startConfirmedAt = now;
 }
 
+void Worker::addTrial(Timestamp now, const RunKey &run, Duration length, std::size_t maxShared)
+{
+    if (trials.empty()) {
+        firstTrialAt = now;
+        maxTrials = maxShared;
+    }
+    maxTrials = std::min(maxTrials, maxShared);
+    trials.push_back(run);
+    holdForTrial(now, length);
+}
+
 void Worker::holdForTrial(Timestamp now, Duration length)
 {
     trialBeganAt = now;
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -99,8 +99,12 @@
     Timestamp crashedAt = distantPast();
     /// Runs on this incarnation that have an open exposure.
     std::vector<ExposedRun> exposedRuns;
-    /// Trials in progress, of one step: nothing else starts until they have passed.
+    /// Trials in progress: nothing else starts until they have passed. Of one step, or shared.
     std::vector<RunKey> trials;
+    /// Maximum number of runs in the trials in progress if they are shared.
+    std::size_t maxTrials = 0;
+    /// When the first and the last of the trials in progress began.
+    Timestamp firstTrialAt;
     Timestamp trialBeganAt;
     Timestamp trialEndsAt;
     /// Nothing but a trial of this step, named by its first task, starts until then.
@@ -162,6 +166,9 @@
     /// @param[in] orderedAt when the start was ordered
     void startFailed(Timestamp now, Timestamp orderedAt);
     void startConfirmed(Timestamp now);
+    /// Adds a trial that begins now.
+    /// @param[in] maxShared maximum number of runs if other steps share it
+    void addTrial(Timestamp now, const RunKey &run, Duration length, std::size_t maxShared);
     /// Nothing else starts for the length of a trial that begins now.
     void holdForTrial(Timestamp now, Duration length);
     /// What a start order changes besides runs and reserved resources, so that a start which is
