--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -120,17 +120,23 @@
 void JobScheduler::placeTurns(Timestamp now)
 {
     std::vector<FailedPlacement> failedPlacements;
-    std::size_t failedCount = 0;
+    /// Of backfill steps, and of those that reserve processor time: neither may use up the tries of
+    /// the other.
+    std::size_t failedFilling = 0;
+    std::size_t failedReserving = 0;
     for (const TaskKey &it : m_turns.due()) {
-        if (failedCount >= m_settings.maxOverdueTries)
-            break;
         Step *step = m_jobs.find(it).step;
-        if (step == nullptr || !step->isQueued || awaitsTakeOver(*step) || step->job->isAtWork()
-            || cannotFit(failedPlacements, *step) || !mayTakeTurn(now, *step))
+        if (step == nullptr)
+            continue;
+        std::size_t &failedCount = step->spec->fills ? failedFilling : failedReserving;
+        if (failedCount >= m_settings.maxOverdueTries || !step->isQueued || awaitsTakeOver(*step)
+            || step->job->isAtWork() || cannotFit(failedPlacements, *step)
+            || !mayTakeTurn(now, *step))
             continue;
         step->lastTriedAt = now;
+        const std::uint32_t runsBefore = step->job->runCount;
         if (step->spec->gang ? placeGang(now, step, PlacementMode::Usual) : placeOne(now, step)) {
-            if (step->job->runCount > 0)
+            if (step->job->runCount > runsBefore)
                 turnTaken(now, *step);
             continue;
         }
