--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -289,7 +289,8 @@
     for (Step &it : job->steps) {
         // Callers count the wait over changes of leader.
         if (it.occurrence == occurrence && it.mayStart() && it.remainingTasks > 0)
-            makeReady(now, &it, std::min(now, job->afterLastRun(it.dueAt)));
+            makeReady(now, &it,
+                      std::min(now, job->afterLastRun(std::max(it.dueAt, job->acceptedAt))));
     }
 }
 
@@ -300,7 +301,9 @@
     if (m_settings.learnDurations)
         step->job->stretch = m_durations.stretch(step->job->queue);
     for (std::uint32_t it = 0; it < step->tasks.size(); ++it) {
-        step->tasks[it].idleSince = std::min(step->tasks[it].idleSince, since);
+        Task &task = step->tasks[it];
+        if (!task.done && !task.hasRun())
+            task.idleSince = std::min(task.idleSince, since);
         requeue(now, { .step = step, .task = it });
     }
 }
--- a/tests/decisions/jobs/InheritedWaitTest.cpp
+++ b/tests/decisions/jobs/InheritedWaitTest.cpp
@@ -58,3 +58,16 @@
     REQUIRE(!starts.empty());
     CHECK(starts.front().run.task.job == JobId { 3 });
 }
+
+TEST_CASE("a job whose first time has long passed has not waited before its acceptance")
+{
+    SchedulerFixture fixture;
+    auto spec = std::make_shared<JobSpec>();
+    spec->steps.push_back({ .size = { 1000, 1000, 0 }, .estimate = 1s });
+    spec->isScheduled = true;
+    spec->schedule = { .firstUs = fixture.at.wallMicroseconds - Duration(1h).count() };
+    fixture.scheduler.jobAccepted(fixture.at, { .id = { 1 }, .queue = queue, .spec = spec });
+    const auto starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().waited == Duration {});
+}
