--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -326,7 +326,9 @@
     // The members of a gang start together, so a suspected one waits with the others.
     if (task.crashes.isSuspect() && !step->spec->gang) {
         task.awaitsTrial = true;
-        m_waitingSuspects.push_back({ .task = ref.key(), .since = task.idleSince });
+        // A wait under an earlier leader does not shorten the isolation of a trial.
+        m_waitingSuspects.push_back(
+                { .task = ref.key(), .since = std::max(task.idleSince, m_tenureBeganAt) });
         return;
     }
     step->waitingSince =
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -546,9 +546,10 @@
                 isTrial ? nullptr : m_placer.choose(now, m_workers, *step, task.get(), rack, mode);
         // A member may also join a trial of its own gang: only their job is at stake.
         if (worker == nullptr)
-            worker = m_placer.chooseForTrial(now, m_workers, *step,
-                                             isolationTime(task.get(), now - waitingSince), rack,
-                                             mode, !isTrial);
+            worker = m_placer.chooseForTrial(
+                    now, m_workers, *step,
+                    isolationTime(task.get(), now - std::max(waitingSince, m_tenureBeganAt)), rack,
+                    mode, !isTrial);
         if (worker == nullptr) {
             if (isTrial)
                 m_unplacedTrials.push_back(step);
