--- a/tests/decisions/jobs/BackfillTest.cpp
+++ b/tests/decisions/jobs/BackfillTest.cpp
@@ -174,9 +174,8 @@
 
 TEST_CASE("one reading just below its target does not put off the pause beside a serving task")
 {
-    // Seen: 142, 143, 139, 132, 133, 128, 124 and 161 ms for a target of 125 ms, beside backfill
-    // tasks that were estimated as harmless. The time over the target was counted anew after the
-    // 124 ms, and the backfill tasks kept running for over 4 s.
+    // Guards against harm that goes on: a reading within the error of measurement restarted the
+    // time over the target, and the pause was put off beyond the allowed time.
     SchedulerFixture fixture;
     const ColocatedRuns colocated = placeColocatedRuns(&fixture);
     std::set<RunKey> stopped;
--- a/tests/decisions/jobs/WaitBoundTest.cpp
+++ b/tests/decisions/jobs/WaitBoundTest.cpp
@@ -59,7 +59,6 @@
 
 constexpr std::initializer_list<std::uint64_t> seeds { 1, 2, 3, 4 };
 
-/// Work of these kinds disturbs serving tasks.
 constexpr std::initializer_list<WorkKind> backfill { WorkKind::Backfill };
 constexpr std::initializer_list<WorkKind> lastingBackfill { WorkKind::LongRunningBackfill };
 constexpr std::initializer_list<WorkKind> serving { WorkKind::Serving };
