--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -519,6 +519,7 @@
     bool placeGang(Timestamp now, Step *step, const RackName *rack, PlacementMode mode);
     /// Steps that are overdue, those first whose last try as such was longest ago.
     [[nodiscard]] std::vector<Step *> overdueSteps(Timestamp now) const;
+    void updateOverdueStarts(Timestamp now);
     void placeOverdueSteps(Timestamp now);
     void placeOverdueTask(Timestamp now, Step *step);
     void paceOverdueRuns(Timestamp now, Worker *worker, std::span<const TailReading> tails);
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -408,12 +408,18 @@
     return steps;
 }
 
+void JobScheduler::updateOverdueStarts(Timestamp now)
+{
+    m_overdueStarts.update(m_workers,
+                           [&](const Worker &worker) { return m_placer.isReachable(now, worker); });
+}
+
 void JobScheduler::placeOverdueSteps(Timestamp now)
 {
     if (m_isFenced)
         return;
     findOverdueLongRunning(now);
-    m_overdueStarts.update(m_workers);
+    updateOverdueStarts(now);
     for (Step *step : overdueSteps(now)) {
         step->lastTriedOverdueAt = now;
         // A step before this one may have started a task of the same job.
@@ -582,7 +588,7 @@
         m_gaps.withdrawn(now, *it.worker, *step);
     }
     if (marksPairs)
-        m_overdueStarts.update(m_workers);
+        updateOverdueStarts(now);
     step->rack = rackBefore;
     step->waitingSince = waitingSince;
     m_commands.erase(m_commands.begin() + static_cast<std::ptrdiff_t>(commandsBefore),
--- a/acaciafork/decisions/jobs/OverdueStarts.cpp
+++ b/acaciafork/decisions/jobs/OverdueStarts.cpp
@@ -5,13 +5,17 @@
 
 namespace acaciafork::jobs {
 
-void OverdueStarts::update(const WorkerTable &workers)
+void OverdueStarts::update(const WorkerTable &workers,
+                           const std::function<bool(const Worker &)> &isReachable)
 {
     clear();
-    /// Millicores by which more than half of a pool is reserved; negative when less is.
+    /// Millicores by which a pool exceeds limitedAbovePercent, times 100; negative when it doesn't.
     std::map<std::string_view, std::int64_t> excess;
     for (const auto &[id, worker] : workers.all()) {
-        excess[worker->life.pool] += 2 * worker->used.millicores - worker->life.capacity.millicores;
+        if (!isReachable(*worker))
+            continue;
+        excess[worker->life.pool] += wholePercent * worker->used.millicores
+                - limitedAbovePercent * worker->life.capacity.millicores;
         for (const RunRef &it : worker->runs) {
             if (it.get().isOverdue)
                 started(*worker, it.task.step->image);
