--- a/tests/decisions/jobs/ColocationFleet.cpp
+++ b/tests/decisions/jobs/ColocationFleet.cpp
@@ -6,6 +6,8 @@
 #include <unordered_set>
 #include <utility>
 
+#include "acaciafork/core/Assert.h"
+#include "acaciafork/decisions/jobs/LeaseClock.h"
 #include "acaciafork/decisions/jobs/TaskState.h"
 
 namespace acaciafork::jobs {
@@ -39,9 +41,19 @@
 constexpr Duration recordsInFlight = 30ms;
 constexpr Duration leastLateness = 500ms;
 constexpr Duration mostLateness = 5s;
+/// Share of the orders to a silent worker that are carried out late; the others are lost.
+constexpr double lateWhileSilent = 0.2;
+/// Times from a silence on.
+constexpr Duration leastLossAfterSilence = 300ms;
+constexpr Duration leastRestart = 500ms;
+constexpr Duration mostRestart = 4s;
 /// Time after which an order other than a start counts as unanswered.
 constexpr Duration orderTimeout = 800ms;
 constexpr std::int64_t maxLeaseMs = 6000;
+/// Longest time from the end of a lease until it is over for a leader.
+constexpr Duration longestExpiry =
+        1ms * maxLeaseMs * LeaseClock::maxClockLagPercent / (100 - LeaseClock::maxClockLagPercent)
+        + LeaseClock::expiryMargin;
 /// Share of the cores up to which serving tasks of all sizes fit on the workers.
 constexpr double packedShare = 0.8;
 /// Time from the notice to the end of a worker, and the longest that it waits for the leader then.
@@ -125,6 +137,7 @@
     , m_hasTrouble(load.leaderEvery > Duration {} || load.workersAwayAt > Duration {}
                    || load.lateOrders > 0)
 {
+    ACACIAFORK_ASSERT(load.lossAfterSilence <= Duration {} || load.leaderEvery <= Duration {});
     for (std::size_t it = 0; it < workerCount; ++it)
         addWorker();
 }
@@ -202,6 +215,10 @@
         at(warmUp, [this] { loseLeaderLater(); });
     if (m_load.workersAwayAt > Duration {})
         at(warmUp + m_load.workersAwayAt, [this] { takeWorkersAway(); });
+    for (const Duration it : m_load.silences) {
+        if (it > Duration {})
+            at(warmUp + it, [this] { silenceWorkers(); });
+    }
     at(warmUp + m_load.burstLength, [this] { endBurst(); });
     const Timestamp endsAt = m_beganAt + warmUp + m_load.length;
     Timestamp nextStep = m_at.now;
@@ -226,6 +243,8 @@
                 if (m_hasTrouble)
                     checkCallers();
             }
+            if (m_load.idleShare > 0)
+                checkIdleRoom();
             countServing();
             countLast();
         }
@@ -291,14 +310,31 @@
     at(m_load.leaderEvery, [this] {
         endTenure();
         m_tenureEndsAt = Timestamp::max();
-        const double span = static_cast<double>((mostLeaderless - leastLeaderless).count());
-        const Duration gap =
-                leastLeaderless + Duration(static_cast<std::int64_t>(troubleUniform() * span));
-        at(gap, [this] { beginTenure(); });
+        at(drawLeaderless(), [this] { beginTenure(); });
         loseLeaderLater();
     });
 }
 
+Duration ColocationFleet::drawLeaderless()
+{
+    const double span = static_cast<double>((mostLeaderless - leastLeaderless).count());
+    return leastLeaderless + Duration(static_cast<std::int64_t>(troubleUniform() * span));
+}
+
+void ColocationFleet::loseLeader(Duration after, Duration nextAfter)
+{
+    m_tenureEndsAt = m_at.now + after;
+    at(after, [this, nextAfter] {
+        endTenure();
+        m_tenureEndsAt = Timestamp::max();
+        at(drawLeaderless(), [this, nextAfter] {
+            beginTenure();
+            if (nextAfter > Duration {})
+                loseLeader(nextAfter, {});
+        });
+    });
+}
+
 void ColocationFleet::takeWorkersAway()
 {
     for (std::size_t it = 0; it < workerCount; it += 3) {
@@ -327,10 +363,65 @@
         at(turnLength, [this, worker, latest] { leave(worker, latest); });
 }
 
+void ColocationFleet::silenceWorkers()
+{
+    for (const auto &it : m_workers) {
+        if (it->isInTouch() && troubleUniform() < m_load.silentShare)
+            silence(it.get());
+    }
+    if (m_load.lossAfterSilence <= Duration {})
+        return;
+    const double span =
+            static_cast<double>((m_load.lossAfterSilence - leastLossAfterSilence).count());
+    loseLeader(leastLossAfterSilence + Duration(static_cast<std::int64_t>(troubleUniform() * span)),
+               m_load.nextLossAfter);
+}
+
+void ColocationFleet::silence(SimulatedWorker *worker)
+{
+    ++m_result.workersSilent;
+    worker->silentSince = m_at.now;
+    for (const auto &[task, run] : worker->running)
+        worker->unseen.insert(task);
+    for (const EndedRow &it : worker->ended)
+        worker->unseen.insert(it.run.task);
+    const double fate = troubleUniform();
+    if (fate < m_load.goneShare) {
+        shutDown(worker);
+        return;
+    }
+    dropRenewals(worker);
+    at(m_load.silentFor, [this, worker] { endSilence(worker); });
+    if (fate >= m_load.goneShare + m_load.restartShare)
+        return;
+    const double span = static_cast<double>((mostRestart - leastRestart).count());
+    at(leastRestart + Duration(static_cast<std::int64_t>(troubleUniform() * span)),
+       [this, worker] { restartUnseen(worker); });
+}
+
+void ColocationFleet::endSilence(SimulatedWorker *worker)
+{
+    worker->silentSince.reset();
+    worker->unseen.clear();
+}
+
+void ColocationFleet::restartUnseen(SimulatedWorker *worker)
+{
+    clearLife(worker);
+    worker->life.born = { worker->life.born.value + 1 };
+    if (troubleUniform() < 0.5)
+        endSilence(worker);
+}
+
 void ColocationFleet::shutDown(SimulatedWorker *worker)
 {
     worker->isUp = false;
     clearLife(worker);
+    dropRenewals(worker);
+}
+
+void ColocationFleet::dropRenewals(SimulatedWorker *worker)
+{
     for (const auto &[number, renewal] : std::exchange(worker->waiting, {}))
         answerLater(
                 [this, command = renewal] {
@@ -706,6 +797,128 @@
     }
 }
 
+double ColocationFleet::reservedShare() const
+{
+    std::int64_t reserved = 0;
+    std::int64_t capacity = 0;
+    for (const auto &worker : m_workers) {
+        if (!worker->isInTouch() || worker->life.draining)
+            continue;
+        capacity += worker->life.capacity.millicores;
+        for (const auto &[task, run] : worker->running)
+            reserved += run.spec->reserved().millicores;
+    }
+    return static_cast<double>(reserved) / static_cast<double>(std::max<std::int64_t>(1, capacity));
+}
+
+std::vector<Size> ColocationFleet::unreservedRooms() const
+{
+    std::vector<Size> rooms;
+    for (const auto &worker : m_workers) {
+        if (!worker->isInTouch() || worker->life.draining)
+            continue;
+        rooms.push_back(worker->life.capacity);
+        for (const auto &[task, run] : worker->running)
+            rooms.back() -= run.spec->reserved();
+    }
+    return rooms;
+}
+
+bool ColocationFleet::fitsTwice(const Caller &caller, const std::vector<Size> &rooms)
+{
+    const Size &size = caller.step->size;
+    const std::int64_t wanted = 2 * std::int64_t { caller.step->gang ? caller.step->count : 1 };
+    std::int64_t n = 0;
+    for (auto it = rooms.begin(); it != rooms.end() && n < wanted; ++it)
+        n += std::max<std::int64_t>(
+                0, std::min(it->millicores / size.millicores, it->memoryMb / size.memoryMb));
+    return n >= wanted;
+}
+
+std::unordered_set<TaskKey> ColocationFleet::findUnseen() const
+{
+    std::unordered_set<TaskKey> unseen;
+    const auto mayRun = [&](const SimulatedWorker &it) {
+        const Timestamp ordered = Timestamp(it.orderedLeaseEndMs * 1ms);
+        return it.silentSince
+                && m_at.now < std::max(ordered, m_tenureBeganAt + m_settings.lease) + longestExpiry;
+    };
+    if (std::ranges::none_of(m_workers, [&](const auto &it) { return mayRun(*it); }))
+        return unseen;
+    for (const auto &worker : m_workers) {
+        if (mayRun(*worker))
+            unseen.insert(worker->unseen.begin(), worker->unseen.end());
+    }
+    for (const auto &[id, job] : m_jobs) {
+        if (job.isOver)
+            continue;
+        for (const auto &[task, history] : job.crashes) {
+            if (std::ranges::any_of(history.exposures(), [&](const CrashExposure &it) {
+                    return mayRun(*m_names.at(it.worker.value));
+                }))
+                unseen.insert(task);
+        }
+    }
+    return unseen;
+}
+
+bool ColocationFleet::isHeldBy(const std::unordered_set<TaskKey> &unseen, const SimulatedJob &job,
+                               const TaskKey &task)
+{
+    if (unseen.contains(task))
+        return true;
+    const auto &steps = job.spec->steps;
+    return std::ranges::any_of(steps[task.step].after, [&](std::uint32_t before) {
+        for (TaskKey it { .job = task.job, .occurrence = task.occurrence, .step = before };
+             it.task < steps[before].count; ++it.task) {
+            if (unseen.contains(it))
+                return true;
+        }
+        return false;
+    });
+}
+
+void ColocationFleet::checkIdleRoom()
+{
+    if (m_at.now < m_beganAt + warmUp + settlingTime)
+        return;
+    std::vector<Caller> waiting;
+    std::vector<TaskKey> others;
+    findCallers(&waiting, &others);
+    for (const TaskKey &it : others) {
+        m_idleRoomWaits.erase(it);
+        m_firstStarts.erase(it);
+    }
+    if (m_scheduler == nullptr)
+        return;
+    const std::vector<Size> rooms = unreservedRooms();
+    const std::unordered_set<TaskKey> unseen = findUnseen();
+    const bool isIdle = reservedShare() < m_load.idleShare;
+    if (isIdle)
+        m_result.timeWithIdleRoom += runStep;
+    for (const Caller &it : waiting) {
+        const bool isHeld = std::ranges::all_of(
+                it.tasks, [&](const TaskKey &task) { return isHeldBy(unseen, *it.job, task); });
+        if (!isIdle || isHeld || !fitsTwice(it, rooms)) {
+            m_idleRoomWaits.erase(it.key);
+            m_firstStarts.erase(it.key);
+            continue;
+        }
+        const auto kind = static_cast<std::size_t>(it.job->kind);
+        const WaitCause cause = causeOf(it);
+        const auto add = [&](CallerWait *wait, CallerWait *longest, std::size_t *turns) {
+            *turns += wait->length == Duration {} ? 1 : 0;
+            wait->add(runStep, cause);
+            if (wait->length > longest->length)
+                *longest = *wait;
+        };
+        add(&m_idleRoomWaits[it.key], &m_result.idleRoomWaits.at(kind),
+            &m_result.idleRoomTurns.at(kind));
+        if (const auto first = m_firstStarts.find(it.key); first != m_firstStarts.end())
+            add(&first->second, &m_result.firstStarts.at(kind), &m_result.firstStartTurns.at(kind));
+    }
+}
+
 void ColocationFleet::countServing()
 {
     const Timestamp from = m_beganAt + warmUp + settlingTime;
@@ -969,6 +1182,13 @@
     m_result.tenures = m_tenure.value;
     m_scheduler = std::make_unique<JobScheduler>(m_settings);
     m_scheduler->begin(m_at, m_tenure, {}, views, workers, estimates);
+    m_tenureBeganAt = m_at.now;
+    m_firstStarts.clear();
+    std::vector<Caller> waiting;
+    std::vector<TaskKey> others;
+    findCallers(&waiting, &others);
+    for (const Caller &it : waiting)
+        m_firstStarts[it.key];
 }
 
 void ColocationFleet::checkMove(const StopRun &command)
@@ -1003,10 +1223,23 @@
     return m_at.now + recordsInFlight >= m_tenureEndsAt;
 }
 
-Duration ColocationFleet::drawLateness()
+bool ColocationFleet::isReached(const OrderTarget &target) const
+{
+    return !m_names.at(target.name.value)->silentSince;
+}
+
+void ColocationFleet::noteLease(const OrderTarget &target, std::int64_t endMs)
+{
+    std::int64_t &latest = m_names.at(target.name.value)->orderedLeaseEndMs;
+    latest = std::max(latest, endMs);
+}
+
+Duration ColocationFleet::drawLateness(const OrderTarget &target)
 {
     const bool isInFlight = m_at.now + ordersInFlight >= m_tenureEndsAt;
-    const double share = isInFlight ? std::max(lateAtLoss, m_load.lateOrders) : m_load.lateOrders;
+    double share = isInFlight ? std::max(lateAtLoss, m_load.lateOrders) : m_load.lateOrders;
+    if (!isReached(target))
+        share = std::max(share, lateWhileSilent);
     if (share <= 0 || troubleUniform() >= share)
         return {};
     const double span = static_cast<double>((mostLateness - leastLateness).count());
@@ -1036,14 +1269,16 @@
 
 void ColocationFleet::start(const StartRun &command)
 {
-    const Duration late = drawLateness();
+    noteLease(command.target, command.leaseEndMs);
+    const Duration late = drawLateness(command.target);
     if (late > Duration {})
         at(late, [this, command, tenure = m_tenure] {
             ++m_result.ordersCarriedOutLate;
             carryOutStart(command, tenure);
         });
-    const OrderOutcome outcome =
-            late > Duration {} ? OrderOutcome::Unanswered : carryOutStart(command, m_tenure);
+    const OrderOutcome outcome = late > Duration {} || !isReached(command.target)
+            ? OrderOutcome::Unanswered
+            : carryOutStart(command, m_tenure);
     answerLater(
             [this, command, outcome] {
                 m_scheduler->startAnswered(m_at, command.target.worker, command.run, outcome);
@@ -1073,6 +1308,10 @@
         return OrderOutcome::NoRoom;
     for (const auto &it : m_workers)
         m_result.doubleRuns += it->running.contains(task) ? 1 : 0;
+    if (worker->silentSince) {
+        ++m_result.startsWhileSilent;
+        worker->unseen.insert(task);
+    }
     worker->running[task] = { .number = command.run.run,
                               .spec = &spec,
                               .progress = command.checkpoint.empty()
@@ -1083,9 +1322,11 @@
 
 void ColocationFleet::stop(const StopRun &command)
 {
-    const Duration late = drawLateness();
+    const Duration late = drawLateness(command.target);
     at(late > Duration {} ? late : transit, [this, command, late, tenure = m_tenure] {
-        const OrderOutcome outcome = carryOutStop(command, tenure);
+        const OrderOutcome outcome = late > Duration {} || isReached(command.target)
+                ? carryOutStop(command, tenure)
+                : OrderOutcome::Unanswered;
         if (late > Duration {}) {
             ++m_result.ordersCarriedOutLate;
             return;
@@ -1125,10 +1366,11 @@
 
 void ColocationFleet::pace(const PaceRun &command)
 {
-    const Duration late = drawLateness();
+    const Duration late = drawLateness(command.target);
     at(late > Duration {} ? late : transit, [this, command, late, tenure = m_tenure] {
         m_result.ordersCarriedOutLate += late > Duration {} ? 1 : 0;
-        carryOutPace(command, tenure);
+        if (late > Duration {} || isReached(command.target))
+            carryOutPace(command, tenure);
     });
 }
 
@@ -1166,14 +1408,16 @@
 
 void ColocationFleet::renew(const RenewWorkerLease &command)
 {
-    const Duration late = drawLateness();
+    noteLease(command.target, command.leaseEndMs);
+    const Duration late = drawLateness(command.target);
     if (late > Duration {})
         at(late, [this, command, tenure = m_tenure] {
             ++m_result.ordersCarriedOutLate;
             carryOutRenewal(command, tenure);
         });
-    const OrderOutcome outcome =
-            late > Duration {} ? OrderOutcome::Unanswered : carryOutRenewal(command, m_tenure);
+    const OrderOutcome outcome = late > Duration {} || !isReached(command.target)
+            ? OrderOutcome::Unanswered
+            : carryOutRenewal(command, m_tenure);
     if (outcome != OrderOutcome::Done) {
         answerLater(
                 [this, command, outcome] {
@@ -1234,7 +1478,7 @@
 
 void ColocationFleet::report(SimulatedWorker *worker)
 {
-    if (m_scheduler != nullptr && worker->isUp)
+    if (m_scheduler != nullptr && worker->isInTouch())
         m_scheduler->workerReported(m_at,
                                     { .life = worker->life,
                                       .sequence = ++worker->sequence,
--- a/tests/decisions/jobs/ColocationFleet.h
+++ b/tests/decisions/jobs/ColocationFleet.h
@@ -7,8 +7,10 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "acaciafork/decisions/jobs/Jobs.h"
@@ -91,6 +93,29 @@
     /// replaced.
     Duration workersAwayAt {};
     Duration workersAwayFor = std::chrono::seconds(20);
+    /// @name Silent workers
+    /// Times after the warm-up at which workers fall silent, zero for none, and the share of the
+    /// workers that do. A silent worker goes on with what it runs until its lease lapses and
+    /// answers nothing; of the orders sent to it, some are carried out seconds later and the others
+    /// are lost.
+    /// @{
+    std::array<Duration, 2> silences {};
+    double silentShare = 0;
+    /// After this time they answer again; longer ones overlap with the second silence.
+    Duration silentFor = std::chrono::seconds(9);
+    /// Share of them that end for good as they fall silent, and that start again as another
+    /// incarnation up to 4 s later; every other one of these answers from then on.
+    double goneShare = 0;
+    double restartShare = 0;
+    /// Longest time from a silence to the loss of the leader, and time from the beginning of the
+    /// next tenure to its loss; zero for none. Not together with leaderEvery. Orders and records
+    /// in flight fare as there.
+    Duration lossAfterSilence {};
+    Duration nextLossAfter {};
+    /// @}
+    /// There is idle room while less than this share of the cores of the workers in touch is
+    /// reserved; zero not to measure the waits beside it.
+    double idleShare = 0;
 };
 
 /// What a simulation has counted.
@@ -151,6 +176,24 @@
     std::array<CallerWait, workKindCount> callerWaitsWithRoom {};
     Duration timeWithRoomForCallers {};
     /// @}
+    /// @name Waits beside idle room, on the callers' clocks
+    /// Only with ColocationLoad::idleShare. Longest time from the settling time on for which, on
+    /// end, a job or a long-running task that could run had no run on a worker that is up, with
+    /// idle room that it fits into twice over; and the number of these waits. Over changes of
+    /// leader, the time without one taken off. Time in which a silent worker may be at work on
+    /// each of its tasks does not count.
+    /// @{
+    std::array<CallerWait, workKindCount> idleRoomWaits {};
+    std::array<std::size_t, workKindCount> idleRoomTurns {};
+    Duration timeWithIdleRoom {};
+    /// The same for what had no run as a tenure began, from then to its first start in it, as long
+    /// as there was such room without a break.
+    std::array<CallerWait, workKindCount> firstStarts {};
+    std::array<std::size_t, workKindCount> firstStartTurns {};
+    /// @}
+    /// Workers that fell silent, and starts that reached one of them then.
+    std::size_t workersSilent = 0;
+    std::size_t startsWhileSilent = 0;
     std::uint64_t tenures = 1;
     /// Orders that were carried out late, and how many of these were fenced.
     std::size_t ordersCarriedOutLate = 0;
@@ -221,8 +264,15 @@
         /// Latest tenure whose orders it has accepted.
         Tenure tenure;
         std::int64_t leaseEndMs = 0;
+        /// Latest end of a lease in an order to it, whether it got there or not.
+        std::int64_t orderedLeaseEndMs = 0;
         /// Highest number of a run that was stopped or has ended, by task.
         std::map<TaskKey, RunNumber> over;
+        /// Since when it is silent, and the tasks that it has been at work on since.
+        std::optional<Timestamp> silentSince;
+        std::set<TaskKey> unseen;
+
+        [[nodiscard]] bool isInTouch() const { return isUp && !silentSince; }
     };
 
     /// A job as stored in the replicated state.
@@ -301,8 +351,11 @@
     /// Done where the order reached its worker and isn't outdated.
     OrderOutcome accept(const OrderTarget &target, Tenure tenure);
     static void extendLease(Moment at, SimulatedWorker *worker, std::int64_t endMs);
-    /// Zero for an order that is carried out in time.
-    [[nodiscard]] Duration drawLateness();
+    /// Zero for an order that is carried out in time, or not at all.
+    [[nodiscard]] Duration drawLateness(const OrderTarget &target);
+    void noteLease(const OrderTarget &target, std::int64_t endMs);
+    /// True when the worker is not silent.
+    [[nodiscard]] bool isReached(const OrderTarget &target) const;
     /// True when what is sent now is in flight as the leader is lost.
     [[nodiscard]] bool isLeaderAboutToGo() const;
     [[nodiscard]] static std::size_t placeOf(const SimulatedJob &job, const TaskKey &task);
@@ -319,7 +372,15 @@
     void endTenure();
     void beginTenure();
     void loseLeaderLater();
+    [[nodiscard]] Duration drawLeaderless();
+    /// Loses the leader after the first time, and the next one after the second, unless it is zero.
+    void loseLeader(Duration after, Duration nextAfter);
     void takeWorkersAway();
+    void silenceWorkers();
+    void silence(SimulatedWorker *worker);
+    void endSilence(SimulatedWorker *worker);
+    void restartUnseen(SimulatedWorker *worker);
+    void dropRenewals(SimulatedWorker *worker);
     void leave(SimulatedWorker *worker, Timestamp latest);
     void shutDown(SimulatedWorker *worker);
     void clearLife(SimulatedWorker *worker);
@@ -347,6 +408,18 @@
     /// The jobs and long-running tasks that could run, those with a run apart from the others.
     void findCallers(std::vector<Caller> *waiting, std::vector<TaskKey> *others) const;
     [[nodiscard]] bool hasRoomForCallers(const std::vector<Caller> &waiting) const;
+    void checkIdleRoom();
+    /// Resources of each worker in touch that no task has reserved.
+    [[nodiscard]] std::vector<Size> unreservedRooms() const;
+    /// Share of the cores of the workers in touch that is reserved.
+    [[nodiscard]] double reservedShare() const;
+    /// True when there is room for the task, or all tasks of the gang, twice over.
+    [[nodiscard]] static bool fitsTwice(const Caller &caller, const std::vector<Size> &rooms);
+    /// Tasks that a silent worker may be at work on as far as a leader can know.
+    [[nodiscard]] std::unordered_set<TaskKey> findUnseen() const;
+    /// True when a silent worker may be at work on the task, or on one that comes before it.
+    [[nodiscard]] static bool isHeldBy(const std::unordered_set<TaskKey> &unseen,
+                                       const SimulatedJob &job, const TaskKey &task);
     /// Cores that serving jobs ask for, and those of the workers that take new work.
     [[nodiscard]] double coresAsked() const;
     [[nodiscard]] double coresUp() const;
@@ -374,6 +447,7 @@
     /// Waits on the callers' clocks count.
     bool m_hasTrouble = false;
     Tenure m_tenure { 1 };
+    Timestamp m_tenureBeganAt;
     Timestamp m_tenureEndedAt;
     Timestamp m_tenureEndsAt = Timestamp::max();
     std::map<WorkerName, WorkerLife> m_recordedWorkers;
@@ -389,6 +463,9 @@
     /// By job, or by long-running task.
     std::unordered_map<TaskKey, TurnWait> m_turnWaits;
     std::unordered_map<TaskKey, CallerWaits> m_callerWaits;
+    std::unordered_map<TaskKey, CallerWait> m_idleRoomWaits;
+    /// What had no run as the tenure began and has had none since.
+    std::unordered_map<TaskKey, CallerWait> m_firstStarts;
     std::size_t m_servingSamples = 0;
     /// Since when there is room for two tasks of each backfill job without a run.
     Timestamp m_roomSince = Timestamp::max();
--- /dev/null
+++ b/tests/decisions/jobs/IdleRoomTest.cpp
@@ -0,0 +1,228 @@
+#include <doctest/doctest.h>
+
+#include <array>
+#include <initializer_list>
+#include <map>
+#include <numeric>
+#include <string>
+#include <utility>
+
+#include "tests/decisions/jobs/ColocationFleet.h"
+
+using namespace acaciafork;
+using namespace acaciafork::jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The lease is that of the program.
+const JobSchedulerSettings siteSettings {
+    .lease = 5800ms, .promptTakeOver = true, .lookAhead = true, .learnDurations = true
+};
+
+constexpr Duration boundWithIdleRoom = 3s;
+constexpr Duration boundOfFirstStart = 1500ms;
+
+/// Each kind of work beside serving tasks that reserve less than half of the cores, also of those
+/// that are left when workers fall silent. The leader is lost after each silence.
+constexpr ColocationLoad leaderLost { .burst = 1,
+                                      .after = 1,
+                                      .burstLength = 46s,
+                                      .length = 46s,
+                                      .servingShare = 0.3,
+                                      .servingBurst = 1,
+                                      .robustShare = 0.05,
+                                      .otherJobsPerSecond = 0.4,
+                                      .silences = { 12s, 30s },
+                                      .silentShare = 0.25,
+                                      .goneShare = 0.4,
+                                      .restartShare = 0.2,
+                                      .lossAfterSilence = 3s,
+                                      .idleShare = 0.5 };
+
+constexpr ColocationLoad withTwoLosses()
+{
+    ColocationLoad load = leaderLost;
+    load.nextLossAfter = 2500ms;
+    return load;
+}
+/// The next leader is lost as well while it takes over.
+constexpr ColocationLoad twoLeadersLost = withTwoLosses();
+
+constexpr ColocationLoad withLateOrders()
+{
+    ColocationLoad load = withTwoLosses();
+    load.lateOrders = 0.01;
+    return load;
+}
+constexpr ColocationLoad allTroubles = withLateOrders();
+
+/// More backfill than there is room for, beside serving tasks that reserve less than half of the
+/// cores until a quarter of the workers are gone, and less than 0.6 of those that are left.
+constexpr ColocationLoad workersGone { .burst = 1.5,
+                                       .after = 1.5,
+                                       .burstLength = 40s,
+                                       .length = 40s,
+                                       .servingShare = 0.38,
+                                       .servingBurst = 1,
+                                       .robustShare = 0.05,
+                                       .otherJobsPerSecond = 0.4,
+                                       .silences = { 12s },
+                                       .silentShare = 0.25,
+                                       .goneShare = 1,
+                                       .idleShare = 0.6 };
+
+constexpr std::uint64_t seedCount = 24;
+
+constexpr std::initializer_list<WorkKind> backfill { WorkKind::Backfill };
+constexpr std::initializer_list<WorkKind> lastingBackfill { WorkKind::LongRunningBackfill };
+constexpr std::initializer_list<WorkKind> serving { WorkKind::Serving };
+constexpr std::initializer_list<WorkKind> others { WorkKind::Plain, WorkKind::Gang,
+                                                   WorkKind::Scheduled, WorkKind::Advised,
+                                                   WorkKind::Chain };
+
+/// Each simulation runs once.
+const ColocationResult &run(const ColocationLoad &load, std::uint64_t seed)
+{
+    static std::map<std::pair<const ColocationLoad *, std::uint64_t>, ColocationResult> results;
+    const auto key = std::make_pair(&load, seed);
+    const auto it = results.find(key);
+    if (it != results.end())
+        return it->second;
+    return results.emplace(key, ColocationFleet(siteSettings, seed, load).run()).first->second;
+}
+
+std::string describe(const CallerWait &wait)
+{
+    std::string text = std::to_string(wait.length / 1ms) + " ms";
+    for (std::size_t it = 0; it < waitCauseCount; ++it)
+        text += std::string(" ") + waitCauseNames.at(it) + "="
+                + std::to_string(wait.parts.at(it) / 1ms);
+    return text;
+}
+
+using Waits = std::array<CallerWait, workKindCount> ColocationResult::*;
+using Turns = std::array<std::size_t, workKindCount> ColocationResult::*;
+
+void checkWaits(const ColocationLoad &load, std::initializer_list<WorkKind> kinds, Waits waits,
+                Turns turns, Duration bound)
+{
+    std::size_t counted = 0;
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        CAPTURE(seed);
+        const ColocationResult &result = run(load, seed);
+        REQUIRE(result.workersSilent > 0);
+        REQUIRE(result.timeWithIdleRoom > 10s);
+        for (const WorkKind it : kinds) {
+            const auto kind = static_cast<std::size_t>(it);
+            counted += (result.*turns).at(kind);
+            const CallerWait &wait = (result.*waits).at(kind);
+            INFO(std::string(workKindNames.at(kind)) << ": " << describe(wait));
+            CHECK(wait.length / 1ms <= bound / 1ms);
+        }
+    }
+    REQUIRE(counted > 0);
+}
+
+void checkIdleRoom(const ColocationLoad &load, std::initializer_list<WorkKind> kinds)
+{
+    checkWaits(load, kinds, &ColocationResult::idleRoomWaits, &ColocationResult::idleRoomTurns,
+               boundWithIdleRoom);
+}
+
+void checkFirstStarts(const ColocationLoad &load, std::initializer_list<WorkKind> kinds)
+{
+    checkWaits(load, kinds, &ColocationResult::firstStarts, &ColocationResult::firstStartTurns,
+               boundOfFirstStart);
+}
+
+} // namespace
+
+TEST_CASE("with idle room no backfill job waits for 3 s as a leader is lost beside silent workers"
+          * doctest::should_fail())
+{
+    checkIdleRoom(leaderLost, backfill);
+    checkIdleRoom(twoLeadersLost, backfill);
+    checkIdleRoom(allTroubles, backfill);
+}
+
+TEST_CASE("with idle room no lasting backfill waits for 3 s as a leader is lost beside silent "
+          "workers"
+          * doctest::should_fail())
+{
+    checkIdleRoom(leaderLost, lastingBackfill);
+    checkIdleRoom(twoLeadersLost, lastingBackfill);
+    checkIdleRoom(allTroubles, lastingBackfill);
+}
+
+TEST_CASE("with idle room no serving task waits for 3 s as a leader is lost beside silent workers"
+          * doctest::should_fail())
+{
+    checkIdleRoom(leaderLost, serving);
+    checkIdleRoom(twoLeadersLost, serving);
+    checkIdleRoom(allTroubles, serving);
+}
+
+TEST_CASE("with idle room no other job waits for 3 s as a leader is lost beside silent workers"
+          * doctest::should_fail())
+{
+    checkIdleRoom(leaderLost, others);
+    checkIdleRoom(twoLeadersLost, others);
+    checkIdleRoom(allTroubles, others);
+}
+
+TEST_CASE("after a take-over beside silent workers a backfill job without a run starts within "
+          "1.5 s"
+          * doctest::should_fail())
+{
+    checkFirstStarts(leaderLost, backfill);
+    checkFirstStarts(twoLeadersLost, backfill);
+    checkFirstStarts(allTroubles, backfill);
+}
+
+TEST_CASE("after a take-over beside silent workers lasting backfill without a run starts within "
+          "1.5 s"
+          * doctest::should_fail())
+{
+    checkFirstStarts(leaderLost, lastingBackfill);
+    checkFirstStarts(twoLeadersLost, lastingBackfill);
+    checkFirstStarts(allTroubles, lastingBackfill);
+}
+
+TEST_CASE("after a take-over beside silent workers a serving task without a run starts within "
+          "1.5 s"
+          * doctest::should_fail())
+{
+    checkFirstStarts(leaderLost, serving);
+    checkFirstStarts(twoLeadersLost, serving);
+    checkFirstStarts(allTroubles, serving);
+}
+
+TEST_CASE("after a take-over beside silent workers any other job without a run starts within 1.5 s"
+          * doctest::should_fail())
+{
+    checkFirstStarts(leaderLost, others);
+    checkFirstStarts(twoLeadersLost, others);
+    checkFirstStarts(allTroubles, others);
+}
+
+TEST_CASE("with up to 0.6 reserved no backfill job waits for 3 s while workers are gone")
+{
+    checkIdleRoom(workersGone, backfill);
+}
+
+TEST_CASE("no task runs twice as leaders are lost beside silent workers")
+{
+    std::size_t startsWhileSilent = 0;
+    for (const ColocationLoad *load : { &leaderLost, &twoLeadersLost, &allTroubles }) {
+        for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+            CAPTURE(load->nextLossAfter);
+            CAPTURE(seed);
+            const ColocationResult &result = run(*load, seed);
+            CHECK(result.tenures == (load->nextLossAfter > Duration {} ? 5 : 3));
+            CHECK(result.doubleRuns == 0);
+            startsWhileSilent += result.startsWhileSilent;
+        }
+    }
+    REQUIRE(startsWhileSilent > 0);
+}
