--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -43,7 +43,7 @@
     Duration maxOrderDelay = std::chrono::seconds(12);
     /// A new leader starts nothing that it has inherited until all workers have answered, for at
     /// most this long. From then on, only those tasks wait that a silent worker may be running.
-    Duration listTimeout = std::chrono::milliseconds(500);
+    Duration listTimeout = std::chrono::milliseconds(300);
     /// How long a worker may wait for a run to end before it answers a renewal.
     Duration renewalWait = std::chrono::milliseconds(1500);
     /// The same on workers that run both serving and backfill tasks; shorter, so that interference
--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -385,11 +385,16 @@
     for (const auto &[rank, step] : m_order.steps()) {
         // With room enough, the next task of a job need not wait anew when the one before has
         // ended.
-        const Timestamp since = m_overdueStarts.isLimited(step->job->pool)
-                ? step->waitingSince
-                : std::min(step->waitingSince, step->firstReadySince());
+        const bool isLimited = m_overdueStarts.isLimited(step->job->pool);
+        const Timestamp since = isLimited ? step->waitingSince
+                                          : std::min(step->waitingSince, step->firstReadySince());
+        Timestamp overdueAt = since + m_settings.overdueAfter;
+        // Its last run may have been lost before this tenure, which is known as the silence of a
+        // worker only.
+        if (!isLimited && step->job->isInherited && since <= m_inheritedAdmittedAt)
+            overdueAt = std::min(overdueAt, m_inheritedAdmittedAt + usualTriesOnlyFor);
         // Urgent steps have been tried in each round.
-        if (now - since < m_settings.overdueAfter || awaitsTakeOver(*step) || step->isUrgent)
+        if (now < overdueAt || awaitsTakeOver(*step) || step->isUrgent)
             continue;
         // Inherited steps have waited before this tenure. They are tried in the usual way first,
         // where their tasks run at their full shares.
