--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -225,8 +225,9 @@
         m_exploration.ended(worker->id, ref.task.step->image);
     std::erase(worker->trials, ref.key());
     Job *job = ref.task.step->job;
-    // A start that fails is no turn.
-    if (run.confirmedAt != Timestamp {})
+    // A start that fails is no turn, whether its stop was confirmed or not.
+    const bool hasRun = ref.task.get().idleSince == Timestamp::max() || run.listedBy;
+    if (hasRun && run.confirmedAt != Timestamp {})
         job->lastRunOverAt = now;
     run = {};
     --job->runCount;
--- a/tests/decisions/jobs/SchedulerTest.cpp
+++ b/tests/decisions/jobs/SchedulerTest.cpp
@@ -198,6 +198,40 @@
     CHECK(second[0].run.task != first[0].run.task);
 }
 
+TEST_CASE("a start that was lost and stopped doesn't end the wait for a turn")
+{
+    // Guards against jobs that have nothing running for 14 s: the confirmed stop of a start that
+    // had never reached its worker counted as the end of a run, from which the job waited anew.
+    SchedulerFixture fixture;
+    for (const bool isListed : { false, true }) {
+        CAPTURE(isListed);
+        const JobId job { isListed ? 2U : 1U };
+        fixture.acceptJob(job.value, { .count = 1, .size = { 1000, 100, 0 } });
+        const auto starts = fixture.take<StartRun>();
+        REQUIRE(starts.size() == 1);
+        const WorkerId worker = starts[0].target.worker;
+        const RunKey run = starts[0].run;
+        fixture.scheduler.startAnswered(fixture.at, worker, run, OrderOutcome::Unanswered);
+        RenewalAnswer answer { .sentAt = fixture.at.now, .born = { 1 }, .clockMs = 1000 };
+        if (isListed) {
+            answer.running.push_back({ .run = run, .percent = 100 });
+            fixture.scheduler.renewalAnswered(fixture.at, worker, false, OrderOutcome::Done,
+                                              &answer);
+        }
+        fixture.scheduler.stopAnswered(fixture.at, worker, run, OrderOutcome::Done);
+        fixture.advance(20s);
+        fixture.report();
+        answer.running.clear();
+        answer.sentAt = fixture.at.now;
+        answer.clockMs = fixture.clockMs() + 1;
+        fixture.scheduler.renewalAnswered(fixture.at, worker, false, OrderOutcome::Done, &answer);
+        const Job *found = fixture.scheduler.jobs().find(job);
+        REQUIRE(found != nullptr);
+        CHECK((found->lastRunOverAt != Timestamp {}) == isListed);
+        (void)fixture.take<StartRun>();
+    }
+}
+
 TEST_CASE("a worker that lists an unreadable end is not asked for its lists without a pause")
 {
     // Nothing acknowledges such an end, and a worker that lists an end answers at once.
