--- a/acaciafork/control/JobCommandRunner.cpp
+++ b/acaciafork/control/JobCommandRunner.cpp
@@ -75,7 +75,9 @@
     if (command.recordedBy == 0)
         order(command);
     else
-        driver.m_unrecordedStarts.emplace(command.recordedBy, command);
+        driver.m_unrecordedStarts.emplace(
+                command.recordedBy,
+                JobDriver::UnrecordedStart { .start = command, .since = at.now });
 }
 
 void JobCommandRunner::order(const jobs::StartRun &command) const
--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -92,6 +92,7 @@
     , m_gapsGivenUp(&counters->counter("gaps_given_up", MetricKind::Gauge))
     , m_commitTime(&counters->histogram("job_commit_seconds"))
     , m_waitTime(&counters->histogram("task_wait_seconds"))
+    , m_startRecordTime(&counters->histogram("start_record_seconds"))
     , m_jobTime(&counters->histogram("job_seconds"))
 { }
 
@@ -558,9 +559,12 @@
     const JobCommandRunner runner { .driver = *this, .at = at };
     const auto [first, last] = m_unrecordedStarts.equal_range(record.batch);
     for (auto it = first; it != last; ++it) {
+        auto &[start, since] = it->second;
         // A tenure that is being renewed gives no more orders.
-        if (!m_isRenewing && m_scheduler.confirmStart(at, &it->second))
-            runner.order(it->second);
+        if (m_isRenewing || !m_scheduler.confirmStart(at, &start))
+            continue;
+        m_startRecordTime->observe(at.now - since);
+        runner.order(start);
     }
     m_unrecordedStarts.erase(first, last);
 }
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -130,8 +130,14 @@
     RecordQueue<jobs::RecordEnds> m_endRecords;
     RecordQueue<jobs::RecordExposures> m_exposureRecords;
     RecordQueue<jobs::RecordWorkers> m_workerRecords;
-    /// Starts that wait for their record, by its batch.
-    std::multimap<std::uint64_t, jobs::StartRun> m_unrecordedStarts;
+    /// Start that waits for its record.
+    struct UnrecordedStart
+    {
+        jobs::StartRun start;
+        Timestamp since;
+    };
+    /// By the batch that records them.
+    std::multimap<std::uint64_t, UnrecordedStart> m_unrecordedStarts;
     /// Submissions that are proposed and not committed, with all that wait for the outcome. A call
     /// that repeats one gets the same answer: a refusal of the repetition would be untrue.
     std::map<std::uint64_t, std::vector<Reply>> m_submissions;
@@ -181,6 +187,7 @@
     Histogram *m_commitTime;
     /// From the moment that a task may start to its start.
     Histogram *m_waitTime;
+    Histogram *m_startRecordTime;
     /// From acceptance to completion.
     Histogram *m_jobTime;
 };
