--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -241,6 +241,8 @@
     // interference.
     bool isOverTooLong = false;
     Timestamp next = Timestamp::max();
+    Timestamp overSince = now;
+    Timestamp maybeOverSince = now;
     for (const RunRef &it : worker->runs) {
         const Run &run = it.get();
         if (run.overTargetSince == Timestamp::max())
@@ -250,6 +252,8 @@
                                        unread + m_settings.maxTimeMaybeOverTarget);
         isOverTooLong = isOverTooLong || (now >= due && run.belowTargetSince == Timestamp::max());
         next = std::min(next, due);
+        overSince = std::min(overSince, run.overTargetSince);
+        maybeOverSince = std::min(maybeOverSince, unread);
     }
     if (!isOverTooLong) {
         if (next != Timestamp::max())
@@ -265,7 +269,11 @@
         orderPace(now, *worker, it, 0);
     }
     if (paused > 0)
-        note("tasks-paused", {}, worker, "tasks=" + std::to_string(paused));
+        note("tasks-paused", {}, worker,
+             "tasks=" + std::to_string(paused) + " over-ms="
+                     + std::to_string((now - overSince) / std::chrono::milliseconds(1))
+                     + " maybe-over-ms="
+                     + std::to_string((now - maybeOverSince) / std::chrono::milliseconds(1)));
     worker->backfillPercent = 0;
     worker->pacedAt = now;
     return true;
