--- a/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerPlacement.cpp
@@ -384,6 +384,7 @@
     std::vector<Step *> steps;
     for (const auto &[rank, step] : m_order.steps()) {
         // With room enough, the next task of a job need not wait anew when the one before has
+<<<<<<< HEAD
         // ended.
         const bool isLimited = m_overdueStarts.isLimited(step->job->pool);
         const Timestamp since = isLimited ? step->waitingSince
@@ -393,6 +394,14 @@
         // worker only.
         if (!isLimited && step->job->isInherited && since <= m_inheritedAdmittedAt)
             overdueAt = std::min(overdueAt, m_inheritedAdmittedAt + usualTriesOnlyFor);
+=======
+        // ended. Nor need a long-running one that has waited until the bound when another of its
+        // step has started.
+        const bool waitsAnew = m_overdueStarts.isLimited(step->job->pool)
+                && !(step->spec->longRunning && step->acceptedInterference > 0);
+        const Timestamp since = waitsAnew ? step->waitingSince
+                                          : std::min(step->waitingSince, step->firstReadySince());
+>>>>>>> turns
         // Urgent steps have been tried in each round.
         if (now < overdueAt || awaitsTakeOver(*step) || step->isUrgent)
             continue;
