--- a/tests/decisions/jobs/ColocationFleet.cpp
+++ b/tests/decisions/jobs/ColocationFleet.cpp
@@ -1325,6 +1325,10 @@
         return OrderOutcome::NoRoom;
     for (const auto &it : m_workers)
         m_result.doubleRuns += it->running.contains(task) ? 1 : 0;
+    // A run may be shorter than the interval of the checks.
+    const TaskKey waiting = spec.longRunning ? task : TaskKey { .job = task.job };
+    m_idleRoomWaits.erase(waiting);
+    m_firstStarts.erase(waiting);
     if (worker->silentSince) {
         ++m_result.startsWhileSilent;
         worker->unseen.insert(task);
