--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -79,7 +79,6 @@
     nodeSettings.jobs.placer.maxReportAge = m_settings.workerContact + m_settings.workerReports
             - nodeSettings.jobs.startTimeout - maxReportDelay;
     nodeSettings.jobs.maxTimeOverTarget = m_settings.tailHarm / 2;
-    nodeSettings.jobs.maxTimeMaybeOverTarget = m_settings.tailHarm * 3 / 4;
     nodeSettings.jobs.promptTakeOver = m_settings.promptTakeOver;
     nodeSettings.jobs.cautiousBackfill = m_settings.cautiousBackfill;
     nodeSettings.jobs.lookAhead = m_settings.lookAhead;
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -75,9 +75,6 @@
     /// long. Half of the time after which it counts as harm, since tail latencies also vary with
     /// their own load.
     Duration maxTimeOverTarget = std::chrono::milliseconds(2000);
-    /// The same, counted from the last reading that was not over the target: readings are far apart
-    /// on workers on which backfill tasks have just started.
-    Duration maxTimeMaybeOverTarget = std::chrono::milliseconds(3000);
     /// A backfill task that has been paused for this long is stopped, to go on elsewhere.
     Duration maxPause = std::chrono::seconds(5);
     /// A worker that ends may take this long to answer with its last lists.
@@ -485,12 +482,8 @@
     void throttleBackfill(Timestamp now, Worker *worker);
     void readTails(Timestamp now, Worker *worker, std::vector<TailReading> *tails);
     /// Updates since when the run's tail latency has exceeded its target.
-    /// @param[in] earliest when it may have begun to, if this reading is the first that shows it
-    static void observeTarget(Timestamp now, Timestamp earliest, std::int64_t targetMs, Run *run);
+    static void observeTarget(Timestamp now, std::int64_t targetMs, Run *run);
     bool pauseIfOverTarget(Timestamp now, Worker *worker);
-    /// When the worker runs both serving and backfill tasks and no list of it is due by that time,
-    /// it is asked for one then.
-    void readTailsBy(Timestamp latest, Timestamp now, Worker *worker) const;
     [[nodiscard]] bool isHarmless(const Worker &worker, const RunRef &run,
                                   std::span<const TailReading> tails) const;
     /// @return true when every task known to interfere is told to stop, and there are some
--- a/acaciafork/decisions/jobs/JobSchedulerTails.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerTails.cpp
@@ -10,8 +10,6 @@
 
 /// Time span that a worker's load readings cover.
 constexpr Duration tailWindow = std::chrono::milliseconds(500);
-/// A list that is due no later than this after it is needed is waited for.
-constexpr Duration renewalSlack = std::chrono::milliseconds(50);
 /// A share that a worker's readings do not show is ordered again after this time: twice the span of
 /// a reading.
 constexpr Duration paceRepeatDelay = 2 * tailWindow;
@@ -35,13 +33,10 @@
 
 } // namespace
 
-void JobScheduler::observeTarget(Timestamp now, Timestamp earliest, std::int64_t targetMs, Run *run)
+void JobScheduler::observeTarget(Timestamp now, std::int64_t targetMs, Run *run)
 {
     if (run->load > targetMs) {
-        if (run->overTargetSince == Timestamp::max()) {
-            run->overTargetSince = now;
-            run->unreadBeforeSince = earliest;
-        }
+        run->overTargetSince = std::min(run->overTargetSince, now);
         run->belowTargetSince = Timestamp::max();
         return;
     }
@@ -58,20 +53,14 @@
     // Readings cover half a second, so the effects of changes within it cannot be separated.
     bool isSteady = now - worker->pacedAt > tailWindow;
     std::vector<BackfillNeighbour> neighbours;
-    Timestamp besideSince = now;
     for (const RunRef &it : worker->runs) {
         if (!it.task.step->spec->fills)
             continue;
-        besideSince = std::min(besideSince, it.get().startedAt);
         isSteady = isSteady && now - it.get().startedAt > tailWindow;
         neighbours.push_back(
                 { .image = it.task.step->spec->image,
                   .share = shareOf(*worker, std::max<std::int64_t>(it.get().load, 0)) });
     }
-    // Lists are far apart where no backfill task ran before.
-    const Timestamp earliest =
-            std::max({ besideSince, worker->tailsReadAt, now - m_settings.renewalWait });
-    worker->tailsReadAt = now;
     std::map<std::string_view, double> worstRatios;
     for (const RunRef &it : worker->runs) {
         const StepSpec &spec = *it.task.step->spec;
@@ -79,7 +68,7 @@
         if (!spec.serves() || run.load < 0 || run.phase != RunPhase::Running)
             continue;
         const std::int64_t targetMs = spec.tailTarget / std::chrono::milliseconds(1);
-        observeTarget(now, earliest, targetMs, &run);
+        observeTarget(now, targetMs, &run);
         const TailReading tail { .image = spec.image, .tailMs = run.load, .targetMs = targetMs };
         tails->push_back(tail);
         const bool wasRecovering = run.isTailRecovering;
@@ -239,27 +228,13 @@
 {
     // A tail latency that stays over its target pauses all backfill tasks, whatever their estimated
     // interference.
-    bool isOverTooLong = false;
-    Timestamp next = Timestamp::max();
-    Timestamp overSince = now;
-    Timestamp maybeOverSince = now;
-    for (const RunRef &it : worker->runs) {
+    const bool isOverTooLong = std::ranges::any_of(worker->runs, [&](const RunRef &it) {
         const Run &run = it.get();
-        if (run.overTargetSince == Timestamp::max())
-            continue;
-        const Timestamp unread = std::min(run.unreadBeforeSince, run.overTargetSince);
-        const Timestamp due = std::min(run.overTargetSince + m_settings.maxTimeOverTarget,
-                                       unread + m_settings.maxTimeMaybeOverTarget);
-        isOverTooLong = isOverTooLong || (now >= due && run.belowTargetSince == Timestamp::max());
-        next = std::min(next, due);
-        overSince = std::min(overSince, run.overTargetSince);
-        maybeOverSince = std::min(maybeOverSince, unread);
-    }
-    if (!isOverTooLong) {
-        if (next != Timestamp::max())
-            readTailsBy(std::max(next, now + tailWindow / 2), now, worker);
+        return run.overTargetSince != Timestamp::max() && run.belowTargetSince == Timestamp::max()
+                && now - run.overTargetSince >= m_settings.maxTimeOverTarget;
+    });
+    if (!isOverTooLong)
         return false;
-    }
     std::size_t paused = 0;
     for (const RunRef &it : worker->runs) {
         Run &run = it.get();
@@ -269,29 +244,12 @@
         orderPace(now, *worker, it, 0);
     }
     if (paused > 0)
-        note("tasks-paused", {}, worker,
-             "tasks=" + std::to_string(paused) + " over-ms="
-                     + std::to_string((now - overSince) / std::chrono::milliseconds(1))
-                     + " maybe-over-ms="
-                     + std::to_string((now - maybeOverSince) / std::chrono::milliseconds(1)));
+        note("tasks-paused", {}, worker, "tasks=" + std::to_string(paused));
     worker->backfillPercent = 0;
     worker->pacedAt = now;
     return true;
 }
 
-void JobScheduler::readTailsBy(Timestamp latest, Timestamp now, Worker *worker) const
-{
-    // Explorations ask for lists by themselves.
-    if (m_settings.cautiousBackfill)
-        return;
-    const bool isMixed = worker->servingMillicores > 0 && worker->backfillMillicores > 0;
-    // Without a renewal in flight, one that waits for no longer than that is sent next.
-    const Timestamp due =
-            worker->renewalInFlight ? worker->renewalWaitsUntil : now + m_settings.mixedRenewalWait;
-    if (isMixed && due > latest + renewalSlack)
-        worker->immediateRenewalAt = std::min(worker->immediateRenewalAt, latest);
-}
-
 bool JobScheduler::isHarmless(const Worker &worker, const RunRef &run,
                               std::span<const TailReading> tails) const
 {
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -242,8 +242,6 @@
     const std::uint64_t cursor =
             worker->isIncarnationConfirmed && isAlone ? worker->recordedEnds : 0;
     (isImmediate ? worker->immediateRenewalCursor : worker->renewalCursor) = cursor;
-    if (!isImmediate)
-        worker->renewalWaitsUntil = now + wait;
     // The lease is not extended for a worker whose clock has not been observed or that runs
     // nothing. Nor is it for a silent worker: any lease that it may hold has to expire before its
     // tasks can run elsewhere. Nor for one that may have runs which can't be read from its lists:
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -73,9 +73,6 @@
     /// Time since which its tail latency has exceeded its target, apart from single readings just
     /// below; Timestamp::max() if it does not.
     Timestamp overTargetSince = Timestamp::max();
-    /// The last reading before that, or the start of the first backfill task beside it: it may have
-    /// exceeded its target since then.
-    Timestamp unreadBeforeSince = Timestamp::max();
     /// Time since which the readings after that are not above the target; Timestamp::max() if the
     /// last one is.
     Timestamp belowTargetSince = Timestamp::max();
--- a/acaciafork/decisions/jobs/WorkerTable.h
+++ b/acaciafork/decisions/jobs/WorkerTable.h
@@ -83,8 +83,6 @@
     Timestamp renewalAt = distantPast();
     Timestamp immediateRenewalAt = Timestamp::max();
     Timestamp lastRenewalSentAt = distantPast();
-    /// Until when the long-polling renewal in flight may wait for a run to end.
-    Timestamp renewalWaitsUntil = distantPast();
     std::uint32_t unansweredRenewals = 0;
     /// @}
 
@@ -127,8 +125,6 @@
     /// A serving task here exceeds its target, by the worker's last list.
     bool isTailInDanger = false;
     Timestamp pacedAt = distantPast();
-    /// When its last list with readings of tail latencies came.
-    Timestamp tailsReadAt = distantPast();
 
     static constexpr Timestamp distantPast() { return timestampFromMicroseconds(INT64_MIN / 4); }
     [[nodiscard]] Size freeCapacity() const
