--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -560,7 +560,7 @@
     const auto [first, last] = m_unrecordedStarts.equal_range(record.batch);
     for (auto it = first; it != last; ++it) {
         auto &[start, since] = it->second;
-        // A tenure that is being renewed gives no more orders.
+        // While the tenure is renewed, nothing may be ordered in the old one.
         if (m_isRenewing || !m_scheduler.confirmStart(at, &start))
             continue;
         m_startRecordTime->observe(at.now - since);
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -203,8 +203,8 @@
     void jobCancelled(Moment at, JobId job);
     void endsRecorded(Moment at, std::uint64_t batch);
     void exposuresRecorded(Moment at, std::uint64_t batch);
-    /// The exposure of a start is recorded. Its lease begins now; a start that is not to be ordered
-    /// any more is taken back.
+    /// The exposure of a start is recorded. Its lease begins now; a start that must not be ordered
+    /// is taken back.
     /// @return true when the order is to be sent
     [[nodiscard]] bool confirmStart(Moment at, StartRun *start);
     void workersRecorded(Moment at, std::span<const WorkerName> names);
@@ -410,7 +410,7 @@
                     std::span<const TrialCandidate> candidates);
     void beginTrial(Timestamp now, TaskRef task, Worker *worker, RunNumber number,
                     PlacementMode mode);
-    /// True while a record of exposures has been awaited for long.
+    /// True while a record of exposures has taken longer than startRecordTimeout.
     [[nodiscard]] bool isRecordOverdue(Timestamp now) const;
     /// Abandons the starts that wait for an overdue record, so that their workers are usable again.
     void abandonOverdueStarts(Timestamp now);
@@ -454,9 +454,9 @@
     /// True while an earlier leader's run of the task may be at work on a worker that has not
     /// answered.
     [[nodiscard]] bool mayRunUnseen(Timestamp now, const Task &task) const;
-    /// Lets the inherited steps start, apart from the tasks that a silent worker may be running.
+    /// Lets inherited tasks start, except those that a silent worker may be running.
     void admitInherited(Timestamp now);
-    /// Admits those of these tasks that no silent worker can be running any more.
+    /// Lets those of the excepted tasks start that no worker can be running.
     void admitSeenTasks(Timestamp now);
     /// Records that the task's runs under earlier leaders are over, on workers whose leases have
     /// lapsed.
@@ -584,7 +584,7 @@
     Tenure m_tenure;
     bool m_isFenced = false;
     bool m_isTakingOver = false;
-    /// Inherited steps may start, apart from the tasks in m_unseenTasks.
+    /// Inherited tasks may start, except those in m_unseenTasks.
     bool m_hasAdmittedInherited = true;
     Timestamp m_tenureBeganAt;
     Timestamp m_inheritedAdmittedAt;
