--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -116,7 +116,7 @@
         self.service, self.cpu, self.mem, self.labels, self.guards = service, cpu, mem, list(labels), guards
         self.born = int(time.time() * 1000)
         self.zero = time.monotonic() - random.uniform(1, 500)
-        self.fence = self.lease = 0
+        self.fence = self.lease = self.lapsed = 0
         self.running, self.stopping, self.ended, self.highest, self.noted, self.lapses = {}, [], [], {}, {}, []
         self.count = self.sequence = 0
         self.up, self.draining = True, False
@@ -359,8 +359,10 @@
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
-            if (self.running or self.stopping) and self.clock() > self.lease:
+            if self.lease and self.lease != self.lapsed and self.clock() > self.lease:
+                self.lapsed = self.lease
                 self.lapses.append(now)
+            if (self.running or self.stopping) and self.clock() > self.lease:
                 runs = list(self.running.values()) + self.stopping
                 self.running, self.stopping = {}, []
                 for it in runs:
