--- a/review/6/case.py
+++ b/review/6/case.py
@@ -83,4 +83,4 @@
         await cluster.stop()
 
 
-sys.exit(asyncio.run(main()))
+run_case(main)
--- a/review/lib-2/stand.py
+++ b/review/lib-2/stand.py
@@ -175,6 +175,16 @@
         return (self.folder / "log.txt").read_text(errors="replace")
 
 
+def run_case(main):
+    """Runs a case and ends with its code, whatever of the stand-ins is still open."""
+    code = 2
+    try:
+        code = asyncio.new_event_loop().run_until_complete(main())
+    finally:
+        sys.stdout.flush()
+        os._exit(code)
+
+
 class Cluster:
     def __init__(self, record, controls=5, entries=2, heartbeat_ms=1100, **bounds):
         self.record, self.controls = record, controls
@@ -201,7 +211,10 @@
                     it.process.kill()
                 except ProcessLookupError:
                     pass
-                await it.process.wait()
+                try:
+                    await asyncio.wait_for(it.process.wait(), 3)
+                except asyncio.TimeoutError:
+                    self.record.note(f"{it.role}-{it.n} was killed; its end was not seen")
         if os.environ.get("KEEP"):
             print(self.folder)
         else:
