--- a/review/8/case.py
+++ b/review/8/case.py
@@ -61,7 +61,7 @@
             record.note("MB used: " + " ".join(f"{it.rss_mb():.0f}" for it in cluster.members))
             await asyncio.sleep(0.5)
         jobs = []
-        while record.now() < 75 and len(jobs) < 12:
+        while record.now() < 55 and len(jobs) < 12:
             jobs.append(await client.submit("/q0/", plain, (0.2, 0.4)))
             await asyncio.sleep(1)
         await asyncio.sleep(3)
