--- a/review/9/case.py
+++ b/review/9/case.py
@@ -22,7 +22,7 @@
             record.note("the group has not formed")
             return 2
         await cluster.order("POST", "/api/Config.Put", config(1, [route("r-0", "a.example", "/q0/", "s1")], [service("s1")]))
-        for n in range(6):
+        for n in range(16):
             await Worker(fleet, cluster, f"i-{n:04d}", f"{cluster.net}.{100 + n}:8080", ZONES[n % 3]).start()
         await asyncio.sleep(2)
         step = {"count": 6, "cpu": 2000, "memMb": 512, "estimateMs": 20000}
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -154,7 +154,8 @@
 
     def report(self):
         self.sequence += 1
-        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
+        left = {"remainingMs": 1000} if self.draining else {}
+        return {**left, "service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
                 "state": "draining" if self.draining else "ready", "coldRemainingMs": 0, "born": self.born,
                 "capacity": {"cpu": self.cpu, "memMb": self.mem, "gpu": 0}, "labels": self.labels,
                 "clockMs": self.clock(), "sequence": self.sequence}
