--- a/acaciafork/consensus/Node.cpp
+++ b/acaciafork/consensus/Node.cpp
@@ -224,6 +224,16 @@
         m_memberships.erase(m_memberships.begin());
 }
 
+Standing Node::standing() const
+{
+    if (m_folderRejected)
+        return Standing::Displaced;
+    const Member *self = membership().find(m_identity.self);
+    if (self == nullptr)
+        return Standing::Outside;
+    return self->voter ? Standing::Voter : Standing::Learner;
+}
+
 NodeStatus Node::status(Timestamp now) const
 {
     NodeStatus status { .role = m_role,
@@ -233,7 +243,7 @@
                         .last = m_log.lastIndex(),
                         .durable = m_durable,
                         .snapshot = m_snapshotIndex,
-                        .displaced = m_folderRejected,
+                        .standing = standing(),
                         .membership = membership(),
                         .committedMembership = membershipAt(m_commit),
                         .members = {},
--- a/acaciafork/consensus/Node.h
+++ b/acaciafork/consensus/Node.h
@@ -133,6 +133,8 @@
     /// Membership of the latest log entry that sets one, committed or not.
     [[nodiscard]] const Membership &membership() const { return m_memberships.back().membership; }
     [[nodiscard]] NodeStatus status(Timestamp now) const;
+    /// Place of this process in the group.
+    [[nodiscard]] Standing standing() const;
 
 private:
     /// Membership set by the entry at `index`.
--- a/acaciafork/consensus/NodeStatus.cpp
+++ b/acaciafork/consensus/NodeStatus.cpp
@@ -19,6 +19,21 @@
     return "unknown";
 }
 
+std::string_view standingName(Standing standing)
+{
+    switch (standing) {
+    case Standing::Voter:
+        return "voter";
+    case Standing::Learner:
+        return "learner";
+    case Standing::Outside:
+        return "outside";
+    case Standing::Displaced:
+        return "displaced";
+    }
+    return "unknown";
+}
+
 namespace {
 
 /// Limits `result` to the redundancy that the group has under `membership`.
--- a/acaciafork/consensus/NodeStatus.h
+++ b/acaciafork/consensus/NodeStatus.h
@@ -14,6 +14,19 @@
 /// Stable lower-case name of a role.
 std::string_view roleName(Role role);
 
+/// Place of a process in the group, by the memberships that it knows.
+enum class Standing : std::uint8_t {
+    Voter,
+    Learner,
+    /// Its latest membership does not name it, or it has none.
+    Outside,
+    /// A committed membership has removed its id, or has given it to another data folder.
+    Displaced
+};
+
+/// Stable lower-case name of a standing.
+std::string_view standingName(Standing standing);
+
 /// State of one member as known to the leader, which is included itself.
 struct MemberStatus
 {
@@ -45,9 +58,8 @@
     LogIndex last = 0;
     LogIndex durable = 0;
     LogIndex snapshot = 0;
-    /// The group does not accept this member's id with its data folder: it must rejoin with a new
-    /// id.
-    bool displaced = false;
+    /// A displaced process must rejoin with a new id and an empty folder.
+    Standing standing = Standing::Outside;
     /// Membership of the latest log entry that sets one, and of the latest committed one.
     Membership membership;
     Membership committedMembership;
--- a/acaciafork/consensus/Replica.cpp
+++ b/acaciafork/consensus/Replica.cpp
@@ -1,5 +1,7 @@
 #include "acaciafork/consensus/Replica.h"
 
+#include <algorithm>
+
 #include "acaciafork/consensus/MessageCodec.h"
 #include "acaciafork/consensus/RecordCodec.h"
 
@@ -83,6 +85,16 @@
     m_nextReplacementCheck = now + replacementCheckInterval;
     const NodeStatus status = m_node.status(now);
     m_counters.faultsTolerated.set(static_cast<std::int64_t>(redundancy(status).faultsTolerated));
+    const auto liveVoters = std::ranges::count_if(
+            status.members, [](const MemberStatus &it) { return it.member.voter && it.live; });
+    const auto voters = std::ranges::count_if(
+            status.members, [](const MemberStatus &it) { return it.member.voter; });
+    m_counters.liveVoters.set(liveVoters);
+    m_counters.lostVoters.set(voters - liveVoters);
+    m_counters.spares.set(static_cast<std::int64_t>(status.spares.size()));
+    const bool isOutside =
+            status.standing == Standing::Outside || status.standing == Standing::Displaced;
+    m_counters.outside.set(isOutside ? 1 : 0);
     const auto command = m_replacement.decide(now, status);
     // A change that is refused now is requested again at a later check.
     if (command && command->spare)
--- a/acaciafork/consensus/ReplicaCounters.h
+++ b/acaciafork/consensus/ReplicaCounters.h
@@ -23,6 +23,10 @@
         , full(registry->counter("consensus_disk_full", MetricKind::Gauge))
         , broken(registry->counter("consensus_disk_broken", MetricKind::Gauge))
         , faultsTolerated(registry->counter("consensus_faults_tolerated", MetricKind::Gauge))
+        , liveVoters(registry->counter("consensus_live_voters", MetricKind::Gauge))
+        , lostVoters(registry->counter("consensus_lost_voters", MetricKind::Gauge))
+        , spares(registry->counter("consensus_spares", MetricKind::Gauge))
+        , outside(registry->counter("consensus_outside", MetricKind::Gauge))
         , syncTime(registry->histogram("consensus_sync_seconds"))
     { }
 
@@ -43,6 +47,13 @@
     Counter &broken;
     /// Computed on the leader only; 0 on other members.
     Counter &faultsTolerated;
+    /// Voters that answer, voters that don't, and processes that could join; 0 on other members
+    /// than the leader.
+    Counter &liveVoters;
+    Counter &lostVoters;
+    Counter &spares;
+    /// 1 while this process is not in the group.
+    Counter &outside;
     /// From the write of a group to the end of its sync.
     Histogram &syncTime;
 };
--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -299,7 +299,7 @@
     if (at.now >= m_nextMembershipLook) {
         m_nextMembershipLook = at.now + membershipLookInterval;
         showMembership();
-        rejoinIfDisplaced(at.now);
+        rejoinIfDisplaced();
     }
     if (m_draining && !m_replica->isLeader())
         m_loop->stop();
@@ -332,7 +332,14 @@
 
 void ControlProcess::showMembership()
 {
-    const consensus::Membership &membership = m_replica->node().membership();
+    const consensus::Node &node = m_replica->node();
+    const consensus::Membership &membership = node.membership();
+    if (const consensus::Standing standing = node.standing(); standing != m_shownStanding) {
+        spdlog::info("event=standing standing={} was={} committed={} last={}",
+                     consensus::standingName(standing), consensus::standingName(m_shownStanding),
+                     node.commitIndex(), node.lastIndex());
+        m_shownStanding = standing;
+    }
     if (membership == m_shownMembership)
         return;
     m_shownMembership = membership;
@@ -343,13 +350,13 @@
                                it.replaces ? fmt::format(":replaces-{}", it.replaces.value) : "");
     }
     spdlog::info("event=membership members={} retired={} term={}", members,
-                 membership.retired.size(), m_replica->node().term());
+                 membership.retired.size(), node.term());
 }
 
-void ControlProcess::rejoinIfDisplaced(Timestamp now)
+void ControlProcess::rejoinIfDisplaced()
 {
     // Another member has taken its place: it comes back as a new one, with nothing remembered.
-    if (m_settings.seeds.empty() || m_isBroken || !m_replica->status(now).node.displaced)
+    if (m_settings.seeds.empty() || m_isBroken || m_replica->node().standing() != consensus::Standing::Displaced)
         return;
     spdlog::warn("event=displaced member={}; rejoining with an empty folder", m_self.value);
     m_isBroken = true;
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -110,7 +110,7 @@
     void noteLag(Timestamp now);
     void endIfBroken();
     void showMembership();
-    void rejoinIfDisplaced(Timestamp now);
+    void rejoinIfDisplaced();
 
     /// Carries a call out here, or passes it to the leader.
     void callApi(const peers::ApiCall &call, const Reply &reply);
@@ -168,6 +168,7 @@
     std::unique_ptr<consensus::Replica> m_replica;
     peers::CallTable m_relays;
     consensus::Membership m_shownMembership;
+    consensus::Standing m_shownStanding = consensus::Standing::Outside;
     Timestamp m_nextMembershipLook;
     bool m_draining = false;
     bool m_isBroken = false;
--- a/tests/consensus/MembershipTest.cpp
+++ b/tests/consensus/MembershipTest.cpp
@@ -135,7 +135,7 @@
     wiped.disk.wipe();
     REQUIRE(wiped.start());
     group.run(seconds(2));
-    CHECK(wiped.replica->status(wiped.clock()).node.displaced);
+    CHECK(wiped.replica->node().standing() == Standing::Displaced);
     CHECK(leaderStatus(&group).redundancy.faultsTolerated == 0);
 
     // The wiped member must not form a majority with the leader, because it has lost the entries
--- a/tests/consensus/Schedule.cpp
+++ b/tests/consensus/Schedule.cpp
@@ -372,7 +372,7 @@
               + " last " + std::to_string(status.last) + " durable "
               + std::to_string(status.durable) + " snapshot " + std::to_string(status.snapshot)
               + " version " + std::to_string(member->state.version())
-              + (status.displaced ? " displaced" : "")
+              + (status.standing == Standing::Displaced ? " displaced" : "")
               + (member->replica->status(member->clock()).broken ? " broken" : "")
               + (member->replica->status(member->clock()).full ? " full" : "") + members);
     }
