--- a/acaciafork/consensus/Consensus.h
+++ b/acaciafork/consensus/Consensus.h
@@ -4,6 +4,7 @@
 /// the replica that combines both.
 
 #include "acaciafork/consensus/AgreementSettings.h"
+#include "acaciafork/consensus/FolderDiscard.h"
 #include "acaciafork/consensus/GroupWriterThread.h"
 #include "acaciafork/consensus/LogFolder.h"
 #include "acaciafork/consensus/Membership.h"
--- a/acaciafork/consensus/Message.h
+++ b/acaciafork/consensus/Message.h
@@ -97,11 +97,17 @@
 struct TimeoutNow
 { };
 
-/// Announces a process that is not in the group. Members answer with the membership.
+/// Announces a process that is not in the group, or can't tell whether it still is. Members answer
+/// with their membership.
 struct Hello
 {
     ZoneName zone;
+    /// Set in an answer only.
     std::optional<Membership> membership;
+    /// The membership is committed, so that no election can undo it.
+    bool committed = false;
+    /// The sender has a membership of its own, so that a group exists.
+    bool hasState = false;
 };
 
 /// One message between two members. It may be lost, duplicated or reordered.
--- a/acaciafork/consensus/MessageCodec.cpp
+++ b/acaciafork/consensus/MessageCodec.cpp
@@ -80,6 +80,8 @@
         hello->set_zone(body.zone.value);
         if (body.membership)
             toWire(*body.membership, hello->mutable_membership());
+        hello->set_committed(body.committed);
+        hello->set_has_state(body.hasState);
     }
 };
 
@@ -240,7 +242,10 @@
         break;
     case Message::kHello: {
         const auto &it = in.hello();
-        Hello hello { .zone = ZoneName { it.zone() }, .membership = {} };
+        Hello hello { .zone = ZoneName { it.zone() },
+                      .membership = {},
+                      .committed = it.committed(),
+                      .hasState = it.has_state() };
         if (it.has_membership())
             hello.membership = fromWire(it.membership());
         message.body = std::move(hello);
--- a/acaciafork/consensus/Node.cpp
+++ b/acaciafork/consensus/Node.cpp
@@ -26,6 +26,7 @@
     ACACIAFORK_ASSERT(m_log.lastIndex() >= m_snapshotIndex);
     m_memberships.push_back({ .index = recovered.snapshot.index,
                               .membership = std::move(recovered.snapshot.membership) });
+    noteCommitted(membership());
     for (LogIndex it = std::max(m_log.baseIndex(), m_snapshotIndex) + 1; it <= m_log.lastIndex();
          ++it)
         pushMembership(m_log.at(it));
@@ -34,12 +35,14 @@
 
 void Node::tick(Timestamp now)
 {
+    if (m_displaced)
+        return;
     if (m_fetch && now >= m_fetch->requestedAt + m_settings.snapshotRetry)
         requestSnapshot(now);
-    if (membership().members.empty()) {
+    if (mayBeOutside(now))
         sendHellos(now);
+    if (membership().members.empty())
         return;
-    }
     if (m_role == Role::Leader) {
         tickLeader(now);
         return;
@@ -47,7 +50,7 @@
     if (now < m_electionDeadline)
         return;
     resetElectionDeadline(now);
-    if (membership().isVoter(m_identity.self) && !m_diskFull && !m_folderRejected)
+    if (membership().isVoter(m_identity.self) && !m_diskFull)
         becomePreCandidate(now);
 }
 
@@ -63,7 +66,8 @@
     if (hasWrongFolder(message))
         return;
     // A removed member that missed its removal keeps requesting votes until it learns of it.
-    if (std::holds_alternative<VoteRequest>(message.body) && membership().isRetired(message.from)) {
+    if (std::holds_alternative<VoteRequest>(message.body)
+        && membershipAt(m_commit).isRetired(message.from)) {
         sendMembership(message.from);
         return;
     }
@@ -226,7 +230,7 @@
 
 Standing Node::standing() const
 {
-    if (m_folderRejected)
+    if (m_displaced)
         return Standing::Displaced;
     const Member *self = membership().find(m_identity.self);
     if (self == nullptr)
--- a/acaciafork/consensus/Node.h
+++ b/acaciafork/consensus/Node.h
@@ -193,6 +193,8 @@
     void sendAcknowledgement();
     void refuseAppend(Timestamp sentAt, ProcessId to, LogIndex prevIndex);
     void sendMembership(ProcessId to);
+    void noteCommitted(const Membership &committed);
+    [[nodiscard]] bool mayBeOutside(Timestamp now) const;
     void requestSnapshot(Timestamp now);
 
     LogPosition appendAsLeader(EntryKind kind, std::string payload);
@@ -253,12 +255,14 @@
     Timestamp m_electionDeadline;
     bool m_forced = false;
     std::set<ProcessId> m_votes;
-    /// The group does not accept this member: its id is retired or belongs to another folder.
-    bool m_folderRejected = false;
+    /// A committed membership has retired this member's id or gives it to another folder.
+    bool m_displaced = false;
     /// Another process has reported an existing group, so this one must not form a new group.
     bool m_groupExists = false;
-    /// Processes that get a Hello while this one is not in the group.
+    /// Processes that get a Hello while this one is not in the group, and the members that the last
+    /// answer named.
     std::vector<ProcessId> m_contacts;
+    std::vector<ProcessId> m_answeredMembers;
 
     /// Follower state: last entry known to match the leader's log, and the pending reply.
     LogIndex m_matched = 0;
--- a/acaciafork/consensus/NodeMembership.cpp
+++ b/acaciafork/consensus/NodeMembership.cpp
@@ -10,6 +10,8 @@
 
 /// Maximum number of processes outside the group that are remembered.
 constexpr std::size_t maxHelloSenders = 64;
+/// Maximum number of processes that get a Hello besides the members known.
+constexpr std::size_t maxContacts = 64;
 /// How long the log is still replicated to a removed member, so that it learns of its removal.
 constexpr Duration removedMemberRetention = std::chrono::seconds(2);
 
@@ -188,6 +190,25 @@
         if (it != m_identity.self && std::ranges::find(m_contacts, it) == m_contacts.end())
             m_contacts.push_back(it);
     }
+    if (m_contacts.size() > maxContacts)
+        m_contacts.erase(m_contacts.begin(), m_contacts.end() - maxContacts);
+}
+
+bool Node::mayBeOutside(Timestamp now) const
+{
+    // A latest membership that names this process proves nothing while no leader is heard: it may
+    // be uncommitted and undone, or all its members may have been replaced.
+    return m_role != Role::Leader
+            && (membership().find(m_identity.self) == nullptr
+                || now - m_heardLeaderAt > m_settings.helloSilence);
+}
+
+void Node::noteCommitted(const Membership &committed)
+{
+    // Ids are never reused and a member keeps its folder, so later memberships say the same.
+    const Member *self = committed.find(m_identity.self);
+    const bool otherFolder = self != nullptr && self->folder != m_folder;
+    m_displaced = m_displaced || otherFolder || committed.isRetired(m_identity.self);
 }
 
 void Node::sendHellos(Timestamp now)
@@ -196,12 +217,21 @@
         return;
     m_nextHello = now + m_settings.helloInterval;
     std::set<ProcessId> contacts(m_contacts.begin(), m_contacts.end());
+    contacts.insert(m_answeredMembers.begin(), m_answeredMembers.end());
     for (const Member &it : m_identity.initialMembers)
         contacts.insert(it.id);
+    for (const Member &it : membership().members)
+        contacts.insert(it.id);
     contacts.erase(m_identity.self);
+    const bool hasState = !membership().members.empty();
     for (const ProcessId it : contacts)
-        send(it, 0, Hello { .zone = m_identity.zone, .membership = {} });
-    formGroup(now);
+        send(it, 0,
+             Hello { .zone = m_identity.zone,
+                     .membership = {},
+                     .committed = false,
+                     .hasState = hasState });
+    if (!hasState)
+        formGroup(now);
 }
 
 void Node::formGroup(Timestamp now)
@@ -236,29 +266,35 @@
 
 void Node::sendMembership(ProcessId to)
 {
-    send(to, 0, Hello { .zone = m_identity.zone, .membership = membership() });
+    // Only a committed membership may displace the receiver: an election can undo any other. After
+    // a restart the snapshot's is the latest that is known to be committed.
+    const Membership &committed = membershipAt(m_commit);
+    const bool isKnown = !committed.members.empty();
+    send(to, 0,
+         Hello { .zone = m_identity.zone,
+                 .membership = isKnown ? committed : membership(),
+                 .committed = isKnown,
+                 .hasState = true });
 }
 
 void Node::onHello(Timestamp now, const Message &message, const Hello &hello)
 {
+    m_groupExists = m_groupExists || hello.hasState || hello.membership;
     if (hello.membership) {
-        // A member answered with the membership: check whether this member and its folder are in
-        // it.
-        const Member *self = hello.membership->find(m_identity.self);
-        const bool otherFolder = self != nullptr && self->folder != m_folder;
-        m_folderRejected =
-                m_folderRejected || otherFolder || hello.membership->isRetired(m_identity.self);
-        m_groupExists = true;
-        m_contacts.clear();
+        if (hello.committed)
+            noteCommitted(*hello.membership);
+        m_answeredMembers.clear();
         for (const Member &it : hello.membership->members)
-            m_contacts.push_back(it.id);
+            m_answeredMembers.push_back(it.id);
         return;
     }
 
-    if (m_helloSenders.size() < maxHelloSenders || m_helloSenders.contains(message.from))
-        m_helloSenders[message.from] = {
-            .id = message.from, .zone = hello.zone, .folder = message.fromFolder, .lastHeardAt = now
-        };
+    if (m_helloSenders.size() >= maxHelloSenders && !m_helloSenders.contains(message.from))
+        m_helloSenders.erase(std::ranges::min_element(
+                m_helloSenders, {}, [](const auto &it) { return it.second.lastHeardAt; }));
+    m_helloSenders[message.from] = {
+        .id = message.from, .zone = hello.zone, .folder = message.fromFolder, .lastHeardAt = now
+    };
     if (!membership().members.empty())
         sendMembership(message.from);
 }
--- a/acaciafork/consensus/NodeReplication.cpp
+++ b/acaciafork/consensus/NodeReplication.cpp
@@ -249,15 +249,17 @@
 void Node::commitTo(LogIndex index)
 {
     index = std::min(index, m_log.lastIndex());
-    if (m_role != Role::Leader) {
-        m_commit = std::max(m_commit, index);
-        return;
-    }
-    while (m_commit < index) {
+    const LogIndex before = m_commit;
+    while (m_role == Role::Leader && m_commit < index) {
         ++m_commit;
         if (m_commit >= m_termStart)
             m_uncommittedBytes -= m_log.at(m_commit).size();
     }
+    m_commit = std::max(m_commit, index);
+    for (const MembershipAt &it : m_memberships) {
+        if (it.index > before && it.index <= m_commit)
+            noteCommitted(it.membership);
+    }
 }
 
 bool Node::committedInTerm() const
--- a/acaciafork/consensus/NodeSettings.h
+++ b/acaciafork/consensus/NodeSettings.h
@@ -44,6 +44,8 @@
 
     /// Interval between Hello messages of a process that is not in a group yet.
     Duration helloInterval = std::chrono::milliseconds(200);
+    /// A member that has not heard from a leader for so long asks by Hello whether it was removed.
+    Duration helloSilence = std::chrono::milliseconds(1200);
     /// How long a follower may take to send a learner its snapshot before the leader sends it.
     Duration followerSnapshotTimeout = std::chrono::seconds(10);
     /// Learners fetch their snapshot from a follower instead of the leader.
--- a/acaciafork/consensus/NodeSnapshot.cpp
+++ b/acaciafork/consensus/NodeSnapshot.cpp
@@ -141,6 +141,7 @@
     std::erase_if(m_memberships, [&](const MembershipAt &it) { return it.index <= meta.index; });
     m_memberships.insert(m_memberships.begin(),
                          { .index = meta.index, .membership = meta.membership });
+    noteCommitted(meta.membership);
     m_commit = meta.index;
     m_applied = meta.index;
     m_snapshotIndex = meta.index;
--- a/acaciafork/consensus/Replica.cpp
+++ b/acaciafork/consensus/Replica.cpp
@@ -110,7 +110,8 @@
         m_counters.messagesRefused.add();
         return message.error();
     }
-    if (!m_folder->broken())
+    // A displaced process waits for the end of its writes; the group needs nothing of it.
+    if (!m_folder->broken() && m_node.standing() != Standing::Displaced)
         m_node.receive(now, std::move(*message));
     return {};
 }
--- a/acaciafork/consensus/Replica.h
+++ b/acaciafork/consensus/Replica.h
@@ -120,6 +120,9 @@
     [[nodiscard]] std::int64_t syncs() const { return m_counters.groupCommits.value; }
     [[nodiscard]] Duration syncTime() const { return m_syncTime; }
 
+    /// True while the writer has a group of writes of this replica.
+    [[nodiscard]] bool isWriting() const { return m_isWriting; }
+
     /// The underlying node, for tests and benchmarks.
     [[nodiscard]] const Node &node() const { return m_node; }
 
--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -9,8 +9,8 @@
 
 /// Pause between two looks for a change of the membership, for the log.
 constexpr Duration membershipLookInterval = std::chrono::milliseconds(100);
-/// File that says that the folder was emptied by its own process, which must not found a cluster.
-constexpr std::string_view rejoinMarker = "rejoin";
+/// Pause before a displaced member that could not mark its folder tries again.
+constexpr Duration rejoinRetry = std::chrono::seconds(1);
 /// How much older than the leader knows a worker's report may be: it may come through another
 /// member.
 constexpr Duration maxReportDelay = std::chrono::milliseconds(200);
@@ -61,14 +61,39 @@
 
 Result<void> ControlProcess::start()
 {
-    std::string token;
     if (!m_settings.tokenFile.empty()) {
-        BOOST_LEAF_ASSIGN(token, readFile(m_settings.tokenFile));
+        BOOST_LEAF_ASSIGN(m_token, readFile(m_settings.tokenFile));
     }
+    BOOST_LEAF_CHECK(listenPeers());
+    BOOST_LEAF_CHECK(listenOperators());
+    BOOST_LEAF_AUTO(seeds, peers::seedPeers(m_settings));
+    BOOST_LEAF_CHECK(openMember(std::move(seeds)));
+    BOOST_LEAF_CHECK(connectPeers());
+
+    // Writes are synced beside the loop. The turn that a sync wakes takes its outcome at its end.
+    m_loop->watchReadable(m_writer.descriptor(), [] {});
+    m_loop->every(tickInterval, [this] { tick(); });
+    m_loop->onTurnEnd([this] { endTurn(); });
+    m_timeline->record(net::Loop::wallMicroseconds(), EventKind::ProcessStarted, "control");
+    spdlog::info("event=started role=control id={} operators={} peers={}", m_self.value,
+                 m_operatorsAddress, m_peersAddress);
+    return {};
+}
+
+Result<void> ControlProcess::openMember(std::vector<std::string> seeds)
+{
     BOOST_LEAF_CHECK(openFolder());
     m_timeline =
             std::make_unique<Timeline>(m_self, static_cast<std::size_t>(m_settings.timelineEvents));
-    BOOST_LEAF_CHECK(listenPeers());
+    m_link = std::make_unique<peers::PeerLink>(
+            peers::PeerIdentity { .process = self(),
+                                  .incarnation = m_incarnation,
+                                  .cluster = m_settings.cluster,
+                                  .cell = { static_cast<std::uint32_t>(m_settings.cell) },
+                                  .address = m_peersAddress },
+            m_timeline.get(), &m_counters,
+            [this](ProcessId to, std::span<const std::byte> bytes) { m_messages.send(to, bytes); },
+            [this](const wire::Envelope &envelope) { onMessage(envelope); });
 
     ControlNodeSettings nodeSettings { .cell = { static_cast<std::uint32_t>(m_settings.cell) },
                                        .entries = { .lease = m_settings.configLease } };
@@ -109,12 +134,9 @@
     m_views->setZones(m_settings.zoneNames);
     m_views->setStatus([this] { return m_replica->status(net::Loop::now()); });
     m_api = std::make_unique<operators::OperatorApi>(
-            operators::tokenDigest(operators::trimmedToken(token)), m_node->state(), *m_views);
+            operators::tokenDigest(operators::trimmedToken(m_token)), m_node->state(), *m_views);
 
     BOOST_LEAF_CHECK(openReplica());
-    BOOST_LEAF_CHECK(connectPeers());
-    BOOST_LEAF_CHECK(listenOperators());
-    BOOST_LEAF_AUTO(seeds, peers::seedPeers(m_settings));
     m_finder = std::make_unique<peers::MemberFinder>(
             peers::DirectoryIdentity { .self = self(),
                                        .address = m_peersAddress,
@@ -124,31 +146,33 @@
                                        .zone = m_settings.zone },
             std::move(seeds), &m_messages, m_link.get());
     m_views->setMemberAddress(self(), { .peers = m_peersAddress, .operators = m_operatorsAddress });
-
-    // Writes are synced beside the loop. The turn that a sync wakes takes its outcome at its end.
-    m_loop->watchReadable(m_writer.descriptor(), [] {});
-    m_loop->every(tickInterval, [this] { tick(); });
-    m_loop->onTurnEnd([this] { endTurn(); });
-    m_timeline->record(net::Loop::wallMicroseconds(), EventKind::ProcessStarted, "control");
-    spdlog::info("event=started role=control id={} operators={} peers={}", m_self.value,
-                 m_operatorsAddress, m_peersAddress);
     return {};
 }
 
+void ControlProcess::closeMember()
+{
+    for (const auto &[process, member] : m_finder->directory().members())
+        m_messages.removePeer(process);
+    m_heardAt.clear();
+    m_reports.Clear();
+    m_finder.reset();
+    m_replica.reset();
+    m_api.reset();
+    m_router.reset();
+    m_views.reset();
+    m_node.reset();
+    m_link.reset();
+    m_timeline.reset();
+}
+
 Result<void> ControlProcess::listenPeers()
 {
     BOOST_LEAF_AUTO(address, net::parseAddress(m_settings.listenPeers));
     BOOST_LEAF_ASSIGN(address.port, m_messages.listen(address));
     m_peersAddress = address.toString();
-    m_link = std::make_unique<peers::PeerLink>(
-            peers::PeerIdentity { .process = self(),
-                                  .incarnation = m_incarnation,
-                                  .cluster = m_settings.cluster,
-                                  .cell = { static_cast<std::uint32_t>(m_settings.cell) },
-                                  .address = m_peersAddress },
-            m_timeline.get(), &m_counters,
-            [this](ProcessId to, std::span<const std::byte> bytes) { m_messages.send(to, bytes); },
-            [this](const wire::Envelope &envelope) { onMessage(envelope); });
+    m_messages.onMessage([this](std::span<const std::byte> bytes) {
+        m_link->receive(bytes, net::Loop::wallMicroseconds());
+    });
     return {};
 }
 
@@ -158,9 +182,9 @@
     m_self = { static_cast<std::uint32_t>(m_settings.id) };
     if (m_self)
         return {};
-    BOOST_LEAF_AUTO(names, m_folder->list());
-    m_mayFound = m_settings.mayFound
-            && std::find(names.begin(), names.end(), rejoinMarker) == names.end();
+    BOOST_LEAF_CHECK(consensus::finishDiscard(m_folder.get()));
+    BOOST_LEAF_AUTO(wasDiscarded, consensus::wasDiscarded(m_folder.get()));
+    m_mayFound = m_settings.mayFound && !wasDiscarded;
 
     // A member keeps the number that its folder was formatted with.
     BOOST_LEAF_AUTO(member, consensus::LogFolder::readMember(m_folder.get()));
@@ -191,9 +215,6 @@
     BOOST_LEAF_ASSIGN(
             m_replica,
             consensus::Replica::open(net::Loop::now(), std::move(settings), m_folder.get(), this));
-    m_messages.onMessage([this](std::span<const std::byte> bytes) {
-        m_link->receive(bytes, net::Loop::wallMicroseconds());
-    });
     return {};
 }
 
@@ -282,6 +303,8 @@
 
 void ControlProcess::tick()
 {
+    if (m_isBroken)
+        return;
     const Moment at = moment();
     noteLag(at.now);
     m_load.logIfDue(at.now, m_replica->isLeader(), m_replica->syncs(), m_replica->syncTime(),
@@ -299,7 +322,7 @@
     if (at.now >= m_nextMembershipLook) {
         m_nextMembershipLook = at.now + membershipLookInterval;
         showMembership();
-        rejoinIfDisplaced();
+        rejoinIfDisplaced(at.now);
     }
     if (m_draining && !m_replica->isLeader())
         m_loop->stop();
@@ -353,29 +376,49 @@
                  membership.retired.size(), node.term());
 }
 
-void ControlProcess::rejoinIfDisplaced()
+void ControlProcess::rejoinIfDisplaced(Timestamp now)
 {
-    // Another member has taken its place: it comes back as a new one, with nothing remembered.
-    if (m_settings.seeds.empty() || m_isBroken || m_replica->node().standing() != consensus::Standing::Displaced)
+    // Without seeds the id comes from the settings, so only an operator can give a new one.
+    const bool isDue = now >= m_nextRejoin && !m_settings.seeds.empty()
+            && m_replica->node().standing() == consensus::Standing::Displaced;
+    if (!isDue || m_isBroken || m_draining || m_replica->isLeader() || m_replica->isWriting())
         return;
-    spdlog::warn("event=displaced member={}; rejoining with an empty folder", m_self.value);
-    m_isBroken = true;
+    const ProcessId was = m_self;
+    spdlog::warn("event=displaced member={}; rejoining with an empty folder", was.value);
     leaf::try_handle_all(
             [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(marker, m_folder->openFile(std::string(rejoinMarker)));
-                BOOST_LEAF_CHECK(marker->sync());
-                BOOST_LEAF_AUTO(names, m_folder->list());
-                for (const std::string &it : names) {
-                    if (it != rejoinMarker)
-                        BOOST_LEAF_CHECK(m_folder->remove(it));
-                }
-                return m_folder->sync();
+                BOOST_LEAF_CHECK(consensus::beginDiscard(m_folder.get()));
+                rejoin();
+                return {};
             },
             [&](const Failure &failure) {
                 spdlog::error("event=rejoin-failed detail=\"{}\"", failure.detail);
+                m_nextRejoin = now + rejoinRetry;
             },
-            [] { spdlog::error("event=rejoin-failed"); });
-    m_loop->stop();
+            [&] {
+                spdlog::error("event=rejoin-failed");
+                m_nextRejoin = now + rejoinRetry;
+            });
+}
+
+void ControlProcess::rejoin()
+{
+    const ProcessId was = m_self;
+    std::vector<std::string> seeds = m_finder->directory().seeds();
+    closeMember();
+    const auto end = [this](std::string_view detail) {
+        spdlog::error("event=rejoin-failed detail=\"{}\"", detail);
+        m_isBroken = true;
+        m_loop->stop();
+    };
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_CHECK(openMember(std::move(seeds)));
+                spdlog::info("event=rejoined member={} was={}", m_self.value, was.value);
+                return {};
+            },
+            [&](const Failure &failure) { end(failure.detail); },
+            [&] { end("unexpected failure"); });
 }
 
 void ControlProcess::endIfBroken()
--- a/acaciafork/control/ControlProcess.h
+++ b/acaciafork/control/ControlProcess.h
@@ -97,6 +97,9 @@
     void readReady(consensus::ReadTicket ticket, bool ready) override;
 
     [[nodiscard]] ProcessId self() const { return m_self; }
+    /// Opens the data folder and all that is made for the member whose id it holds.
+    Result<void> openMember(std::vector<std::string> seeds);
+    void closeMember();
     Result<void> openFolder();
     Result<void> openReplica();
     void findMembers();
@@ -110,7 +113,10 @@
     void noteLag(Timestamp now);
     void endIfBroken();
     void showMembership();
-    void rejoinIfDisplaced();
+    /// Comes back as a new member once the group has displaced this one. The sockets stay open, so
+    /// that callers see no more than a follower without state.
+    void rejoinIfDisplaced(Timestamp now);
+    void rejoin();
 
     /// Carries a call out here, or passes it to the leader.
     void callApi(const peers::ApiCall &call, const Reply &reply);
@@ -137,6 +143,7 @@
     ControlSettings m_settings;
     ProcessId m_self;
     bool m_mayFound = false;
+    std::string m_token;
     WorkerOrders *m_orders = nullptr;
     PlacementAdvisor *m_advisor = nullptr;
     std::string m_controlAddress;
@@ -170,6 +177,7 @@
     consensus::Membership m_shownMembership;
     consensus::Standing m_shownStanding = consensus::Standing::Outside;
     Timestamp m_nextMembershipLook;
+    Timestamp m_nextRejoin;
     bool m_draining = false;
     bool m_isBroken = false;
     Counter *m_committed;
--- a/acaciafork/control/ControlProcessWorkers.cpp
+++ b/acaciafork/control/ControlProcessWorkers.cpp
@@ -119,6 +119,8 @@
 
 void ControlProcess::endTurn()
 {
+    if (m_isBroken)
+        return;
     const Moment at = moment();
     m_router->beginTurn(at);
     m_node->turnEnded(at);
--- a/tests/consensus/Group.cpp
+++ b/tests/consensus/Group.cpp
@@ -209,6 +209,10 @@
     while (!m_packets.empty() && m_packets.begin()->first <= m_now) {
         const Packet packet = std::move(m_packets.begin()->second);
         m_packets.erase(m_packets.begin());
+        if (isFrozen(packet.to)) {
+            m_packets.emplace(m_frozenUntil.at(packet.to), packet);
+            continue;
+        }
         GroupMember &to = *m_members.at(packet.to);
         if (to.running() && !to.replica->receive(to.clock(), packet.bytes))
             reportViolation("a message could not be parsed");
@@ -217,16 +221,39 @@
     for (const ProcessId it : before)
         m_interruptedReads += after.contains(it) ? 0 : 1;
     for (auto &[id, member] : m_members) {
-        if (!member->running())
+        if (!member->running() || isFrozen(id))
             continue;
         member->replica->tick(member->clock());
         member->replica->flush(member->clock());
         if (member->disk.poweredOff())
             member->crash();
     }
+    if (m_settings.rejoins)
+        rejoinDisplaced();
     checkLeases();
 }
 
+bool Group::isFrozen(ProcessId id) const
+{
+    const auto found = m_frozenUntil.find(id);
+    return found != m_frozenUntil.end() && m_now < found->second;
+}
+
+void Group::rejoinDisplaced()
+{
+    std::size_t rejoining = 0;
+    for (auto &[id, member] : m_members) {
+        if (!member->running() || member->replica->isWriting()
+            || member->replica->node().standing() != Standing::Displaced)
+            continue;
+        member->crash();
+        member->disk.wipe();
+        ++rejoining;
+    }
+    for (; rejoining > 0; --rejoining)
+        addProcess();
+}
+
 void Group::checkLeases()
 {
     // The leases of two leaders must never overlap.
--- a/tests/consensus/Group.h
+++ b/tests/consensus/Group.h
@@ -41,6 +41,8 @@
     Duration maxWriteDelay {};
     /// Maximum deviation of a clock's rate from real time, in parts per thousand.
     std::int64_t clockRateSpread = 4;
+    /// A displaced process comes back under a new id with an empty folder.
+    bool rejoins = false;
     /// Clock rates of the first members, used instead of random ones.
     std::vector<double> clockRates;
 };
@@ -128,6 +130,9 @@
     /// Adds a process with an empty disk; it knows the initial members.
     GroupMember &addProcess();
 
+    /// Lets a process stand still; what is sent to it arrives when it goes on.
+    void freeze(ProcessId id, Duration length) { m_frozenUntil[id] = m_now + length; }
+
     /// Drops all messages from one member to another.
     void cut(ProcessId from, ProcessId to) { m_cuts.emplace(from, to); }
     /// Drops all messages between a member and all others.
@@ -166,6 +171,8 @@
     };
 
     void post(ProcessId from, ProcessId to, std::string bytes);
+    [[nodiscard]] bool isFrozen(ProcessId id) const;
+    void rejoinDisplaced();
     void checkLeases();
     void checkLeader(GroupMember &member);
     void checkApplied(const GroupMember &member, const LogPosition &position,
@@ -178,6 +185,7 @@
     std::map<ProcessId, std::unique_ptr<GroupMember>> m_members;
     std::multimap<Timestamp, Packet> m_packets;
     std::set<std::pair<ProcessId, ProcessId>> m_cuts;
+    std::map<ProcessId, Timestamp> m_frozenUntil;
     std::map<Term, ProcessId> m_leaders;
     std::map<LogIndex, Applied> m_applied;
     std::uint64_t m_bytesSent = 0;
--- a/tests/consensus/Schedule.cpp
+++ b/tests/consensus/Schedule.cpp
@@ -1,5 +1,6 @@
 #include "Schedule.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace acaciafork::consensus {
@@ -107,7 +108,7 @@
 void Schedule::injectFault()
 {
     GroupMember *member = anyMember();
-    switch (randomBelow(11)) {
+    switch (randomBelow(12)) {
     case 0:
     case 1:
         if (member->running())
@@ -142,6 +143,10 @@
     case 9:
         changeMembers();
         break;
+    case 10:
+        trace("freeze " + std::to_string(member->id.value));
+        m_group.freeze(member->id, std::chrono::milliseconds(randomBelow(3000)));
+        break;
     default:
         if (randomBelow(3) == 0)
             loseFolder();
@@ -354,7 +359,7 @@
                     && (m_lostFolders.contains(it.id)
                         || (member.running() && member.state.version() == leader->state.version()));
         }
-        if (equal && m_group.now() > m_clientsEnd) {
+        if (equal && m_group.now() > m_clientsEnd && isEveryProcessPlaced(*leader)) {
             m_group.checkLogs();
             checkAcknowledged(*leader);
             return;
@@ -379,6 +384,22 @@
     m_group.reportViolation("the group did not recover within the time limit");
 }
 
+bool Schedule::isEveryProcessPlaced(const GroupMember &leader)
+{
+    const NodeStatus status = leader.replica->status(leader.clock()).node;
+    return std::ranges::all_of(m_group.members(), [&](const auto &it) {
+        const auto &[id, member] = it;
+        if (!member->running())
+            return false;
+        if (member->replica->node().standing() == Standing::Displaced
+            || status.membership.find(id) != nullptr)
+            return true;
+        const auto spare = std::ranges::find(status.spares, id, &Spare::id);
+        return spare != status.spares.end()
+                && leader.clock() - spare->lastHeardAt < std::chrono::seconds(2);
+    });
+}
+
 void Schedule::checkAcknowledged(const GroupMember &leader)
 {
     for (const auto &[id, outcome] : m_acknowledged) {
--- a/tests/consensus/Schedule.h
+++ b/tests/consensus/Schedule.h
@@ -75,6 +75,8 @@
     GroupMember *anyLeader();
     GroupMember *anyMember();
     void recoverAndCheck();
+    /// Each process is a member, a spare that the leader hears, or knows that it is displaced.
+    bool isEveryProcessPlaced(const GroupMember &leader);
     void checkAcknowledged(const GroupMember &leader);
     std::uint64_t randomBelow(std::uint64_t most);
     void trace(const std::string &text);
