--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -223,7 +223,7 @@
     if (!m_isActive)
         return;
     m_scheduler.tick(at);
-    answerEndingWorkers();
+    answerEndingWorkers(at.now);
     answerWaitingCalls(at.now);
 
     // What could not be proposed, as while the disk is full, is proposed again.
@@ -536,10 +536,10 @@
         m_leaving.emplace(report.life.name, reply);
 }
 
-void JobDriver::answerEndingWorkers()
+void JobDriver::answerEndingWorkers(Timestamp now)
 {
     for (auto it = m_ending.begin(); it != m_ending.end();) {
-        if (m_scheduler.isLeaving(it->first)) {
+        if (m_scheduler.isLeaving(now, it->first)) {
             ++it;
             continue;
         }
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -101,7 +101,7 @@
     void submit(Moment at, const wire::Queue &queue, std::uint64_t id, const wire::JobCall &call,
                 const Reply &reply);
     /// Answers the workers that the scheduler has let go.
-    void answerEndingWorkers();
+    void answerEndingWorkers(Timestamp now);
     void answerSubmission(std::uint64_t id, const peers::ApiAnswer &answer);
     void tell(std::uint64_t id, const Reply &reply) const;
     /// Answers a call for the state of a job now, or within the given wait if the job is about to
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -77,7 +77,7 @@
     Duration maxTimeOverTarget = std::chrono::milliseconds(2000);
     /// A backfill task that has been paused for this long is stopped, to go on elsewhere.
     Duration maxPause = std::chrono::seconds(5);
-    /// A worker that ends may take this long to answer with its last lists.
+    /// A worker that ends is asked to wait this long for its runs to be stopped.
     Duration leaveTimeout = std::chrono::milliseconds(600);
     /// A worker without a valid lease is forgotten after this time of silence.
     Duration forgetAfter = std::chrono::seconds(8);
@@ -215,12 +215,13 @@
     /// @name Workers
     /// @{
     void workerReported(Moment at, const WorkerReport &report);
-    /// A worker has said that it ends. Its lists are asked for once more, since its latest run ends
-    /// may not be known.
+    /// A worker has said that it ends. It may work on until it is told that it may, and for seconds
+    /// after that. So its runs are stopped, and their tasks wait for the ends that it lists, or for
+    /// the end of its lease.
     /// @return true when the worker may end now; else it may once isLeaving() is false
     bool workerLeft(Moment at, const WorkerName &name, Incarnation born);
-    /// True while the last lists of a worker that has said that it ends are awaited.
-    [[nodiscard]] bool isLeaving(const WorkerName &name) const;
+    /// True while a worker that has said that it ends should wait for its runs to be stopped.
+    [[nodiscard]] bool isLeaving(Timestamp now, const WorkerName &name) const;
     void startAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome);
     void stopAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome);
     /// @param[in] answer null unless the outcome is Done
@@ -510,6 +511,9 @@
     void limitHarmfulRuns(Timestamp now, Worker *worker);
     void raisePercent(Timestamp now, Worker *worker);
     /// @}
+    /// True when a worker that has said that it ends surely runs nothing any more.
+    [[nodiscard]] bool hasLeft(Timestamp now, const Worker &worker) const;
+    void stopLeaving(Timestamp now, const Worker &worker);
     void removeLeft(Timestamp now, Worker *worker);
     /// Stops the long-running tasks of a draining worker; those that exceed their budget are tried
     /// again while it drains.
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -145,29 +145,53 @@
     Worker *worker = m_workers.find(name);
     if (worker == nullptr || (born && worker->life.born != born))
         return true;
-    if (worker->runs.empty() || !worker->isRecorded || worker->unansweredRenewals > 0
-        || m_isFenced) {
+    // A leader after this one knows more than this one.
+    if (m_isFenced)
+        return true;
+    worker->life.draining = true;
+    if (worker->leftAt == Timestamp::max()) {
+        note("worker-leaving", {}, worker, "runs=" + std::to_string(worker->runs.size()));
+        worker->leftAt = at.now;
+        stopLeaving(at.now, *worker);
+    }
+    if (hasLeft(at.now, *worker)) {
         removeLeft(at.now, worker);
         return true;
     }
-    worker->life.draining = true;
-    worker->leftAt = std::min(worker->leftAt, at.now);
     worker->immediateRenewalAt = at.now;
     renewIfDue(at.now, worker);
-    return false;
+    return !isLeaving(at.now, name);
 }
 
-bool JobScheduler::isLeaving(const WorkerName &name) const
+bool JobScheduler::isLeaving(Timestamp now, const WorkerName &name) const
 {
     const Worker *worker = m_workers.find(name);
-    return worker != nullptr && worker->leftAt != Timestamp::max();
+    return worker != nullptr && worker->leftAt != Timestamp::max()
+            && worker->unansweredRenewals == 0 && now - worker->leftAt < m_settings.leaveTimeout;
+}
+
+bool JobScheduler::hasLeft(Timestamp now, const Worker &worker) const
+{
+    // Without the answer to its message the worker works on for seconds, so that only the ends of
+    // its runs and the end of its lease count.
+    const bool mayHideRuns = worker.isRecorded && !worker.isKnown;
+    return worker.leftAt != Timestamp::max() && worker.runs.empty()
+            && (!mayHideRuns || now >= worker.lease.expiresAt());
+}
+
+void JobScheduler::stopLeaving(Timestamp now, const Worker &worker)
+{
+    const std::vector<RunRef> runs = worker.runs;
+    for (const RunRef &it : runs) {
+        if (it.get().phase != RunPhase::Stopping)
+            requestStop(now, it, "worker-leaving");
+    }
 }
 
 void JobScheduler::removeLeft(Timestamp now, Worker *worker)
 {
-    note("worker-left", {}, worker, "runs=" + std::to_string(worker->runs.size()));
+    note("worker-left", {}, worker, {});
     clearOldExposures(now, worker);
-    markRunsLost(now, worker, "left");
     m_removedWorkers.push_back(worker->life.name);
     m_workers.remove(worker->id);
 }
@@ -249,8 +273,9 @@
     // answered yet.
     const bool mayHideRuns = !worker->isKnown && worker->hasUnreadableRows;
     const bool hasAnswered = worker->isKnown || worker->isIncarnationConfirmed;
+    const bool isLeaving = worker->leftAt != Timestamp::max();
     const bool renews = worker->lease.isKnown() && hasAnswered && !worker->runs.empty()
-            && worker->unansweredRenewals == 0 && !mayHideRuns;
+            && worker->unansweredRenewals == 0 && !mayHideRuns && !isLeaving;
     m_commands.emplace_back(
             RenewWorkerLease { .target = targetOf(*worker),
                                .recordedEnds = cursor,
@@ -294,8 +319,6 @@
         worker->renewalAt = now + m_settings.retryDelay;
         if (wasImmediate)
             worker->immediateRenewalAt = now + m_settings.retryDelay;
-        if (wasImmediate && worker->leftAt <= now)
-            removeLeft(now, worker);
         return;
     }
     if (answer->born && answer->born > worker->life.born) {
@@ -349,10 +372,13 @@
     worker->isKnown = worker->isKnown || (!answer->hasMore && !hasUnknownRuns);
     if (worker->hasUnreadableRows)
         worker->renewalAt = now + m_settings.retryDelay;
-    if (answer->sentAt >= worker->leftAt && !answer->hasMore) {
+    if (hasLeft(now, *worker)) {
         removeLeft(now, worker);
         return;
     }
+    // Runs of earlier leaders that the list has shown.
+    if (worker->leftAt != Timestamp::max())
+        stopLeaving(now, *worker);
     throttleBackfill(now, worker);
     m_placementDue = true;
     renewIfDue(now, worker);
@@ -480,15 +506,15 @@
     std::vector<WorkerId> forgotten;
     std::vector<Worker *> left;
     for (const auto &[id, worker] : m_workers.all()) {
-        if (worker->leftAt != Timestamp::max() && now - worker->leftAt >= m_settings.leaveTimeout) {
-            left.push_back(worker.get());
-            continue;
-        }
         const bool hasExpired = now >= worker->lease.expiresAt();
         if (hasExpired && !worker->runs.empty()) {
             markRunsLost(now, worker.get(), "lapsed");
             worker->isKnown = false;
         }
+        if (hasLeft(now, *worker)) {
+            left.push_back(worker.get());
+            continue;
+        }
         for (const RunRef &it : worker->runs) {
             Run &run = it.get();
             if (run.phase == RunPhase::Stopping && !run.stopConfirmed && !run.stopInFlight
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -573,6 +573,17 @@
                          });
 }
 
+void JobWorld::leaveUnanswered(std::size_t i, Duration length)
+{
+    FakeWorker &worker = *m_workers[i];
+    worker.isMute = true;
+    m_driver->workerLeft(moment(), { worker.name }, { worker.born }, [](const auto &) {});
+    at(m_now + length, [this, i, born = worker.born] {
+        if (m_workers[i]->born == born && m_workers[i]->isUp)
+            crash(i);
+    });
+}
+
 // ---- orders
 
 FakeWorker *JobWorld::find(const WorkerName &name)
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -135,6 +135,9 @@
     void drain(std::size_t worker);
     /// The worker says that it goes, and goes once that is acknowledged.
     void leave(std::size_t worker);
+    /// The worker says that it goes, the answer is lost, and it goes after `length`. It reports
+    /// nothing more.
+    void leaveUnanswered(std::size_t worker, Duration length);
     /// A relay dies with all that it was about to do; it comes back knowing nothing.
     void crashRelay(std::size_t relay);
     void reviveRelay(std::size_t relay);
