--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -378,8 +378,8 @@
 
 void ControlProcess::rejoinIfDisplaced(Timestamp now)
 {
-    // Without seeds the id comes from the settings, so only an operator can give a new one.
-    const bool isDue = now >= m_nextRejoin && !m_settings.seeds.empty()
+    // An id of the settings was retired for good, so only an operator can give a new one.
+    const bool isDue = now >= m_nextRejoin && m_settings.id == 0
             && m_replica->node().standing() == consensus::Standing::Displaced;
     if (!isDue || m_isBroken || m_draining || m_replica->isLeader() || m_replica->isWriting())
         return;
