--- a/acaciafork/consensus/FolderDiscard.cpp
+++ b/acaciafork/consensus/FolderDiscard.cpp
@@ -40,7 +40,7 @@
         if (it != rejoinMarker && it != discardMarker)
             BOOST_LEAF_CHECK(files->remove(it));
     }
-    // The mark goes last: it must not be lost before the files that it marks.
+    // Removed last: a crash must not leave files in a folder without the mark.
     BOOST_LEAF_CHECK(files->sync());
     BOOST_LEAF_CHECK(files->remove(discardMarker));
     return files->sync();
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -145,7 +145,7 @@
     Worker *worker = m_workers.find(name);
     if (worker == nullptr || (born && worker->life.born != born))
         return true;
-    // A leader after this one knows more than this one.
+    // The later leader decides.
     if (m_isFenced)
         return true;
     worker->life.draining = true;
--- a/tests/consensus/StandingTest.cpp
+++ b/tests/consensus/StandingTest.cpp
@@ -246,7 +246,7 @@
     GroupMember &founder = group.member(1);
     founder.crash();
     founder.disk.wipe();
-    // The two others can't elect a leader, so that they ask around themselves.
+    // The two others can't elect a leader, so they send Hellos.
     group.cut(ProcessId { 2 }, ProcessId { 3 });
     group.cut(ProcessId { 3 }, ProcessId { 2 });
     group.run(seconds(3));
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -328,7 +328,7 @@
     world.leave(0);
     world.run(1s);
     CHECK_FALSE(world.worker(0).isUp);
-    // Its runs may be at work until its lease is over, which only it knows to be sooner.
+    // Its tasks start elsewhere once its lease has expired.
     world.run(8s);
     CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
     CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
