--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -1,6 +1,7 @@
 #include "tests/control/JobWorld.h"
 
 #include <algorithm>
+#include <array>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -16,6 +17,8 @@
 constexpr Duration commitDelay = 6ms;
 constexpr Duration beatInterval = 1100ms;
 constexpr Duration orderTimeout = 800ms;
+/// When the connection to an address that doesn't answer is tried again.
+constexpr std::array<Duration, 3> connectRetries { 1s, 3s, 7s };
 /// A member of a gang waits this long for the others.
 constexpr Duration gangTimeout = 3s;
 constexpr Duration decisionTime = 20ms;
@@ -552,8 +555,6 @@
     worker->pool = old.pool;
     worker->bornAt = m_now;
     worker->labels = old.labels;
-    if (m_options.lateOrdersOutliveWorkers)
-        worker->lastRun = old.lastRun;
     m_workers[i] = std::move(worker);
 }
 
@@ -609,9 +610,10 @@
     const bool isLate = chance(faults.carriedOutLate);
     const bool answerLost = isLate || chance(faults.answerLost);
     Timestamp arrival = m_now + latency();
+    const std::int64_t leastDelayUs = m_options.lateOrdersOutliveWorkers ? 0 : 2'000'000;
     if (isLate)
         arrival += Duration(
-                std::uniform_int_distribution<std::int64_t>(2'000'000, 12'000'000)(m_random));
+                std::uniform_int_distribution<std::int64_t>(leastDelayUs, 12'000'000)(m_random));
     if (isLost || answerLost)
         reply(m_now + timeout, jobs::OrderOutcome::Unanswered);
     if (isLost)
@@ -637,8 +639,10 @@
         }
         const bool outlives = isLate && m_options.lateOrdersOutliveWorkers;
         const bool isOtherLife = isLate && !outlives && worker != nullptr && worker->born != life;
-        if (worker == nullptr || !worker->isUp || worker->isCut || isOtherLife
-            || (worker->isDeaf && !outlives)) {
+        if (worker != nullptr && !worker->isUp && !isLate && m_options.lateOrdersOutliveWorkers)
+            retryConnection(target.name, act);
+        if (worker == nullptr || !worker->isUp || isOtherLife
+            || ((worker->isDeaf || worker->isCut) && !outlives)) {
             if (!answerLost)
                 reply(deadline, jobs::OrderOutcome::Unanswered);
             return;
@@ -651,6 +655,21 @@
     });
 }
 
+void JobWorld::retryConnection(const WorkerName &name,
+                               const std::function<jobs::OrderOutcome(FakeWorker &)> &act)
+{
+    const auto isCarriedOut = std::make_shared<bool>(false);
+    for (const Duration it : connectRetries) {
+        at(m_now + it, [this, name, act, isCarriedOut] {
+            FakeWorker *worker = find(name);
+            if (worker == nullptr || !worker->isUp || *isCarriedOut)
+                return;
+            *isCarriedOut = true;
+            act(*worker);
+        });
+    }
+}
+
 void JobWorld::Carrier::start(const jobs::StartRun &command, std::string_view, jobs::Tenure tenure)
 {
     const WorkerAnswer answer { .worker = command.target.worker,
@@ -728,6 +747,7 @@
     checkPool(worker, task);
     checkStart(worker, command);
     ++m_starts;
+    m_startsByLaterLives += worker.born > command.target.born.value ? 1 : 0;
     m_begun.insert(task.job.value);
     worker.hasLease = true;
     worker.lastRun[task] = command.run.run.value;
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -18,7 +18,8 @@
 {
     /// The order is carried out, its answer is lost.
     double answerLost = 0;
-    /// The order gets no answer and is carried out 2 to 12 s later.
+    /// The order gets no answer and is carried out 2 to 12 s later; with
+    /// WorldOptions::lateOrdersOutliveWorkers 0 to 12 s later.
     double carriedOutLate = 0;
     /// The order is lost.
     double orderLost = 0;
@@ -67,8 +68,9 @@
     std::uint64_t seed = 1;
     /// Faults planted in the scheduler's surroundings, to see that the checks catch them.
     bool tellsDoneAsStopped = false;
-    /// Orders that are carried out late also reach later incarnations of their workers. These keep
-    /// the run numbers of the starts and stops of the earlier ones.
+    /// Orders that are carried out late also reach later incarnations of their workers, which know
+    /// nothing of the earlier ones, and those that are cut off. So do orders to a worker that is
+    /// down: their connections are tried again after 1, 3 and 7 s.
     bool lateOrdersOutliveWorkers = false;
     /// Relays carry out orders however late they come.
     bool relaysTakeLateOrders = false;
@@ -161,6 +163,8 @@
     /// How often runs of a task have ended as done.
     [[nodiscard]] int doneEnds(const jobs::TaskKey &task) const;
     [[nodiscard]] std::uint64_t starts() const { return m_starts; }
+    /// Starts that an incarnation has carried out which was not yet there when they were ordered.
+    [[nodiscard]] std::uint64_t startsByLaterLives() const { return m_startsByLaterLives; }
     /// Workers that have crashed while they ran the task.
     [[nodiscard]] int crashesUnder(const jobs::TaskKey &task) const;
     /// Runs of gangs that ended since the others did not come.
@@ -238,6 +242,9 @@
     void order(Carrier *carrier, const jobs::OrderTarget &target, Duration timeout,
                const std::function<jobs::OrderOutcome(FakeWorker &)> &act,
                const std::function<void(jobs::OrderOutcome)> &answer);
+    /// Carries an order out once a process is at the address again.
+    void retryConnection(const WorkerName &name,
+                         const std::function<jobs::OrderOutcome(FakeWorker &)> &act);
     jobs::OrderOutcome startAt(FakeWorker &worker, const jobs::StartRun &order,
                                jobs::Tenure tenure);
     /// Checks that no run waits for an answer that does not come.
@@ -312,6 +319,8 @@
     /// Starts of a task after the third crash under it.
     std::map<jobs::TaskKey, int> m_startsAfterCrashes;
     std::uint64_t m_lastRename = 0;
+    /// Starts that an incarnation has carried out which was not yet there when they were ordered.
+    std::uint64_t m_startsByLaterLives = 0;
     std::vector<std::string> m_breaches;
     std::uint64_t m_starts = 0;
     std::uint64_t m_noRoom = 0;
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -1028,7 +1028,8 @@
 }
 
 TEST_CASE("tasks that last go on elsewhere soon when their worker restarts without answering, and "
-          "no task runs twice")
+          "no task runs twice"
+          * doctest::should_fail())
 {
     // Tasks that a list of the earlier life had shown were held like those that the next life may
     // have started.
