--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -118,9 +118,13 @@
         it.get().startDeadlineMs = INT64_MAX;
     worker->lease = {};
     // No order is carried out later than maxOrderDelay, however often the worker restarts.
-    const Timestamp lastBegin = worker->leaseOrderedAt + m_settings.maxOrderDelay;
-    worker->lease.assumeGranted(std::min(now, lastBegin + m_settings.maxLease - m_settings.lease),
-                                m_settings.lease);
+    worker->lease.assumeGranted(std::min(now, worker->leaseOrderedAt + m_settings.maxOrderDelay),
+                                m_settings.maxLease);
+    ++worker->lifeNumber;
+    worker->isFenced = false;
+    // Answers to orders for the earlier incarnation are dropped.
+    worker->renewalInFlight = false;
+    worker->immediateRenewalInFlight = false;
     worker->strayRunsUntil = Worker::distantPast();
     worker->seenEnds = 0;
     worker->recordedEnds = 0;
@@ -137,6 +141,7 @@
     worker->isTailInDanger = false;
     worker->leftAt = Timestamp::max();
     worker->immediateRenewalAt = now;
+    loseEarlierRuns(now, worker);
     recordWorker(worker);
 }
 
@@ -333,6 +338,14 @@
                      + " ended=" + std::to_string(answer->ended.size()));
     worker->unansweredRenewals = 0;
     worker->isIncarnationConfirmed = true;
+    if (!worker->isFenced) {
+        // An order for an earlier incarnation names a time on another clock. The lease that it
+        // brought is limited only by the longest one that workers accept.
+        worker->isFenced = true;
+        worker->lease.assumeGranted(now, m_settings.maxLease);
+    }
+    if (!answer->hasMore && answer->unreadableRows == 0)
+        worker->listedAt = std::max(worker->listedAt, answer->sentAt);
     worker->lastHeardAt = now;
     worker->renewalAt = now;
     worker->lease.observe(now, answer->clockMs);
@@ -398,14 +411,15 @@
                                                   .reason = task ? "superseded" : "not-ours" });
                 continue;
             }
-            findRun(task, row.run.run).get().listedBy = answer.born;
+            if (answer.born)
+                noteStartedBy(now, findRun(task, row.run.run), answer.born);
             continue;
         }
         Run &run = ref.get();
         // Also where the answer to its start was lost and it is being stopped.
         noteRun(task);
         if (answer.born)
-            run.listedBy = answer.born;
+            noteStartedBy(now, ref, answer.born);
         if (run.phase == RunPhase::Recording || run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
             startConfirmed(now, worker, ref);
@@ -482,8 +496,8 @@
 {
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
-        const Incarnation listedBy = it.get().listedBy;
-        if (listedBy && listedBy < worker->life.born)
+        const Incarnation startedBy = it.get().startedBy;
+        if (startedBy && startedBy < worker->life.born)
             loseRun(now, worker, it, "reborn");
     }
 }
@@ -491,8 +505,10 @@
 void JobScheduler::loseUnlisted(Timestamp now, Worker *worker, const RunRef &ref)
 {
     note("run-lost", ref.key(), worker, "reason=unlisted");
-    clearExposure(now, ref.task, ref.get().number);
-    markOver(now, ref.task, ref.get().number);
+    if (!isLate(now, ref.get())) {
+        clearExposure(now, ref.task, ref.get().number);
+        markOver(now, ref.task, ref.get().number);
+    }
     ++m_counts.lost;
     const TaskRef task = ref.task;
     releaseRun(now, ref);
@@ -508,6 +524,7 @@
     for (const auto &[id, worker] : m_workers.all()) {
         const bool hasExpired = now >= worker->lease.expiresAt();
         if (hasExpired && !worker->runs.empty()) {
+            expectLateStarts(*worker);
             markRunsLost(now, worker.get(), "lapsed");
             worker->isKnown = false;
         }
@@ -584,23 +601,29 @@
             const auto mayRun = [&](const CrashExposure &exposure) {
                 return !exposure.isOver && m_workers.find(exposure.worker) != nullptr;
             };
-            task.mayRunUnseen = !task.done && std::ranges::any_of(task.crashes.exposures(), mayRun);
+            inheritLateStarts(&task, step);
+            task.mayRunUnseen = !task.done
+                    && (!task.lateStarts.empty()
+                        || std::ranges::any_of(task.crashes.exposures(), mayRun));
             if (task.mayRunUnseen)
                 m_unseenTasks.push_back(step.key(it));
         }
     }
 }
 
-bool JobScheduler::mayRunUnseen(Timestamp now, const Task &task) const
+bool JobScheduler::mayRunUnseen(Timestamp now, const TaskRef &ref)
 {
-    return std::ranges::any_of(task.crashes.exposures(), [&](const CrashExposure &it) {
-        const Worker *worker = m_workers.find(it.worker);
-        if (it.isOver || it.run.value > firstRunNumber() || worker == nullptr)
-            return false;
-        if (worker->isKnown)
-            return it.born == worker->life.born && now < worker->stoppedRunsUntil;
-        return now < std::min(worker->lease.expiresAt(), m_earlierLeases.expiresAt());
-    });
+    const Task &task = ref.get();
+    endLateStarts(now, ref);
+    return !task.lateStarts.empty()
+            || std::ranges::any_of(task.crashes.exposures(), [&](const CrashExposure &it) {
+                   const Worker *worker = m_workers.find(it.worker);
+                   if (it.isOver || it.run.value > firstRunNumber() || worker == nullptr)
+                       return false;
+                   if (worker->isKnown)
+                       return it.born == worker->life.born && now < worker->stoppedRunsUntil;
+                   return now < std::min(worker->lease.expiresAt(), m_earlierLeases.expiresAt());
+               });
 }
 
 void JobScheduler::admitInherited(Timestamp now)
@@ -628,8 +651,8 @@
         const TaskRef ref = m_jobs.find(it);
         if (!ref || !ref.get().mayRunUnseen)
             return true;
-        if (mayRunUnseen(now, ref.get()))
-            return false;
+        if (mayRunUnseen(now, ref))
+            return startWhereLate(now, ref);
         ref.get().mayRunUnseen = false;
         endLapsedExposures(now, ref);
         requeue(now, ref);
