--- a/acaciafork/control/JobCodec.cpp
+++ b/acaciafork/control/JobCodec.cpp
@@ -178,16 +178,15 @@
              .hasCrashed = exposure.crashed(),
              .hasSurvived = exposure.survived(),
              .isOver = exposure.over(),
-             .isConfirmed = exposure.confirmed(),
              .blame = exposure.blame() };
 }
 
 wire::RecordCrashExposures toState(const jobs::RecordExposures &exposures)
 {
-    static constexpr std::array<wire::CrashExposureChange, 6> changes {
-        wire::CRASH_EXPOSURE_CHANGE_OPENED,  wire::CRASH_EXPOSURE_CHANGE_CRASHED,
+    static constexpr std::array<wire::CrashExposureChange, 5> changes {
+        wire::CRASH_EXPOSURE_CHANGE_OPENED, wire::CRASH_EXPOSURE_CHANGE_CRASHED,
         wire::CRASH_EXPOSURE_CHANGE_CLEARED, wire::CRASH_EXPOSURE_CHANGE_SURVIVED,
-        wire::CRASH_EXPOSURE_CHANGE_OVER,    wire::CRASH_EXPOSURE_CHANGE_CONFIRMED
+        wire::CRASH_EXPOSURE_CHANGE_OVER
     };
     wire::RecordCrashExposures record;
     for (const jobs::ExposureRecord &it : exposures.records) {
@@ -206,7 +205,6 @@
         exposure->set_blame(it.exposure.blame);
         exposure->set_survived(it.exposure.hasSurvived);
         exposure->set_over(it.exposure.isOver);
-        exposure->set_confirmed(it.exposure.isConfirmed);
     }
     return record;
 }
--- a/acaciafork/control/JobPorts.h
+++ b/acaciafork/control/JobPorts.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,10 +19,6 @@
     jobs::OrderOutcome outcome = jobs::OrderOutcome::Unanswered;
     /// Number of the order at a relay, see jobs::OrderTarget.
     std::uint64_t order = 0;
-    /// Incarnation for which the order was meant, see jobs::OrderTarget.
-    std::uint32_t life = 0;
-    /// The worker's clock in its answer to a start, if it was given.
-    std::optional<std::int64_t> clockMs;
 };
 
 /// Gets the answers to orders, each once.
--- a/acaciafork/control/OrderCodec.cpp
+++ b/acaciafork/control/OrderCodec.cpp
@@ -12,7 +12,6 @@
     message->set_name(target.name.value);
     message->set_born(target.born.value);
     message->set_address(target.address);
-    message->set_life(target.life);
 }
 
 jobs::OrderTarget decodeTarget(const wire::WorkerOrder &message)
@@ -21,7 +20,6 @@
              .name = { message.name() },
              .born = { message.born() },
              .address = message.address(),
-             .life = message.life(),
              .order = message.number() };
 }
 
--- a/acaciafork/control/OrderRelay.cpp
+++ b/acaciafork/control/OrderRelay.cpp
@@ -105,8 +105,6 @@
     wire::WorkerAnswer *message = answers->add_answers();
     message->set_number(answer.order);
     message->set_outcome(static_cast<std::uint32_t>(answer.outcome));
-    if (answer.clockMs)
-        message->set_clock_ms(*answer.clockMs);
     return message;
 }
 
--- a/acaciafork/control/OrderRouter.cpp
+++ b/acaciafork/control/OrderRouter.cpp
@@ -55,16 +55,15 @@
 void OrderRouter::track(Kind kind, ProcessId relay, const jobs::OrderTarget &target,
                         jobs::Tenure tenure, const jobs::RunKey &run, Duration timeout)
 {
-    m_outstanding.emplace(target.order,
-                          Outstanding { .kind = kind,
-                                        .relay = relay,
-                                        .answer = { .worker = target.worker,
-                                                    .tenure = tenure,
-                                                    .order = target.order,
-                                                    .life = target.life },
-                                        .run = run,
-                                        .sentAt = m_now,
-                                        .deadline = m_now + timeout + relayMargin });
+    m_outstanding.emplace(
+            target.order,
+            Outstanding {
+                    .kind = kind,
+                    .relay = relay,
+                    .answer = { .worker = target.worker, .tenure = tenure, .order = target.order },
+                    .run = run,
+                    .sentAt = m_now,
+                    .deadline = m_now + timeout + relayMargin });
 }
 
 // ---- orders
@@ -192,10 +191,7 @@
                     outcome = jobs::OrderOutcome::Unanswered;
                 },
                 [&] { outcome = jobs::OrderOutcome::Unanswered; });
-        Outstanding order = node.mapped();
-        if (it.has_clock_ms())
-            order.answer.clockMs = it.clock_ms();
-        settle(at, order, outcome, &lists);
+        settle(at, node.mapped(), outcome, &lists);
     }
 }
 
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -97,8 +97,6 @@
     m_scheduledOccurrences.clear();
     m_durations.clear();
     m_unseenTasks.clear();
-    m_startRetries.clear();
-    m_startedRuns.clear();
     m_ends.clear();
     m_endedExposures.clear();
     m_batchWorkers.clear();
@@ -322,10 +320,6 @@
     if (task.done || task.isReady || task.hasRun() || task.mayRunUnseen || !step->mayStart()
         || step->job->phase != JobPhase::Active)
         return;
-    if (!task.lateStarts.empty()) {
-        holdBack(now, ref);
-        return;
-    }
     // Fewer attempts may be allowed now than when its last run started.
     if (hasUsedAttempts(ref) && !awaitsTakeOver(*step)) {
         giveUpJob(now, ref, nullptr, {});
@@ -490,7 +484,6 @@
     startDueOccurrences(at);
     for (const auto &[id, worker] : m_workers.all())
         renewIfDue(at.now, worker.get());
-    retryStarts(at.now);
     if (at.now < m_nextSlowCheck)
         return;
     m_nextSlowCheck = at.now + slowCheckInterval;
@@ -500,7 +493,6 @@
     checkDrainingWorkers(at.now);
     abandonOverdueStarts(at.now);
     checkTakeover(at.now);
-    recordConfirmedStarts(at.now);
     startSpeculativeCopies(at.now);
     m_backfillDemand.update(m_order, m_workers);
     m_turns.update(at.now, m_order);
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -131,10 +129,6 @@
     std::uint64_t failed = 0;
     std::uint64_t lost = 0;
     std::uint64_t unanswered = 0;
-    /// Starts that were ordered again after they got no answer, and tasks that were held back since
-    /// such a start might still be carried out.
-    std::uint64_t startRetries = 0;
-    std::uint64_t heldTasks = 0;
     std::uint64_t refused = 0;
     std::uint64_t copies = 0;
     /// Workers that ended without notice, and the most runs of one task that were lost with their
@@ -228,9 +222,7 @@
     bool workerLeft(Moment at, const WorkerName &name, Incarnation born);
     /// True while a worker that has said that it ends should wait for its runs to be stopped.
     [[nodiscard]] bool isLeaving(Timestamp now, const WorkerName &name) const;
-    /// @param[in] clockMs the worker's clock in its answer; none if the answer has no reading
-    void startAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome,
-                       std::optional<std::int64_t> clockMs = {});
+    void startAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome);
     void stopAnswered(Moment at, WorkerId worker, const RunKey &run, OrderOutcome outcome);
     /// @param[in] answer null unless the outcome is Done
     void renewalAnswered(Moment at, WorkerId worker, bool wasImmediate, OrderOutcome outcome,
@@ -251,8 +243,6 @@
 
     /// @name Views
     /// @{
-    /// True for an order to an incarnation of the worker before the known one.
-    [[nodiscard]] bool isEarlierLife(WorkerId worker, std::uint32_t life) const;
     /// True when all tasks that a job has left run, or when its end is being recorded.
     /// @param[in] job accepted, and active in the replicated state
     [[nodiscard]] bool isAboutToEnd(JobId job) const;
@@ -399,46 +389,9 @@
     void clearOldExposures(Timestamp now, Worker *worker);
     /// True for a run that no list has shown: where its worker has crashed, the next incarnation
     /// may have carried out the order, or may do so.
-    [[nodiscard]] bool mayRunInNextLife(Timestamp now, const RunRef &run) const;
-
-    /// @name Late starts
-    /// An order that got no answer may be carried out seconds later, by any incarnation of its
-    /// worker: each of them is addressed by the same name, and knows nothing of the one before. So
-    /// a task is held back while a run of it may be at work or may yet begin at a worker that shows
-    /// no list.
-    /// @{
-    /// Until when an order of the run's start may still be carried out.
-    [[nodiscard]] Timestamp mayStartUntil(const Run &run) const;
-    [[nodiscard]] bool isLate(Timestamp now, const Run &run) const
-    {
-        return now < mayStartUntil(run);
-    }
-    [[nodiscard]] static bool hasLateStart(const TaskRef &task, RunNumber run);
-    /// Keeps the start of a run that leaves the table, if it may still be carried out.
-    void keepLateStart(Timestamp now, const Worker &worker, const RunRef &run);
-    /// The runs of which it is not known which incarnation has carried out the start may be at one
-    /// that has not been heard of.
-    void expectLateStarts(const Worker &worker) const;
-    /// Takes over what earlier leaders may have ordered without an answer.
-    void inheritLateStarts(Task *task, const Step &step) const;
-    /// Removes the late starts that are certainly over.
-    void endLateStarts(Timestamp now, const TaskRef &task);
-    void holdBack(Timestamp now, const TaskRef &task);
-    /// Starts a task that is held back at the worker that its late starts were sent to, if it can
-    /// run there now: that worker refuses them.
-    /// @return true when it has a run
-    bool startWhereLate(Timestamp now, const TaskRef &task);
-    /// The clock in the answer to a start tells whether the known incarnation has carried it out.
-    void noteStartedBy(Timestamp now, Worker *worker, const RunRef &run,
-                       std::optional<std::int64_t> clockMs);
-    void noteStartedBy(Timestamp now, const RunRef &run, Incarnation incarnation);
-    /// Records which starts have been carried out, of runs that last.
-    void recordConfirmedStarts(Timestamp now);
-    /// True if a start without an answer is to be ordered again. Its worker does that once, and
-    /// confirms a run that is there already.
-    [[nodiscard]] bool mayRetryStart(const Worker &worker, const RunRef &run) const;
-    void retryStarts(Timestamp now);
-    /// @}
+    [[nodiscard]] static bool mayRunInNextLife(const RunRef &run);
+    /// True for a run whose start is not confirmed: its order may still be on its way.
+    [[nodiscard]] static bool mayStartLate(const RunRef &run);
     /// Takes back the exposure of a run that has not been ordered after all.
     void undoExposure(const RunRef &run);
     void recordExposure(Timestamp now, const TaskKey &task, ExposureChange change,
@@ -501,7 +454,7 @@
     void noteUnseenRuns(Job *job);
     /// True while an earlier leader's run of the task may be at work on a worker that has not
     /// answered.
-    [[nodiscard]] bool mayRunUnseen(Timestamp now, const TaskRef &task);
+    [[nodiscard]] bool mayRunUnseen(Timestamp now, const Task &task) const;
     /// Lets inherited tasks start, except those that a silent worker may be running.
     void admitInherited(Timestamp now);
     /// Lets those of the excepted tasks start that no worker can be running.
@@ -639,10 +592,6 @@
     bool m_hasAdmittedInherited = true;
     Timestamp m_tenureBeganAt;
     Timestamp m_inheritedAdmittedAt;
-    /// Runs whose start got no answer and is to be ordered again.
-    std::vector<RunKey> m_startRetries;
-    /// Runs whose start is to be recorded as carried out, and when that became known.
-    std::deque<std::pair<RunKey, Timestamp>> m_startedRuns;
     /// Tasks with Task::mayRunUnseen, and some that had it.
     std::vector<TaskKey> m_unseenTasks;
     /// The leases that late orders of earlier leaders may bring to workers.
--- a/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerCrashes.cpp
@@ -50,14 +50,21 @@
         }
         if (exposure->isTrial || it.startedAt >= suspectedFrom)
             countCrash(now, task, *exposure, exposure->isTrial ? trialBlame : 0);
-        else if (!mayRunInNextLife(now, run))
+        else if (!mayRunInNextLife(run))
             clearExposure(now, task, it.run.run);
     }
 }
 
-bool JobScheduler::mayRunInNextLife(Timestamp now, const RunRef &ref) const
+bool JobScheduler::mayRunInNextLife(const RunRef &ref)
 {
-    return !ref.task || !ref.get().startedBy || isLate(now, ref.get());
+    return !ref.task || !ref.get().listedBy;
+}
+
+bool JobScheduler::mayStartLate(const RunRef &ref)
+{
+    // A confirmed stop says nothing about the start.
+    return !ref.get().listedBy
+            && (ref.get().confirmedAt == Timestamp {} || ref.get().stopConfirmed);
 }
 
 void JobScheduler::noteSilence(Timestamp now, Worker *worker)
@@ -69,12 +76,7 @@
 
 void JobScheduler::retireWorker(Timestamp now, Worker *worker)
 {
-    // Its process is over, so nothing of it runs and no lease has to be waited for. The process
-    // that is at its address now has another name and refuses its orders.
-    for (const RunRef &it : worker->runs) {
-        it.get().startInFlight = false;
-        it.get().mayStartUntil = Worker::distantPast();
-    }
+    // Its process is over, so nothing of it runs and no lease has to be waited for.
     markRunsLost(now, worker, "crashed");
     worker->lease = {};
     worker->isRecorded = false;
@@ -113,7 +115,7 @@
     crashed.hasCrashed = true;
     crashed.blame = blame;
     const RunRef run = findRun(ref, exposure.run);
-    crashed.isOver = crashed.isOver || !mayRunInNextLife(now, run);
+    crashed.isOver = crashed.isOver || !mayRunInNextLife(run);
     *task.crashes.find(exposure.run) = crashed;
     recordExposure(now, ref.key(), ExposureChange::Crashed, crashed);
     const std::string counts = "crashes=" + std::to_string(task.crashes.crashes())
@@ -161,7 +163,7 @@
 {
     if (ref.get().phase == RunPhase::Recording)
         clearExposure(now, ref.task, ref.get().number);
-    else if (!isLate(now, ref.get()))
+    else if (!mayStartLate(ref))
         markOver(now, ref.task, ref.get().number);
 }
 
@@ -185,8 +187,7 @@
         if (!worker->hasCrashed && now < worker->stoppedRunsUntil
             && it.run.run.value <= firstRunNumber())
             return false;
-        if (task && !hasLateStart(task, it.run.run)
-            && !(worker->hasCrashed && mayRunInNextLife(now, run)))
+        if (task && !(worker->hasCrashed && mayRunInNextLife(run)))
             clearExposure(now, task, it.run.run);
         return true;
     });
@@ -427,7 +428,6 @@
     }
     run.phase = RunPhase::Starting;
     run.startedAt = at.now;
-    run.startInFlight = true;
     run.startDeadlineMs = worker->grantLease(at.now, m_settings.lease);
     start->leaseEndMs = run.startDeadlineMs;
     return true;
--- a/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerRuns.cpp
@@ -32,8 +32,7 @@
              .name = worker.life.name,
              .born = worker.life.born,
              .address = worker.life.address,
-             .zone = worker.life.zone,
-             .life = worker.lifeNumber };
+             .zone = worker.life.zone };
 }
 
 std::uint64_t JobScheduler::firstRunNumber() const
@@ -103,7 +102,6 @@
     ACACIAFORK_ASSERT(!m_closedZones.isClosed(worker->life.zone));
     run.phase = recordedBy == 0 ? RunPhase::Starting : RunPhase::Recording;
     run.startedAt = now;
-    run.startInFlight = recordedBy == 0;
     ++m_counts.started;
     const Permit *permit =
             step->permits() == nullptr ? nullptr : step->permits()->find(*worker, now);
@@ -152,9 +150,6 @@
                         .worker = worker->id,
                         .startedAt = now,
                         .confirmedAt = now };
-    const auto late = std::ranges::find(task.lateStarts, row.run.run, &LateStart::run);
-    if (late != task.lateStarts.end())
-        task.runs[slot].mayStartUntil = late->until;
     task.lastRun = std::max(task.lastRun, row.run.run);
     task.idleSince = Timestamp::max();
     task.mayRunUnseen = false;
@@ -229,10 +224,9 @@
     if (ref.task.step->spec->fills)
         m_exploration.ended(worker->id, ref.task.step->image);
     std::erase(worker->trials, ref.key());
-    keepLateStart(now, *worker, ref);
     Job *job = ref.task.step->job;
     // A start that fails is no turn, whether its stop was confirmed or not.
-    const bool hasRun = ref.task.get().idleSince == Timestamp::max() || run.startedBy;
+    const bool hasRun = ref.task.get().idleSince == Timestamp::max() || run.listedBy;
     if (hasRun && run.confirmedAt != Timestamp {})
         job->lastRunOverAt = now;
     run = {};
@@ -250,8 +244,7 @@
     return isCurrent ? ref : RunRef {};
 }
 
-void JobScheduler::startAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome,
-                                 std::optional<std::int64_t> clockMs)
+void JobScheduler::startAnswered(Moment at, WorkerId id, const RunKey &key, OrderOutcome outcome)
 {
     const Timestamp now = at.now;
     const RunRef ref = findAnswered(id, key, outcome);
@@ -259,11 +252,9 @@
         return;
     Worker *worker = m_workers.find(id);
     Run &run = ref.get();
-    run.startInFlight = false;
     if (outcome == OrderOutcome::Done) {
         worker->lastHeardAt = now;
         run.confirmedAt = now;
-        noteStartedBy(now, worker, ref, clockMs);
         if (run.phase == RunPhase::Recording || run.phase == RunPhase::Starting)
             run.phase = RunPhase::Running;
         startConfirmed(now, worker, ref);
@@ -279,13 +270,7 @@
     if (outcome == OrderOutcome::Unanswered) {
         // The run may still start: only a confirmed stop or the expiry of the lease rules that out.
         ++m_counts.unanswered;
-        run.mayStartUntil = std::max(run.mayStartUntil, run.startedAt + m_settings.maxOrderDelay);
         startFailed(now, worker, ref);
-        if (mayRetryStart(*worker, ref)) {
-            run.startRetryAt = now;
-            m_startRetries.push_back(key);
-            return;
-        }
         requestStop(now, ref, "start-unanswered");
         // The other members would wait until their workers time out.
         if (ref.task.step->spec->gang)
@@ -293,17 +278,9 @@
         return;
     }
 
-    // Refused or not sent: nothing runs, unless another copy of the order was carried out.
+    // Refused or not sent: nothing runs.
     ++m_counts.refused;
-    if (outcome == OrderOutcome::OldRun && isLate(now, run)) {
-        // The other copy has run there: the list shows its end.
-        run.phase = RunPhase::Running;
-        run.confirmedAt = now;
-        worker->immediateRenewalAt = now;
-        return;
-    }
-    if (!isLate(now, run))
-        clearExposure(now, ref.task, key.run);
+    clearExposure(now, ref.task, key.run);
     if (run.phase == RunPhase::Recording || run.phase == RunPhase::Starting
         || run.phase == RunPhase::Stopping) {
         Step *step = ref.task.step;
@@ -424,9 +401,6 @@
     const CrashExposure *exposure = task.crashes.find(run);
     if (exposure == nullptr || exposure->hasCrashed)
         return;
-    // Another copy of its start may begin it anew.
-    if (const RunRef ended = findRun(ref, run); ended.task && isLate(now, ended.get()))
-        return;
     const bool isRecorded = ref.step->spec->longRunning
             || std::ranges::find(task.failedRuns, run.value) != task.failedRuns.end();
     if (isRecorded || (row.end != RunEnd::Done && row.end != RunEnd::Failed)) {
--- a/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerWorkers.cpp
@@ -118,13 +118,9 @@
         it.get().startDeadlineMs = INT64_MAX;
     worker->lease = {};
     // No order is carried out later than maxOrderDelay, however often the worker restarts.
-    worker->lease.assumeGranted(std::min(now, worker->leaseOrderedAt + m_settings.maxOrderDelay),
-                                m_settings.maxLease);
-    ++worker->lifeNumber;
-    worker->isFenced = false;
-    // Answers to orders for the earlier incarnation are dropped.
-    worker->renewalInFlight = false;
-    worker->immediateRenewalInFlight = false;
+    const Timestamp lastBegin = worker->leaseOrderedAt + m_settings.maxOrderDelay;
+    worker->lease.assumeGranted(std::min(now, lastBegin + m_settings.maxLease - m_settings.lease),
+                                m_settings.lease);
     worker->strayRunsUntil = Worker::distantPast();
     worker->seenEnds = 0;
     worker->recordedEnds = 0;
@@ -141,7 +137,6 @@
     worker->isTailInDanger = false;
     worker->leftAt = Timestamp::max();
     worker->immediateRenewalAt = now;
-    loseEarlierRuns(now, worker);
     recordWorker(worker);
 }
 
@@ -338,14 +333,6 @@
                      + " ended=" + std::to_string(answer->ended.size()));
     worker->unansweredRenewals = 0;
     worker->isIncarnationConfirmed = true;
-    if (!worker->isFenced) {
-        // An order for an earlier incarnation names a time on another clock. The lease that it
-        // brought is limited only by the longest one that workers accept.
-        worker->isFenced = true;
-        worker->lease.assumeGranted(now, m_settings.maxLease);
-    }
-    if (!answer->hasMore && answer->unreadableRows == 0)
-        worker->listedAt = std::max(worker->listedAt, answer->sentAt);
     worker->lastHeardAt = now;
     worker->renewalAt = now;
     worker->lease.observe(now, answer->clockMs);
@@ -411,15 +398,14 @@
                                                   .reason = task ? "superseded" : "not-ours" });
                 continue;
             }
-            if (answer.born)
-                noteStartedBy(now, findRun(task, row.run.run), answer.born);
+            findRun(task, row.run.run).get().listedBy = answer.born;
             continue;
         }
         Run &run = ref.get();
         // Also where the answer to its start was lost and it is being stopped.
         noteRun(task);
         if (answer.born)
-            noteStartedBy(now, ref, answer.born);
+            run.listedBy = answer.born;
         if (run.phase == RunPhase::Recording || run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
             startConfirmed(now, worker, ref);
@@ -496,8 +482,8 @@
 {
     const std::vector<RunRef> runs = worker->runs;
     for (const RunRef &it : runs) {
-        const Incarnation startedBy = it.get().startedBy;
-        if (startedBy && startedBy < worker->life.born)
+        const Incarnation listedBy = it.get().listedBy;
+        if (listedBy && listedBy < worker->life.born)
             loseRun(now, worker, it, "reborn");
     }
 }
@@ -505,10 +491,8 @@
 void JobScheduler::loseUnlisted(Timestamp now, Worker *worker, const RunRef &ref)
 {
     note("run-lost", ref.key(), worker, "reason=unlisted");
-    if (!isLate(now, ref.get())) {
-        clearExposure(now, ref.task, ref.get().number);
-        markOver(now, ref.task, ref.get().number);
-    }
+    clearExposure(now, ref.task, ref.get().number);
+    markOver(now, ref.task, ref.get().number);
     ++m_counts.lost;
     const TaskRef task = ref.task;
     releaseRun(now, ref);
@@ -524,7 +508,6 @@
     for (const auto &[id, worker] : m_workers.all()) {
         const bool hasExpired = now >= worker->lease.expiresAt();
         if (hasExpired && !worker->runs.empty()) {
-            expectLateStarts(*worker);
             markRunsLost(now, worker.get(), "lapsed");
             worker->isKnown = false;
         }
@@ -601,29 +584,23 @@
             const auto mayRun = [&](const CrashExposure &exposure) {
                 return !exposure.isOver && m_workers.find(exposure.worker) != nullptr;
             };
-            inheritLateStarts(&task, step);
-            task.mayRunUnseen = !task.done
-                    && (!task.lateStarts.empty()
-                        || std::ranges::any_of(task.crashes.exposures(), mayRun));
+            task.mayRunUnseen = !task.done && std::ranges::any_of(task.crashes.exposures(), mayRun);
             if (task.mayRunUnseen)
                 m_unseenTasks.push_back(step.key(it));
         }
     }
 }
 
-bool JobScheduler::mayRunUnseen(Timestamp now, const TaskRef &ref)
+bool JobScheduler::mayRunUnseen(Timestamp now, const Task &task) const
 {
-    const Task &task = ref.get();
-    endLateStarts(now, ref);
-    return !task.lateStarts.empty()
-            || std::ranges::any_of(task.crashes.exposures(), [&](const CrashExposure &it) {
-                   const Worker *worker = m_workers.find(it.worker);
-                   if (it.isOver || it.run.value > firstRunNumber() || worker == nullptr)
-                       return false;
-                   if (worker->isKnown)
-                       return it.born == worker->life.born && now < worker->stoppedRunsUntil;
-                   return now < std::min(worker->lease.expiresAt(), m_earlierLeases.expiresAt());
-               });
+    return std::ranges::any_of(task.crashes.exposures(), [&](const CrashExposure &it) {
+        const Worker *worker = m_workers.find(it.worker);
+        if (it.isOver || it.run.value > firstRunNumber() || worker == nullptr)
+            return false;
+        if (worker->isKnown)
+            return it.born == worker->life.born && now < worker->stoppedRunsUntil;
+        return now < std::min(worker->lease.expiresAt(), m_earlierLeases.expiresAt());
+    });
 }
 
 void JobScheduler::admitInherited(Timestamp now)
@@ -651,8 +628,8 @@
         const TaskRef ref = m_jobs.find(it);
         if (!ref || !ref.get().mayRunUnseen)
             return true;
-        if (mayRunUnseen(now, ref))
-            return startWhereLate(now, ref);
+        if (mayRunUnseen(now, ref.get()))
+            return false;
         ref.get().mayRunUnseen = false;
         endLapsedExposures(now, ref);
         requeue(now, ref);
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -36,17 +36,9 @@
     /// When the worker last confirmed the run or its stop. Older lists of the worker do not count
     /// as evidence about the run.
     Timestamp confirmedAt;
-    /// Incarnation of the worker that has carried out its start, as its list or the clock in its
-    /// answer has shown; zero before.
-    Incarnation startedBy;
-    /// An order of its start is in flight.
-    bool startInFlight = false;
-    /// Until then, an order of its start that got no answer may still be carried out, by any
-    /// incarnation of the worker.
-    Timestamp mayStartUntil = timestampFromMicroseconds(INT64_MIN / 4);
-    /// When a start that got no answer is ordered again, and how often that was done.
-    Timestamp startRetryAt = Timestamp::max();
-    std::uint32_t startRetries = 0;
+    /// Incarnation of the worker whose list has shown the run; zero before. Its start has been
+    /// carried out there, and can reach no other.
+    Incarnation listedBy;
     /// The worker has confirmed a stop: once the run is missing from its list, it is over.
     bool stopConfirmed = false;
     /// A stop order is in flight.
@@ -96,18 +88,6 @@
 /// Maximum number of concurrent runs of one task: the run and, where allowed, one speculative copy.
 inline constexpr std::size_t maxRunsPerTask = 2;
 
-/// A run that is not in the table and whose start may still be carried out, or has been by an
-/// incarnation of its worker that has shown no list yet.
-struct LateStart
-{
-    RunNumber run;
-    WorkerName worker;
-    /// No order of its start is carried out later than this.
-    Timestamp until;
-    /// Every lease under which it may be at work has expired by then.
-    Timestamp lapsesAt;
-};
-
 /// One task of a step.
 struct Task
 {
@@ -134,9 +114,7 @@
     CrashHistory crashes;
     /// It waits for a worker for a trial, apart from the ready tasks of its step.
     bool awaitsTrial = false;
-    /// Earlier runs of it that may be at work or may yet begin.
-    std::vector<LateStart> lateStarts;
-    /// It is held back, since a run that is not in the table may be at work or may yet begin.
+    /// An earlier leader has ordered a run of it on a worker that has not answered this leader.
     bool mayRunUnseen = false;
 
     [[nodiscard]] bool hasRun() const { return runs[0].exists() || runs[1].exists(); }
--- a/acaciafork/decisions/jobs/LeaseClock.cpp
+++ b/acaciafork/decisions/jobs/LeaseClock.cpp
@@ -10,9 +10,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
 }
 
-/// Longest time for which the reading in an answer is on its way.
-constexpr Duration longestAnswer = std::chrono::milliseconds(500);
-
 /// Longest time on this process's clock in which `length` passes on a slow worker clock.
 Duration longestLocalTime(Duration length)
 {
@@ -25,7 +22,10 @@
 {
     if (m_isKnown) {
         // A reading from a delayed answer is out of date, so the earlier reading is kept.
-        if (clockMs < least(now))
+        const std::int64_t least = m_clockMs
+                + toMilliseconds(now - m_readAt) * (wholePercent - maxClockLagPercent)
+                        / wholePercent;
+        if (clockMs < least)
             return;
     }
     m_isKnown = true;
@@ -33,18 +33,6 @@
     m_readAt = now;
 }
 
-bool LeaseClock::continues(Timestamp now, std::int64_t clockMs) const
-{
-    return m_isKnown && clockMs >= least(now - longestAnswer)
-            && clockMs <= estimate(now) + toMilliseconds(longestAnswer);
-}
-
-std::int64_t LeaseClock::least(Timestamp now) const
-{
-    return m_clockMs
-            + toMilliseconds(now - m_readAt) * (wholePercent - maxClockLagPercent) / wholePercent;
-}
-
 std::int64_t LeaseClock::estimate(Timestamp now) const
 {
     return m_clockMs + toMilliseconds(now - m_readAt);
@@ -59,12 +47,7 @@
 
 void LeaseClock::assumeGranted(Timestamp now, Duration length)
 {
-    m_assumedExpiry = std::max(m_assumedExpiry, expiryOf(now, length));
-}
-
-Timestamp LeaseClock::expiryOf(Timestamp begin, Duration length)
-{
-    return begin + longestLocalTime(length) + expiryMargin;
+    m_assumedExpiry = std::max(m_assumedExpiry, now + longestLocalTime(length) + expiryMargin);
 }
 
 Timestamp LeaseClock::expiresAt() const
--- a/acaciafork/decisions/jobs/LeaseClock.h
+++ b/acaciafork/decisions/jobs/LeaseClock.h
@@ -28,21 +28,13 @@
     /// Assumes that an earlier leader granted a lease of `length` from now.
     void assumeGranted(Timestamp now, Duration length);
 
-    /// True for a reading in an answer that arrived now if it continues the observed clock. That of
-    /// another incarnation has begun anew.
-    [[nodiscard]] bool continues(Timestamp now, std::int64_t clockMs) const;
-
     /// True once the worker's clock has been observed.
     [[nodiscard]] bool isKnown() const { return m_isKnown; }
     /// Time by which every granted lease has certainly expired.
     [[nodiscard]] Timestamp expiresAt() const;
-    /// Time by which a lease of `length` that began no later than `begin` has certainly expired.
-    [[nodiscard]] static Timestamp expiryOf(Timestamp begin, Duration length);
 
 private:
     [[nodiscard]] std::int64_t estimate(Timestamp now) const;
-    /// The least reading of the observed clock now.
-    [[nodiscard]] std::int64_t least(Timestamp now) const;
 
     bool m_isKnown = false;
     std::int64_t m_clockMs = 0;
--- a/acaciafork/decisions/jobs/Types.cpp
+++ b/acaciafork/decisions/jobs/Types.cpp
@@ -5,17 +5,8 @@
 
 #include <spdlog/fmt/fmt.h>
 
-#include "acaciafork/core/Core.h"
-#include "acaciafork/decisions/jobs/Commands.h"
-
 namespace acaciafork::jobs {
 
-std::uint64_t fencingToken(Tenure tenure, const OrderTarget &target)
-{
-    ACACIAFORK_ASSERT(target.life < livesPerTenure);
-    return tenure.value * livesPerTenure + target.life;
-}
-
 std::string taskName(const TaskKey &task)
 {
     return fmt::format("{:016x}.{}.{}.{}", task.job.value, task.occurrence, task.step, task.task);
--- a/acaciafork/decisions/jobs/Types.h
+++ b/acaciafork/decisions/jobs/Types.h
@@ -193,9 +193,6 @@
     bool hasSurvived = false;
     /// The run is over, although no list of its worker has shown that.
     bool isOver = false;
-    /// Its incarnation of the worker has carried out the start, and no other copy of the order is
-    /// on its way.
-    bool isConfirmed = false;
     /// How strongly the crash speaks against the task, see CrashHistory::blameOf(); 0 if other
     /// tasks may have caused it.
     std::uint32_t blame = 0;
--- a/acaciafork/state/Jobs.cpp
+++ b/acaciafork/state/Jobs.cpp
@@ -210,10 +210,6 @@
         if (isKnown)
             known->set_over(true);
         break;
-    case wire::CRASH_EXPOSURE_CHANGE_CONFIRMED:
-        if (isKnown)
-            known->set_confirmed(true);
-        break;
     case wire::CRASH_EXPOSURE_CHANGE_CLEARED:
         if (isKnown)
             list.erase(known);
