--- a/acaciafork/decisions/jobs/Commands.h
+++ b/acaciafork/decisions/jobs/Commands.h
@@ -18,7 +18,7 @@
     std::string address;
     std::string zone;
     /// Counts the incarnations of the worker that the leader has come to know, from 0 in each
-    /// tenure. Part of the fencing token, see fencingToken().
+    /// tenure. Part of the fencing token, see orderToken().
     std::uint32_t life = 0;
     /// Number of the order where another control member carries it; its answer repeats it.
     std::uint64_t order = 0;
@@ -30,7 +30,7 @@
 /// Fencing token of an order. It rises with each tenure and with each incarnation of the worker:
 /// once an incarnation has seen its own, it refuses what was meant for an earlier one, which is
 /// addressed by the same name.
-std::uint64_t fencingToken(Tenure tenure, const OrderTarget &target);
+std::uint64_t orderToken(Tenure tenure, const OrderTarget &target);
 
 /// Starts a run. The answer goes to JobScheduler::startAnswered().
 ///
--- a/acaciafork/decisions/jobs/Types.cpp
+++ b/acaciafork/decisions/jobs/Types.cpp
@@ -9,7 +9,7 @@
 
 namespace acaciafork::jobs {
 
-std::uint64_t fencingToken(Tenure tenure, const OrderTarget &target)
+std::uint64_t orderToken(Tenure tenure, const OrderTarget &target)
 {
     return tenure.value * livesPerTenure + std::min<std::uint64_t>(target.life, livesPerTenure - 1);
 }
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -703,7 +703,7 @@
                                      jobs::Tenure tenure)
 {
     const jobs::TaskKey &task = command.run.task;
-    const std::uint64_t token = jobs::fencingToken(tenure, command.target);
+    const std::uint64_t token = jobs::orderToken(tenure, command.target);
     if (token < worker.fence && !m_options.workersIgnoreFences)
         return jobs::OrderOutcome::Fenced;
     worker.fence = token;
@@ -786,8 +786,7 @@
     }
     world->order(
             this, command.target, orderTimeout,
-            [world, command,
-             token = jobs::fencingToken(tenure, command.target)](FakeWorker &worker) {
+            [world, command, token = jobs::orderToken(tenure, command.target)](FakeWorker &worker) {
                 if (token < worker.fence && !world->m_options.workersIgnoreFences)
                     return jobs::OrderOutcome::Fenced;
                 worker.fence = token;
@@ -830,7 +829,7 @@
     world->order(
             this, command.target, orderTimeout,
             [world, command, lists,
-             token = jobs::fencingToken(tenure, command.target)](FakeWorker &worker) {
+             token = jobs::orderToken(tenure, command.target)](FakeWorker &worker) {
                 if (token < worker.fence && !world->m_options.workersIgnoreFences)
                     return jobs::OrderOutcome::Fenced;
                 worker.fence = token;
