--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -90,6 +90,10 @@
     , m_gapsKept(&counters->counter("gaps_kept", MetricKind::Gauge))
     , m_gapsUsed(&counters->counter("gaps_used", MetricKind::Gauge))
     , m_gapsGivenUp(&counters->counter("gaps_given_up", MetricKind::Gauge))
+    , m_taskBytes(&counters->counter("job_bytes{kind=\"tasks\"}", MetricKind::Gauge))
+    , m_stepBytes(&counters->counter("job_bytes{kind=\"steps\"}", MetricKind::Gauge))
+    , m_occurrenceBytes(&counters->counter("job_bytes{kind=\"occurrences\"}", MetricKind::Gauge))
+    , m_resultBytes(&counters->counter("job_bytes{kind=\"results\"}", MetricKind::Gauge))
     , m_commitTime(&counters->histogram("job_commit_seconds"))
     , m_waitTime(&counters->histogram("task_wait_seconds"))
     , m_startRecordTime(&counters->histogram("start_record_seconds"))
@@ -216,6 +220,7 @@
 
 void JobDriver::tick(Moment at)
 {
+    m_resultBytes->set(static_cast<std::int64_t>(m_state->jobs().resultBytes()));
     if (m_isActive)
         renewIfFenced(at.now);
     if (m_isStarting && at.now >= m_startAgainAt)
@@ -256,6 +261,9 @@
     m_gapsKept->set(static_cast<std::int64_t>(counts.gapsKept));
     m_gapsUsed->set(static_cast<std::int64_t>(counts.gapsUsed));
     m_gapsGivenUp->set(static_cast<std::int64_t>(counts.gapsGivenUp));
+    m_taskBytes->set(static_cast<std::int64_t>(counts.tableBytes.tasks));
+    m_stepBytes->set(static_cast<std::int64_t>(counts.tableBytes.steps));
+    m_occurrenceBytes->set(static_cast<std::int64_t>(counts.occurrenceBytes));
 }
 
 void JobDriver::carryOut(Moment at)
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -183,6 +183,10 @@
     Counter *m_gapsKept;
     Counter *m_gapsUsed;
     Counter *m_gapsGivenUp;
+    Counter *m_taskBytes;
+    Counter *m_stepBytes;
+    Counter *m_occurrenceBytes;
+    Counter *m_resultBytes;
     /// From a submission to its commit.
     Histogram *m_commitTime;
     /// From the moment that a task may start to its start.
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -70,6 +70,7 @@
         addJob(at, it, true);
     updateUnguardedPools();
     restoreExposures(at.now);
+    logMemory();
     note("tenure-began", {}, nullptr,
          "tenure=" + std::to_string(tenure.value) + " jobs=" + std::to_string(jobs.size())
                  + " workers=" + std::to_string(workers.size()));
@@ -509,6 +510,7 @@
         logWaitingTasks(at.now);
         logLongRunningWaits(at.now);
         logTakeover(at.now);
+        logMemory();
     }
     recordInterference(at.now);
 }
--- a/acaciafork/decisions/jobs/JobScheduler.h
+++ b/acaciafork/decisions/jobs/JobScheduler.h
@@ -165,6 +165,10 @@
     std::size_t waitingLongRunning = 0;
     /// Starts of other tasks on a worker with room for two of a long-running step that was overdue.
     std::uint64_t passedOver = 0;
+    /// Memory of the job table and of the occurrences that are not due, in bytes; as of the last
+    /// summary.
+    JobTableBytes tableBytes;
+    std::size_t occurrenceBytes = 0;
 };
 
 /// Assigns tasks to workers, renews leases, and tracks every run to its end. Runs on the leader
@@ -481,6 +485,7 @@
     /// How many workers each obstacle excludes for a task of the step.
     [[nodiscard]] std::string describeObstacles(Timestamp now, const Step &step) const;
     void logTakeover(Timestamp now);
+    void logMemory();
     /// A worker has accepted orders of a later leader.
     void becomeFenced(const Worker *worker);
     void recordInterference(Timestamp now);
--- a/acaciafork/decisions/jobs/JobSchedulerReports.cpp
+++ b/acaciafork/decisions/jobs/JobSchedulerReports.cpp
@@ -289,6 +289,19 @@
     }
 }
 
+void JobScheduler::logMemory()
+{
+    m_counts.tableBytes = m_jobs.bytes();
+    m_counts.occurrenceBytes =
+            m_scheduledOccurrences.size() * sizeof(decltype(m_scheduledOccurrences)::value_type);
+    note("job-memory", {}, nullptr,
+         "jobs=" + std::to_string(m_jobs.all().size())
+                 + " task-bytes=" + std::to_string(m_counts.tableBytes.tasks)
+                 + " step-bytes=" + std::to_string(m_counts.tableBytes.steps)
+                 + " occurrences=" + std::to_string(m_scheduledOccurrences.size())
+                 + " occurrence-bytes=" + std::to_string(m_counts.occurrenceBytes));
+}
+
 void JobScheduler::logTakeover(Timestamp now)
 {
     if (!m_isTakingOver)
--- a/acaciafork/decisions/jobs/JobTable.cpp
+++ b/acaciafork/decisions/jobs/JobTable.cpp
@@ -157,6 +157,17 @@
     return added;
 }
 
+JobTableBytes JobTable::bytes() const
+{
+    JobTableBytes bytes;
+    for (const auto &[id, job] : m_jobs) {
+        bytes.steps += job->steps.capacity() * sizeof(Step);
+        for (const Step &it : job->steps)
+            bytes.tasks += it.tasks.capacity() * sizeof(Task);
+    }
+    return bytes;
+}
+
 void JobTable::remove(JobId id)
 {
     m_jobs.erase(id);
--- a/acaciafork/decisions/jobs/JobTable.h
+++ b/acaciafork/decisions/jobs/JobTable.h
@@ -291,6 +291,13 @@
     [[nodiscard]] RunKey key() const { return { .task = task.key(), .run = get().number }; }
 };
 
+/// Memory that the table holds, in bytes.
+struct JobTableBytes
+{
+    std::size_t tasks = 0;
+    std::size_t steps = 0;
+};
+
 /// Table of the jobs that have not ended or still have runs.
 class JobTable
 {
@@ -305,6 +312,7 @@
     [[nodiscard]] Job *find(JobId id) const;
     /// Task with that key, or none.
     [[nodiscard]] TaskRef find(const TaskKey &key) const;
+    [[nodiscard]] JobTableBytes bytes() const;
     /// All jobs by id.
     [[nodiscard]] const std::unordered_map<JobId, std::unique_ptr<Job>> &all() const
     {
--- a/acaciafork/state/Jobs.cpp
+++ b/acaciafork/state/Jobs.cpp
@@ -101,6 +101,7 @@
     job.spec = std::make_shared<const wire::JobSpec>(command.spec());
     job.submittedUs = nowMicroseconds;
     buildTaskLayout(&job);
+    m_resultBytes += job.done.size();
     return makeResult(wire::OUTCOME_APPLIED);
 }
 
@@ -234,7 +235,9 @@
 {
     const std::int64_t cutoff = nowMicroseconds - m_limits.endedJobWindow.count();
     while (!m_ended.empty() && m_ended.front().first < cutoff) {
-        m_jobs.erase(m_ended.front().second);
+        const auto it = m_jobs.find(m_ended.front().second);
+        m_resultBytes -= it->second.done.size();
+        m_jobs.erase(it);
         m_ended.pop_front();
     }
 }
@@ -304,6 +307,7 @@
                                                                      it.exposures().end() };
     if (job.state != wire::JOB_STATE_ACTIVE)
         m_ended.emplace_back(job.endedUs, job.id);
+    m_resultBytes += job.done.size();
     m_jobs.emplace(job.id, std::move(job));
     return true;
 }
--- a/acaciafork/state/Jobs.h
+++ b/acaciafork/state/Jobs.h
@@ -91,6 +91,9 @@
     /// All jobs by id, in no particular order.
     [[nodiscard]] const std::unordered_map<std::uint64_t, Job> &all() const { return m_jobs; }
 
+    /// Memory of the durable results of all tasks, in bytes.
+    [[nodiscard]] std::size_t resultBytes() const { return m_resultBytes; }
+
     /// Appends every job to a snapshot: active jobs first, then ended ones by the time they ended;
     /// equal times by id.
     void save(SnapshotWriter *writer) const;
@@ -107,6 +110,7 @@
     std::unordered_map<std::uint64_t, Job> m_jobs;
     /// End time and id of each ended job, in the order in which they ended.
     std::deque<std::pair<std::int64_t, std::uint64_t>> m_ended;
+    std::size_t m_resultBytes = 0;
 };
 
 } // namespace acaciafork::state
