--- a/tests/control/JobMemoryTest.cpp
+++ b/tests/control/JobMemoryTest.cpp
@@ -188,7 +188,7 @@
         JobWorld world({ .relays = seed % 4 == 0 ? std::size_t { 3 } : 0,
                          .faults = { .answerLost = 0.02,
                                      .orderLost = 0.02,
-                                     .recordUnknown = seed % 5 == 0 ? 0.02 : 0,
+                                     .recordUnknown = seed % 5 == 0 ? 0.3 : 0,
                                      .runFails = 0.01 },
                          .scheduler = { .promptTakeOver = seed % 2 == 0,
                                         .memory = { .budget = 35'000 + draw(50'000) } },
@@ -204,7 +204,8 @@
         std::uint64_t id = 0;
         for (int round = 0; round < 24; ++round) {
             const auto count = static_cast<std::uint32_t>(1 + draw(5));
-            const auto estimateMs = static_cast<std::uint32_t>(20 + draw(500));
+            const auto estimateMs =
+                    static_cast<std::uint32_t>(20 + draw(draw(4) == 0 ? 4000 : 500));
             wire::JobSpec spec =
                     draw(2) == 0 ? simpleJob(count, 500, estimateMs) : twoSteps(count, estimateMs);
             spec.mutable_steps(0)->set_gang(draw(6) == 0);
@@ -225,8 +226,8 @@
                 world.crash(worker);
                 world.revive(worker);
             }
-            // Its lists come late.
-            world.cut(worker, draw(6) == 0);
+            // Lists come late, also over a change of leader.
+            world.cut(worker, draw(3) == 0);
             if (draw(6) == 0)
                 world.moveQueue(draw(2) == 0 ? "/q/" : "/a/", draw(2) == 0 ? "pool" : "other");
             world.holdCommits(draw(8) == 0);
