--- a/tests/decisions/jobs/JobMemoryTest.cpp
+++ b/tests/decisions/jobs/JobMemoryTest.cpp
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <array>
+#include <map>
+
 #include <doctest/doctest.h>
 
 #include "tests/decisions/jobs/SchedulerFixture.h"
@@ -114,6 +118,84 @@
         CHECK(ended[id] > 10);
 }
 
+TEST_CASE("a run that a worker lists of an occurrence that isn't open is adopted")
+{
+    // Guards against runs that are stopped as unknown since the clock of the leader that has
+    // started them was ahead.
+    SchedulerFixture fixture;
+    JobScheduler &scheduler = fixture.scheduler;
+    auto spec = std::make_shared<JobSpec>();
+    spec->steps.push_back({ .count = 3, .size = { 1000, 100, 0 } });
+    spec->isScheduled = true;
+    spec->schedule = { .firstUs = fixture.at.wallMicroseconds + 1'000'000,
+                       .interval = std::chrono::hours(1),
+                       .times = 1000 };
+    scheduler.jobAccepted(fixture.at, { .id = { 7 }, .queue = queueA, .spec = spec });
+    const TaskKey running { .job = { 7 }, .occurrence = 0, .step = 0, .task = 1 };
+    const Worker *worker = scheduler.workers().find(WorkerName { "w0" });
+    const RenewalAnswer lists { .sentAt = fixture.at.now,
+                                .born = { 1 },
+                                .clockMs = fixture.clockMs(),
+                                .running = { { .run = { .task = running, .run = { 1 } } } } };
+    scheduler.renewalAnswered(fixture.at, worker->id, false, OrderOutcome::Done, &lists);
+    CHECK(openOf(scheduler, 7) == 1);
+    CHECK(fixture.take<StopRun>().empty());
+    CHECK(worker->runs.size() == 1);
+
+    // Its other tasks start when it is due, and no sooner.
+    fixture.advance(900ms);
+    CHECK(fixture.take<StartRun>().empty());
+    fixture.advance(200ms);
+    fixture.report();
+    std::vector<std::uint32_t> started;
+    for (const StartRun &it : fixture.take<StartRun>())
+        started.push_back(it.run.task.task);
+    std::ranges::sort(started);
+    CHECK(started == std::vector<std::uint32_t> { 0, 2 });
+
+    // Runs of tasks that the job doesn't have open nothing.
+    for (const TaskKey &odd :
+         { TaskKey { .job = { 7 }, .occurrence = 1000 },
+           TaskKey { .job = { 7 }, .occurrence = 1, .step = 1 },
+           TaskKey { .job = { 7 }, .occurrence = 1, .task = 3 }, TaskKey { .job = { 8 } } }) {
+        const RenewalAnswer other { .sentAt = fixture.at.now,
+                                    .born = { 1 },
+                                    .clockMs = fixture.clockMs(),
+                                    .running = { { .run = { .task = running, .run = { 1 } } },
+                                                 { .run = { .task = odd, .run = { 1 } } } } };
+        scheduler.renewalAnswered(fixture.at, worker->id, false, OrderOutcome::Done, &other);
+        CHECK(openOf(scheduler, 7) == 1);
+    }
+}
+
+TEST_CASE("memory of an occurrence that has ended counts until its ends are recorded")
+{
+    // Guards against a next leader that opens both an occurrence whose end was lost with the
+    // leader before and the one that was opened in its place.
+    SchedulerFixture fixture;
+    JobScheduler &scheduler = fixture.scheduler;
+    fixture.acceptJob(7, { .count = 1, .size = { 1000, 100, 0 } });
+    const std::vector<StartRun> starts = fixture.take<StartRun>();
+    REQUIRE(starts.size() == 1);
+    const std::size_t before = scheduler.jobs().memory().budgeted();
+    CHECK(before > 0);
+    scheduler.startAnswered(fixture.at, starts[0].target.worker, starts[0].run, OrderOutcome::Done);
+    const RenewalAnswer lists {
+        .sentAt = fixture.at.now,
+        .born = { 1 },
+        .clockMs = fixture.clockMs(),
+        .ended = { { .number = 1, .run = starts[0].run, .end = RunEnd::Done } }
+    };
+    scheduler.renewalAnswered(fixture.at, starts[0].target.worker, false, OrderOutcome::Done,
+                              &lists);
+    const std::vector<RecordEnds> records = fixture.take<RecordEnds>();
+    REQUIRE(records.size() == 1);
+    CHECK(scheduler.jobs().all().empty());
+    CHECK(scheduler.jobs().memory().budgeted() == before);
+    scheduler.endsRecorded(fixture.at, records[0].batch);
+    CHECK(scheduler.jobs().memory().budgeted() == 0);
+}
+
 TEST_CASE("the time after which a rejected client may come back follows the release of memory")
 {
     // Guards against clients that come back each second while nothing can be released.
