--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -161,8 +161,6 @@
     const std::int64_t clockLagUs = m_state->nowMicroseconds() - at.wallMicroseconds;
     std::vector<jobs::JobView> views;
     for (const auto &[id, job] : m_state->jobs().all()) {
-        if (job.state != wire::JOB_STATE_ACTIVE)
-            continue;
         jobs::JobView &view = views.emplace_back(toJobs(job, m_state->queues().current()));
         view.submittedUs -= clockLagUs;
         if (view.lastRunEndUs != 0)
@@ -374,7 +372,7 @@
 void JobDriver::submit(Moment at, const wire::Queue &queue, std::uint64_t id,
                        const wire::JobCall &call, const Reply &reply)
 {
-    if (m_state->jobs().find(id) != nullptr) {
+    if (m_state->jobs().stateOf(id)) {
         reply(plain(200));
         return;
     }
@@ -469,13 +467,13 @@
 
 void JobDriver::tell(std::uint64_t id, const Reply &reply) const
 {
-    const state::Job *job = m_state->jobs().find(id);
-    if (job == nullptr) {
+    const std::optional<wire::JobState> state = m_state->jobs().stateOf(id);
+    if (!state) {
         reply(plain(410));
         return;
     }
     std::string_view word = "waiting";
-    switch (job->state) {
+    switch (*state) {
     case wire::JOB_STATE_COMPLETED:
         word = "completed";
         break;
@@ -498,8 +496,7 @@
 
 void JobDriver::tellOrWait(Moment at, std::uint64_t id, Duration wait, const Reply &reply)
 {
-    const state::Job *job = m_state->jobs().find(id);
-    const bool isActive = job != nullptr && job->state == wire::JOB_STATE_ACTIVE;
+    const bool isActive = m_state->jobs().find(id) != nullptr;
     if (isActive && wait > Duration {} && m_waitingCalls.size() < mostWaitingCalls
         && m_scheduler.isAboutToEnd({ id }))
         m_waitingCalls.emplace(id, WaitingCall { .reply = reply, .until = at.now + wait });
@@ -510,8 +507,7 @@
 void JobDriver::answerWaitingCalls(Timestamp now)
 {
     for (auto it = m_waitingCalls.begin(); it != m_waitingCalls.end();) {
-        const state::Job *job = m_state->jobs().find(it->first);
-        const bool isActive = job != nullptr && job->state == wire::JOB_STATE_ACTIVE;
+        const bool isActive = m_state->jobs().find(it->first) != nullptr;
         if (isActive && now < it->second.until) {
             ++it;
             continue;
@@ -523,9 +519,9 @@
 
 void JobDriver::cancel(Moment at, std::uint64_t id, const Reply &reply)
 {
-    const state::Job *job = m_state->jobs().find(id);
-    if (job == nullptr || job->state != wire::JOB_STATE_ACTIVE) {
-        reply(plain(job == nullptr ? 410 : 200));
+    const std::optional<wire::JobState> state = m_state->jobs().stateOf(id);
+    if (state != wire::JOB_STATE_ACTIVE) {
+        reply(plain(state ? 200 : 410));
         return;
     }
     wire::Command proposal;
--- a/acaciafork/state/Jobs.cpp
+++ b/acaciafork/state/Jobs.cpp
@@ -20,17 +20,6 @@
     job->results = TaskResults(job->occurrences(), n);
 }
 
-/// Discards what only an active job needs: an ended one is kept for its state and its queue.
-void discardDefinition(Job *job)
-{
-    static const auto noSpec = std::make_shared<const wire::JobSpec>();
-    job->spec = noSpec;
-    job->stepStarts = {};
-    job->results = {};
-    job->failures.clear();
-    job->exposures.clear();
-}
-
 /// The queue of a configuration that has the same name, or else the same host and path prefix; null
 /// if there is none.
 const wire::Queue *findQueue(const wire::QueueConfig &config, const wire::Queue &queue)
@@ -98,11 +87,11 @@
 ApplyResult Jobs::submit(const wire::SubmitJob &command, const wire::QueueConfig &config,
                          std::int64_t nowMicroseconds)
 {
-    if (m_jobs.contains(command.job()))
+    if (stateOf(command.job()))
         return makeResult(wire::OUTCOME_ALREADY_APPLIED);
     if (std::string problem = validationError(command.spec(), m_limits); !problem.empty())
         return makeResult(wire::OUTCOME_INVALID, 0, std::move(problem));
-    if (m_jobs.size() >= m_limits.jobs)
+    if (m_jobs.size() + m_ended.size() >= m_limits.jobs)
         return makeResult(wire::OUTCOME_FULL, 0, "too many jobs");
     Job &job = m_jobs[command.job()];
     job.id = command.job();
@@ -120,8 +109,6 @@
     for (const wire::Queue &it : config.queues())
         byName.emplace(it.name(), &it);
     for (auto &[id, job] : m_jobs) {
-        if (job.state != wire::JOB_STATE_ACTIVE)
-            continue;
         const auto known = byName.find(job.queue.name());
         const wire::Queue *queue =
                 known != byName.end() ? known->second : findQueue(config, job.queue);
@@ -132,12 +119,12 @@
 
 ApplyResult Jobs::cancel(const wire::CancelJob &command, std::int64_t nowMicroseconds)
 {
-    const auto it = m_jobs.find(command.job());
-    if (it == m_jobs.end())
+    const std::optional<wire::JobState> state = stateOf(command.job());
+    if (!state)
         return makeResult(wire::OUTCOME_NOT_FOUND);
-    if (it->second.state != wire::JOB_STATE_ACTIVE)
+    if (*state != wire::JOB_STATE_ACTIVE)
         return makeResult(wire::OUTCOME_ALREADY_APPLIED);
-    end(&it->second, wire::JOB_STATE_CANCELLED, nowMicroseconds);
+    end(command.job(), wire::JOB_STATE_CANCELLED, nowMicroseconds);
     return makeResult(wire::OUTCOME_APPLIED);
 }
 
@@ -145,7 +132,7 @@
 {
     for (const wire::TaskEnd &it : command.ends()) {
         const auto found = m_jobs.find(it.job());
-        if (found == m_jobs.end() || found->second.state != wire::JOB_STATE_ACTIVE)
+        if (found == m_jobs.end())
             continue;
         Job &job = found->second;
         const TaskKey key { .occurrence = it.occurrence(), .step = it.step(), .task = it.task() };
@@ -165,12 +152,11 @@
         job.exposures.erase(key);
         job.failures.erase(key);
         if (job.results.isComplete())
-            end(&job, wire::JOB_STATE_COMPLETED, nowMicroseconds);
+            end(job.id, wire::JOB_STATE_COMPLETED, nowMicroseconds);
     }
     for (const std::uint64_t it : command.failed_jobs()) {
-        const auto found = m_jobs.find(it);
-        if (found != m_jobs.end() && found->second.state == wire::JOB_STATE_ACTIVE)
-            end(&found->second, wire::JOB_STATE_FAILED, nowMicroseconds);
+        if (m_jobs.contains(it))
+            end(it, wire::JOB_STATE_FAILED, nowMicroseconds);
     }
     return makeResult(wire::OUTCOME_APPLIED);
 }
@@ -183,7 +169,7 @@
     }
     for (const wire::TaskCrashExposure &it : command.exposures()) {
         const auto found = m_jobs.find(it.job());
-        if (found != m_jobs.end() && found->second.state == wire::JOB_STATE_ACTIVE)
+        if (found != m_jobs.end())
             applyExposure(&found->second, it);
     }
     return makeResult(wire::OUTCOME_APPLIED);
@@ -234,23 +220,30 @@
         job->exposures.erase(key);
 }
 
-void Jobs::end(Job *job, wire::JobState state, std::int64_t nowMicroseconds)
+void Jobs::end(std::uint64_t id, wire::JobState state, std::int64_t nowMicroseconds)
 {
-    job->state = state;
-    job->endedUs = nowMicroseconds;
-    discardDefinition(job);
-    m_ended.emplace_back(nowMicroseconds, job->id);
+    m_jobs.erase(id);
+    m_endedStates.emplace(id, state);
+    m_ended.emplace_back(nowMicroseconds, id);
 }
 
 void Jobs::expire(std::int64_t nowMicroseconds)
 {
     const std::int64_t cutoff = nowMicroseconds - m_limits.endedJobWindow.count();
     while (!m_ended.empty() && m_ended.front().first < cutoff) {
-        m_jobs.erase(m_ended.front().second);
+        m_endedStates.erase(m_ended.front().second);
         m_ended.pop_front();
     }
 }
 
+std::optional<wire::JobState> Jobs::stateOf(std::uint64_t id) const
+{
+    if (m_jobs.contains(id))
+        return wire::JOB_STATE_ACTIVE;
+    const auto it = m_endedStates.find(id);
+    return it == m_endedStates.end() ? std::nullopt : std::optional(it->second);
+}
+
 const Job *Jobs::find(std::uint64_t id) const
 {
     const auto it = m_jobs.find(id);
@@ -259,9 +252,12 @@
 
 std::size_t Jobs::endedBytes() const
 {
-    // The strings of its queue's definition, and its place in the tables.
-    constexpr std::size_t overhead = 512;
-    return m_ended.size() * (sizeof(Job) + overhead);
+    // A node of the table with its pointer and what the allocator adds; buckets double in number as
+    // they fill up, so there are up to two for each entry.
+    constexpr std::size_t overhead = 4 * sizeof(void *);
+    return m_ended.size()
+            * (sizeof(decltype(m_ended)::value_type) + sizeof(decltype(m_endedStates)::value_type)
+               + overhead);
 }
 
 std::size_t Jobs::resultBytes() const
@@ -278,15 +274,14 @@
     jobs.reserve(m_jobs.size());
     for (const auto &[id, job] : m_jobs)
         jobs.push_back(&job);
-    std::ranges::sort(jobs, {}, [](const Job *job) { return std::pair(job->endedUs, job->id); });
+    std::ranges::sort(jobs, {}, &Job::id);
     for (const Job *job : jobs) {
         wire::JobRecord *record = writer->record().mutable_job();
         record->set_job(job->id);
         *record->mutable_queue() = job->queue;
         *record->mutable_spec() = *job->spec;
-        record->set_state(job->state);
+        record->set_state(wire::JOB_STATE_ACTIVE);
         record->set_submitted_us(job->submittedUs);
-        record->set_ended_us(job->endedUs);
         record->set_last_run_end_us(job->lastRunEndUs);
         record->set_ended_below(job->results.ended().below());
         record->set_ended(job->results.ended().bitmap());
@@ -311,6 +306,12 @@
             exposures->mutable_exposures()->Add(list.begin(), list.end());
         }
     }
+    for (const auto &[endedUs, id] : m_ended) {
+        wire::JobRecord *record = writer->record().mutable_job();
+        record->set_job(id);
+        record->set_state(m_endedStates.at(id));
+        record->set_ended_us(endedUs);
+    }
 }
 
 bool Jobs::loadResults(const wire::JobRecord &record, Job *job)
@@ -331,32 +332,29 @@
 
 bool Jobs::load(const wire::JobRecord &record)
 {
-    if (!wire::JobState_IsValid(record.state()) || m_jobs.contains(record.job()))
+    if (!wire::JobState_IsValid(record.state()) || stateOf(record.job()))
         return false;
-    const bool isActive = record.state() == wire::JOB_STATE_ACTIVE;
-    if (isActive && !validationError(record.spec(), m_limits).empty())
+    if (record.state() != wire::JOB_STATE_ACTIVE) {
+        m_endedStates.emplace(record.job(), record.state());
+        m_ended.emplace_back(record.ended_us(), record.job());
+        return true;
+    }
+    if (!validationError(record.spec(), m_limits).empty())
         return false;
     Job job { .id = record.job(),
               .queue = record.queue(),
               .spec = std::make_shared<const wire::JobSpec>(record.spec()),
-              .state = record.state(),
               .submittedUs = record.submitted_us(),
-              .endedUs = record.ended_us(),
               .lastRunEndUs = record.last_run_end_us() };
-    if (isActive) {
-        buildTaskLayout(&job);
-        if (!loadResults(record, &job))
-            return false;
-        for (const wire::TaskFailures &it : record.failures())
-            job.failures[{ it.occurrence(), it.step(), it.task() }] = { it.runs().begin(),
-                                                                        it.runs().end() };
-        for (const wire::TaskCrashExposures &it : record.exposures())
-            job.exposures[{ it.occurrence(), it.step(), it.task() }] = { it.exposures().begin(),
-                                                                         it.exposures().end() };
-    } else {
-        discardDefinition(&job);
-        m_ended.emplace_back(job.endedUs, job.id);
-    }
+    buildTaskLayout(&job);
+    if (!loadResults(record, &job))
+        return false;
+    for (const wire::TaskFailures &it : record.failures())
+        job.failures[{ it.occurrence(), it.step(), it.task() }] = { it.runs().begin(),
+                                                                    it.runs().end() };
+    for (const wire::TaskCrashExposures &it : record.exposures())
+        job.exposures[{ it.occurrence(), it.step(), it.task() }] = { it.exposures().begin(),
+                                                                     it.exposures().end() };
     m_jobs.emplace(job.id, std::move(job));
     return true;
 }
--- a/acaciafork/state/Jobs.h
+++ b/acaciafork/state/Jobs.h
@@ -27,24 +27,20 @@
     auto operator<=>(const TaskKey &) const = default;
 };
 
-/// A job and the durable results of its tasks.
+/// An active job and the durable results of its tasks.
 struct Job
 {
     std::uint64_t id = 0;
     /// Its queue as last configured; what it was before the queue was removed, if it was.
     wire::Queue queue;
-    /// Empty once the job has ended.
     std::shared_ptr<const wire::JobSpec> spec;
-    wire::JobState state = wire::JOB_STATE_ACTIVE;
     std::int64_t submittedUs = 0;
-    /// 0 while the job is active.
-    std::int64_t endedUs = 0;
     /// When the last end of one of its runs was recorded; 0 if none was.
     std::int64_t lastRunEndUs = 0;
     /// Position of the first task of each step within one occurrence; the last element is the
     /// number of tasks per occurrence.
     std::vector<std::uint32_t> stepStarts;
-    /// Which tasks are done; empty once the job has ended.
+    /// Which tasks are done.
     TaskResults results;
     /// Run numbers of the failed runs of each task that is not done.
     std::map<TaskKey, std::vector<std::uint64_t>> failures;
@@ -59,8 +55,8 @@
     [[nodiscard]] std::uint32_t occurrences() const;
 };
 
-/// The jobs of all queues. A job is kept until it ends, and then for
-/// StateLimits::endedJobWindow.
+/// The jobs of all queues. A job is kept until it ends; its state, for StateLimits::endedJobWindow
+/// longer.
 class Jobs
 {
 public:
@@ -88,21 +84,23 @@
     /// of tasks that are done, are ignored.
     ApplyResult recordExposures(const wire::RecordCrashExposures &command);
 
-    /// Removes jobs that ended longer ago than StateLimits::endedJobWindow.
+    /// Forgets jobs that ended longer ago than StateLimits::endedJobWindow.
     void expire(std::int64_t nowMicroseconds);
 
-    /// Returns the job with that id, or nullptr.
+    /// State of a job that is active or has ended; none if no such job is known.
+    [[nodiscard]] std::optional<wire::JobState> stateOf(std::uint64_t id) const;
+    /// Returns the active job with that id, or nullptr.
     [[nodiscard]] const Job *find(std::uint64_t id) const;
-    /// All jobs by id, in no particular order.
+    /// All active jobs by id, in no particular order.
     [[nodiscard]] const std::unordered_map<std::uint64_t, Job> &all() const { return m_jobs; }
 
-    /// Estimated memory of the jobs that have ended, in bytes.
+    /// Estimated memory of what is kept of the jobs that have ended, in bytes.
     [[nodiscard]] std::size_t endedBytes() const;
     /// Memory of the durable results of all tasks, in bytes.
     [[nodiscard]] std::size_t resultBytes() const;
 
-    /// Appends every job to a snapshot: active jobs first, then ended ones by the time they ended;
-    /// equal times by id.
+    /// Appends every job to a snapshot: active jobs by id, then ended ones in the order in which
+    /// they ended.
     void save(SnapshotWriter *writer) const;
     /// Loads one snapshot record; returns false if it is not a valid job.
     bool load(const wire::JobRecord &record);
@@ -111,10 +109,12 @@
     /// Reads the results of an active job, also those that an earlier version wrote.
     [[nodiscard]] static bool loadResults(const wire::JobRecord &record, Job *job);
     void applyExposure(Job *job, const wire::TaskCrashExposure &change) const;
-    void end(Job *job, wire::JobState state, std::int64_t nowMicroseconds);
+    /// Ends an active job; its definition and results are discarded.
+    void end(std::uint64_t id, wire::JobState state, std::int64_t nowMicroseconds);
 
     const StateLimits &m_limits;
     std::unordered_map<std::uint64_t, Job> m_jobs;
+    std::unordered_map<std::uint64_t, wire::JobState> m_endedStates;
     /// End time and id of each ended job, in the order in which they ended.
     std::deque<std::pair<std::int64_t, std::uint64_t>> m_ended;
 };
--- a/tests/control/JobMemoryTest.cpp
+++ b/tests/control/JobMemoryTest.cpp
@@ -87,7 +87,7 @@
         world.submit(id, simpleJob(90'000, 8000, 60'000));
         world.run(20ms);
         REQUIRE((world.statusOf(id) == 200 || world.statusOf(id) == 503));
-        const bool isStored = world.driver().state().jobs().find(id) != nullptr;
+        const bool isStored = world.driver().state().jobs().stateOf(id).has_value();
         CHECK(isStored == (world.statusOf(id) == 200));
         accepted += isStored ? 1 : 0;
         CHECK(heapInUse() - before < maxHeapGrowth);
@@ -174,6 +174,29 @@
     CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
 }
 
+TEST_CASE("small jobs are accepted for as long as they come, and ended ones stay known")
+{
+    // Guards against jobs that are refused for the memory of ended ones, which is not short.
+    JobWorld world({ .scheduler = { .memory = { .budget = std::size_t { 1 } << 20U } } });
+    world.run(2s);
+    constexpr std::uint64_t n = 5000;
+    constexpr std::uint64_t perMinute = 20 * 60;
+    for (std::uint64_t id = 1; id <= n; ++id) {
+        world.submit(id, simpleJob(1, 100, 20));
+        world.run(50ms);
+        if (id % perMinute == 0) {
+            world.changeLeader(300ms);
+            world.run(2s);
+        }
+    }
+    world.run(2s);
+    for (std::uint64_t id = 1; id <= n; ++id)
+        REQUIRE(world.statusOf(id) == 200);
+    for (std::uint64_t id = n - 2 * perMinute; id <= n; ++id)
+        REQUIRE(world.driver().state().jobs().stateOf(id) == wire::JOB_STATE_COMPLETED);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
 TEST_CASE("schedules and plain jobs with little memory end once each, whatever leaders are lost")
 {
     // Guards against occurrences that are lost, early or run twice since they are opened late.
@@ -254,7 +277,7 @@
             if (world.statusOf(it) == 200 && !cancelled.contains(it))
                 CHECK(world.stateOf(it) == wire::JOB_STATE_COMPLETED);
             if (world.statusOf(it) == 503)
-                CHECK(world.driver().state().jobs().find(it) == nullptr);
+                CHECK_FALSE(world.driver().state().jobs().stateOf(it));
         }
         CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
         CHECK(world.driver().scheduler().jobs().memory().budgeted() == 0);
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -458,8 +458,7 @@
 
 wire::JobState JobWorld::stateOf(std::uint64_t id) const
 {
-    const state::Job *job = m_machine.jobs().find(id);
-    return job == nullptr ? wire::JOB_STATE_ACTIVE : job->state;
+    return m_machine.jobs().stateOf(id).value_or(wire::JOB_STATE_ACTIVE);
 }
 
 int JobWorld::statusOf(std::uint64_t id) const
--- a/tests/control/JobsTest.cpp
+++ b/tests/control/JobsTest.cpp
@@ -987,10 +987,14 @@
     world.driver().carryOut(at);
     world.refuseProposals(true);
     world.run(200ms);
-    const state::Job *job = world.driver().state().jobs().find(7);
-    REQUIRE(job != nullptr);
-    CHECK((world.worker(0).noted < 1 || job->isDone({ .task = 0 })));
-    CHECK((world.worker(0).noted < 2 || job->isDone({ .task = 1 })));
+    // The job has ended once both ends are recorded.
+    const auto isRecorded = [&](std::uint32_t task) {
+        const state::Job *job = world.driver().state().jobs().find(7);
+        return job == nullptr ? world.stateOf(7) == wire::JOB_STATE_COMPLETED
+                              : job->isDone({ .task = task });
+    };
+    CHECK((world.worker(0).noted < 1 || isRecorded(0)));
+    CHECK((world.worker(0).noted < 2 || isRecorded(1)));
     world.refuseProposals(false);
     world.run(2s);
     CHECK(world.stateOf(7) == wire::JOB_STATE_COMPLETED);
--- a/tests/state/JobsTest.cpp
+++ b/tests/state/JobsTest.cpp
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <doctest/doctest.h>
 
 #include "tests/state/Driver.h"
@@ -61,9 +63,9 @@
     CHECK(driver.apply(submission(5, 9)).outcome() == wire::OUTCOME_ALREADY_APPLIED);
     driver.apply(ended(5, 0, false, 1));
     driver.apply(ended(5, 0, false, 1));
-    CHECK(driver.machine.jobs().find(5)->state == wire::JOB_STATE_ACTIVE);
+    CHECK(driver.machine.jobs().stateOf(5) == wire::JOB_STATE_ACTIVE);
     driver.apply(ended(5, 1, false, 1));
-    CHECK(driver.machine.jobs().find(5)->state == wire::JOB_STATE_COMPLETED);
+    CHECK(driver.machine.jobs().stateOf(5) == wire::JOB_STATE_COMPLETED);
     CHECK(driver.apply(submission(6, 0)).outcome() == wire::OUTCOME_INVALID);
 }
 
@@ -179,7 +181,7 @@
     REQUIRE(other.restore(bytesOf(bytes)));
     CHECK(other.snapshot() == bytes);
     CHECK(other.jobs().find(5)->isDone({ .task = 1 }));
-    CHECK(other.jobs().find(6)->state == wire::JOB_STATE_COMPLETED);
+    CHECK(other.jobs().stateOf(6) == wire::JOB_STATE_COMPLETED);
     CHECK(other.workers().tenure() == 2);
     CHECK(other.queues().version() == 7);
 }
@@ -208,7 +210,7 @@
     record.set_state(wire::JOB_STATE_COMPLETED);
     record.set_done(std::string(9, '\1'));
     REQUIRE(jobs.load(record));
-    CHECK(jobs.find(6)->state == wire::JOB_STATE_COMPLETED);
+    CHECK(jobs.stateOf(6) == wire::JOB_STATE_COMPLETED);
     record.set_job(7);
     record.set_state(wire::JOB_STATE_ACTIVE);
     record.set_done("\1");
@@ -223,11 +225,48 @@
     driver.apply(ended(5, 0, false, 1));
     driver.now += 150'000'000;
     driver.apply(queueProposal(1, ""));
-    CHECK(driver.machine.jobs().find(5) != nullptr);
+    CHECK(driver.machine.jobs().stateOf(5) == wire::JOB_STATE_COMPLETED);
     driver.now += 60'000'000;
     driver.apply(queueProposal(2, ""));
-    CHECK(driver.machine.jobs().find(5) == nullptr);
-    CHECK(driver.machine.jobs().find(6) != nullptr);
+    CHECK_FALSE(driver.machine.jobs().stateOf(5));
+    CHECK(driver.machine.jobs().stateOf(6) == wire::JOB_STATE_ACTIVE);
+}
+
+TEST_CASE("an ended job takes some dozen bytes, and they are accounted for")
+{
+    // Guards against memory that follows the size of jobs that are over, and against a figure that
+    // is not what they take.
+    const auto heapInUse = [] {
+        const struct mallinfo2 info = mallinfo2();
+        return info.uordblks + info.hblkhd;
+    };
+    constexpr std::uint64_t n = 20'000;
+    wire::Command command = submission(0, 8);
+    command.mutable_submit_job()->mutable_spec()->set_payload(std::string(4000, 'p'));
+    const StateLimits limits;
+    Jobs jobs(limits);
+    const std::size_t before = heapInUse();
+    for (std::uint64_t id = 1; id <= n; ++id) {
+        command.mutable_submit_job()->set_job(id);
+        REQUIRE(jobs.submit(command.submit_job(), {}, 0).outcome() == wire::OUTCOME_APPLIED);
+        wire::CancelJob cancel;
+        cancel.set_job(id);
+        REQUIRE(jobs.cancel(cancel, 0).outcome() == wire::OUTCOME_APPLIED);
+    }
+    const std::size_t taken = heapInUse() - before;
+    CHECK(taken < n * 96);
+    CHECK(jobs.endedBytes() > taken / 2);
+    CHECK(jobs.endedBytes() < taken * 2);
+
+    Driver driver;
+    for (std::uint64_t id = 1; id <= 100; ++id) {
+        command.mutable_submit_job()->set_job(id);
+        driver.apply(command);
+        wire::Command cancel;
+        cancel.mutable_cancel_job()->set_job(id);
+        driver.apply(cancel);
+    }
+    CHECK(driver.machine.snapshot().size() < 10'000);
 }
 
 TEST_CASE("active jobs go by the current definition of their queue, or by its last one")
@@ -254,7 +293,9 @@
     driver.apply(ended(6, 0, false, 1));
     driver.apply(proposal(2, "q", "/q/", "two"));
     CHECK(poolOf(5) == "two");
-    CHECK(poolOf(6) == "one");
+    // Nothing but its state is kept of a job that has ended.
+    CHECK(driver.machine.jobs().find(6) == nullptr);
+    CHECK(driver.machine.jobs().stateOf(6) == wire::JOB_STATE_COMPLETED);
     // An overtaken definition changes nothing.
     driver.apply(proposal(1, "q", "/q/", "one"));
     CHECK(poolOf(5) == "two");
