--- a/acaciafork/control/JobDriver.cpp
+++ b/acaciafork/control/JobDriver.cpp
@@ -396,14 +396,12 @@
         answerSubmission(id, peers::failureAnswer(FailureKind::InvalidArgument, problem));
         return;
     }
-    if (!reserveMemory(*job, &submission->second)) {
-        const Duration wait = m_scheduler.memory().drainTime(submission->second.bytes);
+    if (const std::size_t missing = reserveMemory(*job, &submission->second); missing > 0) {
+        const Duration wait = m_scheduler.memory().drainTime(missing);
         m_refused->add();
-        spdlog::info("event=job-refused job={:016x} queue={} reason=memory bytes={} "
+        spdlog::info("event=job-refused job={:016x} queue={} reason=memory missing-bytes={} "
                      "retry-after-ms={}",
-                     id, queue.name(), submission->second.bytes,
-                     wait / std::chrono::milliseconds(1));
-        submission->second.bytes = 0;
+                     id, queue.name(), missing, wait / std::chrono::milliseconds(1));
         answerSubmission(id, refusedForMemory(wait));
         return;
     }
@@ -442,18 +440,21 @@
         it(answer);
 }
 
-bool JobDriver::reserveMemory(const wire::SubmitJob &job, Submission *submission)
+std::size_t JobDriver::reserveMemory(const wire::SubmitJob &job, Submission *submission)
 {
     const std::shared_ptr<const jobs::JobSpec> spec = toJobs(job.spec());
     const std::size_t definition = jobs::JobMemory::definitionBytes(*spec, storedBytes(job.spec()));
     // The occurrences of a scheduled job are opened as there is memory for them.
     const std::size_t occurrence = spec->isScheduled ? 0 : jobs::JobMemory::occurrenceBytes(*spec);
-    submission->queue = job.queue().name();
-    submission->bytes = definition + occurrence;
-    if (!m_scheduler.memory().mayAccept(submission->queue, definition, occurrence))
-        return false;
-    m_scheduler.memory().submissionBegan(submission->queue, submission->bytes);
-    return true;
+    const std::string &queue = job.queue().name();
+    jobs::JobMemory &memory = m_scheduler.memory();
+    const std::size_t missing = memory.shortage(queue, definition, occurrence);
+    if (missing == 0) {
+        submission->queue = queue;
+        submission->bytes = definition + occurrence;
+        memory.submissionBegan(queue, submission->bytes);
+    }
+    return missing;
 }
 
 void JobDriver::releaseMemory(std::uint64_t id)
--- a/acaciafork/control/JobDriver.h
+++ b/acaciafork/control/JobDriver.h
@@ -104,8 +104,8 @@
     void answerEndingWorkers(Timestamp now);
     struct Submission;
     /// Reserves the memory that a job takes once it is accepted, and notes how much it is.
-    /// @return false when there is not enough now; nothing is reserved then
-    bool reserveMemory(const wire::SubmitJob &job, Submission *submission);
+    /// @return the memory that is missing; nothing is reserved unless it is 0
+    [[nodiscard]] std::size_t reserveMemory(const wire::SubmitJob &job, Submission *submission);
     void releaseMemory(std::uint64_t id);
     void answerSubmission(std::uint64_t id, const peers::ApiAnswer &answer);
     void tell(std::uint64_t id, const Reply &reply) const;
--- a/acaciafork/decisions/jobs/JobMemory.cpp
+++ b/acaciafork/decisions/jobs/JobMemory.cpp
@@ -136,18 +136,22 @@
     return jobBytes == 0 || jobBytes + cost <= free - std::min(free, used);
 }
 
-bool JobMemory::mayAccept(const std::string &queue, std::size_t definition,
-                          std::size_t occurrence) const
+std::size_t JobMemory::shortage(const std::string &queue, std::size_t definition,
+                                std::size_t occurrence) const
 {
+    const auto excess = [](std::size_t needed, std::size_t limit) {
+        return needed - std::min(needed, limit);
+    };
     const std::size_t definitions = m_definitions + m_retained + definition;
-    if (definitions > m_settings.budget * m_settings.maxDefinitionPercent / 100)
-        return false;
-    const std::size_t free = available();
-    if (occurrence == 0)
-        return definition <= free;
     const std::size_t cost = definition + occurrence;
-    const std::size_t used = usedBy(queue);
-    return cost <= free && (used == 0 || used + cost <= free);
+    const std::size_t used = budgeted() + m_retained + m_submissions;
+    std::size_t bytes =
+            std::max(excess(definitions, m_settings.budget * m_settings.maxDefinitionPercent / 100),
+                     excess(used + cost, m_settings.budget));
+    // What the queue releases counts twice: it uses less, and more is free.
+    if (const std::size_t share = usedBy(queue); occurrence > 0 && share > 0)
+        bytes = std::max(bytes, (excess(share + cost, available()) + 1) / 2);
+    return bytes;
 }
 
 Duration JobMemory::drainTime(std::size_t bytes) const
--- a/acaciafork/decisions/jobs/JobMemory.h
+++ b/acaciafork/decisions/jobs/JobMemory.h
@@ -58,7 +58,7 @@
     /// next leader may have to open the same occurrences again.
     void held(std::size_t bytes) { m_held += bytes; }
     void heldReleased(std::size_t bytes);
-    /// Memory of the ended jobs that the replicated state still keeps.
+    /// Memory of what the replicated state keeps of the jobs that have ended.
     void setRetained(std::size_t bytes);
     /// A submission is being recorded, or its outcome is known.
     void submissionBegan(const std::string &queue, std::size_t cost);
@@ -71,11 +71,16 @@
     /// @param[in] jobBytes memory of the open occurrences of its job
     [[nodiscard]] bool mayOpen(const std::string &queue, std::size_t jobBytes,
                                std::size_t cost) const;
-    /// True when a new job may be accepted.
+    /// Memory that has to be released before a new job may be accepted; 0 if it may be now.
     /// @param[in] occurrence cost of the occurrence that is due at once, if it is to run
     ///     immediately; 0 for a scheduled job, whose occurrences wait until there is room
+    [[nodiscard]] std::size_t shortage(const std::string &queue, std::size_t definition,
+                                       std::size_t occurrence) const;
     [[nodiscard]] bool mayAccept(const std::string &queue, std::size_t definition,
-                                 std::size_t occurrence) const;
+                                 std::size_t occurrence) const
+    {
+        return shortage(queue, definition, occurrence) == 0;
+    }
     /// Expected time until so much memory is released, by the rate of the last seconds.
     [[nodiscard]] Duration drainTime(std::size_t bytes) const;
     /// Updates the rate at which memory is released; called at least every second.
--- a/tests/decisions/jobs/JobMemoryTest.cpp
+++ b/tests/decisions/jobs/JobMemoryTest.cpp
@@ -59,6 +59,34 @@
     CHECK(memory.mayAccept("c", 1000, 2000));
 }
 
+TEST_CASE("a job that is rejected finds memory after the time that its caller was told")
+{
+    // Guards against callers that wait for a minute for what is released within seconds, and
+    // against those that come back in vain.
+    constexpr std::size_t mb = std::size_t { 1 } << 20U;
+    constexpr std::size_t perSecond = 100'000;
+    JobMemory memory({ .budget = 8 * mb });
+    Timestamp now {};
+    const auto pass = [&](Duration time) {
+        for (Duration passed {}; passed < time; passed += 100ms) {
+            now += 100ms;
+            memory.advance(now);
+            memory.closed("a", perSecond / 10);
+        }
+    };
+    for (const std::size_t cost : { std::size_t { 3000 }, mb / 2, mb }) {
+        memory.opened("a", 4 * mb + 40 * perSecond - memory.occurrences());
+        pass(20s);
+        REQUIRE(memory.mayAccept("b", 1000, 2000));
+        const std::size_t missing = memory.shortage("a", 1000, cost);
+        CHECK(missing > 0);
+        const Duration wait = memory.drainTime(missing);
+        CHECK(wait < std::chrono::milliseconds(missing * 1100 / perSecond) + 1100ms);
+        pass(wait + 200ms);
+        CHECK(memory.mayAccept("a", 1000, cost));
+    }
+}
+
 TEST_CASE("no job without an open occurrence waits while another one has two turns")
 {
     // Guards against a job that waits for as long as another one has occurrences that are due.
