--- a/acaciafork/decisions/jobs/JobMemory.h
+++ b/acaciafork/decisions/jobs/JobMemory.h
@@ -20,6 +20,9 @@
     /// Part of the budget that the definitions of jobs may take, in percent. The rest is left for
     /// occurrences.
     std::size_t maxDefinitionPercent = 50;
+    /// Memory of records of tasks above which tasks that have had a run come before those that have
+    /// had none, in percent of the budget.
+    std::size_t maxRecordPercent = 12;
 };
 
 /// Accounts for the memory of jobs and decides which occurrences may be opened within the budget.
@@ -81,6 +84,12 @@
     {
         return shortage(queue, definition, occurrence) == 0;
     }
+    /// True when a step has to finish the tasks that it has begun before it starts others. The
+    /// records of failed tasks would follow the width of its steps otherwise.
+    [[nodiscard]] bool mustFinishBegun() const
+    {
+        return m_records > m_settings.budget * m_settings.maxRecordPercent / 100;
+    }
     /// Expected time until so much memory is released, by the rate of the last seconds.
     [[nodiscard]] Duration drainTime(std::size_t bytes) const;
     /// Updates the rate at which memory is released; called at least every second.
--- a/acaciafork/decisions/jobs/JobScheduler.cpp
+++ b/acaciafork/decisions/jobs/JobScheduler.cpp
@@ -429,9 +429,11 @@
             step->ready.empty() ? task.idleSince : std::min(step->waitingSince, task.idleSince);
     // A long-running task that has lost its run comes before those that have had none.
     const auto hadNoRun = [step](std::uint32_t it) { return !step->tasks[it].hasRunBefore; };
-    const auto position = step->spec->longRunning && task.hasRunBefore
-            ? std::ranges::find_if(step->ready, hadNoRun)
-            : step->ready.end();
+    auto position = step->ready.end();
+    if (step->spec->longRunning && task.hasRunBefore)
+        position = std::ranges::find_if(step->ready, hadNoRun);
+    else if (task.ownRecord != nullptr && m_jobs.memory().mustFinishBegun())
+        position = step->ready.begin();
     step->ready.insert(position, ref.task);
     m_order.insert(now, step);
 }
--- a/tests/control/JobMemoryTest.cpp
+++ b/tests/control/JobMemoryTest.cpp
@@ -197,6 +197,35 @@
     CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
 }
 
+TEST_CASE("the records of failed tasks don't follow the width of a job")
+{
+    // Guards against leaders that end over their memory by wide jobs of which most tasks fail once.
+    constexpr std::uint32_t width = 3000;
+    constexpr std::size_t budget = 1'000'000;
+    JobWorld world({ .attempts = 1000,
+                     .faults = { .runFails = 0.6 },
+                     .scheduler = { .memory = { .budget = budget, .maxRecordPercent = 10 } } });
+    world.run(2s);
+    world.submit(1, simpleJob(width, 500, 20), 1000);
+    std::size_t mostRecords = 0;
+    std::size_t mostFailures = 0;
+    for (int it = 0; it < 6000 && world.stateOf(1) == wire::JOB_STATE_ACTIVE; ++it) {
+        world.run(20ms);
+        mostRecords = std::max(mostRecords, world.driver().scheduler().jobs().memory().records());
+        if (const state::Job *job = world.driver().state().jobs().find(1))
+            mostFailures = std::max(mostFailures, job->failures.size());
+        if (it % 500 == 499)
+            world.changeLeader(300ms);
+    }
+    CHECK(world.statusOf(1) == 200);
+    CHECK(world.stateOf(1) == wire::JOB_STATE_COMPLETED);
+    // What is at work comes on top: six workers run up to 16 tasks each.
+    constexpr std::size_t atWork = 6 * 16;
+    CHECK(mostRecords < budget / 10 + 2 * atWork * sizeof(jobs::TaskRecord));
+    CHECK(mostFailures < budget / 10 / sizeof(jobs::TaskRecord) + 2 * atWork);
+    CHECK_MESSAGE(world.breaches().empty(), joined(world.breaches()));
+}
+
 TEST_CASE("schedules and plain jobs with little memory end once each, whatever leaders are lost")
 {
     // Guards against occurrences that are lost, early or run twice since they are opened late.
--- a/tests/control/JobWorld.cpp
+++ b/tests/control/JobWorld.cpp
@@ -88,7 +88,7 @@
         queue.set_host("host");
         queue.set_path_prefix("/q/");
         queue.set_pool("pool");
-        queue.set_most_attempts(4);
+        queue.set_most_attempts(m_options.attempts);
         queue.set_stretch(2);
         queue.set_objective_ms(1000);
         *config->add_queues() = queue;
--- a/tests/control/JobWorld.h
+++ b/tests/control/JobWorld.h
@@ -62,6 +62,8 @@
     std::size_t zones = 0;
     std::int64_t workerMillicores = 8000;
     std::int64_t workerMemoryMb = 32'000;
+    /// Failed runs after which a task, and so its job, is given up.
+    std::uint32_t attempts = 4;
     /// Workers reject what exceeds their capacity; else it is a breach to start that there.
     bool guardsCapacity = true;
     WorldFaults faults;
