--- a/acaciafork/consensus/AgreementSettings.cpp
+++ b/acaciafork/consensus/AgreementSettings.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::int64_t minuteMs = 60'000;
 constexpr std::int64_t maxEntries = 10'000'000;
+constexpr std::int64_t minLogBytes = 64LL * 1024;
+constexpr std::int64_t maxLogBytes = 16LL * 1024 * 1024 * 1024;
 
 using NodeField = SettingField<NodeSettings>;
 const std::array nodeFields {
@@ -47,6 +49,19 @@
                 .least = 0,
                 .most = maxEntries,
                 .meaning = "Log entries covered by a snapshot but kept for members that lag." },
+    NodeField { .section = "agreement",
+                .key = "log-bytes",
+                .member = &NodeSettings::logBytes,
+                .least = minLogBytes,
+                .most = maxLogBytes,
+                .meaning = "Memory of the log entries applied between two snapshots, or the size "
+                           "of the last snapshot if it is larger." },
+    NodeField { .section = "agreement",
+                .key = "trailing-bytes",
+                .member = &NodeSettings::trailingBytes,
+                .least = 0,
+                .most = maxLogBytes,
+                .meaning = "Memory of the log entries kept for members that lag." },
     NodeField { .section = "agreement",
                 .key = "snapshot-from-follower",
                 .member = &NodeSettings::snapshotFromFollower,
--- a/acaciafork/consensus/EntryLog.h
+++ b/acaciafork/consensus/EntryLog.h
@@ -27,6 +27,12 @@
     [[nodiscard]] std::optional<Term> termAt(LogIndex index) const;
     /// Entry at `index`, which must be after the base and not after the last entry.
     [[nodiscard]] const Entry &at(LogIndex index) const;
+    /// Memory of the kept entries up to and including `index`, in bytes.
+    [[nodiscard]] std::uint64_t bytesUpTo(LogIndex index) const;
+    /// Index of the first entry such that it and those up to `last` take at most `maxBytes`, and
+    /// are at most `maxEntries`; `last` + 1 if none does.
+    [[nodiscard]] LogIndex firstWithin(LogIndex last, std::uint64_t maxEntries,
+                                       std::uint64_t maxBytes) const;
 
     /// Adds an entry, whose index must directly follow the last one.
     void append(Entry entry);
@@ -44,6 +50,10 @@
     LogIndex m_baseIndex = 0;
     Term m_baseTerm = 0;
     std::deque<Entry> m_entries;
+    /// Bytes of all entries that were appended up to and including each entry that is kept, and up
+    /// to the base.
+    std::deque<std::uint64_t> m_ends;
+    std::uint64_t m_baseEnd = 0;
 };
 
 } // namespace acaciafork::consensus
--- a/acaciafork/consensus/Node.cpp
+++ b/acaciafork/consensus/Node.cpp
@@ -30,6 +30,7 @@
     for (LogIndex it = std::max(m_log.baseIndex(), m_snapshotIndex) + 1; it <= m_log.lastIndex();
          ++it)
         pushMembership(m_log.at(it));
+    compactLog();
     resetElectionDeadline(now);
 }
 
@@ -215,17 +216,28 @@
 {
     m_snapshotIndex = std::max(m_snapshotIndex, meta.index);
 
+    compactLog();
+
+    // Memberships before the snapshot are committed and superseded, so no truncation restores them.
+    while (m_memberships.size() > 1 && m_memberships[1].index <= m_snapshotIndex)
+        m_memberships.erase(m_memberships.begin());
+}
+
+void Node::compactLog()
+{
     // Some entries that the snapshot covers are kept, so that a follower that lags a little does
     // not need the snapshot.
-    const auto trailing = static_cast<LogIndex>(m_settings.trailingEntries);
-    const LogIndex keepFrom = m_snapshotIndex > trailing ? m_snapshotIndex - trailing : 0;
-    const LogIndex base = std::min(keepFrom, m_durable);
+    const LogIndex first = m_log.firstWithin(m_snapshotIndex,
+                                             static_cast<std::uint64_t>(m_settings.trailingEntries),
+                                             static_cast<std::uint64_t>(m_settings.trailingBytes));
+    const LogIndex base = std::min(first - 1, m_durable);
     if (base > m_log.baseIndex())
         m_log.compactTo(base);
+}
 
-    // Memberships before the snapshot are committed and superseded, so no truncation restores them.
-    while (m_memberships.size() > 1 && m_memberships[1].index <= m_snapshotIndex)
-        m_memberships.erase(m_memberships.begin());
+std::uint64_t Node::bytesSinceSnapshot() const
+{
+    return m_log.bytesUpTo(m_applied) - m_log.bytesUpTo(std::min(m_snapshotIndex, m_applied));
 }
 
 Standing Node::standing() const
--- a/acaciafork/consensus/Node.h
+++ b/acaciafork/consensus/Node.h
@@ -121,6 +121,9 @@
     [[nodiscard]] bool hasSnapshotReceiver(Timestamp now) const;
     /// Index of the last entry removed from the log by compaction.
     [[nodiscard]] LogIndex baseIndex() const { return m_log.baseIndex(); }
+    /// Memory of the entries that this member keeps, and of those applied since the last snapshot.
+    [[nodiscard]] std::uint64_t logBytes() const { return m_log.bytesUpTo(m_log.lastIndex()); }
+    [[nodiscard]] std::uint64_t bytesSinceSnapshot() const;
     /// Identity of this member's data folder.
     [[nodiscard]] FolderId folder() const { return m_folder; }
     [[nodiscard]] Role role() const { return m_role; }
@@ -216,6 +219,8 @@
     [[nodiscard]] const Membership &membershipAt(LogIndex index) const;
     void pushMembership(const Entry &entry);
     void truncateFrom(LogIndex index);
+    /// Drops the entries that the last snapshot covers, but for those kept for followers.
+    void compactLog();
     Result<LogPosition> proposeMembership(Timestamp now, const Membership &changed);
     void updateTrackedMembers(Timestamp now);
     void advanceMembership(Timestamp now);
--- a/acaciafork/consensus/NodeSettings.h
+++ b/acaciafork/consensus/NodeSettings.h
@@ -32,12 +32,18 @@
     /// Number of entries after which the next snapshot is stored even while a member still fetches
     /// the last one.
     std::int64_t deferredSnapshotEntries = 100'000;
+    /// Memory of entries applied since the last snapshot after which the next one is stored, or the
+    /// size of that snapshot if it is larger: storing snapshots costs no more than the log then.
+    /// Four times as much while a member still fetches the last one.
+    std::int64_t logBytes = 16LL * 1024 * 1024;
     /// How long after the last message from its receiver a snapshot counts as still being fetched.
     Duration snapshotFetchTimeout = std::chrono::seconds(2);
     /// Interval between attempts to write to a full disk.
     Duration diskFullRetryInterval = std::chrono::milliseconds(500);
-    /// Number of entries covered by a snapshot that are kept for followers that lag.
+    /// Number of entries covered by a snapshot that are kept for followers that lag, and their
+    /// memory.
     std::int64_t trailingEntries = 2'000;
+    std::int64_t trailingBytes = 4LL * 1024 * 1024;
     /// Size of a snapshot chunk in bytes, and how long a fetch waits before it repeats a request.
     std::int64_t snapshotChunkBytes = 128LL * 1024;
     Duration snapshotRetry = std::chrono::milliseconds(200);
--- a/acaciafork/consensus/Replica.cpp
+++ b/acaciafork/consensus/Replica.cpp
@@ -15,6 +15,11 @@
 /// A write that takes longer is not waited for by what can do without it.
 constexpr Duration stalledWrite = std::chrono::milliseconds(100);
 
+/// Multiples of NodeSettings::logBytes at which a member that is busy waits for its disk to store a
+/// snapshot, and at which a snapshot is stored although a member still fetches the last one.
+constexpr std::uint64_t overdueFactor = 2;
+constexpr std::uint64_t deferredFactor = 4;
+
 /// Interval between checks for lost members.
 constexpr Duration replacementCheckInterval = std::chrono::milliseconds(500);
 
@@ -157,6 +162,8 @@
 {
     m_counters.term.set(static_cast<std::int64_t>(m_node.term()));
     m_counters.commitIndex.set(static_cast<std::int64_t>(m_node.commitIndex()));
+    m_counters.logMemory.set(static_cast<std::int64_t>(m_node.logBytes()));
+    m_counters.snapshotBytes.set(static_cast<std::int64_t>(m_folder->snapshot().size));
     m_counters.full.set(m_diskFull ? 1 : 0);
     m_counters.broken.set(m_folder->broken() ? 1 : 0);
 }
@@ -292,27 +299,34 @@
     }
 }
 
+bool Replica::hasOutgrownSnapshot(std::int64_t entries, std::uint64_t factor) const
+{
+    const SnapshotMeta &snapshot = m_folder->snapshot();
+    const std::uint64_t bytes =
+            std::max(static_cast<std::uint64_t>(m_settings.node.logBytes), snapshot.size);
+    return m_node.appliedIndex() >= snapshot.index + static_cast<LogIndex>(entries)
+            || m_node.bytesSinceSnapshot() >= factor * bytes;
+}
+
 bool Replica::isSnapshotOverdue(Timestamp now) const
 {
-    const auto most = static_cast<LogIndex>(2 * m_settings.node.snapshotEntries);
     const Timestamp writeNow = m_settings.clock ? m_settings.clock() : now;
     const bool isStalled = m_isWriting && writeNow - m_writeBeganAt > stalledWrite;
-    return !isStalled && !m_diskFull && m_node.appliedIndex() > m_folder->snapshot().index + most;
+    return !isStalled && !m_diskFull
+            && hasOutgrownSnapshot(2 * m_settings.node.snapshotEntries + 1, overdueFactor);
 }
 
 void Replica::storeSnapshot(Timestamp now)
 {
     if (m_isWriting || m_folder->broken())
         return;
-    const auto snapshotInterval = static_cast<LogIndex>(m_settings.node.snapshotEntries);
-    if (m_node.appliedIndex() < m_folder->snapshot().index + snapshotInterval
+    if (!hasOutgrownSnapshot(m_settings.node.snapshotEntries, 1)
         || m_node.appliedIndex() > m_node.durableIndex())
         return;
     // A snapshot that is being fetched is kept, because a slow fetch would never finish otherwise.
     const bool fetched = now - m_lastFetchAt < m_settings.node.snapshotFetchTimeout;
-    const auto deferred = static_cast<LogIndex>(m_settings.node.deferredSnapshotEntries);
     if ((fetched || m_node.hasSnapshotReceiver(now))
-        && m_node.appliedIndex() < m_folder->snapshot().index + deferred)
+        && !hasOutgrownSnapshot(m_settings.node.deferredSnapshotEntries, deferredFactor))
         return;
     SnapshotMeta meta = m_node.describeSnapshot();
     const std::string bytes = m_handler->makeSnapshot();
--- a/acaciafork/consensus/Replica.h
+++ b/acaciafork/consensus/Replica.h
@@ -133,6 +133,9 @@
     void beginWrite(Timestamp now, const NodeOutput &output);
     void endWrite(Timestamp now);
     void writeEnded(Timestamp now, bool isStored, bool isFull);
+    /// True once so many entries were applied since the last snapshot, or so many times the bytes
+    /// after which the next one is stored.
+    [[nodiscard]] bool hasOutgrownSnapshot(std::int64_t entries, std::uint64_t factor) const;
     [[nodiscard]] bool isSnapshotOverdue(Timestamp now) const;
     void sendMessage(const Message &message);
     void sendMessages(const std::vector<Message> &messages);
--- a/acaciafork/consensus/ReplicaCounters.h
+++ b/acaciafork/consensus/ReplicaCounters.h
@@ -20,6 +20,8 @@
         , bytesSent(registry->counter("consensus_bytes_sent_total"))
         , term(registry->counter("consensus_term", MetricKind::Gauge))
         , commitIndex(registry->counter("consensus_commit_index", MetricKind::Gauge))
+        , logMemory(registry->counter("consensus_log_memory_bytes", MetricKind::Gauge))
+        , snapshotBytes(registry->counter("consensus_snapshot_bytes", MetricKind::Gauge))
         , full(registry->counter("consensus_disk_full", MetricKind::Gauge))
         , broken(registry->counter("consensus_disk_broken", MetricKind::Gauge))
         , faultsTolerated(registry->counter("consensus_faults_tolerated", MetricKind::Gauge))
@@ -43,6 +45,9 @@
     Counter &bytesSent;
     Counter &term;
     Counter &commitIndex;
+    /// Memory of the entries that are kept, and size of the stored snapshot.
+    Counter &logMemory;
+    Counter &snapshotBytes;
     Counter &full;
     Counter &broken;
     /// Computed on the leader only; 0 on other members.
--- a/tests/consensus/ReplicaTest.cpp
+++ b/tests/consensus/ReplicaTest.cpp
@@ -173,6 +173,55 @@
     CHECK(group.violation() == "");
 }
 
+TEST_CASE("the log takes a bounded number of bytes, however large its entries are")
+{
+    // Guards against members that end over their memory or disk, again after each restart, since
+    // the log is cut by the number of its entries only.
+    constexpr std::uint64_t entryBytes = 4000;
+    GroupSettings settings { .members = 3, .seed = 34 };
+    settings.node.logBytes = 50 * entryBytes;
+    settings.node.trailingBytes = 10 * entryBytes;
+    settings.folder.segmentBytes = 20 * entryBytes;
+    Group group(settings);
+    REQUIRE(group.awaitLeader());
+    std::uint64_t mostMemory = 0;
+    std::uint64_t mostDisk = 0;
+    for (std::uint64_t it = 1; it <= 1000; ++it) {
+        if (group.leader() == nullptr)
+            REQUIRE(group.awaitLeader());
+        GroupMember *leader = group.leader();
+        (void)resultOf([&] {
+            return leader->replica->propose(
+                    leader->clock(), Register::command(it, 0, it) + std::string(entryBytes, 'p'));
+        });
+        group.step();
+        // A member that missed much, and one that starts again, each leader among them.
+        GroupMember &lagging = group.member(static_cast<std::uint32_t>(it / 200 % 3 + 1));
+        if (it % 200 == 20)
+            group.isolate(lagging.id);
+        if (it % 200 == 150)
+            group.heal();
+        if (it % 200 == 190) {
+            lagging.crash();
+            REQUIRE(lagging.start());
+        }
+        for (auto &[id, member] : group.members()) {
+            mostMemory = std::max(mostMemory, member->replica->node().logBytes());
+            mostDisk = std::max(mostDisk, member->replica->status(member->clock()).logBytes);
+        }
+    }
+    // Four times the bytes while a snapshot is fetched, those kept for members that lag, and what
+    // an isolated leader can't commit.
+    constexpr std::uint64_t mostEntries = 4 * 50 + 10 + 130 + 20;
+    CHECK(mostMemory < mostEntries * entryBytes);
+    CHECK(mostDisk < (mostEntries + 20) * entryBytes);
+    group.run(std::chrono::seconds(3));
+    for (auto &[id, member] : group.members())
+        CHECK(member->state.version() == group.leader()->state.version());
+    CHECK(group.leader()->state.version() > 700);
+    CHECK(group.violation() == "");
+}
+
 TEST_CASE("a leader with a full disk transfers the leadership to a member with free space")
 {
     Group group({ .members = 3, .seed = 10 });
--- a/tests/consensus/Schedule.cpp
+++ b/tests/consensus/Schedule.cpp
@@ -33,6 +33,11 @@
     group.node.snapshotChunkBytes = 4000;
     group.node.promoteLag = 5;
     group.node.deferredSnapshotEntries = 5000;
+    // Bytes bind before the number of entries does.
+    if (settings.seed % 5 < 2) {
+        group.node.logBytes = 2000;
+        group.node.trailingBytes = 500;
+    }
     group.node.snapshotFromFollower = settings.seed % 2 == 0;
     group.node.followerSnapshotTimeout = std::chrono::seconds(1);
     group.replacement = { .automatic = settings.seed % 3 == 0,
