--- a/acaciafork/net/MessageLink.cpp
+++ b/acaciafork/net/MessageLink.cpp
@@ -67,6 +67,7 @@
         std::unique_ptr<TcpStream> stream;
         /// Frames that wait for a connection.
         std::deque<std::string> queued;
+        std::size_t queuedBytes = 0;
         /// Messages sent since the kernel last took all.
         std::size_t behind = 0;
         /// Number of the dial whose outcome is awaited; 0 for none.
@@ -154,6 +155,7 @@
     });
     std::deque<std::string> frames;
     frames.swap(peer->queued);
+    peer->queuedBytes = 0;
     for (const std::string &frame : frames)
         transmit(peer, frame);
 }
@@ -272,18 +274,25 @@
     const auto it = m_impl->peers.find(peer);
     Impl::Peer *to = it == m_impl->peers.end() ? nullptr : it->second.get();
     const auto most = static_cast<std::size_t>(m_impl->settings.sendQueue);
+    const auto mostBytes = static_cast<std::size_t>(m_impl->settings.sendQueueBytes);
     const bool isTooLarge =
             message.size() > static_cast<std::size_t>(m_impl->settings.mostMessageBytes);
-    const bool isFull = to != nullptr && (to->queued.size() >= most || to->behind >= most);
-    if (to == nullptr || isTooLarge || isFull) {
+    const auto isFull = [&] {
+        const std::size_t waiting = to->stream ? to->stream->backlog() : to->queuedBytes;
+        return to->queued.size() >= most || to->behind >= most
+                || (waiting > 0 && waiting + message.size() > mostBytes);
+    };
+    if (to == nullptr || isTooLarge || isFull()) {
         ++m_impl->counts.droppedOnSend;
         return false;
     }
     std::string frame = frameOf(message);
-    if (to->stream)
+    if (to->stream) {
         m_impl->transmit(to, frame);
-    else
+    } else {
+        to->queuedBytes += frame.size();
         to->queued.push_back(std::move(frame));
+    }
     ++m_impl->counts.sent;
     m_impl->counts.bytesSent += message.size();
     return true;
--- a/acaciafork/net/MessageLink.h
+++ b/acaciafork/net/MessageLink.h
@@ -22,6 +22,8 @@
     std::int64_t mostMessageBytes = 4LL * 1024 * 1024;
     /// Messages kept for a peer that is slow or away; past it they are dropped.
     std::int64_t sendQueue = 256;
+    /// Bytes kept for such a peer; one message is kept whatever its size.
+    std::int64_t sendQueueBytes = 6LL * 1024 * 1024;
 };
 
 /// What a link has counted since its start.
--- a/tests/net/MessageLinkTest.cpp
+++ b/tests/net/MessageLinkTest.cpp
@@ -148,4 +148,49 @@
     CHECK(sender.counts().sent == static_cast<std::uint64_t>(sent));
 }
 
+TEST_CASE("large messages to a peer that is away or does not read take a bounded number of bytes")
+{
+    // Guards against members that end over their memory by messages to one that is down or frozen.
+    Loop loop;
+    std::vector<std::unique_ptr<TcpStream>> accepted;
+    TcpListener listener(loop, [&](std::unique_ptr<TcpStream> it) {
+        it->pauseReading();
+        accepted.push_back(std::move(it));
+    });
+    std::uint16_t port = 0;
+    leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_ASSIGN(port, listener.listen({ .host = "127.0.0.1", .port = 0 }));
+                return {};
+            },
+            [] { FAIL("cannot listen"); });
+    const std::string message(1'000'000, 'x');
+    const auto sendMany = [&](MessageLink *link) {
+        for (int it = 0; it < 100; ++it) {
+            link->send(peerId, bytesOf(message));
+            loop.runOnce(0ms);
+        }
+    };
+    // What the kernel takes for a connection counts as sent, too.
+    constexpr std::uint64_t kernelBytes = 16'000'000;
+    const MessageLinkSettings settings;
+    MessageLink away(loop, settings);
+    addPeer(away, 1);
+    sendMany(&away);
+    CHECK(away.counts().sent > 0);
+    CHECK(away.counts().bytesSent <= static_cast<std::uint64_t>(settings.sendQueueBytes));
+    MessageLink frozen(loop, settings);
+    addPeer(frozen, port);
+    runUntil(loop, [&] { return !accepted.empty(); });
+    sendMany(&frozen);
+    CHECK(frozen.counts().sent > 0);
+    CHECK(frozen.counts().bytesSent
+          <= static_cast<std::uint64_t>(settings.sendQueueBytes) + kernelBytes);
+    // A message that is larger than the bound by itself is sent all the same.
+    MessageLink small(loop, { .sendQueueBytes = 1000 });
+    addPeer(small, 1);
+    CHECK(small.send(peerId, bytesOf(message)));
+    CHECK_FALSE(small.send(peerId, bytesOf("next")));
+}
+
 } // namespace acaciafork::net::test
