--- a/acaciafork/control/ControlProcess.cpp
+++ b/acaciafork/control/ControlProcess.cpp
@@ -108,7 +108,7 @@
     nodeSettings.jobs.cautiousBackfill = m_settings.cautiousBackfill;
     nodeSettings.jobs.lookAhead = m_settings.lookAhead;
     nodeSettings.jobs.learnDurations = m_settings.learnDurations;
-    nodeSettings.jobs.memory.budget = static_cast<std::size_t>(m_settings.jobMemoryMb) << 20U;
+    nodeSettings.jobs.memory.budget = m_settings.jobMemoryBytes();
     nodeSettings.jobs.placer.prefersWarmWorkers = m_settings.evacuation;
     nodeSettings.takesAnyEntry = !m_settings.seeds.empty();
     for (const peers::PeerAddress &it : m_settings.entries)
--- a/acaciafork/control/ControlSettings.cpp
+++ b/acaciafork/control/ControlSettings.cpp
@@ -98,9 +98,10 @@
     Field { .section = "jobs",
             .key = "memory-mb",
             .member = &ControlSettings::jobMemoryMb,
-            .least = 8,
+            .least = 0,
             .most = 1'000'000,
-            .meaning = "memory for the jobs of a leader, besides that of running tasks" },
+            .meaning = "memory for the jobs of a leader, besides that of running tasks; 0: a "
+                       "quarter of that of the process" },
     Field { .section = "zones",
             .key = "evacuation",
             .member = &ControlSettings::evacuation,
@@ -115,6 +116,12 @@
             .least = 256,
             .most = 10'000'000,
             .meaning = "descriptors that the process may have open, for connections and files" },
+    Field { .section = "limits",
+            .key = "memory-mb",
+            .member = &ControlSettings::memoryMb,
+            .least = 64,
+            .most = 10'000'000,
+            .meaning = "memory that the process may use" },
     Field { .section = "config",
             .key = "lease-ms",
             .member = &ControlSettings::configLease,
@@ -166,6 +173,13 @@
 
 } // namespace
 
+std::size_t ControlSettings::jobMemoryBytes() const
+{
+    constexpr std::int64_t jobShare = 4;
+    const std::int64_t mb = jobMemoryMb > 0 ? jobMemoryMb : memoryMb / jobShare;
+    return static_cast<std::size_t>(mb) << 20U;
+}
+
 std::span<const Field> controlFields()
 {
     static const std::vector<Field> fields = makeFields();
--- a/acaciafork/control/ControlSettings.h
+++ b/acaciafork/control/ControlSettings.h
@@ -40,8 +40,8 @@
     bool cautiousBackfill = false;
     bool lookAhead = false;
     bool learnDurations = false;
-    /// See jobs::JobMemorySettings::budget. The default suits a process that may use 256 MB.
-    std::int64_t jobMemoryMb = 64;
+    /// See jobs::JobMemorySettings::budget; 0 for a quarter of memoryMb.
+    std::int64_t jobMemoryMb = 0;
 
     /// Operators may close an availability zone to new starts.
     bool evacuation = false;
@@ -58,6 +58,8 @@
 
     /// Descriptors that this process may have open.
     std::int64_t descriptors = 4096;
+    /// Memory that this process may use.
+    std::int64_t memoryMb = 256;
 
     /// Timing of the agreement, and when a lost member is replaced: sections of their own.
     consensus::NodeSettings agreement;
@@ -66,6 +68,9 @@
     /// The lists of the base struct, parsed.
     std::vector<peers::PeerAddress> entries;
     std::vector<peers::PeerAddress> members;
+
+    /// Memory for the jobs of a leader, in bytes.
+    [[nodiscard]] std::size_t jobMemoryBytes() const;
 };
 
 /// The table of keys.
--- a/tests/control/ControlSettingsTest.cpp
+++ b/tests/control/ControlSettingsTest.cpp
@@ -56,3 +56,18 @@
           == std::vector<std::string> { "agreement.hurry", "log.format", "peers.list",
                                         "replacement.automatic", "tasks.lease-ms" });
 }
+
+TEST_CASE("the memory for jobs follows that of the process")
+{
+    // Guards against a leader on a small machine that takes as much as one on a large machine may.
+    const auto megabytes = [](const std::string &more) {
+        std::vector<SettingsProblem> problems;
+        const ControlSettings settings = read(std::string(rightSettings) + more, &problems);
+        CHECK(problems.empty());
+        return settings.jobMemoryBytes() >> 20U;
+    };
+    CHECK(megabytes("") == 64);
+    CHECK(megabytes("[limits]\nmemory-mb=96\n") == 24);
+    CHECK(megabytes("[limits]\nmemory-mb=1024\n") == 256);
+    CHECK(megabytes("[limits]\nmemory-mb=1024\n[jobs]\nmemory-mb=40\n") == 40);
+}
